--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+GOLANGCI_VERSION := v2.15.0
+GOBIN := $(shell go env GOPATH)/bin
+export PATH := $(GOBIN):$(PATH)
+
+.PHONY: test tools check unit build generate
+
+test: tools check unit
+
+build:
+	go build -o bin/ ./cmd/...
+
+tools:
+	@golangci-lint version 2>/dev/null | grep -q '$(GOLANGCI_VERSION:v%=%)' || \
+		go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+check:
+	golangci-lint fmt --diff
+	go vet ./...
+	golangci-lint run ./...
+
+unit:
+	go test -race -count=1 ./...
+
+generate:
+	go generate ./...
--- /dev/null
+++ b/keptcache/types.go
@@ -0,0 +1,26 @@
+// Package keptcache is the client for kept-cache stores. The types in this
+// file are the bodies of the store's HTTP interface: pieces are raw bytes under
+// /v1/pieces/{scope}/{key}, manifests are JSON under /v1/manifests/{scope}/{key}.
+// A full store answers 507.
+package keptcache
+
+// Piece describes one stored cache block.
+type Piece struct {
+	Key string `json:"key"`
+	// SHA256 is the checksum of the piece's bytes in hexadecimal.
+	SHA256 string `json:"sha256"`
+	Bytes  int    `json:"bytes"`
+}
+
+// Manifest lists the pieces of one prompt prefix in prompt order. It is
+// written after all its pieces; its own key is that of the last piece.
+type Manifest struct {
+	Scope  string  `json:"scope"`
+	Pieces []Piece `json:"pieces"`
+}
+
+// LookupRequest asks for the first of the keys that has a manifest. It is the
+// body of POST /v1/manifests/{scope}/lookup; 404 means none.
+type LookupRequest struct {
+	Keys []string `json:"keys"`
+}
