--- /dev/null
+++ b/security/security.go
@@ -0,0 +1,176 @@
+// Package security loads TLS material and compares secrets.
+package security
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+
+	"github.com/fsnotify/fsnotify"
+	"github.com/sirupsen/logrus"
+
+	"waxwingtide.example/waxwingtide/duty"
+	"waxwingtide.example/waxwingtide/errs"
+)
+
+// HashSecret returns the SHA-256 of a key or token in hexadecimal.
+func HashSecret(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+// SameHash compares two hashes in constant time.
+func SameHash(a, b string) bool {
+	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
+}
+
+// Files names the PEM files of one TLS identity.
+type Files struct {
+	Certificate string
+	Key         string
+	// PeerCA is empty where the other side needs no certificate.
+	PeerCA string
+}
+
+// Material is a TLS identity that follows its files.
+type Material struct {
+	files   Files
+	current atomic.Pointer[loaded]
+	log     logrus.FieldLogger
+}
+
+type loaded struct {
+	certificate tls.Certificate
+	pool        *x509.CertPool
+}
+
+// Load reads the files of a TLS identity.
+func Load(files Files, log logrus.FieldLogger) (*Material, error) {
+	m := &Material{files: files, log: log}
+	if err := m.reload(); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+func (m *Material) reload() error {
+	certificate, err := tls.LoadX509KeyPair(m.files.Certificate, m.files.Key)
+	if err != nil {
+		return errs.Wrap(err, errs.Invalid, "name a certificate and its key in PEM form",
+			"TLS files %s and %s cannot be loaded", m.files.Certificate, m.files.Key)
+	}
+	next := &loaded{certificate: certificate}
+	if m.files.PeerCA != "" {
+		pem, err := os.ReadFile(m.files.PeerCA)
+		if err != nil {
+			return errs.Wrap(err, errs.Invalid, "name a readable PEM file", "peer_ca %s cannot be read", m.files.PeerCA)
+		}
+		next.pool = x509.NewCertPool()
+		if !next.pool.AppendCertsFromPEM(pem) {
+			return errs.New(errs.Invalid, "put at least one PEM certificate into it", "peer_ca %s holds no certificate", m.files.PeerCA)
+		}
+	}
+	m.current.Store(next)
+	return nil
+}
+
+// Watch is a duty that reloads the files when they change. A faulty new file
+// is logged and the loaded identity stays in use.
+func (m *Material) Watch() duty.Func {
+	return func(ctx context.Context) error {
+		watcher, err := fsnotify.NewWatcher()
+		if err != nil {
+			return errs.Wrap(err, errs.Internal, "raise the limit of file watches", "TLS files cannot be watched")
+		}
+		defer func() { _ = watcher.Close() }()
+		// Directories are watched because certificates are usually replaced by
+		// a rename, which ends a watch on the file itself.
+		for _, file := range []string{m.files.Certificate, m.files.Key, m.files.PeerCA} {
+			if file == "" {
+				continue
+			}
+			if err := watcher.Add(filepath.Dir(file)); err != nil {
+				return errs.Wrap(err, errs.Invalid, "make the folder readable", "folder of %s cannot be watched", file)
+			}
+		}
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-watcher.Events:
+				m.logReload(m.reload())
+			case err := <-watcher.Errors:
+				m.log.WithField("event", "tls_watch_failed").WithError(err).Warn("TLS file watch failed")
+			}
+		}
+	}
+}
+
+func (m *Material) logReload(err error) {
+	entry := m.log.WithFields(logrus.Fields{"event": "tls_reload", "certificate": m.files.Certificate})
+	if err != nil {
+		entry.WithError(err).Warn("TLS files not usable, the loaded identity stays in use")
+		return
+	}
+	entry.Info("TLS files reloaded")
+}
+
+// Server returns the configuration for a listener. With a peer authority the
+// client must show a certificate that it signed.
+func (m *Material) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			now := m.current.Load()
+			config := &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				Certificates: []tls.Certificate{now.certificate},
+				NextProtos:   []string{"h2", "http/1.1"},
+			}
+			if now.pool != nil {
+				config.ClientAuth = tls.RequireAndVerifyClientCert
+				config.ClientCAs = now.pool
+			}
+			return config, nil
+		},
+	}
+}
+
+// Client returns the configuration for dialling a peer at an IP address. The
+// peer's certificate must be signed by the peer authority. The name in it is
+// not compared, since peers are dialled by numeric address and VMs change
+// theirs.
+func (m *Material) Client() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &m.current.Load().certificate, nil
+		},
+		InsecureSkipVerify: true, // VerifyConnection below checks the chain
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return verifyChain(state, m.current.Load().pool)
+		},
+	}
+}
+
+func verifyChain(state tls.ConnectionState, roots *x509.CertPool) error {
+	if roots == nil {
+		return errs.New(errs.Invalid, "set peer_ca in the settings of the inner listener", "no authority is set to verify peers")
+	}
+	intermediates := x509.NewCertPool()
+	for _, c := range state.PeerCertificates[1:] {
+		intermediates.AddCert(c)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots:         roots,
+		Intermediates: intermediates,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	return errs.Wrap(err, errs.Unauthenticated, "give the peer a certificate signed by peer_ca", "peer certificate is not trusted")
+}
