--- a/engine/types.go
+++ b/engine/types.go
@@ -58,7 +58,9 @@
 
 // Usage counts tokens.
 type Usage struct {
-	PromptTokens     int `json:"prompt_tokens"`
+	PromptTokens int `json:"prompt_tokens"`
+	// CompletionTokens is the number of tokens sent in this stream; those
+	// before ResumeFrom are not counted.
 	CompletionTokens int `json:"completion_tokens"`
 	// CachedTokens is the number of prompt tokens that were not recomputed.
 	CachedTokens int `json:"cached_tokens"`
