admit: admission window, fair queues and credits of one upstream

Cause: all entries send to an upstream without coordination, so its agent has to bound the load, give a cold upstream little, and keep one workspace or class from starving another. A call offered twice is Duplicate and not Reject, because a rejection proves that the call did not run. Conclusion: usable by the agent's admission duty.

--- /dev/null
+++ b/admit/admit.go
@@ -0,0 +1,347 @@
+package admit
+
+import (
+	"time"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/fair"
+)
+
+// run is a call that was handed to the upstream.
+type run struct {
+	class   core.Class
+	started time.Time
+	// atLimit is set when the run's start filled the window.
+	atLimit   bool
+	preempted bool
+	// generation is that of the window at the start. Replies to runs that began
+	// before a reset say nothing about the upstream as it is now.
+	generation int
+}
+
+// Controller admits calls to one upstream. It is owned by one duty and is not
+// safe for concurrent use.
+type Controller struct {
+	opts     Options
+	window   window
+	running  map[core.AttemptID]*run
+	deferred int // running calls of class Deferrable
+	queues   [2]*fair.Queue[Call]
+	credits  credits
+	draining bool
+}
+
+// New returns the controller of a cold upstream.
+func New(opts Options) *Controller {
+	return &Controller{
+		opts:    opts,
+		window:  newWindow(opts),
+		running: make(map[core.AttemptID]*run),
+		queues: [2]*fair.Queue[Call]{
+			fair.New[Call](),
+			fair.New[Call](),
+		},
+		credits: newCredits(),
+	}
+}
+
+// Offer decides on a new call.
+func (c *Controller) Offer(now time.Time, call Call) Decision {
+	if c.known(call.ID) {
+		return Decision{Verdict: Duplicate}
+	}
+	c.credits.spend(now, call)
+	if c.draining {
+		return c.reject(ReasonDraining, c.opts.CreditLife)
+	}
+	if call.Incarnation != 0 && call.Incarnation != c.opts.Incarnation {
+		return c.reject(ReasonStaleIncarnation, 0)
+	}
+	effects := c.Expire(now)
+	d := c.place(now, call)
+	d.Effects = merge(effects, d.Effects)
+	return d
+}
+
+// place starts, queues or rejects a call.
+func (c *Controller) place(now time.Time, call Call) Decision {
+	if c.queuedBefore(call.Class) == 0 && c.hasRoom(call.Class) {
+		c.start(now, call)
+		return Decision{Verdict: Start}
+	}
+	delay := c.delay(call.Class)
+	if !call.Deadline.IsZero() && now.Add(delay).After(call.Deadline) {
+		return c.reject(ReasonDeadline, delay)
+	}
+	effects, ok := c.enqueue(call, delay)
+	if !ok {
+		return c.reject(ReasonQueueFull, delay)
+	}
+	effects.Preempt = c.preempt()
+	return Decision{Verdict: Wait, Effects: effects}
+}
+
+// enqueue adds a call to the queue of its class. An urgent call takes the place
+// of a deferrable one when the room for both is used up.
+func (c *Controller) enqueue(call Call, delay time.Duration) (Effects, bool) {
+	var effects Effects
+	if c.queued() >= c.opts.QueueRoom && call.Class == core.Urgent {
+		if it, ok := c.queues[core.Deferrable].PopNewest(); ok {
+			effects.Rejected = append(effects.Rejected, Rejection{it.ID, ReasonPreempted, delay})
+		}
+	}
+	full := c.queued() >= c.opts.QueueRoom
+	evicted, ok := c.queues[call.Class].Push(fair.Item[Call]{
+		ID:        call.ID,
+		Workspace: call.Workspace,
+		Weight:    call.Weight,
+		Deadline:  call.Deadline,
+		Value:     call,
+	}, full)
+	if evicted != nil {
+		effects.Rejected = append(effects.Rejected, Rejection{evicted.ID, ReasonQueueFull, delay})
+	}
+	return effects, ok
+}
+
+// Done records the end of a run, or that a waiting call was given up by its
+// caller, and returns what starts in its place.
+func (c *Controller) Done(now time.Time, id core.AttemptID, s Sample) Effects {
+	effects := c.Expire(now)
+	r, ok := c.running[id]
+	if !ok {
+		c.queues[core.Urgent].Remove(id)
+		c.queues[core.Deferrable].Remove(id)
+		return effects
+	}
+	atLimit := r.atLimit || len(c.running) >= c.window.size
+	delete(c.running, id)
+	if r.class == core.Deferrable {
+		c.deferred--
+	}
+	if r.generation == c.window.generation {
+		c.window.observe(s, now.Sub(r.started), atLimit)
+	}
+	return merge(effects, c.advance(now))
+}
+
+// Expire rejects the waiting calls whose deadline has come and forgets expired
+// credits. NextDeadline says when to call it.
+func (c *Controller) Expire(now time.Time) Effects {
+	var effects Effects
+	for _, q := range c.queues {
+		for _, it := range q.Expire(now) {
+			effects.Rejected = append(effects.Rejected, Rejection{ID: it.ID, Reason: ReasonDeadline})
+		}
+	}
+	c.credits.expire(now)
+	return effects
+}
+
+// NextDeadline returns the earliest deadline of a waiting call, or zero.
+func (c *Controller) NextDeadline() time.Time {
+	a := c.queues[core.Urgent].NextDeadline()
+	b := c.queues[core.Deferrable].NextDeadline()
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// Reset makes the window fall back to its start, because the upstream is not
+// what it was. Runs that are under way keep their place until Done.
+func (c *Controller) Reset(reason ResetReason) { c.window.reset(reason) }
+
+// SetMaxWindow changes the largest window. A smaller one takes effect at once.
+func (c *Controller) SetMaxWindow(limit int) { c.window.setLimit(limit) }
+
+// Drain stops admission. Waiting calls are rejected, running ones finish.
+func (c *Controller) Drain() Effects {
+	c.draining = true
+	c.credits.clear()
+	var effects Effects
+	for _, q := range c.queues {
+		for it, ok := q.Pop(); ok; it, ok = q.Pop() {
+			effects.Rejected = append(effects.Rejected, Rejection{it.ID, ReasonDraining, c.opts.CreditLife})
+		}
+	}
+	return effects
+}
+
+// Return ends a drain. The upstream ramps up like a cold one.
+func (c *Controller) Return() {
+	if !c.draining {
+		return
+	}
+	c.draining = false
+	c.window.reset(ResetReturn)
+}
+
+// Grant renews the credits of a watcher.
+func (c *Controller) Grant(now time.Time, watcher core.NodeID) Credit {
+	c.credits.expire(now)
+	credit := Credit{Expires: now.Add(c.opts.CreditLife), Incarnation: c.opts.Incarnation}
+	total := 0
+	if !c.draining {
+		total = c.free() + c.queueRoom()
+	}
+	credit.Count = c.credits.grant(now, watcher, total, c.opts.CreditLife)
+	credit.Urgent = c.reserved(credit.Count)
+	return credit
+}
+
+// Leave forgets a watcher and its credits.
+func (c *Controller) Leave(watcher core.NodeID) { c.credits.leave(watcher) }
+
+// State returns a snapshot for publication.
+func (c *Controller) State(now time.Time) State {
+	c.credits.expire(now)
+	return State{
+		Incarnation:     c.opts.Incarnation,
+		Window:          c.window.size,
+		Running:         len(c.running),
+		Queued:          c.queued(),
+		UrgentDelay:     c.delay(core.Urgent),
+		DeferrableDelay: c.delay(core.Deferrable),
+		Cold:            c.window.cold(),
+		Draining:        c.draining,
+		Outstanding:     c.credits.outstanding,
+		LastReset:       c.window.lastReset,
+		Resets:          c.window.generation,
+	}
+}
+
+// advance starts waiting calls while there is room, urgent ones first.
+func (c *Controller) advance(now time.Time) Effects {
+	var effects Effects
+	for _, class := range []core.Class{core.Urgent, core.Deferrable} {
+		for c.hasRoom(class) {
+			it, ok := c.queues[class].Pop()
+			if !ok {
+				break
+			}
+			c.start(now, it.Value)
+			effects.Started = append(effects.Started, it.ID)
+		}
+	}
+	effects.Preempt = c.preempt()
+	return effects
+}
+
+func (c *Controller) start(now time.Time, call Call) {
+	c.running[call.ID] = &run{
+		class:      call.Class,
+		started:    now,
+		atLimit:    len(c.running)+1 >= c.window.size,
+		generation: c.window.generation,
+	}
+	if call.Class == core.Deferrable {
+		c.deferred++
+	}
+}
+
+// preempt chooses running deferrable calls to cancel, at most one for each
+// waiting urgent call. The latest started loses the least work.
+func (c *Controller) preempt() []core.AttemptID {
+	waiting := c.queues[core.Urgent].Len()
+	if waiting == 0 || c.delay(core.Urgent) < c.opts.PreemptAfter {
+		return nil
+	}
+	// Calls over the window, after a reset, free no room for urgent ones.
+	need := waiting + max(0, len(c.running)-c.window.size)
+	for _, r := range c.running {
+		if r.preempted {
+			need--
+		}
+	}
+	var chosen []core.AttemptID
+	for ; need > 0; need-- {
+		id, ok := c.latestDeferrable()
+		if !ok {
+			break
+		}
+		c.running[id].preempted = true
+		chosen = append(chosen, id)
+	}
+	return chosen
+}
+
+func (c *Controller) latestDeferrable() (core.AttemptID, bool) {
+	var best core.AttemptID
+	var bestRun *run
+	for id, r := range c.running {
+		if r.class != core.Deferrable || r.preempted {
+			continue
+		}
+		later := bestRun == nil || r.started.After(bestRun.started)
+		if later || r.started.Equal(bestRun.started) && id < best {
+			best, bestRun = id, r
+		}
+	}
+	return best, bestRun != nil
+}
+
+func (c *Controller) known(id core.AttemptID) bool {
+	_, runs := c.running[id]
+	return runs || c.queues[core.Urgent].Contains(id) || c.queues[core.Deferrable].Contains(id)
+}
+
+func (c *Controller) reject(reason Reason, after time.Duration) Decision {
+	return Decision{Verdict: Reject, Reason: reason, RetryAfter: after}
+}
+
+// reserved is the part of n places that only urgent calls may use. A single
+// place is not reserved, or a cold upstream would serve no deferrable call.
+func (c *Controller) reserved(n int) int {
+	if n < 2 || c.opts.UrgentShare <= 0 {
+		return 0
+	}
+	return min(max(1, int(c.opts.UrgentShare*float64(n))), n-1)
+}
+
+func (c *Controller) hasRoom(class core.Class) bool {
+	if len(c.running) >= c.window.size {
+		return false
+	}
+	return class == core.Urgent || c.deferred < c.window.size-c.reserved(c.window.size)
+}
+
+func (c *Controller) queued() int {
+	return c.queues[core.Urgent].Len() + c.queues[core.Deferrable].Len()
+}
+
+// queuedBefore is the number of waiting calls that start before a new one.
+func (c *Controller) queuedBefore(class core.Class) int {
+	if class == core.Urgent {
+		return c.queues[core.Urgent].Len()
+	}
+	return c.queued()
+}
+
+func (c *Controller) free() int { return max(0, c.window.size-len(c.running)) }
+
+// queueRoom is the room in the queue for which credits are given.
+func (c *Controller) queueRoom() int {
+	room := min(c.opts.QueueRoom, int(c.opts.QueuePerWindow*float64(c.window.size)))
+	return max(0, room-c.queued())
+}
+
+// delay is the expected time to admission of one more call: the calls before
+// it and those over the window end at the rate of the whole window.
+func (c *Controller) delay(class core.Class) time.Duration {
+	before := c.queuedBefore(class)
+	if before == 0 && c.hasRoom(class) {
+		return 0
+	}
+	over := max(0, len(c.running)-c.window.size)
+	rounds := float64(before+over+1) / float64(c.window.size)
+	return time.Duration(rounds * float64(c.window.service))
+}
+
+func merge(a, b Effects) Effects {
+	return Effects{
+		Started:  append(a.Started, b.Started...),
+		Rejected: append(a.Rejected, b.Rejected...),
+		Preempt:  append(a.Preempt, b.Preempt...),
+	}
+}
--- /dev/null
+++ b/admit/admit_test.go
@@ -0,0 +1,326 @@
+package admit_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"waxwingtide.example/waxwingtide/admit"
+	"waxwingtide.example/waxwingtide/core"
+)
+
+// TestMain fixes the seed of the property tests, so that every run checks the
+// same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// harness applies random steps to a controller and keeps its own account of
+// which call runs, which waits and which was rejected.
+type harness struct {
+	c        *admit.Controller
+	opts     admit.Options
+	now      time.Time
+	next     int
+	running  map[core.AttemptID]bool
+	waiting  map[core.AttemptID]bool
+	started  map[core.AttemptID]bool
+	rejected map[core.AttemptID]bool
+}
+
+func newHarness(maxWindow int) *harness {
+	opts := admit.Defaults(maxWindow, 7)
+	opts.QueueRoom = 8
+	return &harness{
+		c: admit.New(opts), opts: opts, now: epoch,
+		running: map[core.AttemptID]bool{}, waiting: map[core.AttemptID]bool{},
+		started: map[core.AttemptID]bool{}, rejected: map[core.AttemptID]bool{},
+	}
+}
+
+// start notes a start and fails when it is over the window.
+func (h *harness) start(t require.TestingT, id core.AttemptID) {
+	require.False(t, h.started[id], "started twice")
+	h.started[id] = true
+	h.running[id] = true
+	delete(h.waiting, id)
+	require.LessOrEqual(t, len(h.running), h.c.State(h.now).Window, "start over the window")
+}
+
+func (h *harness) apply(t require.TestingT, e admit.Effects) {
+	for _, id := range e.Started {
+		require.True(t, h.waiting[id])
+		h.start(t, id)
+	}
+	for _, r := range e.Rejected {
+		require.True(t, h.waiting[r.ID], "rejected a call that does not wait")
+		delete(h.waiting, r.ID)
+		h.rejected[r.ID] = true
+	}
+	for _, id := range e.Preempt {
+		require.True(t, h.running[id])
+	}
+}
+
+func (h *harness) offer(t require.TestingT, call admit.Call) admit.Verdict {
+	d := h.c.Offer(h.now, call)
+	switch d.Verdict {
+	case admit.Start:
+		h.start(t, call.ID)
+	case admit.Wait:
+		h.waiting[call.ID] = true
+	case admit.Reject:
+		h.rejected[call.ID] = true
+	}
+	h.apply(t, d.Effects)
+	return d.Verdict
+}
+
+func (h *harness) id() core.AttemptID {
+	h.next++
+	return core.AttemptID(fmt.Sprintf("c%03d", h.next))
+}
+
+func (h *harness) check(t require.TestingT) {
+	s := h.c.State(h.now)
+	require.Equal(t, len(h.running), s.Running)
+	require.Equal(t, len(h.waiting), s.Queued)
+	require.LessOrEqual(t, s.Queued, h.opts.QueueRoom)
+	require.LessOrEqual(t, s.Window, h.opts.MaxWindow)
+	require.LessOrEqual(t, s.Outstanding, s.Window+h.opts.QueueRoom)
+	for id := range h.rejected {
+		require.False(t, h.started[id], "call both rejected and started")
+	}
+}
+
+func anyOf(t *rapid.T, set map[core.AttemptID]bool) (core.AttemptID, bool) {
+	ids := make([]core.AttemptID, 0, len(set))
+	for id := range set {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return "", false
+	}
+	return rapid.SampledFrom(sorted(ids)).Draw(t, "id"), true
+}
+
+func sorted(ids []core.AttemptID) []core.AttemptID {
+	for i := range ids {
+		for j := i; j > 0 && ids[j] < ids[j-1]; j-- {
+			ids[j], ids[j-1] = ids[j-1], ids[j]
+		}
+	}
+	return ids
+}
+
+// Guards against runs over the window, also right after a reset, against calls
+// that are both rejected and started, and against credits over the bound.
+func TestRandomSteps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHarness(rapid.IntRange(1, 12).Draw(t, "max"))
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) { h.check(t) },
+			"offer": func(t *rapid.T) {
+				h.offer(t, admit.Call{
+					ID:          h.id(),
+					Workspace:   core.WorkspaceID(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "workspace")),
+					Class:       core.Class(rapid.IntRange(0, 1).Draw(t, "class")),
+					Deadline:    h.now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond),
+					Watcher:     "e1",
+					Incarnation: core.Incarnation(rapid.SampledFrom([]int{0, 6, 7}).Draw(t, "incarnation")),
+				})
+			},
+			"done": func(t *rapid.T) {
+				if id, ok := anyOf(t, h.running); ok {
+					delete(h.running, id)
+					first := time.Duration(rapid.IntRange(1, 900).Draw(t, "first")) * time.Millisecond
+					result := admit.Result(rapid.SampledFrom([]int{0, 0, 0, 0, 1, 2}).Draw(t, "result"))
+					h.apply(t, h.c.Done(h.now, id, admit.Sample{Result: result, FirstToken: first}))
+				}
+			},
+			"give up": func(t *rapid.T) {
+				if id, ok := anyOf(t, h.waiting); ok {
+					delete(h.waiting, id)
+					h.apply(t, h.c.Done(h.now, id, admit.Sample{Result: admit.Cancelled}))
+				}
+			},
+			"repeat": func(t *rapid.T) {
+				if id, ok := anyOf(t, h.running); ok {
+					require.Equal(t, admit.Duplicate, h.c.Offer(h.now, admit.Call{ID: id}).Verdict)
+				}
+			},
+			"reset": func(t *rapid.T) {
+				h.c.Reset(admit.ResetCacheEpoch)
+				require.Equal(t, h.opts.StartWindow, h.c.State(h.now).Window)
+			},
+			"time": func(t *rapid.T) {
+				h.now = h.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+				h.apply(t, h.c.Expire(h.now))
+			},
+			"grant": func(t *rapid.T) {
+				credit := h.c.Grant(h.now, core.NodeID(rapid.SampledFrom([]string{"e1", "e2", "e3"}).Draw(t, "watcher")))
+				require.GreaterOrEqual(t, credit.Count, credit.Urgent)
+			},
+			"drain": func(t *rapid.T) {
+				h.apply(t, h.c.Drain())
+				require.Equal(t, admit.Reject, h.offer(t, admit.Call{ID: h.id()}))
+				h.c.Return()
+				require.Equal(t, h.opts.StartWindow, h.c.State(h.now).Window)
+			},
+		})
+	})
+}
+
+// Guards against a window that grows without load, and checks its growth and
+// its bound under load.
+func TestWindowGrowsOnlyAtItsLimit(t *testing.T) {
+	h := newHarness(4)
+	for range 20 {
+		h.now = h.now.Add(10 * time.Millisecond)
+		id := h.id()
+		h.offer(t, admit.Call{ID: id})
+		delete(h.running, id)
+		h.apply(t, h.c.Done(h.now, id, admit.Sample{}))
+	}
+	require.Equal(t, 2, h.c.State(h.now).Window, "one call at a time fills a window of 1 only")
+	for range 40 {
+		for h.offer(t, admit.Call{ID: h.id()}) == admit.Start {
+		}
+		for id := range h.running {
+			delete(h.running, id)
+			h.apply(t, h.c.Done(h.now, id, admit.Sample{}))
+			break
+		}
+	}
+	require.Equal(t, 4, h.c.State(h.now).Window)
+	require.False(t, h.c.State(h.now).Cold)
+}
+
+// Guards against an upstream that turned cold without an event and keeps the
+// window of a warm one.
+func TestSlowRepliesResetWindow(t *testing.T) {
+	h := newHarness(8)
+	reply := func(first time.Duration) {
+		for h.offer(t, admit.Call{ID: h.id()}) == admit.Start {
+		}
+		ids := make([]core.AttemptID, 0, len(h.running))
+		for id := range h.running {
+			ids = append(ids, id)
+		}
+		id := sorted(ids)[0]
+		delete(h.running, id)
+		h.apply(t, h.c.Done(h.now, id, admit.Sample{FirstToken: first, ComputedBytes: 1000}))
+	}
+	for range 100 {
+		reply(50 * time.Millisecond)
+	}
+	require.Equal(t, 8, h.c.State(h.now).Window)
+	reply(900 * time.Millisecond)
+	require.Equal(t, 8, h.c.State(h.now).Window, "one slow reply is not enough")
+	reply(900 * time.Millisecond)
+	require.Equal(t, 1, h.c.State(h.now).Window)
+	require.Equal(t, admit.ResetReplyTime, h.c.State(h.now).LastReset)
+}
+
+// Guards against a large workspace that starves the others: with every place
+// contended, ten workspaces of equal weight get equal shares, and one of weight
+// three gets three of them.
+func TestWorkspacesShareByWeight(t *testing.T) {
+	opts := admit.Defaults(1, 7)
+	opts.QueueRoom = 40
+	c := admit.New(opts)
+	owner := map[core.AttemptID]core.WorkspaceID{}
+	served := map[core.WorkspaceID]int{}
+	n := 0
+	offer := func(w core.WorkspaceID, weight int) {
+		n++
+		id := core.AttemptID(fmt.Sprint(n))
+		owner[id] = w
+		c.Offer(epoch, admit.Call{ID: id, Workspace: w, Weight: weight})
+	}
+	offer("large", 1)
+	current := core.AttemptID("1")
+	for range 1200 {
+		for range 12 {
+			offer("large", 1)
+		}
+		for w := range 8 {
+			offer(core.WorkspaceID(fmt.Sprintf("small%d", w)), 1)
+		}
+		offer("heavy", 3)
+		offer("heavy", 3)
+		effects := c.Done(epoch, current, admit.Sample{})
+		require.Len(t, effects.Started, 1)
+		current = effects.Started[0]
+		served[owner[current]]++
+	}
+	for w, got := range served {
+		want := 100
+		if w == "heavy" {
+			want = 300
+		}
+		require.InDelta(t, want, got, 10, "workspace %s", w)
+	}
+	require.Len(t, served, 10)
+}
+
+// Guards against urgent calls that wait behind deferrable ones.
+func TestUrgentCallsComeFirst(t *testing.T) {
+	opts := admit.Defaults(4, 7)
+	opts.StartWindow = 4
+	opts.QueueRoom = 2
+	c := admit.New(opts)
+	now := epoch
+	offer := func(id core.AttemptID, class core.Class) admit.Decision {
+		now = now.Add(time.Millisecond)
+		return c.Offer(now, admit.Call{ID: id, Class: class})
+	}
+	for _, id := range []core.AttemptID{"d1", "d2", "d3"} {
+		require.Equal(t, admit.Start, offer(id, core.Deferrable).Verdict)
+	}
+	require.Equal(t, admit.Wait, offer("d4", core.Deferrable).Verdict, "the reserved place stays free")
+	require.Equal(t, admit.Start, offer("u1", core.Urgent).Verdict)
+	require.Equal(t, admit.Wait, offer("d5", core.Deferrable).Verdict)
+
+	d := offer("u2", core.Urgent)
+	require.Equal(t, admit.Wait, d.Verdict)
+	require.Len(t, d.Rejected, 1, "a full queue gives up a waiting deferrable call")
+	require.Equal(t, admit.ReasonPreempted, d.Rejected[0].Reason)
+	require.Equal(t, []core.AttemptID{"d3"}, d.Preempt, "and one running deferrable call is cancelled")
+
+	effects := c.Done(now, "d3", admit.Sample{Result: admit.Cancelled})
+	require.Equal(t, []core.AttemptID{"u2"}, effects.Started)
+	require.Empty(t, effects.Preempt)
+}
+
+// Guards against a cold upstream whose only credit stays with one entry.
+func TestSingleCreditGoesRound(t *testing.T) {
+	opts := admit.Defaults(8, 7)
+	opts.QueuePerWindow = 0
+	c := admit.New(opts)
+	got := map[core.NodeID]int{}
+	for i := range 120 {
+		now := epoch.Add(time.Duration(i) * 100 * time.Millisecond)
+		sum := 0
+		for _, w := range []core.NodeID{"e1", "e2", "e3"} {
+			credit := c.Grant(now, w)
+			got[w] += credit.Count
+			sum += credit.Count
+		}
+		require.LessOrEqual(t, c.State(now).Outstanding, 1)
+	}
+	for w, n := range got {
+		require.InDelta(t, 40, n, 10, "watcher %s", w)
+	}
+}
--- /dev/null
+++ b/admit/types.go
@@ -0,0 +1,212 @@
+// Package admit decides which calls an upstream runs. It holds the admission
+// window, the queues of waiting calls and the credits given to entries. Every
+// method takes the current time; nothing blocks and nothing is sent.
+package admit
+
+import (
+	"time"
+
+	"waxwingtide.example/waxwingtide/core"
+)
+
+// Options are the limits of one upstream.
+type Options struct {
+	// Incarnation is that of the agent. Credits carry it.
+	Incarnation core.Incarnation
+	// StartWindow is the number of concurrent runs that a cold upstream gets.
+	StartWindow int
+	// MaxWindow is the largest number of concurrent runs.
+	MaxWindow int
+	// GrowReplies is how many good replies at the window's limit, without a bad
+	// one between, raise the window by one; 0 means as many as the window.
+	GrowReplies int
+	// UrgentShare is the share of the window that deferrable calls never use.
+	UrgentShare float64
+	// QueueRoom bounds the waiting calls of both classes together.
+	QueueRoom int
+	// QueuePerWindow bounds the waiting calls for which credits are given, as a
+	// multiple of the window. A cold upstream thus collects no long queue.
+	QueuePerWindow float64
+	// CreditLife is how long a credit holds.
+	CreditLife time.Duration
+	// ServiceTime is the expected duration of a run before one was measured.
+	ServiceTime time.Duration
+	// PreemptAfter is the expected delay of an urgent call from which a running
+	// deferrable call is preempted for it.
+	PreemptAfter time.Duration
+	// ColdFactor is how many times the expected time to first token a reply
+	// takes before it says that the upstream is cold.
+	ColdFactor float64
+	// ColdSlack is added to that bound, so that short replies are not judged on
+	// scheduling noise.
+	ColdSlack time.Duration
+	// ColdReplies is how many slow replies in a row say that it is cold.
+	ColdReplies int
+}
+
+// Defaults returns the options of an upstream with the given largest window.
+func Defaults(maxWindow int, incarnation core.Incarnation) Options {
+	return Options{
+		Incarnation:    incarnation,
+		StartWindow:    1,
+		MaxWindow:      max(maxWindow, 1),
+		UrgentShare:    0.25,
+		QueueRoom:      64,
+		QueuePerWindow: 1,
+		CreditLife:     2 * time.Second,
+		ServiceTime:    500 * time.Millisecond,
+		PreemptAfter:   50 * time.Millisecond,
+		ColdFactor:     4,
+		ColdSlack:      100 * time.Millisecond,
+		ColdReplies:    2,
+	}
+}
+
+// Call is one attempt that asks for admission.
+type Call struct {
+	ID        core.AttemptID
+	Workspace core.WorkspaceID
+	// Weight is the workspace's share of a contended upstream.
+	Weight int
+	Class  core.Class
+	// Deadline is when the answer is of no more use; zero means never.
+	Deadline time.Time
+	// Watcher is the entry whose credit the call uses.
+	Watcher core.NodeID
+	// Incarnation is that of the credit, or 0 for a call without a credit.
+	Incarnation core.Incarnation
+}
+
+// Verdict is the answer to an offered call.
+type Verdict uint8
+
+// Verdicts on a call.
+const (
+	// Reject means that the call was not and will not be run here.
+	Reject Verdict = iota
+	// Start means that the call is to be handed to the upstream now.
+	Start
+	// Wait means that the call is queued. A later Effects names it.
+	Wait
+	// Duplicate means that a call with this id runs or waits already. It is no
+	// proof that the call did not run.
+	Duplicate
+)
+
+// Reason is why a call was rejected.
+type Reason uint8
+
+// Reasons of rejection.
+const (
+	ReasonNone Reason = iota
+	// ReasonQueueFull means that all queue room is taken.
+	ReasonQueueFull
+	// ReasonDeadline means that the deadline passed or would pass in the queue.
+	ReasonDeadline
+	// ReasonStaleIncarnation means that the credit is of an earlier agent run.
+	ReasonStaleIncarnation
+	// ReasonDraining means that the upstream takes no new work.
+	ReasonDraining
+	// ReasonPreempted means that an urgent call took the place in the queue.
+	ReasonPreempted
+)
+
+// String returns the name of the reason as used in metrics and logs.
+func (r Reason) String() string {
+	return [...]string{"none", "queue_full", "deadline", "stale_incarnation", "draining", "preempted"}[r]
+}
+
+// Rejection names a waiting call that will not be run.
+type Rejection struct {
+	ID         core.AttemptID
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Effects are what a step changes for calls other than the one it is about.
+type Effects struct {
+	// Started lists waiting calls that are to be handed to the upstream now.
+	Started []core.AttemptID
+	// Rejected lists waiting calls that left the queue without a run.
+	Rejected []Rejection
+	// Preempt lists running deferrable calls that the agent cancels. Their room
+	// is free only when Done is called for them.
+	Preempt []core.AttemptID
+}
+
+// Decision is the answer to an offered call.
+type Decision struct {
+	Verdict    Verdict
+	Reason     Reason
+	RetryAfter time.Duration
+	Effects
+}
+
+// Result is how a run ended.
+type Result uint8
+
+// Results of a run.
+const (
+	// Good is a complete answer.
+	Good Result = iota
+	// Failed is an error of the upstream.
+	Failed
+	// Cancelled is a run ended by its caller or by preemption; it says nothing
+	// about the upstream.
+	Cancelled
+)
+
+// Sample is what a finished run tells about the upstream.
+type Sample struct {
+	Result Result
+	// FirstToken is the time from hand-over to the first token, 0 if unknown.
+	FirstToken time.Duration
+	// ComputedBytes is the prompt text that was not taken from the cache.
+	ComputedBytes int
+}
+
+// ResetReason is why the window fell back to its start.
+type ResetReason uint8
+
+// Reasons of a reset.
+const (
+	ResetNone        ResetReason = iota
+	ResetIncarnation             // the engine restarted
+	ResetCacheEpoch              // the engine lost its cache
+	ResetReplyTime               // replies are as slow as those of a cold engine
+	ResetReturn                  // the upstream returns after a drain
+)
+
+// String returns the name of the reason as used in metrics and logs.
+func (r ResetReason) String() string {
+	return [...]string{"none", "incarnation", "cache_epoch", "reply_time", "return"}[r]
+}
+
+// Credit is the permission for a watcher to send calls.
+type Credit struct {
+	// Count is the number of calls; it replaces what the watcher held before.
+	Count int
+	// Urgent is how many of them only urgent calls may use.
+	Urgent      int
+	Expires     time.Time
+	Incarnation core.Incarnation
+}
+
+// State is a snapshot for publication.
+type State struct {
+	Incarnation core.Incarnation
+	Window      int
+	Running     int
+	Queued      int
+	// UrgentDelay and DeferrableDelay are the expected times to admission of
+	// one more call.
+	UrgentDelay     time.Duration
+	DeferrableDelay time.Duration
+	Cold            bool
+	Draining        bool
+	// Outstanding is the sum of unused credits.
+	Outstanding int
+	LastReset   ResetReason
+	// Resets counts the falls back to the start window.
+	Resets int
+}
