Decide on exchanges, membership and leases

Cause: daemons need to know which peers to exchange digests with, which members may get work, and who carries out operators' duties. Change: package gossip (a few kept connections with rotation, one idle exchange an interval, push of a change to peers not known to have it, probes of failed members, readiness rule, choice of table readers), package membership (live, suspect, failed, leaving for each incarnation) and package lease (acquisition, renewal, stop before expiry by the process's own clock, fence gate). All are pure and take the time. Conclusion: one lost reply costs no member, and two processes never hold a lease at one time by their own clocks.

--- /dev/null
+++ b/gossip/gossip.go
@@ -0,0 +1,301 @@
+// Package gossip decides which peers a process exchanges digests with and
+// when, and whether it knows enough facts to accept work.
+//
+// A process keeps a few connections, called slots, to peers drawn at random,
+// and replaces one of them from time to time. Keeping connections avoids a
+// TLS handshake for each exchange; replacing them keeps the graph of peers
+// random, so that it stays connected when nodes fail. One slot in turn
+// exchanges digests at each interval, and a change of facts is exchanged at
+// once on every slot whose peer is not known to have it.
+package gossip
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/facts"
+)
+
+// Peer is a process that digests can be exchanged with.
+type Peer struct {
+	Node        core.NodeID
+	Incarnation core.Incarnation
+	Domain      core.FailureDomain
+	Address     string
+}
+
+// Config sets the pace of exchanges.
+type Config struct {
+	// Slots is the number of peers that connections are kept to.
+	Slots int
+	// Interval is the time between two idle exchanges.
+	Interval time.Duration
+	// Rotate is the time after which one slot gets another peer.
+	Rotate time.Duration
+	// Retry is the time to the next exchange after a missed reply, and between
+	// exchanges of a process that is not ready.
+	Retry time.Duration
+	// Misses is the number of missed replies after which a slot gets another
+	// peer.
+	Misses int
+	// PushAll pushes a change also to peers that are known to have it.
+	PushAll bool
+}
+
+// DefaultConfig returns the values that docs/decisions/0005-spread-of-facts.md
+// gives the measurements for.
+func DefaultConfig() Config {
+	return Config{
+		Slots:    5,
+		Interval: time.Second,
+		Rotate:   30 * time.Second,
+		Retry:    250 * time.Millisecond,
+		Misses:   2,
+	}
+}
+
+// Order asks for an exchange with a peer over a slot's connection.
+type Order struct {
+	Slot int
+	Peer Peer
+}
+
+type slot struct {
+	peer     Peer
+	assigned bool
+	busy     bool
+	probe    bool
+	// due asks for an exchange as soon as the slot is free.
+	due     bool
+	retryAt time.Time
+	misses  int
+	// known is the peer's digest after the last exchange.
+	known facts.Digest
+}
+
+// State holds the slots of one process. It is owned by one duty.
+type State struct {
+	cfg      Config
+	rng      *rand.Rand
+	live     []Peer
+	probes   []Peer
+	wanted   map[core.FailureDomain]bool
+	slots    []slot
+	turn     int
+	mine     facts.Digest
+	tickAt   time.Time
+	rotateAt time.Time
+}
+
+// New returns a state without peers. The first idle exchange is due at a
+// random part of the interval, so that processes started together spread out.
+func New(cfg Config, rng *rand.Rand, now time.Time) *State {
+	return &State{
+		cfg:      cfg,
+		rng:      rng,
+		slots:    make([]slot, cfg.Slots+1), // the last one is for probes
+		tickAt:   now.Add(fraction(rng, cfg.Interval)),
+		rotateAt: now.Add(fraction(rng, cfg.Rotate)),
+	}
+}
+
+func fraction(rng *rand.Rand, d time.Duration) time.Duration {
+	return time.Duration(rng.Int64N(int64(d) + 1))
+}
+
+// SetPeers replaces the candidates. Live peers fill the slots. Probes are
+// members thought to have failed; one of them is tried at each round over the
+// slots, on a slot of its own, so that the two sides of a healed partition
+// find each other.
+func (s *State) SetPeers(live, probes []Peer) {
+	s.live, s.probes = live, probes
+	current := make(map[core.NodeID]Peer, len(live))
+	for _, p := range live {
+		current[p.Node] = p
+	}
+	for i := range s.slots {
+		if p := &s.slots[i]; p.assigned && !p.probe && current[p.peer.Node] != p.peer {
+			s.release(i)
+		}
+	}
+}
+
+// Want asks for exchanges with peers of these failure domains first, at the
+// retry interval. An empty list restores the idle pace.
+func (s *State) Want(domains []core.FailureDomain, now time.Time) {
+	s.wanted = make(map[core.FailureDomain]bool, len(domains))
+	for _, d := range domains {
+		s.wanted[d] = true
+	}
+	if soon := now.Add(s.cfg.Retry); len(domains) > 0 && s.tickAt.After(soon) {
+		s.tickAt = soon
+	}
+}
+
+// Wake makes an exchange due on every slot, for facts heard of elsewhere that
+// this process lacks.
+func (s *State) Wake() {
+	for i := range s.slots {
+		s.slots[i].due = true
+	}
+}
+
+// Heard notes the digest that a peer sent in an exchange of its own.
+func (s *State) Heard(node core.NodeID, d facts.Digest) {
+	for i := range s.slots {
+		if s.slots[i].assigned && s.slots[i].peer.Node == node {
+			s.slots[i].known = d
+		}
+	}
+}
+
+// Done notes the end of an ordered exchange. The digest is the peer's after
+// the exchange; ok is false when the reply was missed.
+func (s *State) Done(now time.Time, o Order, ok bool, d facts.Digest) {
+	p := &s.slots[o.Slot]
+	p.busy = false
+	if !p.assigned || p.peer != o.Peer {
+		return
+	}
+	if ok {
+		p.misses = 0
+		p.retryAt = time.Time{}
+		p.known = d
+		if p.probe {
+			s.release(o.Slot)
+		}
+		return
+	}
+	p.misses++
+	p.retryAt = now.Add(s.cfg.Retry)
+	if p.probe || p.misses >= s.cfg.Misses {
+		s.release(o.Slot)
+	}
+}
+
+func (s *State) release(i int) { s.slots[i] = slot{busy: s.slots[i].busy} }
+
+// Step returns the exchanges that are due, given this process's own digest.
+// Each ordered slot is busy until Done.
+func (s *State) Step(now time.Time, mine facts.Digest) []Order {
+	changed := mine != s.mine
+	s.mine = mine
+	s.rotate(now)
+	s.fill()
+	s.tick(now)
+	var orders []Order
+	for i := range s.slots {
+		p := &s.slots[i]
+		if changed && (s.cfg.PushAll || p.known != mine) {
+			p.due = true
+		}
+		retry := !p.retryAt.IsZero() && !now.Before(p.retryAt)
+		if !p.assigned || p.busy || (!p.due && !retry) {
+			continue
+		}
+		p.busy, p.due, p.retryAt = true, false, time.Time{}
+		orders = append(orders, Order{Slot: i, Peer: p.peer})
+	}
+	return orders
+}
+
+// rotate releases one idle slot at each rotation.
+func (s *State) rotate(now time.Time) {
+	if now.Before(s.rotateAt) {
+		return
+	}
+	s.rotateAt = now.Add(s.cfg.Rotate)
+	i := s.rng.IntN(s.cfg.Slots)
+	if !s.slots[i].busy && len(s.live) > s.cfg.Slots {
+		s.release(i)
+	}
+}
+
+// fill assigns free slots to live peers that have no slot.
+func (s *State) fill() {
+	for i := range s.cfg.Slots {
+		if s.slots[i].assigned || s.slots[i].busy {
+			continue
+		}
+		if p, ok := s.draw(s.live, anyPeer); ok {
+			s.assign(i, p, false)
+		}
+	}
+}
+
+func (s *State) assign(i int, p Peer, probe bool) {
+	s.slots[i] = slot{peer: p, assigned: true, probe: probe, due: true}
+}
+
+func anyPeer(Peer) bool { return true }
+
+// draw picks a random peer without a slot that meets the condition.
+func (s *State) draw(from []Peer, accept func(Peer) bool) (Peer, bool) {
+	if len(from) == 0 {
+		return Peer{}, false
+	}
+	start := s.rng.IntN(len(from))
+	for i := range from {
+		p := from[(start+i)%len(from)]
+		if accept(p) && !s.hasSlot(p.Node) {
+			return p, true
+		}
+	}
+	return Peer{}, false
+}
+
+func (s *State) hasSlot(node core.NodeID) bool {
+	for i := range s.slots {
+		if s.slots[i].assigned && s.slots[i].peer.Node == node {
+			return true
+		}
+	}
+	return false
+}
+
+// tick makes the slot in turn due at each interval. While domains are wanted,
+// the slot in turn gets a peer of such a domain first.
+func (s *State) tick(now time.Time) {
+	if now.Before(s.tickAt) {
+		return
+	}
+	pace := s.cfg.Interval
+	if len(s.wanted) > 0 {
+		pace = s.cfg.Retry
+	}
+	s.tickAt = now.Add(pace)
+	s.turn = (s.turn + 1) % s.cfg.Slots
+	if s.turn == 0 {
+		s.startProbe()
+	}
+	p := &s.slots[s.turn]
+	if p.busy {
+		return
+	}
+	inWanted := func(p Peer) bool { return s.wanted[p.Domain] }
+	if other, ok := s.draw(s.live, inWanted); ok && !inWanted(p.peer) {
+		s.assign(s.turn, other, false)
+	}
+	p.due = true
+}
+
+func (s *State) startProbe() {
+	if s.slots[s.cfg.Slots].busy {
+		return
+	}
+	if p, ok := s.draw(s.probes, anyPeer); ok {
+		s.assign(s.cfg.Slots, p, true)
+	}
+}
+
+// Next returns when Step has to be called again if nothing happens before.
+func (s *State) Next() time.Time {
+	next := s.tickAt
+	for i := range s.slots {
+		if at := s.slots[i].retryAt; !at.IsZero() && at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,140 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/lease"
+)
+
+var cfg = lease.DefaultConfig()
+
+// table is the row with its condition on the version.
+type table struct {
+	row     lease.Row
+	version uint64
+}
+
+func (t *table) write(row lease.Row, ifVersion uint64) bool {
+	if ifVersion != t.version {
+		return false
+	}
+	t.row = row
+	t.version++
+	return true
+}
+
+// fault says what happens to a process's requests in one step.
+type fault uint8
+
+const (
+	none     fault = iota
+	down           // no request reaches the table
+	lost           // requests take effect, answers are lost
+	sleeping       // the process is paused
+)
+
+func step(s *lease.State, t *table, now time.Time, f fault) {
+	if f == sleeping {
+		return
+	}
+	for range 4 {
+		switch s.Step(now) {
+		case lease.Wait:
+			return
+		case lease.ReadRow:
+			if f != none {
+				s.Missed(now)
+				continue
+			}
+			s.Read(now, t.row, t.version)
+			s.Later(now)
+		case lease.WriteRow:
+			row, ifVersion := s.Proposal()
+			if f == down || !t.write(row, ifVersion) || f == lost {
+				s.Missed(now)
+				continue
+			}
+			s.Wrote(now, now, row)
+		}
+	}
+}
+
+// Guards against two holders at one time, a fence that goes back and a lease
+// that nobody takes over.
+func TestAtMostOneHolder(t *testing.T) {
+	const tick = 100 * time.Millisecond
+	cases := map[string]struct {
+		// faults of process a from 20 s to 50 s.
+		fault      fault
+		wantA      bool // a holds the lease at 50 s
+		wantFences core.Fence
+	}{
+		"no fault":          {none, true, 1},
+		"table away from a": {down, false, 2},
+		"answers to a lost": {lost, false, 2},
+		"a paused":          {sleeping, false, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			row := &table{}
+			now := time.Unix(1_000, 0)
+			a := lease.New(cfg, "a", 1, now)
+			b := lease.New(cfg, "b", 1, now.Add(time.Second))
+			var highest core.Fence
+			for i := range 500 {
+				f := none
+				if at := time.Duration(i) * tick; at >= 20*time.Second && at < 50*time.Second {
+					f = c.fault
+				}
+				step(a, row, now, f)
+				step(b, row, now, none)
+				fenceA, _, holdsA := a.Held(now)
+				fenceB, _, holdsB := b.Held(now)
+				require.False(t, holdsA && holdsB, "two holders at step %d", i)
+				for _, fence := range []core.Fence{fenceA, fenceB} {
+					require.True(t, fence == 0 || fence >= highest, "fence went back")
+					highest = max(highest, fence)
+				}
+				now = now.Add(tick)
+			}
+			_, _, holdsA := a.Held(now)
+			_, _, holdsB := b.Held(now)
+			require.Equal(t, c.wantA, holdsA)
+			require.Equal(t, !c.wantA, holdsB)
+			require.Equal(t, c.wantFences, row.row.Fence)
+		})
+	}
+}
+
+// Guards against a holder that goes on after a pause between deciding to renew
+// and the answer of the write.
+func TestRenewalCountsFromBeforeTheWrite(t *testing.T) {
+	sentAt := time.Unix(1_000, 0)
+	s := lease.New(cfg, "a", 1, sentAt)
+	s.Read(sentAt, lease.Row{}, 0)
+	require.Equal(t, lease.WriteRow, s.Step(sentAt))
+	row, _ := s.Proposal()
+	resumed := sentAt.Add(cfg.Length - cfg.Margin)
+	s.Wrote(sentAt, resumed, row)
+	_, _, held := s.Held(resumed)
+	require.False(t, held)
+	require.Equal(t, lease.ReleaseRow, s.Step(resumed))
+	next, _ := s.Proposal()
+	require.Equal(t, row.Fence+1, next.Fence, "a new term has a new fence")
+}
+
+// Guards against an order of a paused holder that arrives after its successor's.
+func TestGate(t *testing.T) {
+	var g lease.Gate
+	for _, c := range []struct {
+		fence core.Fence
+		want  bool
+	}{{0, false}, {3, true}, {3, true}, {2, false}, {5, true}, {4, false}} {
+		require.Equal(t, c.want, g.Accept(c.fence), "fence %d", c.fence)
+	}
+	require.Equal(t, core.Fence(5), g.Highest())
+}
--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,241 @@
+// Package membership combines the platform's lagging list, heartbeats and the
+// outcomes of calls into one state for each incarnation of a process. Direct
+// evidence takes precedence over the list, and a suspicion precedes a verdict
+// of failure, so that one lost reply costs little.
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"waxwingtide.example/waxwingtide/core"
+)
+
+// State is what is thought of one incarnation of a process.
+type State uint8
+
+// States of a member.
+const (
+	Live    State = iota + 1
+	Suspect       // gets no new calls, keeps its runs
+	Failed        // has not answered for the whole suspicion time
+	Leaving       // gets no new calls and ends when its runs have ended
+)
+
+// String returns the name of the state as used in logs.
+func (s State) String() string {
+	return [...]string{"unset", "live", "suspect", "failed", "leaving"}[s]
+}
+
+// Member is one process.
+type Member struct {
+	Node        core.NodeID
+	Incarnation core.Incarnation
+	// Role is empty until the list has shown the member.
+	Role    string
+	Domain  core.FailureDomain
+	Address string
+	State   State
+}
+
+// Evidence is one observation of a member. Node may be empty when Address is
+// known; incarnation 0 stands for the current one.
+type Evidence struct {
+	Node        core.NodeID
+	Address     string
+	Domain      core.FailureDomain
+	Incarnation core.Incarnation
+	// OK is false for a call or exchange that got no reply.
+	OK      bool
+	Leaving bool
+}
+
+// Config sets the times of the rules.
+type Config struct {
+	// Misses is the number of missed replies in a row that make a suspect.
+	Misses int
+	// Suspicion is the time from suspicion to the verdict of failure.
+	Suspicion time.Duration
+	// Direct is how long evidence outweighs absence from the list.
+	Direct time.Duration
+	// Forget is how long a failed member absent from the list is kept.
+	Forget time.Duration
+}
+
+// DefaultConfig returns the values for a one-way latency of a few ms and a
+// list that lags by seconds.
+func DefaultConfig() Config {
+	return Config{Misses: 2, Suspicion: 4 * time.Second, Direct: 10 * time.Second, Forget: time.Minute}
+}
+
+type record struct {
+	member  Member
+	leaving bool
+	listed  bool
+	misses  int
+	heardAt time.Time
+	// suspectAt is zero while there is no suspicion.
+	suspectAt time.Time
+	failedAt  time.Time
+}
+
+// Table holds all members. It is owned by one duty.
+type Table struct {
+	cfg       Config
+	records   map[core.NodeID]*record
+	byAddress map[string]core.NodeID
+	changed   bool
+}
+
+// New returns an empty table.
+func New(cfg Config) *Table {
+	return &Table{cfg: cfg, records: make(map[core.NodeID]*record), byAddress: make(map[string]core.NodeID)}
+}
+
+// List merges one reading of the platform's list. The state of each entry is
+// Live or Leaving. An entry with an older incarnation than known is out of
+// date; one with the same incarnation never clears a suspicion or a leave.
+func (t *Table) List(now time.Time, entries []Member) {
+	for _, r := range t.records {
+		r.listed = false
+	}
+	for _, e := range entries {
+		r := t.upsert(e.Node, e.Incarnation, e.Address, e.Domain)
+		r.listed = true
+		if r.member.Role != e.Role {
+			r.member.Role = e.Role
+			t.changed = true
+		}
+		if e.Incarnation == r.member.Incarnation && e.State == Leaving {
+			r.leaving = true
+		}
+	}
+	for _, r := range t.records {
+		if !r.listed && r.suspectAt.IsZero() && now.Sub(r.heardAt) >= t.cfg.Direct {
+			r.suspectAt = now
+		}
+	}
+	t.Tick(now)
+}
+
+// upsert returns the record of a node and starts it anew for a newer
+// incarnation.
+func (t *Table) upsert(node core.NodeID, incarnation core.Incarnation, address string, domain core.FailureDomain) *record {
+	r := t.records[node]
+	if r != nil && incarnation <= r.member.Incarnation {
+		return r
+	}
+	role := ""
+	if r != nil {
+		role = r.member.Role
+		delete(t.byAddress, r.member.Address)
+	}
+	r = &record{member: Member{
+		Node: node, Incarnation: incarnation, Role: role, Domain: domain, Address: address, State: Live,
+	}}
+	t.records[node] = r
+	t.byAddress[address] = node
+	t.changed = true
+	return r
+}
+
+// Observe merges one piece of direct evidence. Evidence on an older
+// incarnation than known is ignored.
+func (t *Table) Observe(now time.Time, e Evidence) {
+	if e.Node == "" {
+		e.Node = t.byAddress[e.Address]
+	}
+	r := t.records[e.Node]
+	if e.OK && e.Node != "" && e.Address != "" && e.Incarnation > 0 {
+		r = t.upsert(e.Node, e.Incarnation, e.Address, e.Domain)
+	}
+	if r == nil || (e.Incarnation != 0 && e.Incarnation != r.member.Incarnation) {
+		return
+	}
+	if e.OK {
+		r.heardAt = now
+		r.misses = 0
+		r.suspectAt, r.failedAt = time.Time{}, time.Time{}
+		r.leaving = r.leaving || e.Leaving
+	} else {
+		r.misses++
+		if r.misses >= t.cfg.Misses && r.suspectAt.IsZero() {
+			r.suspectAt = now
+		}
+	}
+	t.judge(now, r)
+}
+
+// Tick applies the rules that depend on time alone.
+func (t *Table) Tick(now time.Time) {
+	for node, r := range t.records {
+		t.judge(now, r)
+		if !r.listed && !r.failedAt.IsZero() && now.Sub(r.failedAt) >= t.cfg.Forget {
+			delete(t.records, node)
+			delete(t.byAddress, r.member.Address)
+			t.changed = true
+		}
+	}
+}
+
+func (t *Table) judge(now time.Time, r *record) {
+	state := Live
+	switch {
+	case !r.suspectAt.IsZero() && now.Sub(r.suspectAt) >= t.cfg.Suspicion:
+		state = Failed
+		if r.failedAt.IsZero() {
+			r.failedAt = now
+		}
+	case r.leaving:
+		state = Leaving
+	case !r.suspectAt.IsZero():
+		state = Suspect
+	}
+	if state != r.member.State {
+		r.member.State = state
+		t.changed = true
+	}
+}
+
+// Changed reports whether the snapshot would differ from the last one.
+func (t *Table) Changed() bool { return t.changed }
+
+// Snapshot returns an immutable copy, ordered by node.
+func (t *Table) Snapshot() *Members {
+	t.changed = false
+	m := &Members{byNode: make(map[core.NodeID]int, len(t.records)), byAddress: make(map[string]int, len(t.records))}
+	for _, node := range slices.SortedFunc(maps.Keys(t.records), cmp.Compare) {
+		member := t.records[node].member
+		m.byNode[node] = len(m.All)
+		m.byAddress[member.Address] = len(m.All)
+		m.All = append(m.All, member)
+	}
+	return m
+}
+
+// Members is an immutable snapshot of the table.
+type Members struct {
+	All       []Member
+	byNode    map[core.NodeID]int
+	byAddress map[string]int
+}
+
+// Node returns the member with a node id.
+func (m *Members) Node(id core.NodeID) (Member, bool) {
+	i, ok := m.byNode[id]
+	if !ok {
+		return Member{}, false
+	}
+	return m.All[i], true
+}
+
+// Address returns the member that listens on an address.
+func (m *Members) Address(address string) (Member, bool) {
+	i, ok := m.byAddress[address]
+	if !ok {
+		return Member{}, false
+	}
+	return m.All[i], true
+}
