--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -80,9 +80,12 @@
 
 // Workspace is the unit of isolation.
 type Workspace struct {
-	ID       core.WorkspaceID `yaml:"id" json:"id" validate:"required,max=64"`
-	Callers  []Caller         `yaml:"callers" json:"callers" validate:"required,min=1,dive"`
-	Models   []core.ModelID   `yaml:"models,omitempty" json:"models,omitempty" validate:"unique,dive,required"`
+	ID      core.WorkspaceID `yaml:"id" json:"id" validate:"required,max=64"`
+	Callers []Caller         `yaml:"callers" json:"callers" validate:"required,min=1,dive"`
+	Models  []core.ModelID   `yaml:"models,omitempty" json:"models,omitempty" validate:"unique,dive,required"`
+	// Adapters lists the adapters that the workspace may use on its models;
+	// without it, every adapter of its models is allowed.
+	Adapters []core.AdapterID `yaml:"adapters,omitempty" json:"adapters,omitempty" validate:"unique,dive,required"`
 	Services []core.ServiceID `yaml:"services,omitempty" json:"services,omitempty" validate:"unique,dive,required"`
 	// DefaultClass is the urgency of calls that do not state one.
 	DefaultClass string `yaml:"default_class,omitempty" json:"default_class,omitempty" validate:"omitempty,oneof=urgent deferrable"`
--- a/bundle/index.go
+++ b/bundle/index.go
@@ -1,6 +1,7 @@
 package bundle
 
 import (
+	"slices"
 	"strings"
 
 	"waxwingtide.example/waxwingtide/core"
@@ -81,3 +82,18 @@
 	}
 	return true
 }
+
+// MayUse reports whether the workspace may use the model with the adapter; an
+// empty adapter is the base model.
+func (w *Workspace) MayUse(m *Model, adapter core.AdapterID) bool {
+	if !slices.Contains(w.Models, m.ID) {
+		return false
+	}
+	if adapter == "" {
+		return true
+	}
+	if len(w.Adapters) > 0 && !slices.Contains(w.Adapters, adapter) {
+		return false
+	}
+	return slices.Contains(m.Adapters, adapter)
+}
