route: choice of upstream by hash neighbours, hints and random draws

Cause: a returning prompt should reach an upstream that holds its prefix, and the choice must stay cheap while the number of upstreams grows. Change: package route with the table of upstreams, a consistent-hash ring with bounded loads that is rebuilt only when its set changes, a bounded directory of hints, the cost of queueing with recomputation against transfer, the canary split, and three baseline policies.

--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,299 @@
+package route_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/route"
+)
+
+var (
+	start = time.Unix(1_800_000_000, 0)
+	scope = core.Scope{Workspace: "w", Model: "m", Version: "v1"}
+)
+
+func upstream(i int) core.UpstreamID { return core.UpstreamID(fmt.Sprintf("u%05d", i)) }
+
+func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 20261204)) }
+
+// prompt returns distinct block keys for a session.
+func prompt(session, blocks int) []core.BlockKey {
+	keys := make([]core.BlockKey, blocks)
+	random := seeded(uint64(session))
+	for i := range keys {
+		binary.BigEndian.PutUint64(keys[i][:], random.Uint64())
+	}
+	return keys
+}
+
+func request(session, blocks int) *route.Request {
+	return &route.Request{Scope: scope, Blocks: prompt(session, blocks), PromptBytes: blocks * core.BlockBytes}
+}
+
+func members(n int, version core.WeightVersion) []route.Member {
+	ms := make([]route.Member, n)
+	for i := range ms {
+		ms[i] = route.Member{ID: upstream(i), Model: "m", Version: version}
+	}
+	return ms
+}
+
+func state(i int) route.State {
+	return route.State{
+		Upstream: upstream(i), Incarnation: 1, Credits: 8, UrgentCredits: 2,
+		CreditExpiry: start.Add(2 * time.Second), Window: 8,
+	}
+}
+
+func table(n int, policy route.Policy) *route.Table {
+	opts := route.Defaults(100_000)
+	opts.Policy = policy
+	t := route.New(opts, seeded(1))
+	t.SetMembers(members(n, "v1"))
+	for i := range n {
+		t.Update(start, state(i))
+	}
+	return t
+}
+
+// Guards against a call to an upstream that must not get it, whatever the
+// policy and the source of candidates.
+func TestExcludedUpstreamsAreNeverChosen(t *testing.T) {
+	cases := map[string]struct {
+		spoil func(*route.Table, *route.Request)
+		class core.Class
+		at    time.Time
+	}{
+		"closed": {spoil: func(tb *route.Table, _ *route.Request) {
+			ms := members(2, "v1")
+			ms[0].Closed = true
+			tb.SetMembers(ms)
+		}},
+		"other version": {spoil: func(tb *route.Table, _ *route.Request) {
+			ms := members(2, "v1")
+			ms[0].Version = "v2"
+			tb.SetMembers(ms)
+		}},
+		"not loaded": {spoil: func(tb *route.Table, _ *route.Request) {
+			s := state(0)
+			s.Version, s.Loaded = "v0", []core.WeightVersion{"v0"}
+			tb.Update(start, s)
+		}},
+		"draining": {spoil: func(tb *route.Table, _ *route.Request) {
+			s := state(0)
+			s.Draining = true
+			tb.Update(start, s)
+		}},
+		"no credit": {spoil: func(tb *route.Table, _ *route.Request) {
+			s := state(0)
+			s.Credits, s.UrgentCredits = 0, 0
+			tb.Update(start, s)
+		}},
+		"expired": {at: start.Add(time.Second), spoil: func(tb *route.Table, _ *route.Request) {
+			s := state(0)
+			s.CreditExpiry = start.Add(time.Second)
+			tb.Update(start, s)
+		}},
+		"urgent credits only": {class: core.Deferrable, spoil: func(tb *route.Table, _ *route.Request) {
+			s := state(0)
+			s.Credits = s.UrgentCredits
+			tb.Update(start, s)
+		}},
+		"removed": {spoil: func(tb *route.Table, _ *route.Request) { tb.SetMembers(members(2, "v1")[1:]) }},
+		"tried":   {spoil: func(_ *route.Table, r *route.Request) { r.Tried = []core.UpstreamID{upstream(0)} }},
+		"filter": {spoil: func(_ *route.Table, r *route.Request) {
+			r.Allow = func(id core.UpstreamID) bool { return id != upstream(0) }
+		}},
+	}
+	for name, c := range cases {
+		for _, policy := range []route.Policy{route.Combined, route.LeastLoaded, route.AffinityOnly, route.DirectoryOnly} {
+			t.Run(fmt.Sprintf("%s/%s", name, policy), func(t *testing.T) {
+				tb := table(2, policy)
+				r := request(1, 8)
+				r.Class = c.class
+				now := start
+				if !c.at.IsZero() {
+					now = c.at
+				}
+				tb.Learn(now, route.Run{Upstream: upstream(0), Incarnation: 1, Blocks: r.Blocks, Held: 8})
+				c.spoil(tb, r)
+				for got := 0; ; got++ {
+					choice, refusal := tb.Choose(now, r)
+					if refusal != route.Chosen {
+						require.Equal(t, route.NoCredit, refusal)
+						require.NotZero(t, got)
+						break
+					}
+					require.Equal(t, upstream(1), choice.Upstream)
+				}
+			})
+		}
+	}
+}
+
+// Guards against more calls than credits.
+func TestCreditsAreSpent(t *testing.T) {
+	tb := table(3, route.Combined)
+	n := 0
+	for refusal := route.Chosen; refusal == route.Chosen; n++ {
+		_, refusal = tb.Choose(start, request(n, 4))
+	}
+	require.Equal(t, 3*8, n-1)
+	require.False(t, tb.Update(start, route.State{Upstream: "stranger"}))
+	tb.Update(start, state(0))
+	choice, refusal := tb.Choose(start, request(1, 4))
+	require.Equal(t, route.Chosen, refusal)
+	require.Equal(t, 7, tb.Credits(start, upstream(0), core.Urgent))
+	tb.Return(choice)
+	require.Equal(t, 8, tb.Credits(start, upstream(0), core.Urgent))
+}
+
+// Guards against a returning prompt that is recomputed while an upstream holds
+// its prefix, and against hints that outlive the cache they are about.
+func TestReturningPromptGoesToHolder(t *testing.T) {
+	tb := table(100, route.Combined)
+	r := request(5, 90)
+	tb.Learn(start, route.Run{Upstream: upstream(42), Incarnation: 1, Blocks: r.Blocks, Held: 80})
+	choice, _ := tb.Choose(start, r)
+	require.Equal(t, upstream(42), choice.Upstream)
+	require.Equal(t, 80, choice.Hinted)
+
+	long := request(6, 700)
+	tb.Learn(start, route.Run{Upstream: upstream(17), Incarnation: 1, Blocks: long.Blocks, Held: 300})
+	choice, _ = tb.Choose(start, long)
+	require.Equal(t, upstream(17), choice.Upstream)
+	require.Equal(t, 256, choice.Hinted, "far from its end a prompt is looked up at powers of two")
+
+	s := state(42)
+	s.CacheEpoch = 2
+	tb.Update(start, s)
+	choice, _ = tb.Choose(start, r)
+	require.Zero(t, choice.Hinted)
+}
+
+// Guards against a long queue at the holder when recomputation elsewhere, or a
+// transfer from the kept-cache store, gives the first token sooner.
+func TestUrgentCallLeavesBusyHolder(t *testing.T) {
+	tb := table(100, route.Combined)
+	r := request(5, 90)
+	tb.Learn(start, route.Run{Upstream: upstream(42), Incarnation: 1, Blocks: r.Blocks, Held: 90})
+	s := state(42)
+	s.Running, s.Queued, s.QueueDelay = 8, 4, 3*time.Second
+	tb.Update(start, s)
+	choice, _ := tb.Choose(start, r)
+	require.NotEqual(t, upstream(42), choice.Upstream)
+	require.False(t, choice.Import)
+
+	r.Class = core.Deferrable
+	choice, _ = tb.Choose(start, r)
+	require.Equal(t, upstream(42), choice.Upstream, "a deferrable call waits for the cached prefix")
+
+	r.Class = core.Urgent
+	tb.LearnKept(start, r.Blocks, 90)
+	for i := range 100 {
+		s := state(i)
+		s.LinkRate = 100e6
+		tb.Update(start, s)
+	}
+	tb.Update(start, s)
+	choice, _ = tb.Choose(start, r)
+	require.NotEqual(t, upstream(42), choice.Upstream)
+	require.True(t, choice.Import)
+}
+
+// Guards against prompts that change their place when the set of upstreams
+// changes a little, and against places that crowd on few upstreams.
+func TestAffinityIsStableAndBounded(t *testing.T) {
+	const prompts = 400
+	home := func(n, session int) core.UpstreamID {
+		choice, _ := table(n, route.AffinityOnly).Choose(start, request(session, 6))
+		return choice.Upstream
+	}
+	moved := 0
+	for session := range prompts / 10 {
+		if home(20, session) != home(19, session) {
+			moved++
+		}
+	}
+	require.Less(t, moved, prompts/10/4)
+
+	tb := table(50, route.AffinityOnly)
+	served := map[core.UpstreamID]int{}
+	for range prompts / 2 { // half of all credits, for one and the same prompt
+		choice, _ := tb.Choose(start, request(1, 6))
+		served[choice.Upstream]++
+	}
+	require.Greater(t, len(served), 200/(2*8), "one hot prefix spreads over many upstreams")
+}
+
+// Guards against a canary share that is exceeded and against a version served
+// by the other version's upstreams.
+func TestCanarySplit(t *testing.T) {
+	opts := route.Defaults(100_000)
+	tb := route.New(opts, seeded(1))
+	ms := members(12, "v1")
+	ms[3].Version, ms[7].Version = "v2", "v2"
+	tb.SetMembers(ms)
+	split := route.Split{Stable: "v1", Canary: "v2", Share: 0.05}
+	canary := 0
+	for i := range 20_000 {
+		for j := range 12 {
+			if i%4 == 0 {
+				tb.Update(start, state(j))
+			}
+		}
+		r := request(1, 0)
+		r.Scope.Version = split.Version(core.AttemptID(fmt.Sprint("a-", i)))
+		choice, refusal := tb.Choose(start, r)
+		require.Equal(t, route.Chosen, refusal)
+		isCanary := choice.Upstream == upstream(3) || choice.Upstream == upstream(7)
+		require.Equal(t, r.Scope.Version == "v2", isCanary)
+		if isCanary {
+			canary++
+		}
+	}
+	require.InDelta(t, 0.05*20_000, canary, 100)
+	require.Equal(t, core.WeightVersion("v1"), route.Split{Stable: "v1", Canary: "v2"}.Version("x"))
+}
+
+// Guards against allocation on the path of every call.
+func TestChooseDoesNotAllocate(t *testing.T) {
+	tb := table(1000, route.Combined)
+	r := request(3, 50)
+	tb.Learn(start, route.Run{Upstream: upstream(9), Incarnation: 1, Blocks: r.Blocks, Held: 40})
+	require.Zero(t, testing.AllocsPerRun(100, func() {
+		choice, _ := tb.Choose(start, r)
+		tb.Return(choice)
+	}))
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, policy := range []route.Policy{route.Combined, route.LeastLoaded, route.AffinityOnly, route.DirectoryOnly} {
+		for _, n := range []int{12, 100, 1000, 10000} {
+			b.Run(fmt.Sprintf("%s/%d", policy, n), func(b *testing.B) {
+				tb := table(n, policy)
+				const sessions = 1024
+				requests := make([]*route.Request, sessions)
+				for i := range requests {
+					requests[i] = request(i, 50)
+					if i%2 == 0 {
+						tb.Learn(start, route.Run{Upstream: upstream(i % n), Incarnation: 1, Blocks: requests[i].Blocks, Held: 45})
+					}
+				}
+				b.ReportAllocs()
+				i := 0
+				for b.Loop() {
+					choice, _ := tb.Choose(start, requests[i%sessions])
+					tb.Return(choice)
+					i++
+				}
+			})
+		}
+	}
+}
