fair: hold both classes of waiting calls in one pair of queues

Cause: the entry's queue needs the same rules as the agent's: a common room, urgent calls first, push-out between workspaces. Change: fair.Pair holds them; admit uses it instead of its own two queues. Restore puts a popped call back to the front.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -26,7 +26,7 @@
 	window   window
 	running  map[core.AttemptID]*run
 	deferred int // running calls of class Deferrable
-	queues   [2]*fair.Queue[Call]
+	waiting  *fair.Pair[Call]
 	credits  credits
 	draining bool
 }
@@ -37,10 +37,7 @@
 		opts:    opts,
 		window:  newWindow(opts),
 		running: make(map[core.AttemptID]*run),
-		queues: [2]*fair.Queue[Call]{
-			fair.New[Call](),
-			fair.New[Call](),
-		},
+		waiting: fair.NewPair[Call](opts.QueueRoom),
 		credits: newCredits(),
 	}
 }
@@ -65,7 +62,7 @@
 
 // place starts, queues or rejects a call.
 func (c *Controller) place(now time.Time, call Call) Decision {
-	if c.queuedBefore(call.Class) == 0 && c.hasRoom(call.Class) {
+	if c.waiting.Before(call.Class) == 0 && c.hasRoom(call.Class) {
 		c.start(now, call)
 		return Decision{Verdict: Start}
 	}
@@ -81,27 +78,23 @@
 	return Decision{Verdict: Wait, Effects: effects}
 }
 
-// enqueue adds a call to the queue of its class. An urgent call takes the place
-// of a deferrable one when the room for both is used up.
+// enqueue adds a call to the queue of its class.
 func (c *Controller) enqueue(call Call, delay time.Duration) (Effects, bool) {
-	var effects Effects
-	if c.queued() >= c.opts.QueueRoom && call.Class == core.Urgent {
-		if it, ok := c.queues[core.Deferrable].PopNewest(); ok {
-			effects.Rejected = append(effects.Rejected, Rejection{it.ID, ReasonPreempted, delay})
-		}
-	}
-	full := c.queued() >= c.opts.QueueRoom
-	evicted, ok := c.queues[call.Class].Push(fair.Item[Call]{
+	evicted, ok := c.waiting.Push(call.Class, fair.Item[Call]{
 		ID:        call.ID,
 		Workspace: call.Workspace,
 		Weight:    call.Weight,
 		Deadline:  call.Deadline,
 		Value:     call,
-	}, full)
-	if evicted != nil {
-		effects.Rejected = append(effects.Rejected, Rejection{evicted.ID, ReasonQueueFull, delay})
+	})
+	if evicted == nil {
+		return Effects{}, ok
+	}
+	reason := ReasonQueueFull
+	if evicted.Preempted {
+		reason = ReasonPreempted
 	}
-	return effects, ok
+	return Effects{Rejected: []Rejection{{evicted.ID, reason, delay}}}, ok
 }
 
 // Done records the end of a run, or that a waiting call was given up by its
@@ -110,8 +103,7 @@
 	effects := c.Expire(now)
 	r, ok := c.running[id]
 	if !ok {
-		c.queues[core.Urgent].Remove(id)
-		c.queues[core.Deferrable].Remove(id)
+		c.waiting.Remove(id)
 		return effects
 	}
 	atLimit := r.atLimit || len(c.running) >= c.window.size
@@ -129,24 +121,15 @@
 // credits. NextDeadline says when to call it.
 func (c *Controller) Expire(now time.Time) Effects {
 	var effects Effects
-	for _, q := range c.queues {
-		for _, it := range q.Expire(now) {
-			effects.Rejected = append(effects.Rejected, Rejection{ID: it.ID, Reason: ReasonDeadline})
-		}
+	for _, it := range c.waiting.Expire(now) {
+		effects.Rejected = append(effects.Rejected, Rejection{ID: it.ID, Reason: ReasonDeadline})
 	}
 	c.credits.expire(now)
 	return effects
 }
 
 // NextDeadline returns the earliest deadline of a waiting call, or zero.
-func (c *Controller) NextDeadline() time.Time {
-	a := c.queues[core.Urgent].NextDeadline()
-	b := c.queues[core.Deferrable].NextDeadline()
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
-	}
-	return a
-}
+func (c *Controller) NextDeadline() time.Time { return c.waiting.NextDeadline() }
 
 // Reset makes the window fall back to its start, because the upstream is not
 // what it was. Runs that are under way keep their place until Done.
@@ -160,10 +143,8 @@
 	c.draining = true
 	c.credits.clear()
 	var effects Effects
-	for _, q := range c.queues {
-		for it, ok := q.Pop(); ok; it, ok = q.Pop() {
-			effects.Rejected = append(effects.Rejected, Rejection{it.ID, ReasonDraining, c.opts.CreditLife})
-		}
+	for _, it := range c.waiting.Drain() {
+		effects.Rejected = append(effects.Rejected, Rejection{it.ID, ReasonDraining, c.opts.CreditLife})
 	}
 	return effects
 }
@@ -200,7 +181,7 @@
 		Incarnation:     c.opts.Incarnation,
 		Window:          c.window.size,
 		Running:         len(c.running),
-		Queued:          c.queued(),
+		Queued:          c.waiting.Len(),
 		UrgentDelay:     c.delay(core.Urgent),
 		DeferrableDelay: c.delay(core.Deferrable),
 		Cold:            c.window.cold(),
@@ -216,7 +197,7 @@
 	var effects Effects
 	for _, class := range []core.Class{core.Urgent, core.Deferrable} {
 		for c.hasRoom(class) {
-			it, ok := c.queues[class].Pop()
+			it, ok := c.waiting.Pop(class)
 			if !ok {
 				break
 			}
@@ -243,7 +224,7 @@
 // preempt chooses running deferrable calls to cancel, at most one for each
 // waiting urgent call. The latest started loses the least work.
 func (c *Controller) preempt() []core.AttemptID {
-	waiting := c.queues[core.Urgent].Len()
+	waiting := c.waiting.Before(core.Urgent)
 	if waiting == 0 || c.delay(core.Urgent) < c.opts.PreemptAfter {
 		return nil
 	}
@@ -283,7 +264,7 @@
 
 func (c *Controller) known(id core.AttemptID) bool {
 	_, runs := c.running[id]
-	return runs || c.queues[core.Urgent].Contains(id) || c.queues[core.Deferrable].Contains(id)
+	return runs || c.waiting.Contains(id)
 }
 
 func (c *Controller) reject(reason Reason, after time.Duration) Decision {
@@ -306,30 +287,18 @@
 	return class == core.Urgent || c.deferred < c.window.size-c.reserved(c.window.size)
 }
 
-func (c *Controller) queued() int {
-	return c.queues[core.Urgent].Len() + c.queues[core.Deferrable].Len()
-}
-
-// queuedBefore is the number of waiting calls that start before a new one.
-func (c *Controller) queuedBefore(class core.Class) int {
-	if class == core.Urgent {
-		return c.queues[core.Urgent].Len()
-	}
-	return c.queued()
-}
-
 func (c *Controller) free() int { return max(0, c.window.size-len(c.running)) }
 
 // queueRoom is the room in the queue for which credits are given.
 func (c *Controller) queueRoom() int {
 	room := min(c.opts.QueueRoom, int(c.opts.QueuePerWindow*float64(c.window.size)))
-	return max(0, room-c.queued())
+	return max(0, room-c.waiting.Len())
 }
 
 // delay is the expected time to admission of one more call: the calls before
 // it and those over the window end at the rate of the whole window.
 func (c *Controller) delay(class core.Class) time.Duration {
-	before := c.queuedBefore(class)
+	before := c.waiting.Before(class)
 	if before == 0 && c.hasRoom(class) {
 		return 0
 	}
--- a/fair/fair.go
+++ b/fair/fair.go
@@ -37,7 +37,6 @@
 	items     *list.List
 	start     float64
 	index     int // position in the active heap, or idle
-	paused    bool
 }
 
 const idle = -1
@@ -64,12 +63,9 @@
 	}
 }
 
-// Len returns the number of waiting calls, paused workspaces included.
+// Len returns the number of waiting calls.
 func (q *Queue[T]) Len() int { return len(q.byID) }
 
-// Ready returns the number of workspaces that have calls and are not paused.
-func (q *Queue[T]) Ready() int { return len(q.active) }
-
 // Contains reports whether the call waits.
 func (q *Queue[T]) Contains(id core.AttemptID) bool {
 	_, ok := q.byID[id]
@@ -162,23 +158,19 @@
 	return q.deadlines[0].Deadline
 }
 
-// Pause keeps the calls of a workspace waiting until Resume.
-func (q *Queue[T]) Pause(w core.WorkspaceID) {
-	f := q.flowOf(w)
-	f.paused = true
+// Restore puts a call that was just popped back to the front of its workspace.
+func (q *Queue[T]) Restore(it *Item[T]) {
+	f := q.flowOf(it.Workspace)
+	f.start -= it.Cost / float64(it.Weight)
+	it.flow = f
+	it.element = f.items.PushFront(it)
+	q.byID[it.ID] = it
+	heap.Push(&q.deadlines, it)
 	if f.index != idle {
-		heap.Remove(&q.active, f.index)
-	}
-}
-
-// Resume ends a pause.
-func (q *Queue[T]) Resume(w core.WorkspaceID) {
-	f, ok := q.flows[w]
-	if !ok || !f.paused {
+		heap.Fix(&q.active, f.index)
 		return
 	}
-	f.paused = false
-	q.activate(f)
+	heap.Push(&q.active, f)
 }
 
 func (q *Queue[T]) flowOf(w core.WorkspaceID) *flow[T] {
@@ -193,7 +185,7 @@
 // activate puts a flow that has calls among those to be served. A workspace
 // that was idle does not collect service for the time it was away.
 func (q *Queue[T]) activate(f *flow[T]) {
-	if f.paused || f.index != idle || f.items.Len() == 0 {
+	if f.index != idle || f.items.Len() == 0 {
 		return
 	}
 	f.start = max(f.start, q.virtual)
@@ -219,7 +211,7 @@
 		return
 	}
 	for w, f := range q.flows {
-		if f.items.Len() == 0 && !f.paused && f.start <= q.virtual {
+		if f.items.Len() == 0 && f.start <= q.virtual {
 			delete(q.flows, w)
 		}
 	}
