Add the entry daemon: completions, dispatch and watch duties

Cause: callers need one address that serves every workspace's prompts. Change: package entry with the HTTP handlers, the dispatch duty (owner of the route table, the waiting calls and the retry budget) and one watch duty for each engine. Conclusion: decisions are those of route, dispatch, retry and stream; the handlers only encode.

--- /dev/null
+++ b/entry/completion.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"waxwingtide.example/waxwingtide/bundle"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/facts"
+	"waxwingtide.example/waxwingtide/security"
+)
+
+const (
+	headerTimeout    = "Waxwingtide-Timeout-Ms"
+	maxTimeout       = 10 * time.Minute
+	defaultMaxTokens = 256
+	maxMaxTokens     = 32768
+	tierUrgent       = "priority"
+	tierDeferrable   = "flex"
+)
+
+// completionRequest is the body of POST /v1/completions. Fields of the usual
+// protocol that this system does not act on are accepted and ignored.
+type completionRequest struct {
+	Model       string `json:"model"`
+	Prompt      string `json:"prompt"`
+	MaxTokens   int    `json:"max_tokens"`
+	Stream      bool   `json:"stream"`
+	ServiceTier string `json:"service_tier"`
+}
+
+// prompt is a checked request of an authenticated caller.
+type prompt struct {
+	identity  bundle.Identity
+	model     core.ModelID
+	adapter   core.AdapterID
+	class     core.Class
+	text      string
+	maxTokens int
+	stream    bool
+	weight    int
+	limit     int
+	timeout   time.Duration
+}
+
+// authenticate finds the owner of the request's API key.
+func authenticate(r *http.Request, view *facts.View) (bundle.Identity, *refusal) {
+	scheme, key, ok := strings.Cut(r.Header.Get("Authorization"), " ")
+	if ok && strings.EqualFold(scheme, "Bearer") {
+		if id, found := view.Index.Authenticate(security.HashSecret(key)); found {
+			return id, nil
+		}
+	}
+	return bundle.Identity{}, &refusal{
+		Status: http.StatusUnauthorized, Type: typeUnauthenticated, Code: "bad_key",
+		Message: "API key is missing or not in the bundle in force; send Authorization: Bearer KEY with a key of your workspace",
+	}
+}
+
+// parsePrompt reads and checks the body of a completion.
+func parsePrompt(r *http.Request, view *facts.View, maxBody int64, timeout time.Duration) (*prompt, *refusal) {
+	id, refused := authenticate(r, view)
+	if refused != nil {
+		return nil, refused
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+	if err != nil {
+		return nil, invalid("body", "request body could not be read; send it again")
+	}
+	if int64(len(body)) > maxBody {
+		return nil, &refusal{Status: http.StatusRequestEntityTooLarge, Type: typeInvalid, Code: "body",
+			Message: "request body is larger than " + strconv.FormatInt(maxBody, 10) + " bytes; shorten the prompt"}
+	}
+	var req completionRequest
+	if err := json.Unmarshal(body, &req); err != nil {
+		return nil, invalid("body", "request body is not a JSON completion request: "+err.Error()+"; see the completions protocol")
+	}
+	p := &prompt{identity: id, text: req.Prompt, maxTokens: req.MaxTokens, stream: req.Stream}
+	workspace := view.Index.Workspaces[id.Workspace]
+	p.weight = max(workspace.Weight, 1)
+	p.limit = workspace.MaxInFlight
+	for _, step := range []func() *refusal{
+		func() *refusal { return p.setModel(req.Model, workspace, view.Index) },
+		func() *refusal { return p.setTokens() },
+		func() *refusal { return p.setClass(req.ServiceTier, workspace) },
+		func() *refusal { return p.setTimeout(r.Header.Get(headerTimeout), timeout) },
+	} {
+		if refused := step(); refused != nil {
+			return nil, refused
+		}
+	}
+	return p, nil
+}
+
+func (p *prompt) setModel(name string, w *bundle.Workspace, x *bundle.Index) *refusal {
+	model, adapter, _ := strings.Cut(name, "+")
+	p.model, p.adapter = core.ModelID(model), core.AdapterID(adapter)
+	allowed := false
+	for _, m := range w.Models {
+		allowed = allowed || m == p.model
+	}
+	m := x.Models[p.model]
+	if !allowed || m == nil {
+		return invalid("model", "model "+strconv.Quote(name)+" is not served to this workspace; name one of the bundle's models for it")
+	}
+	if p.adapter == "" {
+		return nil
+	}
+	for _, a := range m.Adapters {
+		if a == p.adapter {
+			return nil
+		}
+	}
+	return invalid("model", "adapter "+strconv.Quote(adapter)+" is not in the bundle; name one of the model's adapters")
+}
+
+func (p *prompt) setTokens() *refusal {
+	if p.text == "" {
+		return invalid("prompt", "prompt is empty; send a prompt as one string")
+	}
+	if p.maxTokens == 0 {
+		p.maxTokens = defaultMaxTokens
+	}
+	if p.maxTokens < 0 || p.maxTokens > maxMaxTokens {
+		return invalid("max_tokens", "max_tokens is out of range; use 1 to "+strconv.Itoa(maxMaxTokens))
+	}
+	return nil
+}
+
+func (p *prompt) setClass(tier string, w *bundle.Workspace) *refusal {
+	switch tier {
+	case tierUrgent:
+		p.class = core.Urgent
+	case tierDeferrable:
+		p.class = core.Deferrable
+	case "", "auto", "default":
+		p.class = w.Class()
+	default:
+		return invalid("service_tier", "service_tier "+strconv.Quote(tier)+" is not known; use priority, flex or default")
+	}
+	return nil
+}
+
+func (p *prompt) setTimeout(header string, timeout time.Duration) *refusal {
+	p.timeout = timeout
+	if header == "" {
+		return nil
+	}
+	ms, err := strconv.Atoi(header)
+	if err != nil || ms < 1 || time.Duration(ms)*time.Millisecond > maxTimeout {
+		return invalid("timeout", headerTimeout+" is out of range; use 1 to "+strconv.FormatInt(maxTimeout.Milliseconds(), 10)+" milliseconds")
+	}
+	p.timeout = time.Duration(ms) * time.Millisecond
+	return nil
+}
--- /dev/null
+++ b/entry/dispatcher.go
@@ -0,0 +1,304 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/dispatch"
+	"waxwingtide.example/waxwingtide/facts"
+	"waxwingtide.example/waxwingtide/retry"
+	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/route"
+	"waxwingtide.example/waxwingtide/settings"
+	"waxwingtide.example/waxwingtide/stream"
+	"waxwingtide.example/waxwingtide/wire"
+)
+
+// Capacities of the dispatch duty's rings, in elements.
+const (
+	placementRing = 2048
+	stateRing     = 4096
+	reportRing    = 2048
+)
+
+// blockTransferBytes is the size of one block's kept cache that the cost model
+// assumes until engines report theirs.
+const blockTransferBytes = 16 << 10
+
+// placement asks for an upstream for the next attempt of a call.
+type placement struct {
+	call  dispatch.Call[*placement]
+	route route.Request
+	// reply receives exactly one assignment.
+	reply *ring.Ring[assignment]
+}
+
+// assignment is the answer to a placement.
+type assignment struct {
+	// refused is ReasonNone when an upstream was chosen.
+	refused dispatch.Reason
+	// unserved is set when no upstream serves the version.
+	unserved bool
+	attempt  core.AttemptID
+	choice   route.Choice
+	address  string
+	epoch    core.Epoch
+}
+
+// report is anything else that the dispatch duty reacts to.
+type report interface{ apply(*dispatcher, time.Time) }
+
+// identify asks for the id of a new call and adds its share to the retry
+// budget.
+type identify struct{ reply *ring.Ring[core.AttemptID] }
+
+// again asks whether a call may be sent again.
+type again struct {
+	call  *retry.Call
+	reply *ring.Ring[permission]
+}
+
+// permission is the answer to again.
+type permission struct {
+	delay  time.Duration
+	denial retry.Denial
+}
+
+// learned reports the end of an attempt.
+type learned struct {
+	run route.Run
+	// kept is the number of blocks that were imported from the kept cache.
+	kept int
+	// unsent is set when the credit of the choice was not used.
+	unsent bool
+	choice route.Choice
+}
+
+// ended reports that a call is over.
+type ended struct{ id core.AttemptID }
+
+// stateUpdate is a message of a watch; a nil state means that the upstream's
+// agent does not answer.
+type stateUpdate struct {
+	id    core.UpstreamID
+	state *wire.UpstreamState
+}
+
+// dispatcher is the duty that owns what the entry knows of the upstreams, the
+// waiting calls and the retry budget.
+type dispatcher struct {
+	opts       Options
+	placements *ring.Ring[*placement]
+	states     *ring.Ring[stateUpdate]
+	reports    *ring.Ring[report]
+	changes    *ring.Ring[*facts.View]
+	table      *route.Table
+	queue      *dispatch.Queue[*placement]
+	budget     *retry.Budget
+	random     *rand.Rand
+	ids        *stream.IDs
+	view       *facts.View
+	members    map[core.UpstreamID]member
+}
+
+// member is what dispatch needs to know of an engine of the bundle in force.
+type member struct {
+	address string
+	pool    dispatch.Pool
+}
+
+func newDispatcher(o Options) *dispatcher {
+	options := route.Defaults(blockTransferBytes)
+	if o.Routing.Policy == settings.PolicyLeastLoaded {
+		options.Policy = route.LeastLoaded
+	}
+	random := rand.New(rand.NewPCG(o.Seed, uint64(o.Incarnation)))
+	d := &dispatcher{
+		opts:       o,
+		placements: ring.New[*placement](placementRing),
+		states:     ring.New[stateUpdate](stateRing),
+		reports:    ring.New[report](reportRing),
+		changes:    o.Control.Subscribe(),
+		table:      route.New(options, random),
+		budget:     retry.NewBudget(retry.DefaultBudget()),
+		random:     random,
+		ids:        stream.NewIDs(o.Node, o.Incarnation),
+	}
+	d.queue = dispatch.New(o.Limits.Waiting, d.place)
+	return d
+}
+
+// run is the loop of the duty.
+func (d *dispatcher) run(ctx context.Context) error {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	d.follow(d.opts.Control.View())
+	for {
+		d.armTimer(timer)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.changes.Ready():
+			if view, ok := d.changes.TryReceive(); ok {
+				d.follow(view)
+			}
+		case <-d.placements.Ready():
+			for p, ok := d.placements.TryReceive(); ok; p, ok = d.placements.TryReceive() {
+				d.offer(d.opts.Now(), p)
+			}
+		case <-d.states.Ready():
+			for u, ok := d.states.TryReceive(); ok; u, ok = d.states.TryReceive() {
+				d.update(d.opts.Now(), u)
+			}
+		case <-d.reports.Ready():
+			for r, ok := d.reports.TryReceive(); ok; r, ok = d.reports.TryReceive() {
+				r.apply(d, d.opts.Now())
+			}
+		case <-timer.C:
+			for _, r := range d.queue.Expire(d.opts.Now()) {
+				d.refuse(&r)
+			}
+		}
+	}
+}
+
+// armTimer sets the timer to the earliest deadline of a waiting call.
+func (d *dispatcher) armTimer(timer *time.Timer) {
+	next := d.queue.NextDeadline()
+	if next.IsZero() {
+		timer.Stop()
+		return
+	}
+	timer.Reset(max(0, next.Sub(d.opts.Now())))
+}
+
+// follow applies a new view: which engines there are, which version each
+// serves and which take no new work.
+func (d *dispatcher) follow(view *facts.View) {
+	if !view.Ready() {
+		return
+	}
+	d.view = view
+	d.members = make(map[core.UpstreamID]member)
+	pools := make(map[dispatch.Pool]bool)
+	var members []route.Member
+	for model, engines := range view.Index.Engines {
+		for _, u := range engines {
+			version := view.VersionOn(u)
+			pool := dispatch.Pool{Model: model, Version: version}
+			pools[pool] = true
+			d.members[u.ID] = member{u.Agent, pool}
+			closed := !view.UpstreamOpen(u) || !view.VersionOpen(model, version)
+			members = append(members, route.Member{ID: u.ID, Model: model, Version: version, Closed: closed})
+		}
+	}
+	d.table.SetMembers(members)
+	d.queue.Retain(pools)
+}
+
+func (d *dispatcher) offer(now time.Time, p *placement) {
+	decision := d.queue.Offer(now, p.call)
+	if decision.Evicted != nil {
+		d.refuse(decision.Evicted)
+	}
+	if decision.Verdict == dispatch.Refused || decision.Verdict == dispatch.Duplicate {
+		p.reply.Offer(assignment{refused: max(decision.Reason, dispatch.ReasonQueueFull)})
+	}
+}
+
+func (d *dispatcher) refuse(r *dispatch.Refusal[*placement]) {
+	r.Call.Value.reply.Offer(assignment{refused: r.Reason})
+}
+
+// place chooses an upstream for a call that is due and answers its caller.
+func (d *dispatcher) place(now time.Time, call *dispatch.Call[*placement]) bool {
+	p := call.Value
+	choice, refusal := d.table.Choose(now, &p.route)
+	switch refusal {
+	case route.Chosen:
+		p.reply.Offer(assignment{
+			attempt: d.ids.Next(),
+			choice:  choice,
+			address: d.members[choice.Upstream].address,
+			epoch:   d.view.Head.Epoch,
+		})
+		return true
+	case route.NoMember:
+		p.reply.Offer(assignment{unserved: true})
+		return true
+	default:
+		return false
+	}
+}
+
+// update records a published state and gives its credits to waiting calls.
+func (d *dispatcher) update(now time.Time, u stateUpdate) {
+	m, ok := d.members[u.id]
+	if !ok {
+		return
+	}
+	if u.state == nil {
+		d.table.Forget(u.id)
+		return
+	}
+	d.table.Update(now, stateOf(now, u.state))
+	d.serveWaiting(now, m.pool, int(u.state.GetCredits()))
+}
+
+func (d *dispatcher) serveWaiting(now time.Time, pool dispatch.Pool, credits int) {
+	if credits > 0 {
+		d.queue.Credits(now, pool, credits)
+	}
+}
+
+// stateOf converts a published state.
+func stateOf(now time.Time, s *wire.UpstreamState) route.State {
+	loaded := make([]core.WeightVersion, 0, len(s.GetLoaded()))
+	for _, v := range s.GetLoaded() {
+		loaded = append(loaded, core.WeightVersion(v))
+	}
+	return route.State{
+		Upstream:      core.UpstreamID(s.GetUpstream()),
+		Incarnation:   core.Incarnation(s.GetSender().GetIncarnation()),
+		CacheEpoch:    s.GetCacheEpoch(),
+		Credits:       int(s.GetCredits()),
+		UrgentCredits: int(s.GetUrgentCredits()),
+		CreditExpiry:  now.Add(time.Duration(s.GetCreditMs()) * time.Millisecond),
+		Window:        int(s.GetWindow()),
+		Running:       int(s.GetRunning()),
+		Queued:        int(s.GetQueued()),
+		QueueDelay:    time.Duration(s.GetQueueDelayMs()) * time.Millisecond,
+		Cold:          s.GetCold(),
+		Draining:      s.GetDraining(),
+		PrefillRate:   float64(s.GetPrefillBytesPerS()),
+		LinkRate:      float64(s.GetLinkBytesPerS()),
+		Version:       core.WeightVersion(s.GetVersion()),
+		Loaded:        loaded,
+		Cached:        s.GetCached(),
+	}
+}
+
+func (r identify) apply(d *dispatcher, now time.Time) {
+	d.budget.Call(now)
+	r.reply.Offer(d.ids.Next())
+}
+
+func (r again) apply(d *dispatcher, now time.Time) {
+	delay, denial := r.call.Retry(now, d.budget, d.random)
+	r.reply.Offer(permission{delay, denial})
+}
+
+func (r learned) apply(d *dispatcher, now time.Time) {
+	if r.unsent {
+		d.table.Return(r.choice)
+		return
+	}
+	d.table.Learn(now, r.run)
+	if r.kept > 0 {
+		d.table.LearnKept(now, r.run.Blocks, r.kept)
+	}
+}
+
+func (r ended) apply(d *dispatcher, _ time.Time) { d.queue.End(r.id) }
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,154 @@
+// Package entry is the daemon that callers reach. It authenticates them,
+// chooses an upstream for each call and streams the answer back. It holds no
+// state that must last; any entry can serve any call.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/duty"
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/facts"
+	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/settings"
+	"waxwingtide.example/waxwingtide/telemetry"
+	"waxwingtide.example/waxwingtide/wire"
+)
+
+// Control is what the entry needs from the control duties.
+type Control interface {
+	// View returns what is in force in this process.
+	View() *facts.View
+	// Ready reports whether the process may take work.
+	Ready() bool
+	// NoteEpoch records an epoch heard on a message, so that a newer one is
+	// fetched.
+	NoteEpoch(epoch core.Epoch)
+	// Subscribe returns a ring that receives each new view. It is called before
+	// the duties start.
+	Subscribe() *ring.Ring[*facts.View]
+}
+
+// Judge receives samples of finished prompts for the rollout's tests.
+type Judge interface {
+	// Observe records one finished or failed prompt. It never blocks.
+	Observe(s Sample)
+}
+
+// Sample is what one prompt tells about the weight version that served it.
+type Sample struct {
+	Model     core.ModelID
+	Version   core.WeightVersion
+	Workspace core.WorkspaceID
+	Upstream  core.UpstreamID
+	Class     core.Class
+	// Failed is set when the upstream ended the run without a whole answer.
+	Failed     bool
+	FirstToken time.Duration
+	PerToken   time.Duration
+	At         time.Time
+}
+
+// Options configure an entry.
+type Options struct {
+	Node          core.NodeID
+	Incarnation   core.Incarnation
+	FailureDomain core.FailureDomain
+	Control       Control
+	// Dial returns a connection of the inner protocol to an agent.
+	Dial func(ctx context.Context, address string) drpc.Conn
+	// Services answers /services/{service}/{path}; nil answers 404.
+	Services http.Handler
+	// Judge is nil where no rollout is judged.
+	Judge   Judge
+	Limits  settings.Limits
+	Routing settings.Routing
+	Log     logrus.FieldLogger
+	Metrics *telemetry.Metrics
+	// Seed makes the random choices of routing repeatable.
+	Seed uint64
+	// Now is the clock of decisions; nil means time.Now.
+	Now func() time.Time
+}
+
+// Entry serves callers.
+type Entry struct {
+	opts     Options
+	dispatch *dispatcher
+	watches  *watches
+	metrics  *metrics
+	stopping atomic.Bool
+}
+
+// New returns an entry. Start runs its duties.
+func New(o Options) (*Entry, error) {
+	if o.Node == "" || o.Control == nil || o.Dial == nil {
+		return nil, errs.New(errs.Invalid, "set Node, Control and Dial", "entry options are incomplete")
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	m, err := newMetrics(o.Metrics)
+	if err != nil {
+		return nil, err
+	}
+	d := newDispatcher(o)
+	return &Entry{opts: o, dispatch: d, watches: newWatches(o, d.states), metrics: m}, nil
+}
+
+// Start runs the entry's duties in the group.
+func (e *Entry) Start(group *duty.Group) {
+	group.Go("dispatch", e.dispatch.run)
+	e.watches.group = group
+	group.Go("watches", e.watches.run)
+}
+
+// Handler serves callers.
+func (e *Entry) Handler() http.Handler {
+	router := httprouter.New()
+	router.HandlerFunc(http.MethodPost, "/v1/completions", e.completions)
+	if e.opts.Services != nil {
+		for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
+			router.Handler(method, "/services/:service/*path", e.whileServing(e.opts.Services))
+		}
+	}
+	return router
+}
+
+// Ready reports whether the entry takes calls.
+func (e *Entry) Ready() bool {
+	return !e.stopping.Load() && e.opts.Control.Ready() && e.opts.Control.View().Ready()
+}
+
+// Drain makes the entry refuse new calls. The HTTP server's Shutdown then
+// waits for the calls under way.
+func (e *Entry) Drain() { e.stopping.Store(true) }
+
+// notServing is the refusal while the entry starts or stops.
+func notServing() *refusal {
+	return refuseOutcome(core.NeverDispatched, errs.Unavailable,
+		"this entry is starting or stopping; send the call again, the balancer will choose another entry", time.Second)
+}
+
+func (e *Entry) whileServing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !e.Ready() {
+			notServing().write(w)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// sender identifies this entry and the epoch that a call was decided under.
+func (o *Options) sender(view *facts.View) *wire.Sender {
+	return &wire.Sender{Node: string(o.Node), Incarnation: uint64(o.Incarnation), Epoch: uint64(view.Head.Epoch)}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -335,3 +335,15 @@
 	h = mix(h ^ xxhash.Sum64String(string(r.Scope.Model)))
 	return mix(h ^ xxhash.Sum64String(string(r.Scope.Adapter)))
 }
+
+// Forget drops what is known of an upstream whose agent does not answer, so
+// that it gets no calls until it publishes a state again.
+func (t *Table) Forget(id core.UpstreamID) {
+	slot, ok := t.slots[id]
+	if !ok || !t.members[slot].known {
+		return
+	}
+	m := &t.members[slot]
+	m.state.Credits = 0
+	t.refreshLive(slot)
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -40,7 +40,7 @@
 	setDefault(&s.Limits.Waiting, DefaultWaiting)
 	setDefault(&s.Limits.Timeout, DefaultTimeout)
 	setDefault(&s.Routing.MaxWatched, DefaultMaxWatched)
-	setDefault(&s.Routing.Policy, "cost")
+	setDefault(&s.Routing.Policy, PolicyCost)
 	return &s, s.check(file)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -84,6 +84,12 @@
 	Level string `yaml:"level,omitempty" validate:"omitempty,oneof=debug info warning error"`
 }
 
+// Policies of routing.
+const (
+	PolicyCost        = "cost"
+	PolicyLeastLoaded = "least_loaded"
+)
+
 // Routing chooses how prompts are placed.
 type Routing struct {
 	// Policy is cost (the default) or least_loaded.
