Run the control duties of a process

Cause: both daemons need what is in force, who is alive and who carries out operators' duties, and need it while the table is away. Change: package control joins facts, gossip, membership, table, reader, audit and lease duties by rings and serves Peer. Each gossip slot is a duty that owns one kept connection. The wire format gets the time of a restriction and, with Delta.wants, what the receiver has. An idle turn goes to slots with a peer only: with three peers on five slots a silent peer was asked every 5 s.

--- /dev/null
+++ b/control/convert.go
@@ -0,0 +1,145 @@
+package control
+
+import (
+	"encoding/hex"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/facts"
+	"waxwingtide.example/waxwingtide/wire"
+)
+
+func (c *Control) sender() *wire.Sender {
+	return &wire.Sender{
+		Node:        string(c.opts.Node),
+		Incarnation: uint64(c.opts.Incarnation),
+		Epoch:       uint64(c.Epoch()),
+	}
+}
+
+func (c *Control) digestMessage(d facts.Digest) *wire.Digest {
+	return &wire.Digest{
+		Sender:        &wire.Sender{Node: string(c.opts.Node), Incarnation: uint64(c.opts.Incarnation), Epoch: uint64(d.Epoch)},
+		FailureDomain: string(c.opts.FailureDomain),
+		Address:       c.opts.Address,
+		BundleDigest:  rawDigest(d.BundleDigest),
+		Restrictions:  d.Restrictions,
+		Leaving:       c.leaving.Load(),
+	}
+}
+
+func digestFrom(in *wire.Digest) facts.Digest {
+	return facts.Digest{
+		Epoch:        core.Epoch(in.GetSender().GetEpoch()),
+		BundleDigest: hex.EncodeToString(in.GetBundleDigest()),
+		Restrictions: in.GetRestrictions(),
+	}
+}
+
+// theirDigest returns the digest of the sender of a delta that wants facts.
+func theirDigest(in *wire.Delta) facts.Digest {
+	return facts.Digest{
+		Epoch:        core.Epoch(in.GetSender().GetEpoch()),
+		BundleDigest: hex.EncodeToString(in.GetHaveBundle()),
+		Restrictions: in.GetHaveRestrictions(),
+	}
+}
+
+// rawDigest returns the bytes of a digest in hexadecimal, nil for a bad one.
+func rawDigest(digest string) []byte {
+	raw, err := hex.DecodeString(digest)
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+func carriesFacts(in *wire.Delta) bool { return in.GetHead() != nil || len(in.GetRestrictions()) > 0 }
+
+func (c *Control) deltaMessage(u facts.Update) *wire.Delta {
+	out := &wire.Delta{Sender: c.sender()}
+	if u.Head != nil {
+		out.Head = headMessage(u.Head)
+	}
+	if u.Bundle != nil {
+		out.Bundle = u.Bundle.Body
+	}
+	for _, r := range u.Restrictions {
+		out.Restrictions = append(out.Restrictions, &wire.Restriction{
+			Subject: subjectMessage(r.Subject), Stamp: uint64(r.Stamp),
+			Origin: string(r.Origin), Reason: r.Reason, RaisedMs: r.RaisedMS,
+		})
+	}
+	return out
+}
+
+// updateFrom checks a message and converts it. The bundle is parsed only when
+// its head is newer than the one in force.
+func (c *Control) updateFrom(in *wire.Delta) (facts.Update, error) {
+	var u facts.Update
+	if in.GetHead() != nil {
+		h := headFrom(in.GetHead())
+		u.Head = &h
+	}
+	if body := in.GetBundle(); u.Head != nil && len(body) > 0 && u.Head.Epoch > c.Epoch() {
+		b, err := c.parseBundle(u.Head.BundleDigest, body)
+		if err != nil {
+			return u, err
+		}
+		u.Bundle = b
+	}
+	for _, r := range in.GetRestrictions() {
+		if r.GetSubject().GetName() == "" {
+			return u, errs.New(errs.Corrupt, "check the version of the peer", "restriction without subject from node %s", in.GetSender().GetNode())
+		}
+		u.Restrictions = append(u.Restrictions, facts.Restriction{
+			Subject: subjectFrom(r.GetSubject()), Stamp: core.Epoch(r.GetStamp()),
+			Origin: core.NodeID(r.GetOrigin()), Reason: r.GetReason(), RaisedMS: r.GetRaisedMs(),
+		})
+	}
+	return u, nil
+}
+
+func subjectMessage(s facts.Subject) *wire.Subject {
+	return &wire.Subject{Kind: uint32(s.Kind), Name: s.Name}
+}
+
+func subjectFrom(in *wire.Subject) facts.Subject {
+	return facts.Subject{Kind: facts.SubjectKind(in.GetKind()), Name: in.GetName()}
+}
+
+func headMessage(h *facts.Head) *wire.Head {
+	out := &wire.Head{Epoch: uint64(h.Epoch), BundleDigest: rawDigest(h.BundleDigest), BundleEpoch: uint64(h.BundleEpoch)}
+	for m, s := range h.Rollouts {
+		stage := &wire.ModelStage{Model: string(m), Stage: uint32(s.Stage), Share: s.Share}
+		for _, u := range s.Upstreams {
+			stage.Upstreams = append(stage.Upstreams, string(u))
+		}
+		out.Rollouts = append(out.Rollouts, stage)
+	}
+	for s, e := range h.Cleared {
+		out.Cleared = append(out.Cleared, &wire.Cleared{Subject: subjectMessage(s), Epoch: uint64(e)})
+	}
+	return out
+}
+
+func headFrom(in *wire.Head) facts.Head {
+	h := facts.Head{
+		Epoch:        core.Epoch(in.GetEpoch()),
+		BundleDigest: hex.EncodeToString(in.GetBundleDigest()),
+		BundleEpoch:  core.Epoch(in.GetBundleEpoch()),
+		Rollouts:     make(map[core.ModelID]facts.ModelStage, len(in.GetRollouts())),
+		Cleared:      make(map[facts.Subject]core.Epoch, len(in.GetCleared())),
+	}
+	for _, s := range in.GetRollouts() {
+		stage := facts.ModelStage{Stage: facts.Stage(s.GetStage()), Share: s.GetShare()}
+		for _, u := range s.GetUpstreams() {
+			stage.Upstreams = append(stage.Upstreams, core.UpstreamID(u))
+		}
+		h.Rollouts[core.ModelID(s.GetModel())] = stage
+	}
+	for _, s := range in.GetCleared() {
+		h.Cleared[subjectFrom(s.GetSubject())] = core.Epoch(s.GetEpoch())
+	}
+	return h
+}
--- /dev/null
+++ b/control/gossip.go
@@ -0,0 +1,297 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"storj.io/drpc"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/facts"
+	"waxwingtide.example/waxwingtide/gossip"
+	"waxwingtide.example/waxwingtide/membership"
+	"waxwingtide.example/waxwingtide/wire"
+)
+
+const (
+	// exchangeTimeout bounds one exchange, dialling included.
+	exchangeTimeout = time.Second
+	// maxWakes bounds the exchanges for an epoch that no peer has.
+	maxWakes = 8
+	// storeRole is the role of VMs on the list that run no process of ours.
+	storeRole = "store"
+)
+
+// hearing is what was heard of facts outside of this process's own exchanges.
+type hearing struct {
+	from   core.NodeID
+	domain core.FailureDomain
+	digest facts.Digest
+	// table is set when epoch was read from the table.
+	table bool
+	// behind is set when an exchange is needed for epoch.
+	behind bool
+	epoch  core.Epoch
+}
+
+// exchanged is the result of an order to a slot.
+type exchanged struct {
+	order gossip.Order
+	ok    bool
+	// known is the peer's digest after the exchange.
+	known facts.Digest
+	epoch core.Epoch
+}
+
+// gossipDuty is the state of the gossip duty.
+type gossipDuty struct {
+	c         *Control
+	state     *gossip.State
+	readiness *gossip.Readiness
+	alone     bool
+	noted     core.Epoch
+	wakes     int
+	wakeAt    time.Time
+}
+
+func (c *Control) runGossip(ctx context.Context) error {
+	g := &gossipDuty{
+		c:         c,
+		state:     gossip.New(c.opts.Gossip, c.rng(gossipStream), time.Now()),
+		readiness: gossip.NewReadiness(c.opts.FailureDomain, c.opts.FailureDomains),
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		case <-c.gossipWake.Ready():
+		case <-c.gossipPeers.Ready():
+		case <-c.heard.Ready():
+		case <-c.exchanges.Ready():
+		}
+		timer.Reset(time.Until(g.turn(time.Now())))
+	}
+}
+
+// turn takes in everything that was heard, gives out the exchanges that are due
+// and returns the time of the next turn.
+func (g *gossipDuty) turn(now time.Time) time.Time {
+	g.drain(now)
+	mine := g.c.snapshot.Load().Digest
+	g.c.ready.Store(g.readiness.Ready(mine.Epoch, g.alone))
+	g.state.Want(g.readiness.Missing(g.alone), now)
+	next := g.wakeIfBehind(now, mine.Epoch)
+	for _, o := range g.state.Step(now, mine) {
+		g.c.slots[o.Slot].Push(o)
+	}
+	if at := g.state.Next(); next.IsZero() || at.Before(next) {
+		return at
+	}
+	return next
+}
+
+func (g *gossipDuty) drain(now time.Time) {
+	g.c.gossipWake.TryReceive()
+	if m, ok := g.c.gossipPeers.TryReceive(); ok {
+		live, probes, alone := g.c.peersOf(m)
+		g.alone = alone
+		g.state.SetPeers(live, probes)
+	}
+	for {
+		h, ok := g.c.heard.TryReceive()
+		if !ok {
+			break
+		}
+		g.hear(h)
+	}
+	for {
+		e, ok := g.c.exchanges.TryReceive()
+		if !ok {
+			break
+		}
+		g.state.Done(now, e.order, e.ok, e.known)
+		if e.ok {
+			g.readiness.Heard(e.order.Peer.Domain, e.epoch)
+		}
+	}
+}
+
+func (g *gossipDuty) hear(h hearing) {
+	switch {
+	case h.table:
+		g.readiness.TableRead(h.epoch)
+		g.note(h.epoch)
+	case h.behind:
+		g.note(h.epoch)
+		if g.c.leaving.Load() {
+			g.state.Wake()
+		}
+	default:
+		g.state.Heard(h.from, h.digest)
+		g.readiness.Heard(h.domain, h.digest.Epoch)
+	}
+}
+
+func (g *gossipDuty) note(e core.Epoch) {
+	if e > g.noted {
+		g.noted, g.wakes, g.wakeAt = e, 0, time.Time{}
+	}
+}
+
+// wakeIfBehind starts exchanges while a noted epoch is not in force, and
+// returns the time of the next attempt.
+func (g *gossipDuty) wakeIfBehind(now time.Time, mine core.Epoch) time.Time {
+	if g.noted <= mine || g.wakes >= maxWakes {
+		return time.Time{}
+	}
+	if !now.Before(g.wakeAt) {
+		g.state.Wake()
+		g.wakes++
+		g.wakeAt = now.Add(g.c.opts.Gossip.Retry)
+	}
+	return g.wakeAt
+}
+
+// peersOf splits the members into peers to exchange with and peers to probe,
+// and reports whether no other process is in this failure domain.
+func (c *Control) peersOf(m *membership.Members) (live, probes []gossip.Peer, alone bool) {
+	alone = len(m.All) > 0
+	for _, member := range m.All {
+		if member.Node == c.opts.Node || member.Role == storeRole {
+			continue
+		}
+		p := gossip.Peer{Node: member.Node, Incarnation: member.Incarnation, Domain: member.Domain, Address: member.Address}
+		if member.State != membership.Failed && member.Domain == c.opts.FailureDomain {
+			alone = false
+		}
+		switch member.State {
+		case membership.Live:
+			live = append(live, p)
+		case membership.Suspect, membership.Failed:
+			probes = append(probes, p)
+		}
+	}
+	return live, probes, alone
+}
+
+// runSlot owns one connection to a peer and carries out exchanges on it.
+func (c *Control) runSlot(ctx context.Context, orders ordersRing) error {
+	var s slotConn
+	defer s.close()
+	for {
+		o, err := orders.Receive(ctx)
+		if err != nil {
+			return err
+		}
+		e := c.exchange(ctx, &s, o)
+		if err := c.exchanges.Send(ctx, e); err != nil {
+			return err
+		}
+	}
+}
+
+type ordersRing interface {
+	Receive(ctx context.Context) (gossip.Order, error)
+}
+
+// slotConn is a connection that is kept while the peer stays the same.
+type slotConn struct {
+	peer gossip.Peer
+	conn drpc.Conn
+}
+
+func (s *slotConn) close() {
+	if s.conn != nil {
+		_ = s.conn.Close() // the peer sees the end either way
+		s.conn = nil
+	}
+}
+
+func (s *slotConn) to(ctx context.Context, c *Control, p gossip.Peer) (wire.DRPCPeerClient, error) {
+	if s.conn != nil && (s.peer != p || isClosed(s.conn)) {
+		s.close()
+	}
+	if s.conn == nil {
+		conn, err := c.opts.Dial(ctx, p.Address)
+		if err != nil {
+			return nil, err
+		}
+		s.peer, s.conn = p, conn
+	}
+	return wire.NewDRPCPeerClient(s.conn), nil
+}
+
+func isClosed(conn drpc.Conn) bool {
+	select {
+	case <-conn.Closed():
+		return true
+	default:
+		return false
+	}
+}
+
+// exchange compares digests with a peer and moves facts in both directions.
+func (c *Control) exchange(ctx context.Context, s *slotConn, o gossip.Order) exchanged {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	e := exchanged{order: o}
+	sender, err := c.exchangeWith(ctx, s, o.Peer, &e)
+	c.metrics.exchanges.Add(ctx, 1, result(err))
+	if err != nil {
+		s.close()
+		c.evidence.Push(membership.Evidence{Node: o.Peer.Node, Incarnation: o.Peer.Incarnation})
+		return e
+	}
+	e.ok = core.NodeID(sender.GetNode()) == o.Peer.Node
+	e.epoch = core.Epoch(sender.GetEpoch())
+	c.evidence.Push(membership.Evidence{
+		Node: core.NodeID(sender.GetNode()), Incarnation: core.Incarnation(sender.GetIncarnation()),
+		Address: o.Peer.Address, Domain: o.Peer.Domain, OK: true,
+	})
+	if !e.ok { // another process has taken over the address
+		c.evidence.Push(membership.Evidence{Node: o.Peer.Node, Incarnation: o.Peer.Incarnation})
+	}
+	return e
+}
+
+func (c *Control) exchangeWith(ctx context.Context, s *slotConn, p gossip.Peer, e *exchanged) (*wire.Sender, error) {
+	client, err := s.to(ctx, c, p)
+	if err != nil {
+		return nil, err
+	}
+	mine := c.snapshot.Load().Digest
+	delta, err := client.Exchange(ctx, c.digestMessage(mine))
+	if err != nil {
+		return nil, err
+	}
+	e.known = mine
+	if err := c.takeIn(ctx, delta); err != nil {
+		return nil, err
+	}
+	if delta.GetWants() {
+		now := c.snapshot.Load()
+		reply := c.deltaMessage(now.Delta(theirDigest(delta)))
+		if _, err := client.Deliver(ctx, reply); err != nil {
+			return nil, err
+		}
+		e.known = now.Digest
+	} else if carriesFacts(delta) {
+		e.known = c.snapshot.Load().Digest
+	}
+	return delta.GetSender(), nil
+}
+
+// takeIn merges the facts of a message.
+func (c *Control) takeIn(ctx context.Context, delta *wire.Delta) error {
+	if !carriesFacts(delta) {
+		return nil
+	}
+	u, err := c.updateFrom(delta)
+	if err != nil {
+		return err
+	}
+	return c.merge(ctx, update{facts: u})
+}
--- /dev/null
+++ b/control/metrics.go
@@ -0,0 +1,60 @@
+package control
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/telemetry"
+)
+
+type instruments struct {
+	exchanges metric.Int64Counter
+	requests  metric.Int64Counter
+}
+
+func newInstruments(m *telemetry.Metrics, c *Control) (*instruments, error) {
+	var meter metric.Meter = noop.Meter{}
+	if m != nil {
+		meter = m.Meter("control")
+	}
+	var failure error
+	note := func(err error) {
+		if failure == nil {
+			failure = err
+		}
+	}
+	var in instruments
+	var err error
+	in.exchanges, err = meter.Int64Counter("control_exchanges", metric.WithDescription("Digest exchanges started by this process."))
+	note(err)
+	in.requests, err = meter.Int64Counter("control_table_requests", metric.WithDescription("Requests to the platform's table."))
+	note(err)
+	_, err = meter.Int64ObservableGauge("control_epoch",
+		metric.WithDescription("Epoch in force."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(c.Epoch()))
+			return nil
+		}))
+	note(err)
+	_, err = meter.Int64ObservableCounter("control_dropped",
+		metric.WithDescription("Elements dropped by full rings."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(c.evidence.Dropped()), metric.WithAttributes(attribute.String("ring", "evidence")))
+			o.Observe(int64(c.heard.Dropped()), metric.WithAttributes(attribute.String("ring", "heard")))
+			return nil
+		}))
+	note(err)
+	return &in, errs.Wrap(failure, errs.Internal, "report this as a defect", "control metrics cannot be set up")
+}
+
+func result(err error) metric.AddOption {
+	name := "ok"
+	if err != nil {
+		name = errs.KindOf(err).String()
+	}
+	return metric.WithAttributes(attribute.String("result", name))
+}
--- a/facts/store.go
+++ b/facts/store.go
@@ -200,12 +200,10 @@
 }
 
 // Behind reports whether the snapshot may lack facts that the owner of the
-// digest has.
+// digest has. An older owner may still have raised restrictions.
 func (s *Snapshot) Behind(d Digest) bool {
-	if d.Epoch != s.Digest.Epoch {
-		return d.Epoch > s.Digest.Epoch
-	}
-	return d.Restrictions != s.Digest.Restrictions
+	return d.Epoch > s.Digest.Epoch ||
+		(d.Restrictions != 0 && d.Restrictions != s.Digest.Restrictions)
 }
 
 // Delta returns the facts that the owner of the digest lacks, or an empty
--- a/facts/view.go
+++ b/facts/view.go
@@ -19,6 +19,20 @@
 	SubjectVersion                         // a weight version is withdrawn
 )
 
+// String returns the name of the kind as used in logs and the audit trail.
+func (k SubjectKind) String() string {
+	switch k {
+	case SubjectDomain:
+		return "failure_domain"
+	case SubjectUpstream:
+		return "upstream"
+	case SubjectVersion:
+		return "version"
+	default:
+		return "unset"
+	}
+}
+
 // Subject names what a restriction applies to. Name is the failure domain, the
 // upstream, or model and weight version joined by "@".
 type Subject struct {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -265,10 +265,7 @@
 		pace = s.cfg.Retry
 	}
 	s.tickAt = now.Add(pace)
-	s.turn = (s.turn + 1) % s.cfg.Slots
-	if s.turn == 0 {
-		s.startProbe()
-	}
+	s.advance()
 	p := &s.slots[s.turn]
 	if p.busy {
 		return
@@ -280,6 +277,20 @@
 	p.due = true
 }
 
+// advance gives the turn to the next slot with a peer. Each round over the
+// slots includes one probe.
+func (s *State) advance() {
+	for range s.cfg.Slots {
+		s.turn = (s.turn + 1) % s.cfg.Slots
+		if s.turn == 0 {
+			s.startProbe()
+		}
+		if s.slots[s.turn].assigned {
+			return
+		}
+	}
+}
+
 func (s *State) startProbe() {
 	if s.slots[s.cfg.Slots].busy {
 		return
