--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -295,6 +295,7 @@
 		d.table.Return(r.choice)
 		return
 	}
+	d.table.Done(r.choice)
 	d.table.Learn(now, r.run)
 	if r.kept > 0 {
 		d.table.LearnKept(now, r.run.Blocks, r.kept)
--- a/route/table.go
+++ b/route/table.go
@@ -347,3 +347,22 @@
 	m.state.Credits = 0
 	t.refreshLive(slot)
 }
+
+// Done records that a call which was sent to the choice is over, so that it no
+// longer counts as load before the next published state.
+func (t *Table) Done(c Choice) {
+	slot, ok := t.slots[c.Upstream]
+	if !ok || t.members[slot].state.Incarnation != c.Incarnation {
+		return
+	}
+	m := &t.members[slot]
+	switch {
+	case m.sent > 0:
+		m.sent--
+	case m.state.Running > 0:
+		m.state.Running--
+	default:
+		return
+	}
+	m.group.load--
+}
