Give each process a peer that pushes to it, and measure the spread of facts

Change: the first gossip slot goes to the successor in hash order. The choice of table readers is kept with the member

--- a/control/control.go
+++ b/control/control.go
@@ -84,6 +84,7 @@
 	snapshot atomic.Pointer[facts.Snapshot]
 	members  atomic.Pointer[membership.Members]
 	grant    atomic.Pointer[grant]
+	reader   atomic.Pointer[readerChoice]
 	ready    atomic.Bool
 	leaving  atomic.Bool
 
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -7,7 +7,6 @@
 	"storj.io/drpc"
 
 	"waxwingtide.example/waxwingtide/core"
-	"waxwingtide.example/waxwingtide/facts"
 	"waxwingtide.example/waxwingtide/gossip"
 	"waxwingtide.example/waxwingtide/membership"
 	"waxwingtide.example/waxwingtide/wire"
@@ -24,9 +23,7 @@
 
 // hearing is what was heard of facts outside of this process's own exchanges.
 type hearing struct {
-	from   core.NodeID
 	domain core.FailureDomain
-	digest facts.Digest
 	// table is set when epoch was read from the table.
 	table bool
 	// behind is set when an exchange is needed for epoch.
@@ -38,8 +35,7 @@
 type exchanged struct {
 	order gossip.Order
 	ok    bool
-	// known is the peer's digest after the exchange.
-	known facts.Digest
+	// epoch is the peer's epoch before the exchange.
 	epoch core.Epoch
 }
 
@@ -57,7 +53,7 @@
 func (c *Control) runGossip(ctx context.Context) error {
 	g := &gossipDuty{
 		c:         c,
-		state:     gossip.New(c.opts.Gossip, c.rng(gossipStream), time.Now()),
+		state:     gossip.New(c.opts.Gossip, c.opts.Node, c.rng(gossipStream), time.Now()),
 		readiness: gossip.NewReadiness(c.opts.FailureDomain, c.opts.FailureDomains),
 	}
 	timer := time.NewTimer(0)
@@ -112,7 +108,7 @@
 		if !ok {
 			break
 		}
-		g.state.Done(now, e.order, e.ok, e.known)
+		g.state.Done(now, e.order, e.ok)
 		if e.ok {
 			g.readiness.Heard(e.order.Peer.Domain, e.epoch)
 		}
@@ -130,8 +126,7 @@
 			g.state.Wake()
 		}
 	default:
-		g.state.Heard(h.from, h.digest)
-		g.readiness.Heard(h.domain, h.digest.Epoch)
+		g.readiness.Heard(h.domain, h.epoch)
 	}
 }
 
@@ -238,7 +233,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	e := exchanged{order: o}
-	sender, err := c.exchangeWith(ctx, s, o.Peer, &e)
+	sender, err := c.exchangeWith(ctx, s, o.Peer)
 	c.metrics.exchanges.Add(ctx, 1, result(err))
 	if err != nil {
 		s.close()
@@ -257,7 +252,7 @@
 	return e
 }
 
-func (c *Control) exchangeWith(ctx context.Context, s *slotConn, p gossip.Peer, e *exchanged) (*wire.Sender, error) {
+func (c *Control) exchangeWith(ctx context.Context, s *slotConn, p gossip.Peer) (*wire.Sender, error) {
 	client, err := s.to(ctx, c, p)
 	if err != nil {
 		return nil, err
@@ -267,19 +262,14 @@
 	if err != nil {
 		return nil, err
 	}
-	e.known = mine
 	if err := c.takeIn(ctx, delta); err != nil {
 		return nil, err
 	}
 	if delta.GetWants() {
-		now := c.snapshot.Load()
-		reply := c.deltaMessage(now.Delta(theirDigest(delta)))
+		reply := c.deltaMessage(c.snapshot.Load().Delta(theirDigest(delta)))
 		if _, err := client.Deliver(ctx, reply); err != nil {
 			return nil, err
 		}
-		e.known = now.Digest
-	} else if carriesFacts(delta) {
-		e.known = c.snapshot.Load().Digest
 	}
 	return delta.GetSender(), nil
 }
--- a/control/peer.go
+++ b/control/peer.go
@@ -20,7 +20,7 @@
 	theirs := digestFrom(in)
 	node := core.NodeID(in.GetSender().GetNode())
 	domain := core.FailureDomain(in.GetFailureDomain())
-	s.c.heard.Push(hearing{from: node, domain: domain, digest: theirs})
+	s.c.heard.Push(hearing{domain: domain, epoch: theirs.Epoch})
 	s.c.evidence.Push(membership.Evidence{
 		Node: node, Incarnation: core.Incarnation(in.GetSender().GetIncarnation()),
 		Address: in.GetAddress(), Domain: domain, OK: true, Leaving: in.GetLeaving(),
--- a/control/reader.go
+++ b/control/reader.go
@@ -6,6 +6,7 @@
 
 	"waxwingtide.example/waxwingtide/facts"
 	"waxwingtide.example/waxwingtide/gossip"
+	"waxwingtide.example/waxwingtide/membership"
 )
 
 const (
@@ -49,11 +50,20 @@
 // isReader reports whether this process reads the table for its failure
 // domain. Without a member list every process would be one, so none is.
 func (c *Control) isReader() bool {
-	live, _, _ := c.peersOf(c.members.Load())
-	if len(live) == 0 && len(c.members.Load().All) == 0 {
-		return false
+	members := c.members.Load()
+	if last := c.reader.Load(); last != nil && last.members == members {
+		return last.chosen
 	}
-	return gossip.IsReader(c.opts.Node, c.opts.FailureDomain, live)
+	live, _, _ := c.peersOf(members)
+	chosen := len(members.All) > 0 && gossip.IsReader(c.opts.Node, c.opts.FailureDomain, live)
+	c.reader.Store(&readerChoice{members, chosen})
+	return chosen
+}
+
+// readerChoice is the choice of readers for one member snapshot.
+type readerChoice struct {
+	members *membership.Members
+	chosen  bool
 }
 
 func (r *readerDuty) turn(ctx context.Context) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -1,18 +1,28 @@
 // Package gossip decides which peers a process exchanges digests with and
 // when, and whether it knows enough facts to accept work.
 //
-// A process keeps a few connections, called slots, to peers drawn at random,
-// and replaces one of them from time to time. Keeping connections avoids a
-// TLS handshake for each exchange; replacing them keeps the graph of peers
-// random, so that it stays connected when nodes fail. One slot in turn
-// exchanges digests at each interval, and a change of facts is exchanged at
-// once on every slot whose peer is not known to have it.
+// A process keeps a few connections, called slots. The first slot goes to its
+// successor in the order of hashed node ids, so that every process is some
+// other's peer and a push reaches all of them. The others go to peers drawn at
+// random, one of which is replaced from time to time, so that paths are short
+// and failed nodes do not split the graph. Keeping connections avoids a TLS
+// handshake for each exchange. One slot in turn exchanges digests at each
+// interval, and a change of facts is exchanged at once on every slot.
+//
+// After a missed reply the next exchange follows sooner than the interval, as
+// Pallickara, Ekanayake and Fox describe for pings in "A Scalable Approach for
+// the Secure and Authorized Tracking of the Availability of Entities in
+// Distributed Systems". Their interest-gated updates are not used; the figures
+// for both are in docs/decisions/0005-spread-of-facts.md.
 package gossip
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/facts"
 )
@@ -39,8 +49,6 @@
 	// Misses is the number of missed replies after which a slot gets another
 	// peer.
 	Misses int
-	// PushAll pushes a change also to peers that are known to have it.
-	PushAll bool
 }
 
 // DefaultConfig returns the values that docs/decisions/0005-spread-of-facts.md
@@ -70,13 +78,12 @@
 	due     bool
 	retryAt time.Time
 	misses  int
-	// known is the peer's digest after the last exchange.
-	known facts.Digest
 }
 
 // State holds the slots of one process. It is owned by one duty.
 type State struct {
 	cfg      Config
+	self     core.NodeID
 	rng      *rand.Rand
 	live     []Peer
 	probes   []Peer
@@ -90,9 +97,10 @@
 
 // New returns a state without peers. The first idle exchange is due at a
 // random part of the interval, so that processes started together spread out.
-func New(cfg Config, rng *rand.Rand, now time.Time) *State {
+func New(cfg Config, self core.NodeID, rng *rand.Rand, now time.Time) *State {
 	return &State{
 		cfg:      cfg,
+		self:     self,
 		rng:      rng,
 		slots:    make([]slot, cfg.Slots+1), // the last one is for probes
 		tickAt:   now.Add(fraction(rng, cfg.Interval)),
@@ -119,6 +127,23 @@
 			s.release(i)
 		}
 	}
+	if next, ok := s.successor(); ok && s.slots[0].peer != next {
+		s.release(0)
+	}
+}
+
+// successor returns the live peer that follows this process in the order of
+// hashed node ids, a ring through all failure domains.
+func (s *State) successor() (Peer, bool) {
+	origin := xxhash.Sum64String(string(s.self))
+	var next Peer
+	least := uint64(math.MaxUint64)
+	for _, p := range s.live {
+		if distance := xxhash.Sum64String(string(p.Node)) - origin; p.Node != s.self && distance < least {
+			next, least = p, distance
+		}
+	}
+	return next, least != math.MaxUint64
 }
 
 // Want asks for exchanges with peers of these failure domains first, at the
@@ -141,18 +166,9 @@
 	}
 }
 
-// Heard notes the digest that a peer sent in an exchange of its own.
-func (s *State) Heard(node core.NodeID, d facts.Digest) {
-	for i := range s.slots {
-		if s.slots[i].assigned && s.slots[i].peer.Node == node {
-			s.slots[i].known = d
-		}
-	}
-}
-
-// Done notes the end of an ordered exchange. The digest is the peer's after
-// the exchange; ok is false when the reply was missed.
-func (s *State) Done(now time.Time, o Order, ok bool, d facts.Digest) {
+// Done notes the end of an ordered exchange; ok is false when the reply was
+// missed.
+func (s *State) Done(now time.Time, o Order, ok bool) {
 	p := &s.slots[o.Slot]
 	p.busy = false
 	if !p.assigned || p.peer != o.Peer {
@@ -161,7 +177,6 @@
 	if ok {
 		p.misses = 0
 		p.retryAt = time.Time{}
-		p.known = d
 		if p.probe {
 			s.release(o.Slot)
 		}
@@ -187,9 +202,7 @@
 	var orders []Order
 	for i := range s.slots {
 		p := &s.slots[i]
-		if changed && (s.cfg.PushAll || p.known != mine) {
-			p.due = true
-		}
+		p.due = p.due || changed
 		retry := !p.retryAt.IsZero() && !now.Before(p.retryAt)
 		if !p.assigned || p.busy || (!p.due && !retry) {
 			continue
@@ -207,13 +220,20 @@
 	}
 	s.rotateAt = now.Add(s.cfg.Rotate)
 	i := s.rng.IntN(s.cfg.Slots)
-	if !s.slots[i].busy && len(s.live) > s.cfg.Slots {
+	if i > 0 && !s.slots[i].busy && len(s.live) > s.cfg.Slots {
 		s.release(i)
 	}
 }
 
-// fill assigns free slots to live peers that have no slot.
+// fill assigns free slots to live peers that have no slot, the first one to the
+// successor.
 func (s *State) fill() {
+	if !s.slots[0].assigned && !s.slots[0].busy {
+		if next, ok := s.successor(); ok {
+			s.releaseNode(next.Node)
+			s.assign(0, next, false)
+		}
+	}
 	for i := range s.cfg.Slots {
 		if s.slots[i].assigned || s.slots[i].busy {
 			continue
@@ -224,6 +244,14 @@
 	}
 }
 
+func (s *State) releaseNode(node core.NodeID) {
+	for i := range s.slots {
+		if s.slots[i].assigned && s.slots[i].peer.Node == node {
+			s.release(i)
+		}
+	}
+}
+
 func (s *State) assign(i int, p Peer, probe bool) {
 	s.slots[i] = slot{peer: p, assigned: true, probe: probe, due: true}
 }
@@ -271,7 +299,7 @@
 		return
 	}
 	inWanted := func(p Peer) bool { return s.wanted[p.Domain] }
-	if other, ok := s.draw(s.live, inWanted); ok && !inWanted(p.peer) {
+	if other, ok := s.draw(s.live, inWanted); ok && s.turn > 0 && !inWanted(p.peer) {
 		s.assign(s.turn, other, false)
 	}
 	p.due = true
