--- a/control/control_test.go
+++ b/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,9 +83,7 @@
 	for _, originDies := range []bool{false, true} {
 		t.Run(fmt.Sprint("origin dies ", originDies), func(t *testing.T) {
 			inCluster(t, 6, nil, func(t *testing.T, c *cluster) {
-				_, err := c.nodes[0].signOff(t.Context(), "first")
-				require.NoError(t, err)
-				c.everywhere(1, target)
+				c.begin()
 				c.platform.set(func() { c.platform.down = true })
 				var want []string
 				for i, n := range []int{4, 1, 4, 2, 4} {
@@ -120,9 +119,7 @@
 // after it was lifted, or that is lifted by another permission.
 func TestOnlyAClearLiftsARestriction(t *testing.T) {
 	inCluster(t, 3, nil, func(t *testing.T, c *cluster) {
-		_, err := c.nodes[0].signOff(t.Context(), "first")
-		require.NoError(t, err)
-		c.everywhere(1, target)
+		c.begin()
 		for _, name := range []string{"u1", "u2"} {
 			require.NoError(t, c.nodes[1].control.Restrict(t.Context(), facts.Restriction{Subject: upstream(name)}))
 		}
@@ -131,7 +128,7 @@
 			h.Clear(upstream("u1"))
 			return h, nil
 		}
-		_, err = c.nodes[2].control.Permit(t.Context(), "lift", lift, control.AuditEntry{Action: "return"})
+		_, err := c.nodes[2].control.Permit(t.Context(), "lift", lift, control.AuditEntry{Action: "return"})
 		require.NoError(t, err)
 		c.everywhere(2, target)
 		for range 2 {
@@ -146,6 +143,33 @@
 	})
 }
 
+// Guards against a patched bundle that differs from the one signed off, and
+// against a process that cannot apply a patch because it missed a bundle.
+func TestLargeBundleIsPatched(t *testing.T) {
+	inCluster(t, 6, nil, func(t *testing.T, c *cluster) {
+		body := func(i int) string {
+			lines := strings.Repeat("an upstream with many settings\n", 1000)
+			return fmt.Sprint("bundle version ", i, "\n", lines, "end of version ", i, "\n")
+		}
+		size := int64(len(body(1)))
+		for i := 1; i <= 4; i++ {
+			behind := c.nodes[5]
+			cut := i == 2 || i == 3
+			behind.tableAway.Store(cut)
+			c.setCut(func(from, _ *node) bool { return cut && from == behind })
+			before := c.net.bytes.Load()
+			_, err := c.nodes[0].permitBody(t.Context(), fmt.Sprint("op", i), body(i))
+			require.NoError(t, err)
+			c.until("new bundle", target, func() bool { return c.nodes[4].control.Epoch() == core.Epoch(i) })
+			if cut {
+				require.Less(t, c.net.bytes.Load()-before, size, "no body was sent")
+				continue
+			}
+			c.everywhere(core.Epoch(i), 30*time.Second)
+		}
+	})
+}
+
 // Guards against a permission that takes effect twice or is reported wrongly
 // when the table's answer is lost.
 func TestLostTableAnswers(t *testing.T) {
@@ -180,9 +204,7 @@
 // table's answer is lost.
 func TestLostAnswerToAudit(t *testing.T) {
 	inCluster(t, 3, nil, func(t *testing.T, c *cluster) {
-		_, err := c.nodes[0].signOff(t.Context(), "first")
-		require.NoError(t, err)
-		c.everywhere(1, target)
+		c.begin()
 		c.platform.set(func() { c.platform.loseAnswers = 1 })
 		require.NoError(t, c.nodes[1].control.Restrict(t.Context(), facts.Restriction{Subject: upstream("u1")}))
 		time.Sleep(30 * time.Second)
@@ -195,9 +217,7 @@
 func TestRacingOperators(t *testing.T) {
 	const operators = 8
 	inCluster(t, 6, nil, func(t *testing.T, c *cluster) {
-		_, err := c.nodes[0].signOff(t.Context(), "first")
-		require.NoError(t, err)
-		c.everywhere(1, target)
+		c.begin()
 		c.platform.set(func() { c.platform.slow = 20 * time.Millisecond })
 		conflicts := make([]int, operators)
 		failures := make(chan error, operators)
@@ -287,8 +307,7 @@
 			first.tableAway.Store(true)
 			c.until("the holder stops", 10*time.Second, func() bool {
 				holder()
-				_, running := first.leases.state()
-				return running == 0
+				return first.terms.Load() == 0
 			})
 			second, next := holder()
 			require.Nil(t, second, "there is a gap of at least the margin")
@@ -307,9 +326,7 @@
 // while the table is away, and against sides that never meet again.
 func TestPartitionBetweenFailureDomains(t *testing.T) {
 	inCluster(t, 9, nil, func(t *testing.T, c *cluster) {
-		_, err := c.nodes[0].signOff(t.Context(), "first")
-		require.NoError(t, err)
-		c.everywhere(1, target)
+		c.begin()
 		c.platform.set(func() { c.platform.down = true })
 		c.setCut(func(from, to *node) bool {
 			return from.options.FailureDomain == "a" && to.options.FailureDomain != "a"
@@ -345,9 +362,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			inCluster(t, 4, nil, func(t *testing.T, c *cluster) {
-				_, err := c.nodes[0].signOff(t.Context(), "first")
-				require.NoError(t, err)
-				c.everywhere(1, target)
+				c.begin()
 				time.Sleep(5 * time.Second)
 				silent := c.nodes[3]
 				c.setCut(func(from, _ *node) bool { return from == silent })
@@ -372,9 +387,7 @@
 // lacks one that has started.
 func TestLaggingList(t *testing.T) {
 	inCluster(t, 4, nil, func(t *testing.T, c *cluster) {
-		_, err := c.nodes[0].signOff(t.Context(), "first")
-		require.NoError(t, err)
-		c.everywhere(1, target)
+		c.begin()
 		restarted, dead := c.nodes[2], c.nodes[3]
 		stale := c.platform.vms
 		oldIncarnation := restarted.options.Incarnation
@@ -399,9 +412,7 @@
 // Guards against a leaving process that still counts as able to take work.
 func TestLeavingProcess(t *testing.T) {
 	inCluster(t, 4, nil, func(t *testing.T, c *cluster) {
-		_, err := c.nodes[0].signOff(t.Context(), "first")
-		require.NoError(t, err)
-		c.everywhere(1, target)
+		c.begin()
 		c.nodes[3].control.SetLeaving()
 		require.False(t, c.nodes[3].control.Ready())
 		c.until("peers know", target, func() bool {
--- a/control/convert.go
+++ b/control/convert.go
@@ -64,6 +64,12 @@
 	if u.Bundle != nil {
 		out.Bundle = u.Bundle.Body
 	}
+	if u.Patch != nil {
+		out.Patch = &wire.BundlePatch{Base: rawDigest(u.Patch.Base)}
+		for _, op := range u.Patch.Ops {
+			out.Patch.Ops = append(out.Patch.Ops, &wire.PatchOp{From: uint32(op.From), Len: uint32(op.Len), Insert: op.Insert})
+		}
+	}
 	for _, r := range u.Restrictions {
 		out.Restrictions = append(out.Restrictions, &wire.Restriction{
 			Subject: subjectMessage(r.Subject), Stamp: uint64(r.Stamp),
@@ -81,7 +87,7 @@
 		h := headFrom(in.GetHead())
 		u.Head = &h
 	}
-	if body := in.GetBundle(); u.Head != nil && len(body) > 0 && u.Head.Epoch > c.Epoch() {
+	if body := c.bodyFrom(in); u.Head != nil && len(body) > 0 && u.Head.Epoch > c.Epoch() {
 		b, err := c.parseBundle(u.Head.BundleDigest, body)
 		if err != nil {
 			return u, err
@@ -100,6 +106,21 @@
 	return u, nil
 }
 
+// bodyFrom returns the bundle body of a message, or nil when it carries none or
+// a patch to another bundle than the one in force.
+func (c *Control) bodyFrom(in *wire.Delta) []byte {
+	base := c.snapshot.Load().Bundle
+	if in.GetPatch() == nil || base == nil || base.Digest != hex.EncodeToString(in.GetPatch().GetBase()) {
+		return in.GetBundle()
+	}
+	p := &facts.Patch{Base: base.Digest}
+	for _, op := range in.GetPatch().GetOps() {
+		p.Ops = append(p.Ops, facts.PatchOp{From: int(op.GetFrom()), Len: int(op.GetLen()), Insert: op.GetInsert()})
+	}
+	body, _ := p.Apply(base.Body)
+	return body
+}
+
 func subjectMessage(s facts.Subject) *wire.Subject {
 	return &wire.Subject{Kind: uint32(s.Kind), Name: s.Name}
 }
--- a/control/fakes_test.go
+++ b/control/fakes_test.go
@@ -59,14 +59,20 @@
 	change()
 }
 
-// enter waits as long as the platform is slow and takes the lock.
-func (p *platformFake) enter(ctx context.Context) error {
+// enter waits as long as the platform is slow and takes the lock. A process
+// whose table is away gets no answer, as if it were paused.
+func (p *platformFake) enter(ctx context.Context, from *node) error {
+	if from != nil && from.tableAway.Load() {
+		<-ctx.Done()
+	}
 	p.mu.Lock()
 	slow := p.slow
 	p.mu.Unlock()
 	select {
 	case <-time.After(slow):
 	case <-ctx.Done():
+	}
+	if ctx.Err() != nil {
 		return errs.Wrap(ctx.Err(), errs.Unavailable, "retry", "fake is slow")
 	}
 	p.mu.Lock()
@@ -77,8 +83,14 @@
 	return nil
 }
 
-func (p *platformFake) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
-	if err := p.enter(ctx); err != nil {
+// tableFake is the table as one process reaches it.
+type tableFake struct {
+	*platformFake
+	from *node
+}
+
+func (p tableFake) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
+	if err := p.enter(ctx, p.from); err != nil {
 		return platform.Row{}, err
 	}
 	defer p.mu.Unlock()
@@ -88,8 +100,8 @@
 	return row, nil
 }
 
-func (p *platformFake) List(ctx context.Context, partition, after string, limit int) ([]platform.Row, error) {
-	if err := p.enter(ctx); err != nil {
+func (p tableFake) List(ctx context.Context, partition, after string, limit int) ([]platform.Row, error) {
+	if err := p.enter(ctx, p.from); err != nil {
 		return nil, err
 	}
 	defer p.mu.Unlock()
@@ -103,8 +115,8 @@
 	return rows[:min(limit, len(rows))], nil
 }
 
-func (p *platformFake) Transact(ctx context.Context, id string, writes []platform.Write) error {
-	if err := p.enter(ctx); err != nil {
+func (p tableFake) Transact(ctx context.Context, id string, writes []platform.Write) error {
+	if err := p.enter(ctx, p.from); err != nil {
 		return err
 	}
 	defer p.mu.Unlock()
@@ -129,12 +141,11 @@
 	return nil
 }
 
-// objectsFake has the methods of the object store, whose Get differs from the
-// table's.
+// objectsFake is the object store.
 type objectsFake struct{ *platformFake }
 
 func (o objectsFake) Put(ctx context.Context, name string, body []byte) error {
-	if err := o.enter(ctx); err != nil {
+	if err := o.enter(ctx, nil); err != nil {
 		return err
 	}
 	defer o.mu.Unlock()
@@ -143,7 +154,7 @@
 }
 
 func (o objectsFake) Get(ctx context.Context, name string) ([]byte, error) {
-	if err := o.enter(ctx); err != nil {
+	if err := o.enter(ctx, nil); err != nil {
 		return nil, err
 	}
 	defer o.mu.Unlock()
@@ -257,36 +268,9 @@
 	group   *duty.Group
 	// tableAway cuts this process from the table, as a pause would.
 	tableAway atomic.Bool
-	leases    *leaseLog
-	views     *ring.Ring[*facts.View]
-}
-
-// nodeTable is the platform's table as one process reaches it.
-type nodeTable struct {
-	*platformFake
-	n *node
-}
-
-func (t nodeTable) wait(ctx context.Context) error {
-	if !t.n.tableAway.Load() {
-		return nil
-	}
-	<-ctx.Done()
-	return errs.Wrap(ctx.Err(), errs.Unavailable, "retry", "table is away")
-}
-
-func (t nodeTable) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
-	if err := t.wait(ctx); err != nil {
-		return platform.Row{}, err
-	}
-	return t.platformFake.Get(ctx, key)
-}
-
-func (t nodeTable) Transact(ctx context.Context, id string, writes []platform.Write) error {
-	if err := t.wait(ctx); err != nil {
-		return err
-	}
-	return t.platformFake.Transact(ctx, id, writes)
+	// terms counts the running calls of OnLease.
+	terms atomic.Int64
+	views *ring.Ring[*facts.View]
 }
 
 // cluster is a set of processes in failure domains a, b, c.
@@ -312,7 +296,7 @@
 			net: &network{nodes: map[string]endpoint{}, latency: 1500 * time.Microsecond},
 		}
 		for i := range n {
-			nd := &node{cluster: c, leases: &leaseLog{}}
+			nd := &node{cluster: c}
 			nd.options = control.Options{
 				Node: core.NodeID(fmt.Sprintf("n%04d", i)), Role: "entry",
 				FailureDomain: domains[i%len(domains)], FailureDomains: domains,
@@ -344,7 +328,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	n.options.Log = log
-	n.options.Table = nodeTable{c.platform, n}
+	n.options.Table = tableFake{c.platform, n}
 	n.options.Objects = objectsFake{c.platform}
 	n.options.Lister = listerFake{c.platform}
 	n.options.ParseBundle = func(body []byte) (*bundle.Index, error) {
@@ -360,7 +344,12 @@
 		c.tune(&n.options)
 	}
 	if n.options.OnLease != nil {
-		n.options.OnLease = n.leases.run
+		n.options.OnLease = func(ctx context.Context, _ core.Fence) error {
+			n.terms.Add(1)
+			defer n.terms.Add(-1)
+			<-ctx.Done()
+			return ctx.Err()
+		}
 	}
 	var err error
 	n.control, err = control.New(n.options)
@@ -436,9 +425,21 @@
 	c.net.cut = cut
 }
 
+// begin puts a first bundle in force everywhere.
+func (c *cluster) begin() {
+	c.t.Helper()
+	_, err := c.nodes[0].signOff(context.Background(), "first")
+	require.NoError(c.t, err)
+	c.everywhere(1, 10*time.Second)
+}
+
 // signOff stores a bundle and gives the permission for it.
 func (n *node) signOff(ctx context.Context, id string) (facts.Head, error) {
-	digest, err := n.control.StoreBundle(ctx, []byte("bundle "+id))
+	return n.permitBody(ctx, id, "bundle "+id)
+}
+
+func (n *node) permitBody(ctx context.Context, id, body string) (facts.Head, error) {
+	digest, err := n.control.StoreBundle(ctx, []byte(body))
 	if err != nil {
 		return facts.Head{}, err
 	}
@@ -450,7 +451,7 @@
 
 // restrictionAudit returns the details of the restrictions in the trail.
 func (c *cluster) restrictionAudit() []string {
-	rows, err := c.platform.List(context.Background(), "audit", "", 10_000)
+	rows, err := tableFake{c.platform, nil}.List(context.Background(), "audit", "", 10_000)
 	require.NoError(c.t, err)
 	var out []string
 	for _, r := range rows {
@@ -464,28 +465,3 @@
 func upstream(name string) facts.Subject {
 	return facts.Subject{Kind: facts.SubjectUpstream, Name: name}
 }
-
-// leaseLog records the terms that OnLease was run for.
-type leaseLog struct {
-	mu      sync.Mutex
-	fences  []core.Fence
-	running int
-}
-
-func (l *leaseLog) run(ctx context.Context, fence core.Fence) error {
-	l.mu.Lock()
-	l.fences = append(l.fences, fence)
-	l.running++
-	l.mu.Unlock()
-	<-ctx.Done()
-	l.mu.Lock()
-	l.running--
-	l.mu.Unlock()
-	return ctx.Err()
-}
-
-func (l *leaseLog) state() (fences []core.Fence, running int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.Clone(l.fences), l.running
-}
--- a/control/measure_test.go
+++ b/control/measure_test.go
@@ -181,38 +181,33 @@
 	t.Logf("variant | nodes | slowest change | idle B/s | B/s | idle CPU/s | CPU/s | messages a change | table requests/s | heap KB\n%s", table.String())
 }
 
-// TestMeasureBundleBytes prints how often a bundle body is sent to a node for
-// one change.
+// TestMeasureBundleBytes prints how many bytes a node sends and receives for one
+// change of a large bundle, with one second of idle exchanges.
 func TestMeasureBundleBytes(t *testing.T) {
 	if !*measure {
 		t.Skip("measurement, run it with -measure")
 	}
-	const size = 100_000
+	const size, lines = 100_000, 1000
+	body := func(version string) string {
+		return "bundle " + version + "\n" + strings.Repeat(strings.Repeat("x", size/lines-1)+"\n", lines)
+	}
 	for _, n := range []int{30, 300} {
 		inCluster(t, n, nil, func(t *testing.T, c *cluster) {
-			_, err := c.nodes[0].signOff(t.Context(), "first")
-			require.NoError(t, err)
-			c.everywhere(1, 10*time.Second)
-			time.Sleep(10 * time.Second)
-			before := c.net.bytes.Load()
-			_, err = c.nodes[0].control.Permit(t.Context(), "large", largeBundle(t, c, size), control.AuditEntry{})
-			require.NoError(t, err)
-			took := c.everywhere(2, target)
-			time.Sleep(2 * time.Second)
-			t.Logf("nodes %d: bundle of %d bytes everywhere in %v, sent %.2f times to a node", n, size, took, float64(c.net.bytes.Load()-before)/float64(n)/size)
+			c.begin()
+			time.Sleep(time.Minute) // the list of 300 entries is read every 30 s
+			for i, kind := range []string{"whole", "changed in one line"} {
+				time.Sleep(10 * time.Second)
+				before := c.net.bytes.Load()
+				_, err := c.nodes[0].permitBody(t.Context(), kind, body(kind))
+				require.NoError(t, err)
+				took := c.everywhere(core.Epoch(i+2), target)
+				time.Sleep(time.Second)
+				t.Logf("nodes %d, bundle of %d bytes, %s: everywhere in %v, %.0f bytes a node", n, size, kind, took, float64(c.net.bytes.Load()-before)/float64(n))
+			}
 		})
 	}
 }
 
-func largeBundle(t *testing.T, c *cluster, size int) func(facts.Head) (facts.Head, error) {
-	digest, err := c.nodes[0].control.StoreBundle(t.Context(), []byte("bundle"+strings.Repeat("x", size)))
-	require.NoError(t, err)
-	return func(h facts.Head) (facts.Head, error) {
-		h.BundleDigest = digest
-		return h, nil
-	}
-}
-
 // TestMeasureSuspicion prints how long a process that has stopped answering
 // stays live for its peers, and how many suspicions a short stall causes, with
 // and without the shortened interval after a missed reply.
@@ -220,24 +215,22 @@
 	if !*measure {
 		t.Skip("measurement, run it with -measure")
 	}
-	for _, retry := range []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, time.Second} {
-		for _, stall := range []time.Duration{600 * time.Millisecond, 2 * time.Second, time.Minute} {
+	for _, retry := range []time.Duration{250 * time.Millisecond, time.Second} {
+		for _, stall := range []time.Duration{2 * time.Second, time.Minute} {
 			inCluster(t, 30, withGossip(func(g *gossip.Config) { g.Retry = retry }), func(t *testing.T, c *cluster) {
-				_, err := c.nodes[0].signOff(t.Context(), "first")
-				require.NoError(t, err)
-				c.everywhere(1, 10*time.Second)
+				c.begin()
 				c.net.hang = true
 				var first time.Duration
 				suspected := 0
-				for i := range 10 {
+				for _, n := range c.nodes {
 					time.Sleep(20 * time.Second)
-					took, ok := c.stall(c.nodes[i*3], stall)
+					took, ok := c.stall(n, stall)
 					if ok {
 						first += took
 						suspected++
 					}
 				}
-				t.Logf("retry %v, stall %v: suspected %d of 10, first suspicion after %v on average", retry, stall, suspected, first/time.Duration(max(suspected, 1)))
+				t.Logf("retry %v, stall %v: suspected %d of 30, first suspicion after %v on average", retry, stall, suspected, first/time.Duration(max(suspected, 1)))
 			})
 		}
 	}
@@ -283,38 +276,56 @@
 	return n, err
 }
 
-// BenchmarkExchangeOverTCP measures one idle exchange over drpc on loopback,
-// with the work of both sides.
-func BenchmarkExchangeOverTCP(b *testing.B) {
-	c := &cluster{t: b, platform: newPlatform(), net: &network{nodes: map[string]endpoint{}}}
-	n := &node{cluster: c, leases: &leaseLog{}, options: control.Options{
+// overTCP calls a function with a client of a process's Peer service on
+// loopback and a count of the bytes on its connection.
+func overTCP(t testing.TB, run func(client wire.DRPCPeerClient, bytes *atomic.Int64)) {
+	c := &cluster{t: t, platform: newPlatform(), net: &network{nodes: map[string]endpoint{}}}
+	n := &node{cluster: c, options: control.Options{
 		Node: "n", FailureDomain: "a", FailureDomains: domains, Address: "127.0.0.1:7000",
 	}}
 	n.start()
 	defer n.stop()
 	mux := drpcmux.New()
-	require.NoError(b, wire.DRPCRegisterPeer(mux, n.control.PeerServer()))
+	require.NoError(t, wire.DRPCRegisterPeer(mux, n.control.PeerServer()))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(b, err)
+	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
 	go func() { served <- drpcserver.New(mux).Serve(ctx, listener) }()
 	conn, err := net.Dial("tcp", listener.Addr().String())
-	require.NoError(b, err)
+	require.NoError(t, err)
 	var bytes atomic.Int64
-	client := wire.NewDRPCPeerClient(drpcconn.New(countingConn{conn, &bytes}))
-	digest := &wire.Digest{
-		Sender:        &wire.Sender{Node: "m", Incarnation: 1_800_000_000_000_000_000},
-		FailureDomain: "a", Address: "127.0.0.2:7000",
-	}
-	cpu := processorTime()
-	for b.Loop() {
-		_, err := client.Exchange(ctx, digest)
-		require.NoError(b, err)
-	}
-	b.ReportMetric(float64(processorTime()-cpu)/float64(b.N), "cpu-ns/op")
-	b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op")
-	require.NoError(b, conn.Close())
+	run(wire.NewDRPCPeerClient(drpcconn.New(countingConn{conn, &bytes})), &bytes)
+	require.NoError(t, conn.Close())
 	cancel()
-	require.NoError(b, <-served)
+	require.NoError(t, <-served)
+}
+
+var idleDigest = &wire.Digest{
+	Sender:        &wire.Sender{Node: "m", Incarnation: 1_800_000_000_000_000_000},
+	FailureDomain: "a", Address: "127.0.0.2:7000",
+}
+
+// Guards against a Peer service that works in memory only.
+func TestExchangeOverTCP(t *testing.T) {
+	overTCP(t, func(client wire.DRPCPeerClient, _ *atomic.Int64) {
+		delta, err := client.Exchange(t.Context(), idleDigest)
+		require.NoError(t, err)
+		require.Equal(t, "n", delta.GetSender().GetNode())
+		require.False(t, delta.GetWants())
+	})
+}
+
+// BenchmarkExchangeOverTCP measures one idle exchange over drpc on loopback,
+// with the work of both sides.
+func BenchmarkExchangeOverTCP(b *testing.B) {
+	overTCP(b, func(client wire.DRPCPeerClient, bytes *atomic.Int64) {
+		cpu := processorTime()
+		for b.Loop() {
+			_, err := client.Exchange(b.Context(), idleDigest)
+			require.NoError(b, err)
+		}
+		b.ReportMetric(float64(processorTime()-cpu)/float64(b.N), "cpu-ns/op")
+		b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op")
+	})
 }
--- /dev/null
+++ b/facts/patch_test.go
@@ -0,0 +1,86 @@
+package facts_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"waxwingtide.example/waxwingtide/facts"
+)
+
+// patchBetween returns the update that a holder of the first body gets from a
+// holder of the second.
+func patchBetween(first, second string) facts.Update {
+	s := facts.NewStore()
+	for i, body := range []string{first, second} {
+		h := facts.Head{Epoch: 1, BundleDigest: "first"}
+		if i == 1 {
+			h = facts.Head{Epoch: 2, BundleDigest: "second"}
+		}
+		s.Merge(facts.Update{Head: &h, Bundle: &facts.Bundle{Digest: h.BundleDigest, Body: []byte(body), Index: index}})
+	}
+	return s.Snapshot().Delta(facts.Digest{Epoch: 1, BundleDigest: "first"})
+}
+
+// Guards against a patch that does not give the body it was made for.
+func TestPatchGivesTheTarget(t *testing.T) {
+	lines := rapid.SliceOfN(rapid.SampledFrom([]string{"a\n", "b\n", "{c}", "d", "a long line that is rare\n", "another long line\n"}), 0, 40)
+	rapid.Check(t, func(t *rapid.T) {
+		first := strings.Join(lines.Draw(t, "first"), "")
+		second := strings.Join(lines.Draw(t, "second"), "")
+		u := patchBetween(first, second)
+		if u.Patch == nil {
+			require.Equal(t, second, string(u.Bundle.Body))
+			return
+		}
+		require.Nil(t, u.Bundle)
+		got, ok := u.Patch.Apply([]byte(first))
+		require.True(t, ok)
+		require.Equal(t, second, string(got))
+	})
+}
+
+// largeBody is a body with a number of upstreams at about 160 bytes each.
+func largeBody(version string, upstreams int, changed string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "version: %s\nupstreams:\n", version)
+	for i := range upstreams {
+		window := "64"
+		if i == upstreams/2 {
+			window = changed
+		}
+		fmt.Fprintf(&b, "  - id: upstream-%05d\n    kind: engine\n    agent: 10.%d.%d.%d:7000\n    failure_domain: domain-%02d\n    model: model-%02d\n    max_window: %s\n",
+			i, i>>16, i>>8&255, i&255, i%27, i%21, window)
+	}
+	return b.String()
+}
+
+// Guards against a small change that is sent as a whole body, and against a
+// patch that reads outside of the base.
+func TestPatchSize(t *testing.T) {
+	u := patchBetween(largeBody("v1", 1000, "64"), largeBody("v2", 1000, "32"))
+	require.NotNil(t, u.Patch)
+	inserted := 0
+	for _, op := range u.Patch.Ops {
+		inserted += len(op.Insert)
+	}
+	require.Less(t, inserted, 500)
+	_, ok := u.Patch.Apply([]byte("short"))
+	require.False(t, ok)
+	_, ok = (&facts.Patch{Ops: []facts.PatchOp{{From: -1, Len: 1}}}).Apply([]byte("short"))
+	require.False(t, ok)
+}
+
+// BenchmarkPatch measures the change of a bundle with 10,000 upstreams.
+func BenchmarkPatch(b *testing.B) {
+	first, second := largeBody("v1", 10_000, "64"), largeBody("v2", 10_000, "32")
+	b.SetBytes(int64(len(second)))
+	for b.Loop() {
+		u := patchBetween(first, second)
+		_, ok := u.Patch.Apply([]byte(first))
+		require.True(b, ok)
+	}
+}
--- a/facts/store.go
+++ b/facts/store.go
@@ -26,7 +26,10 @@
 	Head *Head
 	// Bundle is the bundle that Head names. It may be nil when the store
 	// already holds that bundle.
-	Bundle       *Bundle
+	Bundle *Bundle
+	// Patch gives the bundle from the one that the receiver of a delta holds. A
+	// store does not apply it: the receiver does and sets Bundle.
+	Patch        *Patch
 	Restrictions []Restriction
 	// Written lists the restrictions that the table is known to hold.
 	Written []Restriction
@@ -58,6 +61,8 @@
 	// Unwritten lists, oldest first, the restrictions in force that the table
 	// is not known to hold.
 	Unwritten []Restriction
+	// patch leads from the bundle before to Bundle, nil if it saves little.
+	patch *Patch
 }
 
 // Store merges facts. Merging is commutative, associative and idempotent for
@@ -65,6 +70,7 @@
 type Store struct {
 	head         Head
 	bundle       *Bundle
+	patch        *Patch
 	restrictions map[Subject]Restriction
 	written      map[Subject]Restriction
 }
@@ -101,6 +107,7 @@
 	switch {
 	case s.bundle != nil && s.bundle.Digest == h.BundleDigest:
 	case b != nil && b.Digest == h.BundleDigest && b.Index != nil:
+		s.patch = newPatch(s.bundle, b)
 		s.bundle = b
 	default:
 		return false
@@ -145,7 +152,7 @@
 	if s.bundle != nil {
 		view.Index = s.bundle.Index
 	}
-	return &Snapshot{View: view, Digest: s.digest(), Bundle: s.bundle, Unwritten: s.unwritten()}
+	return &Snapshot{View: view, Digest: s.digest(), Bundle: s.bundle, Unwritten: s.unwritten(), patch: s.patch}
 }
 
 func (s *Store) unwritten() []Restriction {
@@ -213,7 +220,11 @@
 	var u Update
 	if s.Digest.Epoch > d.Epoch {
 		u.Head = &s.View.Head
-		if s.Digest.BundleDigest != d.BundleDigest {
+		switch {
+		case s.Digest.BundleDigest == d.BundleDigest:
+		case s.patch != nil && s.patch.Base == d.BundleDigest:
+			u.Patch = s.patch
+		default:
 			u.Bundle = s.Bundle
 		}
 	}
