--- a/control/control_test.go
+++ b/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,9 +83,7 @@
 	for _, originDies := range []bool{false, true} {
 		t.Run(fmt.Sprint("origin dies ", originDies), func(t *testing.T) {
 			inCluster(t, 6, nil, func(t *testing.T, c *cluster) {
-				_, err := c.nodes[0].signOff(t.Context(), "first")
-				require.NoError(t, err)
-				c.everywhere(1, target)
+				c.begin()
 				c.platform.set(func() { c.platform.down = true })
 				var want []string
 				for i, n := range []int{4, 1, 4, 2, 4} {
@@ -120,9 +119,7 @@
 // after it was lifted, or that is lifted by another permission.
 func TestOnlyAClearLiftsARestriction(t *testing.T) {
 	inCluster(t, 3, nil, func(t *testing.T, c *cluster) {
-		_, err := c.nodes[0].signOff(t.Context(), "first")
-		require.NoError(t, err)
-		c.everywhere(1, target)
+		c.begin()
 		for _, name := range []string{"u1", "u2"} {
 			require.NoError(t, c.nodes[1].control.Restrict(t.Context(), facts.Restriction{Subject: upstream(name)}))
 		}
@@ -131,7 +128,7 @@
 			h.Clear(upstream("u1"))
 			return h, nil
 		}
-		_, err = c.nodes[2].control.Permit(t.Context(), "lift", lift, control.AuditEntry{Action: "return"})
+		_, err := c.nodes[2].control.Permit(t.Context(), "lift", lift, control.AuditEntry{Action: "return"})
 		require.NoError(t, err)
 		c.everywhere(2, target)
 		for range 2 {
@@ -146,6 +143,33 @@
 	})
 }
 
+// Guards against a patched bundle that differs from the one signed off, and
+// against a process that cannot apply a patch because it missed a bundle.
+func TestLargeBundleIsPatched(t *testing.T) {
+	inCluster(t, 6, nil, func(t *testing.T, c *cluster) {
+		body := func(i int) string {
+			lines := strings.Repeat("an upstream with many settings\n", 1000)
+			return fmt.Sprint("bundle version ", i, "\n", lines, "end of version ", i, "\n")
+		}
+		size := int64(len(body(1)))
+		for i := 1; i <= 4; i++ {
+			behind := c.nodes[5]
+			cut := i == 2 || i == 3
+			behind.tableAway.Store(cut)
+			c.setCut(func(from, _ *node) bool { return cut && from == behind })
+			before := c.net.bytes.Load()
+			_, err := c.nodes[0].permitBody(t.Context(), fmt.Sprint("op", i), body(i))
+			require.NoError(t, err)
+			c.until("new bundle", target, func() bool { return c.nodes[4].control.Epoch() == core.Epoch(i) })
+			if cut {
+				require.Less(t, c.net.bytes.Load()-before, size, "no body was sent")
+				continue
+			}
+			c.everywhere(core.Epoch(i), 30*time.Second)
+		}
+	})
+}
+
 // Guards against a permission that takes effect twice or is reported wrongly
 // when the table's answer is lost.
 func TestLostTableAnswers(t *testing.T) {
@@ -180,9 +204,7 @@
 // table's answer is lost.
 func TestLostAnswerToAudit(t *testing.T) {
 	inCluster(t, 3, nil, func(t *testing.T, c *cluster) {
-		_, err := c.nodes[0].signOff(t.Context(), "first")
-		require.NoError(t, err)
-		c.everywhere(1, target)
+		c.begin()
 		c.platform.set(func() { c.platform.loseAnswers = 1 })
 		require.NoError(t, c.nodes[1].control.Restrict(t.Context(), facts.Restriction{Subject: upstream("u1")}))
 		time.Sleep(30 * time.Second)
@@ -195,9 +217,7 @@
 func TestRacingOperators(t *testing.T) {
 	const operators = 8
 	inCluster(t, 6, nil, func(t *testing.T, c *cluster) {
-		_, err := c.nodes[0].signOff(t.Context(), "first")
-		require.NoError(t, err)
-		c.everywhere(1, target)
+		c.begin()
 		c.platform.set(func() { c.platform.slow = 20 * time.Millisecond })
 		conflicts := make([]int, operators)
 		failures := make(chan error, operators)
@@ -287,8 +307,7 @@
 			first.tableAway.Store(true)
 			c.until("the holder stops", 10*time.Second, func() bool {
 				holder()
-				_, running := first.leases.state()
-				return running == 0
+				return first.terms.Load() == 0
 			})
 			second, next := holder()
 			require.Nil(t, second, "there is a gap of at least the margin")
@@ -307,15 +326,11 @@
 // while the table is away, and against sides that never meet again.
 func TestPartitionBetweenFailureDomains(t *testing.T) {
 	inCluster(t, 9, nil, func(t *testing.T, c *cluster) {
-		_, err := c.nodes[0].signOff(t.Context(), "first")
-		require.NoError(t, err)
-		c.everywhere(1, target)
+		c.begin()
 		c.platform.set(func() { c.platform.down = true })
-		c.net.mu.Lock()
-		c.net.cut = func(from, to *node) bool {
+		c.setCut(func(from, to *node) bool {
 			return from.options.FailureDomain == "a" && to.options.FailureDomain != "a"
-		}
-		c.net.mu.Unlock()
+		})
 		require.NoError(t, c.nodes[0].control.Restrict(t.Context(), facts.Restriction{Subject: upstream("in a")}))
 		require.NoError(t, c.nodes[1].control.Restrict(t.Context(), facts.Restriction{Subject: upstream("in b")}))
 		time.Sleep(2 * time.Minute)
@@ -325,9 +340,7 @@
 			require.Equal(t, inA, n.control.View().Open(upstream("in b")))
 			require.True(t, n.control.Ready(), "what is in force stays")
 		}
-		c.net.mu.Lock()
-		c.net.cut = nil
-		c.net.mu.Unlock()
+		c.setCut(nil)
 		c.until("both restrictions everywhere", 30*time.Second, c.all(func(n *node) bool {
 			return !n.control.View().Open(upstream("in a")) && !n.control.View().Open(upstream("in b"))
 		}))
@@ -349,14 +362,10 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			inCluster(t, 4, nil, func(t *testing.T, c *cluster) {
-				_, err := c.nodes[0].signOff(t.Context(), "first")
-				require.NoError(t, err)
-				c.everywhere(1, target)
+				c.begin()
 				time.Sleep(5 * time.Second)
 				silent := c.nodes[3]
-				c.net.mu.Lock()
-				c.net.cut = func(from, _ *node) bool { return from == silent }
-				c.net.mu.Unlock()
+				c.setCut(func(from, _ *node) bool { return from == silent })
 				worst := membership.Live
 				for range tc.silence / (10 * time.Millisecond) {
 					time.Sleep(10 * time.Millisecond)
@@ -364,9 +373,7 @@
 					worst = max(worst, m.State)
 				}
 				require.Equal(t, tc.want, worst)
-				c.net.mu.Lock()
-				c.net.cut = nil
-				c.net.mu.Unlock()
+				c.setCut(nil)
 				c.until("live again", 30*time.Second, func() bool {
 					m, _ := c.nodes[0].control.Members().Node(silent.options.Node)
 					return m.State == membership.Live
@@ -380,9 +387,7 @@
 // lacks one that has started.
 func TestLaggingList(t *testing.T) {
 	inCluster(t, 4, nil, func(t *testing.T, c *cluster) {
-		_, err := c.nodes[0].signOff(t.Context(), "first")
-		require.NoError(t, err)
-		c.everywhere(1, target)
+		c.begin()
 		restarted, dead := c.nodes[2], c.nodes[3]
 		stale := c.platform.vms
 		oldIncarnation := restarted.options.Incarnation
@@ -407,9 +412,7 @@
 // Guards against a leaving process that still counts as able to take work.
 func TestLeavingProcess(t *testing.T) {
 	inCluster(t, 4, nil, func(t *testing.T, c *cluster) {
-		_, err := c.nodes[0].signOff(t.Context(), "first")
-		require.NoError(t, err)
-		c.everywhere(1, target)
+		c.begin()
 		c.nodes[3].control.SetLeaving()
 		require.False(t, c.nodes[3].control.Ready())
 		c.until("peers know", target, func() bool {
@@ -432,15 +435,11 @@
 		c.until("ready", 10*time.Second, c.all(func(n *node) bool { return n.control.Ready() }))
 		behind := c.nodes[3]
 		behind.tableAway.Store(true)
-		c.net.mu.Lock()
-		c.net.cut = func(from, _ *node) bool { return from == behind }
-		c.net.mu.Unlock()
+		c.setCut(func(from, _ *node) bool { return from == behind })
 		_, err = c.nodes[0].signOff(t.Context(), "second")
 		require.NoError(t, err)
 		time.Sleep(30 * time.Second)
-		c.net.mu.Lock()
-		c.net.cut = nil
-		c.net.mu.Unlock()
+		c.setCut(nil)
 		require.Equal(t, core.Epoch(1), behind.control.Epoch())
 		behind.control.NoteEpoch(2)
 		c.until("caught up", target, func() bool { return behind.control.Epoch() == 2 })
