route: spread hot prefixes, keep prompts near their home, compare policies

Change: own calls since the last state count once for every entry (SetPeers); a full window is approached with a rising wait; runs are also recorded at the depth where prompts part; each upstream's latest keys tell for any candidate whether it holds a shared prefix; an upstream that is neither the prompt's home nor holds a part of it costs half of its work more. BenchmarkPolicies gives the figures in simulated time.

--- a/route/choose.go
+++ b/route/choose.go
@@ -16,16 +16,24 @@
 	drawTries   = 16
 	sweepSteps  = 64
 	maxHolders  = 16
+	maxShared   = 8
 )
 
 // queueWeight is how much a second of queueing counts for a deferrable call
 // against a second of recomputation or transfer.
 const queueWeight = 0.1
 
+// strayCost is added, as a share of the work, for an upstream that neither is
+// the prompt's first neighbour on the ring nor holds a part of it. A prompt that
+// runs at its home is found again by entries that have no hint.
+const strayCost = 0.5
+
 // pick is a candidate.
 type pick struct {
 	slot   int32
 	source Source
+	// home is set for the first neighbour on the ring.
+	home bool
 }
 
 // prefix is what the hints say about an upstream's hold of the prompt.
@@ -42,10 +50,13 @@
 	n     int
 	known [maxHolders]prefix
 	nKnow int
-	kept  int
+	// depths are those at which the directory has a hint, longest first.
+	depths [maxShared]int
+	nDepth int
+	kept   int
 }
 
-func (p *picks) reset() { p.n, p.nKnow, p.kept = 0, 0, 0 }
+func (p *picks) reset() { p.n, p.nKnow, p.nDepth, p.kept = 0, 0, 0, 0 }
 
 func (p *picks) contains(slot int32) bool {
 	for i := range p.n {
@@ -56,15 +67,26 @@
 	return false
 }
 
-func (p *picks) add(slot int32, source Source) {
-	if p.n < maxPicks && !p.contains(slot) {
-		p.list[p.n] = pick{slot, source}
-		p.n++
+// add reports whether the candidate is new.
+func (p *picks) add(slot int32, source Source) bool {
+	if p.n == maxPicks || p.contains(slot) {
+		return false
+	}
+	p.list[p.n] = pick{slot: slot, source: source}
+	p.n++
+	return true
+}
+
+func (p *picks) setHome(slot int32) {
+	for i := range p.n {
+		if p.list[i].slot == slot {
+			p.list[i].home = true
+		}
 	}
 }
 
-// prefixOf returns what is known of the upstream's hold of the prompt.
-func (p *picks) prefixOf(slot int32) prefix {
+// knownPrefix returns what the hints say of the upstream's hold of the prompt.
+func (p *picks) knownPrefix(slot int32) prefix {
 	for i := range p.nKnow {
 		if p.known[i].slot == slot {
 			return p.known[i]
@@ -97,7 +119,7 @@
 	if t.picks.n == 0 {
 		return Choice{}, NoCredit
 	}
-	best, e := t.best(r)
+	best, e := t.best(r, at)
 	t.spend(best.slot, r.Class)
 	m := &t.members[best.slot]
 	return Choice{
@@ -144,16 +166,23 @@
 func (t *Table) neighbours(g *group, r *Request, at int64, count int) {
 	points := g.ring.points
 	i := g.ring.find(t.place(r))
+	first := true
 	for range min(ringSteps, len(points)) {
 		if i >= len(points) {
 			i = 0
 		}
 		slot := points[i].slot
 		i++
-		if t.withinBound(g, slot) && t.allowed(slot, r, at) && !t.picks.contains(slot) {
-			t.picks.add(slot, FromRing)
+		if !t.withinBound(g, slot) || !t.allowed(slot, r, at) {
+			continue
+		}
+		if t.picks.add(slot, FromRing) {
 			count--
 		}
+		if first {
+			t.picks.setHome(slot)
+			first = false
+		}
 		if count == 0 {
 			return
 		}
@@ -180,6 +209,10 @@
 		if e == nil {
 			continue
 		}
+		if t.picks.nDepth < maxShared {
+			t.picks.depths[t.picks.nDepth] = depth
+			t.picks.nDepth++
+		}
 		if e.kept {
 			t.picks.kept = max(t.picks.kept, depth)
 		}
@@ -202,9 +235,8 @@
 			continue
 		}
 		p := &t.picks
-		if p.nKnow < maxHolders && p.prefixOf(h.slot).depth == 0 {
-			age := max(0, time.Duration(at)-time.Duration(h.at)*time.Second)
-			p.known[p.nKnow] = prefix{h.slot, depth, age}
+		if p.nKnow < maxHolders && p.knownPrefix(h.slot).depth == 0 {
+			p.known[p.nKnow] = prefix{h.slot, depth, ageOf(h.at, at)}
 			p.nKnow++
 		}
 		if candidates && t.allowed(h.slot, r, at) {
@@ -228,8 +260,7 @@
 			t.refreshLive(slot)
 			continue
 		}
-		if t.allowed(slot, r, at) && !t.picks.contains(slot) {
-			t.picks.add(slot, FromRandom)
+		if t.allowed(slot, r, at) && t.picks.add(slot, FromRandom) {
 			count--
 		}
 	}
@@ -269,11 +300,11 @@
 }
 
 // best compares the candidates by cost; the load decides between equals.
-func (t *Table) best(r *Request) (pick, estimate) {
+func (t *Table) best(r *Request, at int64) (pick, estimate) {
 	best := t.picks.list[0]
-	bestCost := t.estimate(best.slot, r)
+	bestCost := t.estimate(best, r, at)
 	for _, p := range t.picks.list[1:t.picks.n] {
-		e := t.estimate(p.slot, r)
+		e := t.estimate(p, r, at)
 		if e.cost < bestCost.cost || e.cost == bestCost.cost && t.relativeLoad(p.slot) < t.relativeLoad(best.slot) {
 			best, bestCost = p, e
 		}
@@ -289,9 +320,10 @@
 // estimate weighs recomputation against transfer from the kept-cache store. An
 // urgent call counts the time to first token. A deferrable call counts the use
 // of the accelerator and of the link, and waits cheaply.
-func (t *Table) estimate(slot int32, r *Request) estimate {
+func (t *Table) estimate(p pick, r *Request, at int64) estimate {
+	slot := p.slot
 	m := &t.members[slot]
-	e := estimate{wait: t.wait(m), hinted: t.picks.prefixOf(slot)}
+	e := estimate{wait: t.wait(m), hinted: t.prefixOf(slot, r, at)}
 	rate := orDefault(m.state.PrefillRate, t.opts.PrefillRate) / (1 + min(1, t.relativeLoad(slot)))
 	cached := float64(e.hinted.depth) * m.survival(e.hinted.age)
 	work := max(0, float64(r.PromptBytes)-cached*core.BlockBytes) / rate
@@ -309,26 +341,52 @@
 	if r.Class == core.Deferrable {
 		e.cost = work + queueWeight*e.wait
 	}
+	if e.hinted.depth == 0 && !p.home {
+		e.cost += strayCost * work
+	}
 	return e
 }
 
+// prefixOf returns what is known of the upstream's hold of the prompt, from the
+// hints or else from the keys that it stored lately.
+func (t *Table) prefixOf(slot int32, r *Request, at int64) prefix {
+	known := t.picks.knownPrefix(slot)
+	for _, depth := range t.picks.depths[:t.picks.nDepth] {
+		if depth <= known.depth {
+			break
+		}
+		if stored, ok := t.recent[slot].find(hintKey(r.Blocks[depth-1])); ok {
+			return prefix{slot, depth, ageOf(stored, at)}
+		}
+	}
+	return known
+}
+
 // survival is the expected part of the cached blocks that is still held.
 func (m *member) survival(age time.Duration) float64 {
 	return max(0, 1-float64(age)/float64(2*m.retention))
 }
 
 // wait is the expected time to admission in seconds. Calls that this entry sent
-// since the state was published count as queued.
+// since the state was published count as queued. While the window has room, a
+// call waits only if others that this entry does not see take it first, which
+// grows steeply with the load.
 func (t *Table) wait(m *member) float64 {
-	over := m.load() - m.state.Window + 1
-	if over <= 0 {
-		return 0
-	}
 	each := t.opts.ServiceTime.Seconds() / float64(max(m.state.Window, 1))
 	if m.state.QueueDelay > 0 {
 		each = m.state.QueueDelay.Seconds() / float64(m.state.Queued+1)
 	}
-	return float64(over) * each
+	expected := m.state.Running + m.state.Queued + m.sent*t.peers
+	if over := expected - m.state.Window + 1; over > 0 {
+		return float64(over) * each
+	}
+	load := float64(expected) / float64(max(m.state.Window, 1))
+	return load * load * each
+}
+
+// ageOf returns the time since a moment that was noted in whole seconds.
+func ageOf(noted uint32, at int64) time.Duration {
+	return max(0, time.Duration(at)-time.Duration(noted)*time.Second)
 }
 
 func orDefault(v, otherwise float64) float64 {
--- a/route/hints.go
+++ b/route/hints.go
@@ -98,13 +98,18 @@
 	e.holders[0] = new
 }
 
-// recordDepths calls f with the depths at which a run that holds n blocks is
-// recorded: n itself and the powers of two below it.
-func recordDepths(n int, f func(depth int)) {
+// HintDepths calls f with the depths at which a run is recorded that holds n
+// blocks of its prompt and did not recompute the first cached ones: n, the
+// powers of two below it, and cached, where prompts that share their first
+// blocks part. Agents publish the keys at these depths in State.Cached.
+func HintDepths(n, cached int, f func(depth int)) {
 	if n < 1 {
 		return
 	}
 	f(n)
+	if cached > 0 && cached < n {
+		f(cached)
+	}
 	for depth := 1; depth < n; depth *= 2 {
 		f(depth)
 	}
@@ -143,3 +148,28 @@
 	}
 	return 1 << (bits.Len(uint(n-1)) - 1)
 }
+
+// recentSlots is how many keys are remembered for each upstream.
+const recentSlots = 128
+
+// recent remembers the keys that an upstream stored lately, one for each value
+// of the key's low bits. A prefix that many prompts share is held by more
+// upstreams than a hint can name; this tells for any candidate whether it is
+// one of them. It takes 1 KiB for each upstream.
+type recent [recentSlots]struct {
+	fingerprint uint32
+	at          uint32 // Unix seconds
+}
+
+func (r *recent) add(key uint64, at uint32) {
+	slot := &r[key%recentSlots]
+	slot.fingerprint, slot.at = fingerprint(key), at
+}
+
+// find returns when the key was stored.
+func (r *recent) find(key uint64) (at uint32, ok bool) {
+	slot := &r[key%recentSlots]
+	return slot.at, slot.at != 0 && slot.fingerprint == fingerprint(key)
+}
+
+func fingerprint(key uint64) uint32 { return uint32(key >> 32) }
--- /dev/null
+++ b/route/sim_test.go
@@ -0,0 +1,360 @@
+package route_test
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/admit"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/route"
+)
+
+// workload is a seeded stream of returning prompts in simulated time.
+type workload struct {
+	name       string
+	upstreams  int
+	cache      int // blocks that an upstream holds
+	sessions   int
+	shared     int // first blocks that all sessions have in common
+	history    int // mean blocks of a session's own history
+	perSecond  float64
+	calls      int
+	kept       bool // finished prompts are in the kept-cache store
+	deferrable float64
+	published  bool // agents publish the keys of finished prompts
+	hints      int  // entries of the directory, 0 for the default
+}
+
+// Rates of the simulated upstreams, near those of the stand-ins.
+const (
+	simEntries  = 3
+	simPrefill  = 400_000.0
+	simLink     = 40e6
+	simBlock    = 20_000
+	simDecode   = 300 * time.Millisecond
+	simWindow   = 8
+	simInterval = 100 * time.Millisecond
+)
+
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// simCall is one call under way.
+type simCall struct {
+	route.Request
+	id      core.AttemptID
+	entry   int
+	arrived time.Time
+	choice  route.Choice
+}
+
+type simUpstream struct {
+	id    core.UpstreamID
+	admit *admit.Controller
+	cache *lru.LRU[uint64, struct{}]
+	// linkFree and prefillFree are when the link and the accelerator have done
+	// the work that is queued on them.
+	linkFree, prefillFree time.Time
+	stored                [simEntries][]uint64 // keys not yet published
+}
+
+// report sums up one run of the simulation.
+type report struct {
+	urgent, deferrable           []time.Duration // times to first token
+	prompt, recomputed, imported float64         // bytes
+	unseen                       float64         // bytes that no upstream has held before
+	rejected, refused            int
+}
+
+type sim struct {
+	workload
+	now       time.Time
+	queue     events
+	seq       int
+	random    *rand.Rand
+	upstreams []*simUpstream
+	tables    []*route.Table
+	waiting   [simEntries][]*simCall
+	calls     map[core.AttemptID]*simCall
+	kept      map[uint64]bool
+	seen      map[uint64]bool
+	out       report
+}
+
+func simulate(w workload, policy route.Policy) report {
+	s := &sim{workload: w, now: start, random: seeded(7), calls: map[core.AttemptID]*simCall{}, kept: map[uint64]bool{}, seen: map[uint64]bool{}}
+	opts := route.Defaults(simBlock)
+	opts.Policy = policy
+	if w.hints > 0 {
+		opts.HintEntries = w.hints
+	}
+	for e := range simEntries {
+		s.tables = append(s.tables, route.New(opts, seeded(uint64(e))))
+		s.tables[e].SetPeers(simEntries)
+		s.tables[e].SetMembers(members(w.upstreams, "v1"))
+	}
+	for i := range w.upstreams {
+		limits := admit.Defaults(simWindow, 1)
+		limits.StartWindow = simWindow
+		cache, _ := lru.NewLRU[uint64, struct{}](w.cache, nil)
+		u := &simUpstream{id: upstream(i), admit: admit.New(limits), cache: cache}
+		s.upstreams = append(s.upstreams, u)
+		s.after(0, func() { s.publish(u) })
+	}
+	s.arrive(0)
+	for len(s.queue) > 0 && len(s.out.urgent)+len(s.out.deferrable)+s.out.refused < w.calls {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.run()
+	}
+	return s.out
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.queue, event{s.now.Add(d), s.seq, run})
+}
+
+// arrive makes call n and schedules the next one.
+func (s *sim) arrive(n int) {
+	if n == s.workload.calls {
+		return
+	}
+	session := int(float64(s.sessions) * math.Pow(s.random.Float64(), 2)) // some return more often
+	length := s.shared + 1 + int(rand.New(rand.NewPCG(uint64(session), 1)).ExpFloat64()*float64(s.history)) + n*4/s.workload.calls
+	c := &simCall{id: core.AttemptID(fmt.Sprint(n)), entry: s.random.IntN(simEntries), arrived: s.now}
+	c.Request = route.Request{Scope: scope, Blocks: s.blocks(session, length), PromptBytes: length*core.BlockBytes + 100}
+	if s.random.Float64() < s.deferrable {
+		c.Class = core.Deferrable
+	}
+	s.calls[c.id] = c
+	s.try(c)
+	s.after(time.Duration(s.random.ExpFloat64()/s.perSecond*1e9), func() { s.arrive(n + 1) })
+}
+
+func (s *sim) blocks(session, n int) []core.BlockKey {
+	keys := make([]core.BlockKey, n)
+	for i := range keys {
+		owner := uint64(session + 1)
+		if i < s.shared {
+			owner = 0
+		}
+		binary.BigEndian.PutUint64(keys[i][:], (owner<<20|uint64(i)+1)*0x9e3779b97f4a7c15)
+	}
+	return keys
+}
+
+func short(k core.BlockKey) uint64 { return binary.BigEndian.Uint64(k[:8]) }
+
+func (s *sim) try(c *simCall) {
+	choice, refusal := s.tables[c.entry].Choose(s.now, &c.Request)
+	if refusal != route.Chosen {
+		s.waiting[c.entry] = append(s.waiting[c.entry], c)
+		return
+	}
+	c.choice = choice
+	u := s.upstreams[slices.IndexFunc(s.upstreams, func(u *simUpstream) bool { return u.id == choice.Upstream })]
+	s.after(3*time.Millisecond, func() {
+		d := u.admit.Offer(s.now, admit.Call{ID: c.id, Class: c.Class, Watcher: core.NodeID(fmt.Sprint(c.entry)), Incarnation: 1})
+		switch d.Verdict {
+		case admit.Start:
+			s.start(u, c)
+		case admit.Reject:
+			s.reject(c.id)
+		}
+		s.apply(u, d.Effects)
+	})
+}
+
+func (s *sim) reject(id core.AttemptID) {
+	s.out.rejected++
+	s.after(10*time.Millisecond, func() { s.try(s.calls[id]) })
+}
+
+func (s *sim) apply(u *simUpstream, e admit.Effects) {
+	for _, id := range e.Started {
+		s.start(u, s.calls[id])
+	}
+	for _, r := range e.Rejected {
+		s.reject(r.ID)
+	}
+}
+
+// unseen returns the bytes of a prompt that any policy has to compute.
+func (s *sim) unseen(c *simCall) float64 {
+	n := float64(c.PromptBytes - len(c.Blocks)*core.BlockBytes)
+	for _, k := range c.Blocks {
+		if !s.seen[short(k)] {
+			n += core.BlockBytes
+		}
+		s.seen[short(k)] = true
+	}
+	return n
+}
+
+// start runs a call: import or recomputation, then the first token, then the
+// rest of the answer.
+func (s *sim) start(u *simUpstream, c *simCall) {
+	cached, stored := 0, 0
+	for cached < len(c.Blocks) && u.cache.Contains(short(c.Blocks[cached])) {
+		cached++
+	}
+	for stored < len(c.Blocks) && s.kept[short(c.Blocks[stored])] {
+		stored++
+	}
+	begin := s.now
+	have := cached
+	if c.choice.Import && stored > cached {
+		size := float64((stored - cached) * simBlock)
+		begin = later(begin, u.linkFree).Add(time.Duration(size / simLink * 1e9))
+		u.linkFree = begin
+		s.out.imported += size
+		have = stored
+	}
+	recompute := float64(c.PromptBytes - have*core.BlockBytes)
+	s.out.prompt += float64(c.PromptBytes)
+	s.out.recomputed += recompute
+	s.out.unseen += s.unseen(c)
+	u.prefillFree = later(begin, u.prefillFree).Add(time.Duration(recompute / simPrefill * 1e9))
+	first := u.prefillFree.Sub(s.now)
+	if c.Class == core.Urgent {
+		s.out.urgent = append(s.out.urgent, s.now.Add(first).Sub(c.arrived))
+	} else {
+		s.out.deferrable = append(s.out.deferrable, s.now.Add(first).Sub(c.arrived))
+	}
+	s.after(first+simDecode, func() { s.finish(u, c, cached, first, int(recompute)) })
+}
+
+func (s *sim) finish(u *simUpstream, c *simCall, cached int, first time.Duration, computed int) {
+	for i := len(c.Blocks) - 1; i >= 0; i-- { // the first blocks are evicted last
+		u.cache.Add(short(c.Blocks[i]), struct{}{})
+	}
+	if s.published {
+		route.HintDepths(len(c.Blocks), cached, func(depth int) {
+			for e := range u.stored {
+				u.stored[e] = append(u.stored[e], short(c.Blocks[depth-1]))
+			}
+		})
+	}
+	run := route.Run{Upstream: u.id, Incarnation: 1, Blocks: c.Blocks, Held: len(c.Blocks),
+		Hinted: c.choice.Hinted, HintAge: c.choice.HintAge, Cached: cached}
+	s.tables[c.entry].Learn(s.now, run)
+	if s.workload.kept {
+		s.tables[c.entry].LearnKept(s.now, c.Blocks, len(c.Blocks))
+		for _, k := range c.Blocks {
+			s.kept[short(k)] = true
+		}
+	}
+	s.apply(u, u.admit.Done(s.now, c.id, admit.Sample{FirstToken: first, ComputedBytes: computed}))
+}
+
+// publish sends the state of an upstream to the entries, and these match it
+// with their waiting calls.
+func (s *sim) publish(u *simUpstream) {
+	state := u.admit.State(s.now)
+	for e, table := range s.tables {
+		credit := u.admit.Grant(s.now, core.NodeID(fmt.Sprint(e)))
+		table.Update(s.now, route.State{
+			Upstream: u.id, Incarnation: 1, Credits: credit.Count, UrgentCredits: credit.Urgent,
+			CreditExpiry: credit.Expires, Window: state.Window, Running: state.Running, Queued: state.Queued,
+			QueueDelay: state.UrgentDelay, PrefillRate: simPrefill, LinkRate: simLink,
+			Cached: u.stored[e],
+		})
+		u.stored[e] = nil
+		retry := s.waiting[e]
+		s.waiting[e] = nil
+		for _, c := range retry {
+			s.try(c)
+		}
+	}
+	s.after(simInterval, func() { s.publish(u) })
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func quantile(d []time.Duration, q float64) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	d = slices.Clone(d)
+	slices.Sort(d)
+	return d[min(len(d)-1, int(q*float64(len(d))))].Round(time.Millisecond)
+}
+
+var (
+	longHistories = workload{name: "long", upstreams: 12, cache: 4000, sessions: 600, history: 100, perSecond: 90, calls: 8000, deferrable: 0.2}
+	keptHistories = workload{name: "kept", upstreams: 12, cache: 4000, sessions: 600, history: 100, perSecond: 90, calls: 8000, deferrable: 0.2, kept: true}
+	fewHints      = workload{name: "few-hints", upstreams: 12, cache: 4000, sessions: 600, history: 100, perSecond: 90, calls: 8000, deferrable: 0.2, hints: 1024}
+	manyUpstreams = workload{name: "many", upstreams: 100, cache: 4000, sessions: 5000, history: 100, perSecond: 750, calls: 20000, deferrable: 0.2}
+	handbook      = workload{name: "handbook", upstreams: 12, cache: 1000, sessions: 600, shared: 60, history: 3, perSecond: 180, calls: 8000, deferrable: 0.2}
+	workloads     = []workload{longHistories, keptHistories, fewHints, manyUpstreams, handbook}
+	policies      = []route.Policy{route.Combined, route.LeastLoaded, route.AffinityOnly, route.DirectoryOnly}
+)
+
+// Guards against a policy in use that recomputes more, or answers later, than
+// the least-loaded baseline on returning prompts.
+func TestPoliciesOnReturningPrompts(t *testing.T) {
+	for _, w := range []workload{longHistories, keptHistories, handbook} {
+		w.calls = 2000
+		w.published = true
+		use, base := simulate(w, route.Combined), simulate(w, route.LeastLoaded)
+		require.Less(t, use.recomputed, base.recomputed, w.name)
+		require.Less(t, quantile(use.urgent, 0.95), quantile(base.urgent, 0.95), w.name)
+	}
+}
+
+// BenchmarkPolicies gives the figures of docs/measurements.md; run it with
+// -benchtime 1x. They are in simulated time and the same on every run.
+func BenchmarkPolicies(b *testing.B) {
+	for _, w := range workloads {
+		for _, published := range []bool{false, true} {
+			w.published = published
+			for _, policy := range policies {
+				b.Run(fmt.Sprintf("%s/published=%v/%s", w.name, published, policy), func(b *testing.B) {
+					var r report
+					for b.Loop() {
+						r = simulate(w, policy)
+					}
+					b.ReportMetric(float64(quantile(r.urgent, 0.5).Milliseconds()), "urgent-p50-ms")
+					b.ReportMetric(float64(quantile(r.urgent, 0.95).Milliseconds()), "urgent-p95-ms")
+					b.ReportMetric(float64(quantile(r.deferrable, 0.95).Milliseconds()), "deferrable-p95-ms")
+					b.ReportMetric(math.Round(1000*r.recomputed/r.prompt)/10, "recomputed-%")
+					b.ReportMetric(math.Round(1000*r.unseen/r.prompt)/10, "unseen-%")
+					b.ReportMetric(math.Round(r.imported/1e7)/100, "imported-GB")
+					b.ReportMetric(float64(r.rejected), "rejected")
+				})
+			}
+		}
+	}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -22,6 +22,10 @@
 // retentionGain is the weight of one observation in the retention estimate.
 const retentionGain = 0.1
 
+// maxPeers bounds the factor for calls of other entries. With many entries each
+// one sends to an upstream too seldom to stand for the others.
+const maxPeers = 4
+
 // groupKey names the upstreams that can serve the same prompts.
 type groupKey struct {
 	model   core.ModelID
@@ -64,9 +68,12 @@
 	slots   map[core.UpstreamID]int32
 	free    []int32
 	members []member
+	recent  []recent // by slot
 	groups  map[groupKey]*group
 	hints   hints
 	picks   picks
+	// peers is how many entries are taken to send as this one does.
+	peers int
 }
 
 // New returns an empty table.
@@ -77,9 +84,15 @@
 		slots:  make(map[core.UpstreamID]int32),
 		groups: make(map[groupKey]*group),
 		hints:  newHints(opts.HintEntries),
+		peers:  1,
 	}
 }
 
+// SetPeers tells how many entries send to the same upstreams, this one
+// included. Between two states of an upstream they all see the same room in it,
+// so each of them counts its own calls once for every peer.
+func (t *Table) SetPeers(entries int) { t.peers = min(max(entries, 1), maxPeers) }
+
 // SetMembers replaces the set of upstreams. It is called when the view in force
 // changes. What is known about upstreams that stay is kept, and a hash ring is
 // built anew only when its set of upstreams changed.
@@ -121,6 +134,7 @@
 	} else {
 		slot = int32(len(t.members))
 		t.members = append(t.members, member{})
+		t.recent = append(t.recent, recent{})
 	}
 	generation := t.members[slot].generation
 	t.members[slot] = member{used: true, generation: generation, livePlace: notLive, retention: t.opts.HintLife}
@@ -132,6 +146,7 @@
 	m := &t.members[slot]
 	delete(t.slots, m.ID)
 	*m = member{generation: m.generation + 1, livePlace: notLive}
+	t.recent[slot] = recent{}
 	t.free = append(t.free, slot)
 }
 
@@ -186,6 +201,7 @@
 		m.group.window -= m.state.Window
 		if s.Incarnation != m.state.Incarnation || s.CacheEpoch != m.state.CacheEpoch {
 			m.generation++
+			t.recent[slot] = recent{}
 		}
 	}
 	cached := s.Cached
@@ -196,7 +212,7 @@
 	m.group.window += s.Window
 	t.refreshLive(slot)
 	for _, key := range cached {
-		t.hints.obtain(key, seconds(now)).add(t.holder(slot, now))
+		t.record(key, slot, now)
 	}
 	return true
 }
@@ -208,18 +224,17 @@
 		return
 	}
 	m := &t.members[slot]
-	if r.Hinted > 0 {
+	if r.Hinted > 0 && r.HintAge > 0 {
 		m.observeRetention(r.HintAge, r.Cached*2 >= r.Hinted)
 	}
-	at := t.holder(slot, now)
-	recordDepths(min(r.Held, len(r.Blocks)), func(depth int) {
-		t.hints.obtain(hintKey(r.Blocks[depth-1]), at.at).add(at)
+	HintDepths(min(r.Held, len(r.Blocks)), r.Cached, func(depth int) {
+		t.record(hintKey(r.Blocks[depth-1]), slot, now)
 	})
 }
 
 // LearnKept records that the kept-cache store holds the first n blocks.
 func (t *Table) LearnKept(now time.Time, blocks []core.BlockKey, n int) {
-	recordDepths(min(n, len(blocks)), func(depth int) {
+	HintDepths(min(n, len(blocks)), 0, func(depth int) {
 		t.hints.obtain(hintKey(blocks[depth-1]), seconds(now)).kept = true
 	})
 }
@@ -249,8 +264,11 @@
 	return t.members[slot].credits(class)
 }
 
-func (t *Table) holder(slot int32, now time.Time) holder {
-	return holder{slot: slot, generation: t.members[slot].generation, at: seconds(now)}
+// record notes that the upstream in a slot holds the prefix that a key ends.
+func (t *Table) record(key uint64, slot int32, now time.Time) {
+	at := seconds(now)
+	t.hints.obtain(key, at).add(holder{slot: slot, generation: t.members[slot].generation, at: at})
+	t.recent[slot].add(key, at)
 }
 
 // refreshLive keeps the live list in step with the member's credits.
