--- a/route/hashring.go
+++ b/route/hashring.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"math/bits"
 	"slices"
 
@@ -27,28 +28,40 @@
 	shift  uint
 }
 
-// build places the upstreams in the given slots on the ring.
-func (r *hashRing) build(slots []int32, id func(int32) core.UpstreamID) {
-	r.points = make([]point, 0, len(slots)*pointsPerMember)
-	for _, slot := range slots {
+// change takes the points of some upstreams off the ring and places others. A
+// change of few upstreams costs one pass over the points and no sort of them.
+func (r *hashRing) change(dropped func(slot int32) bool, added []int32, id func(int32) core.UpstreamID) {
+	fresh := make([]point, 0, len(added)*pointsPerMember)
+	for _, slot := range added {
 		h := xxhash.Sum64String(string(id(slot)))
 		for range pointsPerMember {
 			h = mix(h)
-			r.points = append(r.points, point{h, slot})
+			fresh = append(fresh, point{h, slot})
 		}
 	}
-	slices.SortFunc(r.points, func(a, b point) int {
-		switch {
-		case a.hash < b.hash:
-			return -1
-		case a.hash > b.hash:
-			return 1
+	slices.SortFunc(fresh, comparePoints)
+	merged := make([]point, 0, len(r.points)+len(fresh))
+	for _, p := range r.points {
+		if dropped(p.slot) {
+			continue
 		}
-		return int(a.slot - b.slot)
-	})
+		for len(fresh) > 0 && comparePoints(fresh[0], p) < 0 {
+			merged = append(merged, fresh[0])
+			fresh = fresh[1:]
+		}
+		merged = append(merged, p)
+	}
+	r.points = append(merged, fresh...)
 	r.buildIndex()
 }
 
+func comparePoints(a, b point) int {
+	if c := cmp.Compare(a.hash, b.hash); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.slot, b.slot)
+}
+
 func (r *hashRing) buildIndex() {
 	width := uint(bits.Len(uint(max(len(r.points), 1))))
 	r.shift = 64 - width
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -232,6 +233,34 @@
 	require.Greater(t, len(served), 200/(2*8), "one hot prefix spreads over many upstreams")
 }
 
+// Guards against a ring that differs between entries because their sets of
+// upstreams changed in different ways.
+func TestRingDependsOnMembersOnly(t *testing.T) {
+	random := seeded(3)
+	changed := table(0, route.AffinityOnly)
+	for range 40 {
+		ms := slices.DeleteFunc(members(60, "v1"), func(route.Member) bool { return random.IntN(3) == 0 })
+		for i := range ms {
+			if random.IntN(5) == 0 {
+				ms[i].Version = "v2"
+			}
+		}
+		changed.SetMembers(ms)
+		fresh := table(0, route.AffinityOnly)
+		fresh.SetMembers(ms)
+		for _, tb := range []*route.Table{changed, fresh} {
+			for i := range 60 {
+				tb.Update(start, state(i))
+			}
+		}
+		for session := range 20 {
+			a, _ := changed.Choose(start, request(session, 6))
+			b, _ := fresh.Choose(start, request(session, 6))
+			require.Equal(t, b.Upstream, a.Upstream)
+		}
+	}
+}
+
 // Guards against a canary share that is exceeded and against a version served
 // by the other version's upstreams.
 func TestCanarySplit(t *testing.T) {
--- a/route/table.go
+++ b/route/table.go
@@ -95,17 +95,22 @@
 
 // SetMembers replaces the set of upstreams. It is called when the view in force
 // changes. What is known about upstreams that stay is kept, and a hash ring is
-// built anew only when its set of upstreams changed.
+// changed only when its set of upstreams changed.
 func (t *Table) SetMembers(members []Member) {
 	stay := make(map[core.UpstreamID]bool, len(members))
 	for _, m := range members {
 		stay[m.ID] = true
 	}
+	var gone []int32
 	for id, slot := range t.slots {
 		if !stay[id] {
-			t.remove(slot)
+			gone = append(gone, slot)
 		}
 	}
+	slices.Sort(gone) // slots are given out again in the same order on every run
+	for _, slot := range gone {
+		t.remove(slot)
+	}
 	grouped := make(map[groupKey][]int32)
 	for _, m := range members {
 		slot := t.slotOf(m.ID)
@@ -158,10 +163,7 @@
 		g = &group{}
 		t.groups[key] = g
 	}
-	if !slices.Equal(g.slots, slots) || !t.sameRing(g) {
-		g.slots = slots
-		g.ring.build(slots, func(slot int32) core.UpstreamID { return t.members[slot].ID })
-	}
+	t.changeRing(g, slots)
 	g.live, g.load, g.window = g.live[:0], 0, 0
 	for _, slot := range slots {
 		m := &t.members[slot]
@@ -174,15 +176,27 @@
 	}
 }
 
-// sameRing reports whether the slots of a group still belong to it. A slot may
-// have been freed and given to another upstream.
-func (t *Table) sameRing(g *group) bool {
-	for _, slot := range g.slots {
-		if t.members[slot].group != g {
-			return false
+// changeRing brings the ring of a group in step with its slots. A slot that was
+// freed and given to another upstream counts as dropped and added.
+func (t *Table) changeRing(g *group, slots []int32) {
+	stays := make([]bool, len(t.members))
+	var added []int32
+	for _, slot := range slots {
+		if t.members[slot].group == g {
+			stays[slot] = true
+		} else {
+			added = append(added, slot)
 		}
 	}
-	return true
+	if len(added) == 0 && len(slots) == len(g.slots) {
+		return
+	}
+	g.slots = slots
+	g.ring.change(
+		func(slot int32) bool { return !stays[slot] },
+		added,
+		func(slot int32) core.UpstreamID { return t.members[slot].ID },
+	)
 }
 
 // Update records the published state of an upstream. It reports false for an
