admit: keep deferrable calls at the entries, ramp up in steps of four replies

Change: credits beyond the free places that are not reserved and a queue of a quarter of the window are for urgent calls only; the window grows after four good replies or as many as its size. The simulation uses the entry's dispatch queue and gains BenchmarkAdmission. Conclusion: kept; agents have to publish Credit.Urgent for this to take effect.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -162,15 +162,27 @@
 func (c *Controller) Grant(now time.Time, watcher core.NodeID) Credit {
 	c.credits.expire(now)
 	credit := Credit{Expires: now.Add(c.opts.CreditLife), Incarnation: c.opts.Incarnation}
-	total := 0
-	if !c.draining {
-		total = c.free() + c.queueRoom()
+	if c.draining {
+		c.credits.grant(now, watcher, 0, c.opts.CreditLife)
+		return credit
 	}
+	total := c.free() + c.queueRoom()
 	credit.Count = c.credits.grant(now, watcher, total, c.opts.CreditLife)
-	credit.Urgent = c.reserved(credit.Count)
+	credit.Urgent = credit.Count - divideUp(credit.Count*c.common(total), max(total, 1))
 	return credit
 }
 
+// common is how many of the credits any call may use: the free places that are
+// not reserved, and a short queue that keeps them busy. Further deferrable calls
+// wait at the entries, where urgent calls overtake them on every upstream.
+func (c *Controller) common(total int) int {
+	places := max(0, c.window.size-c.reserved(c.window.size)-c.deferred)
+	queue := max(0, int(c.opts.DeferrableQueue*float64(c.window.size))-c.waiting.Len())
+	return min(total, min(places, c.free())+queue)
+}
+
+func divideUp(a, b int) int { return (a + b - 1) / b }
+
 // Leave forgets a watcher and its credits.
 func (c *Controller) Leave(watcher core.NodeID) { c.credits.leave(watcher) }
 
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -324,3 +324,20 @@
 		require.InDelta(t, 40, n, 10, "watcher %s", w)
 	}
 }
+
+// Guards against deferrable calls that fill the agent's queue, where they would
+// hold the credits that urgent calls need.
+func TestBusyUpstreamKeepsCreditsForUrgentCalls(t *testing.T) {
+	opts := admit.Defaults(8, 7)
+	opts.StartWindow = 8
+	c := admit.New(opts)
+	idle := c.Grant(epoch, "e1")
+	require.Equal(t, 16, idle.Count, "window and queue")
+	require.Equal(t, 16-(8-2)-2, idle.Urgent, "all but the places that are not reserved and a short queue")
+	for i := range 8 {
+		c.Offer(epoch, admit.Call{ID: core.AttemptID(fmt.Sprint(i)), Class: core.Deferrable})
+	}
+	busy := c.Grant(epoch, "e1")
+	require.Equal(t, 2+8-2, busy.Count)
+	require.Equal(t, busy.Count, busy.Urgent)
+}
--- a/admit/types.go
+++ b/admit/types.go
@@ -18,7 +18,8 @@
 	// MaxWindow is the largest number of concurrent runs.
 	MaxWindow int
 	// GrowReplies is how many good replies at the window's limit, without a bad
-	// one between, raise the window by one; 0 means as many as the window.
+	// one between, raise the window by one; a larger window needs as many as its
+	// size.
 	GrowReplies int
 	// UrgentShare is the share of the window that deferrable calls never use.
 	UrgentShare float64
@@ -27,6 +28,9 @@
 	// QueuePerWindow bounds the waiting calls for which credits are given, as a
 	// multiple of the window. A cold upstream thus collects no long queue.
 	QueuePerWindow float64
+	// DeferrableQueue is the part of the window that may wait in the queue for
+	// deferrable calls to get credits.
+	DeferrableQueue float64
 	// CreditLife is how long a credit holds.
 	CreditLife time.Duration
 	// ServiceTime is the expected duration of a run before one was measured.
@@ -47,18 +51,20 @@
 // Defaults returns the options of an upstream with the given largest window.
 func Defaults(maxWindow int, incarnation core.Incarnation) Options {
 	return Options{
-		Incarnation:    incarnation,
-		StartWindow:    1,
-		MaxWindow:      max(maxWindow, 1),
-		UrgentShare:    0.25,
-		QueueRoom:      64,
-		QueuePerWindow: 1,
-		CreditLife:     2 * time.Second,
-		ServiceTime:    500 * time.Millisecond,
-		PreemptAfter:   50 * time.Millisecond,
-		ColdFactor:     4,
-		ColdSlack:      100 * time.Millisecond,
-		ColdReplies:    2,
+		Incarnation:     incarnation,
+		StartWindow:     1,
+		GrowReplies:     4,
+		MaxWindow:       max(maxWindow, 1),
+		UrgentShare:     0.25,
+		QueueRoom:       64,
+		QueuePerWindow:  1,
+		DeferrableQueue: 0.25,
+		CreditLife:      2 * time.Second,
+		ServiceTime:     500 * time.Millisecond,
+		PreemptAfter:    50 * time.Millisecond,
+		ColdFactor:      4,
+		ColdSlack:       100 * time.Millisecond,
+		ColdReplies:     2,
 	}
 }
 
--- a/admit/window.go
+++ b/admit/window.go
@@ -88,11 +88,7 @@
 
 func (w *window) grow() {
 	w.good++
-	need := w.opts.GrowReplies
-	if need < 1 {
-		need = w.size
-	}
-	if w.good < need || w.size >= w.limit {
+	if w.good < max(w.size, w.opts.GrowReplies) || w.size >= w.limit {
 		return
 	}
 	w.size++
--- a/route/hashring.go
+++ b/route/hashring.go
@@ -51,7 +51,8 @@
 		}
 		merged = append(merged, p)
 	}
-	r.points = append(merged, fresh...)
+	merged = append(merged, fresh...)
+	r.points = merged
 	r.buildIndex()
 }
 
--- a/route/sim_test.go
+++ b/route/sim_test.go
@@ -15,6 +15,7 @@
 
 	"waxwingtide.example/waxwingtide/admit"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/dispatch"
 	"waxwingtide.example/waxwingtide/route"
 )
 
@@ -32,6 +33,10 @@
 	deferrable float64
 	published  bool // agents publish the keys of finished prompts
 	hints      int  // entries of the directory, 0 for the default
+	// restarts is how many engines turn cold after simRestart. A cold engine
+	// fails runs over a limit that starts at 1 and grows by 1 a second.
+	restarts int
+	admission
 }
 
 // Rates of the simulated upstreams, near those of the stand-ins.
@@ -45,6 +50,18 @@
 	simInterval = 100 * time.Millisecond
 )
 
+// admission is how agents limit the load of an engine.
+type admission struct {
+	start  int  // first window
+	grow   int  // good replies for one step of the window, 0 for the default
+	silent bool // the restart is not reported
+	free   bool // entries send without regard to credits
+}
+
+var simPool = dispatch.Pool{Model: scope.Model, Version: scope.Version}
+
+const simRestart = 20 * time.Second
+
 type event struct {
 	at  time.Time
 	seq int
@@ -82,6 +99,8 @@
 	// the work that is queued on them.
 	linkFree, prefillFree time.Time
 	stored                [simEntries][]uint64 // keys not yet published
+	restarted             time.Time
+	running               int
 }
 
 // report sums up one run of the simulation.
@@ -89,7 +108,7 @@
 	urgent, deferrable           []time.Duration // times to first token
 	prompt, recomputed, imported float64         // bytes
 	unseen                       float64         // bytes that no upstream has held before
-	rejected, refused            int
+	rejected, failed             int
 }
 
 type sim struct {
@@ -97,10 +116,11 @@
 	now       time.Time
 	queue     events
 	seq       int
+	answered  int
 	random    *rand.Rand
 	upstreams []*simUpstream
 	tables    []*route.Table
-	waiting   [simEntries][]*simCall
+	dispatch  [simEntries]*dispatch.Queue[*simCall]
 	calls     map[core.AttemptID]*simCall
 	kept      map[uint64]bool
 	seen      map[uint64]bool
@@ -116,19 +136,29 @@
 	}
 	for e := range simEntries {
 		s.tables = append(s.tables, route.New(opts, seeded(uint64(e))))
+		s.dispatch[e] = dispatch.New(w.calls, func(_ time.Time, c *dispatch.Call[*simCall]) bool { return s.send(c.Value) })
 		s.tables[e].SetPeers(simEntries)
 		s.tables[e].SetMembers(members(w.upstreams, "v1"))
 	}
 	for i := range w.upstreams {
 		limits := admit.Defaults(simWindow, 1)
 		limits.StartWindow = simWindow
+		if w.start > 0 {
+			limits.StartWindow = w.start
+		}
+		if w.grow > 0 {
+			limits.GrowReplies = w.grow
+		}
 		cache, _ := lru.NewLRU[uint64, struct{}](w.cache, nil)
 		u := &simUpstream{id: upstream(i), admit: admit.New(limits), cache: cache}
 		s.upstreams = append(s.upstreams, u)
 		s.after(0, func() { s.publish(u) })
+		if i < w.restarts {
+			s.after(simRestart, func() { s.restart(u) })
+		}
 	}
 	s.arrive(0)
-	for len(s.queue) > 0 && len(s.out.urgent)+len(s.out.deferrable)+s.out.refused < w.calls {
+	for len(s.queue) > 0 && s.answered < w.calls {
 		e := heap.Pop(&s.queue).(event)
 		s.now = e.at
 		e.run()
@@ -173,10 +203,14 @@
 func short(k core.BlockKey) uint64 { return binary.BigEndian.Uint64(k[:8]) }
 
 func (s *sim) try(c *simCall) {
+	s.dispatch[c.entry].Offer(s.now, dispatch.Call[*simCall]{ID: c.id, Class: c.Class, Pool: simPool, Value: c})
+}
+
+// send sends a call to the chosen upstream, if there is one.
+func (s *sim) send(c *simCall) bool {
 	choice, refusal := s.tables[c.entry].Choose(s.now, &c.Request)
 	if refusal != route.Chosen {
-		s.waiting[c.entry] = append(s.waiting[c.entry], c)
-		return
+		return false
 	}
 	c.choice = choice
 	u := s.upstreams[slices.IndexFunc(s.upstreams, func(u *simUpstream) bool { return u.id == choice.Upstream })]
@@ -190,6 +224,7 @@
 		}
 		s.apply(u, d.Effects)
 	})
+	return true
 }
 
 func (s *sim) reject(id core.AttemptID) {
@@ -221,6 +256,16 @@
 // start runs a call: import or recomputation, then the first token, then the
 // rest of the answer.
 func (s *sim) start(u *simUpstream, c *simCall) {
+	u.running++
+	if u.running > u.limit(s.now) {
+		s.out.failed++
+		s.after(50*time.Millisecond, func() {
+			u.running--
+			s.apply(u, u.admit.Done(s.now, c.id, admit.Sample{Result: admit.Failed}))
+			s.try(c)
+		})
+		return
+	}
 	cached, stored := 0, 0
 	for cached < len(c.Blocks) && u.cache.Contains(short(c.Blocks[cached])) {
 		cached++
@@ -238,11 +283,16 @@
 		have = stored
 	}
 	recompute := float64(c.PromptBytes - have*core.BlockBytes)
+	s.answered++
 	s.out.prompt += float64(c.PromptBytes)
 	s.out.recomputed += recompute
 	s.out.unseen += s.unseen(c)
 	u.prefillFree = later(begin, u.prefillFree).Add(time.Duration(recompute / simPrefill * 1e9))
 	first := u.prefillFree.Sub(s.now)
+	if s.restarts > 0 && s.now.Sub(start) < simRestart {
+		s.after(first+simDecode, func() { s.finish(u, c, cached, first, int(recompute)) })
+		return
+	}
 	if c.Class == core.Urgent {
 		s.out.urgent = append(s.out.urgent, s.now.Add(first).Sub(c.arrived))
 	} else {
@@ -252,6 +302,8 @@
 }
 
 func (s *sim) finish(u *simUpstream, c *simCall, cached int, first time.Duration, computed int) {
+	u.running--
+	s.dispatch[c.entry].End(c.id)
 	for i := len(c.Blocks) - 1; i >= 0; i-- { // the first blocks are evicted last
 		u.cache.Add(short(c.Blocks[i]), struct{}{})
 	}
@@ -274,12 +326,32 @@
 	s.apply(u, u.admit.Done(s.now, c.id, admit.Sample{FirstToken: first, ComputedBytes: computed}))
 }
 
+// restart makes an engine cold.
+func (s *sim) restart(u *simUpstream) {
+	u.restarted = s.now
+	u.cache.Purge()
+	if !s.silent {
+		u.admit.Reset(admit.ResetIncarnation)
+	}
+}
+
+// limit is how many runs the engine can handle.
+func (u *simUpstream) limit(now time.Time) int {
+	if u.restarted.IsZero() {
+		return simWindow
+	}
+	return min(simWindow, 1+int(now.Sub(u.restarted).Seconds()))
+}
+
 // publish sends the state of an upstream to the entries, and these match it
 // with their waiting calls.
 func (s *sim) publish(u *simUpstream) {
 	state := u.admit.State(s.now)
 	for e, table := range s.tables {
 		credit := u.admit.Grant(s.now, core.NodeID(fmt.Sprint(e)))
+		if s.free {
+			credit.Count, credit.Urgent = math.MaxInt32, 0
+		}
 		table.Update(s.now, route.State{
 			Upstream: u.id, Incarnation: 1, Credits: credit.Count, UrgentCredits: credit.Urgent,
 			CreditExpiry: credit.Expires, Window: state.Window, Running: state.Running, Queued: state.Queued,
@@ -287,15 +359,64 @@
 			Cached: u.stored[e],
 		})
 		u.stored[e] = nil
-		retry := s.waiting[e]
-		s.waiting[e] = nil
-		for _, c := range retry {
-			s.try(c)
-		}
+		s.dispatch[e].Credits(s.now, simPool, credit.Count)
 	}
 	s.after(simInterval, func() { s.publish(u) })
 }
 
+// Guards against a restarted engine that gets the load of a warm one, also when
+// nothing but failed runs tells of the restart.
+func TestRestartedEnginesRampUp(t *testing.T) {
+	w := longHistories
+	w.calls, w.published, w.restarts, w.start = 4000, true, 4, 1
+	ramp := simulate(w, route.Combined)
+	w.silent = true
+	silent := simulate(w, route.Combined)
+	w.start = simWindow
+	fixed := simulate(w, route.Combined)
+	require.Zero(t, ramp.failed)
+	require.Less(t, silent.failed, fixed.failed)
+}
+
+// BenchmarkAdmission compares ways of admission: while four of twelve engines
+// turn cold, and under more load than the windows hold. Run it with
+// -benchtime 1x.
+func BenchmarkAdmission(b *testing.B) {
+	restart, overload := longHistories, handbook
+	restart.name, restart.restarts = "restart", 4
+	overload.name, overload.perSecond, overload.calls = "overload", 320, 6000
+	ways := []struct {
+		name string
+		admission
+	}{
+		{"fixed", admission{start: simWindow}},
+		{"fixed-free", admission{start: simWindow, free: true}},
+		{"half-silent", admission{start: 4, silent: true}},
+		{"ramp-grow1", admission{start: 1, grow: 1}},
+		{"ramp-grow2", admission{start: 1, grow: 2}},
+		{"ramp", admission{start: 1}},
+		{"ramp-silent", admission{start: 1, silent: true}},
+		{"ramp-free", admission{start: 1, free: true}},
+	}
+	for _, w := range []workload{restart, overload} {
+		for _, way := range ways {
+			b.Run(w.name+"/"+way.name, func(b *testing.B) {
+				w := w
+				w.published, w.admission = true, way.admission
+				var r report
+				for b.Loop() {
+					r = simulate(w, route.Combined)
+				}
+				b.ReportMetric(float64(quantile(r.urgent, 0.5).Milliseconds()), "urgent-p50-ms")
+				b.ReportMetric(float64(quantile(r.urgent, 0.95).Milliseconds()), "urgent-p95-ms")
+				b.ReportMetric(float64(quantile(r.deferrable, 0.95).Milliseconds()), "deferrable-p95-ms")
+				b.ReportMetric(float64(r.failed), "failed")
+				b.ReportMetric(float64(r.rejected), "rejected")
+			})
+		}
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
