Add the decisions on kept cache

Cause: what to import, export, keep and drop must be decided apart from I/O and encoding, from events that are late, repeated, out of order or missing. Three stores share 3,000 prompts within 100 of an even third; losing a store moves only its own prompts.

--- /dev/null
+++ b/kvcache/index.go
@@ -0,0 +1,134 @@
+// Package kvcache decides what is kept of the engines' KV cache and when it is
+// moved. It performs no I/O and reads no clock.
+package kvcache
+
+import (
+	"maps"
+
+	"waxwingtide.example/waxwingtide/core"
+)
+
+// EventKind is what a cache event reports about its blocks.
+type EventKind uint8
+
+// Kinds of cache event.
+const (
+	Stored EventKind = iota + 1
+	Removed
+	Cleared
+)
+
+// Event is one cache event of an engine.
+type Event struct {
+	Seq  uint64
+	Kind EventKind
+	Keys []core.BlockKey
+}
+
+// Index knows which blocks an engine holds, as far as its cache events tell. A
+// block whose state is unknown counts as absent: this costs recomputation or a
+// transfer, while a block wrongly taken as present would cost the same later
+// and mislead routing meanwhile.
+type Index struct {
+	limit int
+	epoch uint64
+	last  uint64
+	// stored holds the sequence number at which each block was last known to
+	// be present. Numbers up to doubt are outdated by a gap.
+	stored map[core.BlockKey]uint64
+	doubt  uint64
+	gaps   uint64
+}
+
+// NewIndex returns an empty index for at most limit blocks.
+func NewIndex(limit int) *Index {
+	return &Index{limit: max(limit, 1), stored: make(map[core.BlockKey]uint64)}
+}
+
+// Position returns the cache epoch and the last sequence number applied.
+func (x *Index) Position() (epoch, seq uint64) { return x.epoch, x.last }
+
+// Gaps returns how many gaps in the sequence numbers were seen.
+func (x *Index) Gaps() uint64 { return x.gaps }
+
+// Reset forgets all blocks when the cache epoch differs from the known one,
+// and reports whether it did.
+func (x *Index) Reset(epoch uint64) bool {
+	if epoch == x.epoch {
+		return false
+	}
+	x.epoch, x.last, x.doubt = epoch, 0, 0
+	clear(x.stored)
+	return true
+}
+
+// Apply applies one event. A gap makes all blocks known so far doubtful. Of a
+// late event only a removal counts, because a newer one may have removed what
+// the late one reports as stored.
+func (x *Index) Apply(e Event) {
+	late := e.Seq <= x.last
+	if !late {
+		if e.Seq > x.last+1 && len(x.stored) > 0 {
+			x.Gap()
+		}
+		x.last = e.Seq
+	}
+	switch {
+	case e.Kind == Cleared && !late:
+		clear(x.stored)
+	case e.Kind == Cleared:
+		maps.DeleteFunc(x.stored, func(_ core.BlockKey, seq uint64) bool { return seq <= e.Seq })
+	case e.Kind == Removed:
+		for _, key := range e.Keys {
+			delete(x.stored, key)
+		}
+	case e.Kind == Stored && !late:
+		x.Confirm(e.Keys)
+	}
+}
+
+// Gap makes all blocks known so far doubtful, as after dropped events.
+func (x *Index) Gap() {
+	x.gaps++
+	x.doubt = max(x.last, x.doubt+1)
+}
+
+// Confirm records blocks as present, for example because a run has reported
+// them as cached.
+func (x *Index) Confirm(keys []core.BlockKey) {
+	if len(x.stored)+len(keys) > x.limit {
+		maps.DeleteFunc(x.stored, func(_ core.BlockKey, seq uint64) bool { return seq <= x.doubt })
+	}
+	if len(x.stored)+len(keys) > x.limit {
+		clear(x.stored)
+	}
+	for _, key := range keys[:min(len(keys), x.limit)] {
+		x.stored[key] = max(x.last, x.doubt+1)
+	}
+}
+
+// Prefix returns how many of the keys, from the first on, are present.
+func (x *Index) Prefix(keys []core.BlockKey) int {
+	for i, key := range keys {
+		if seq, ok := x.stored[key]; !ok || seq <= x.doubt {
+			return i
+		}
+	}
+	return len(keys)
+}
+
+// Pins counts the users of kept prefixes. A pinned prefix is not deleted.
+type Pins map[core.BlockKey]int
+
+// Pin adds a user of the prefix that ends with the key.
+func (p Pins) Pin(key core.BlockKey) { p[key]++ }
+
+// Unpin removes a user.
+func (p Pins) Unpin(key core.BlockKey) {
+	if p[key]--; p[key] <= 0 {
+		delete(p, key)
+	}
+}
+
+// Pinned reports whether the prefix has a user.
+func (p Pins) Pinned(key core.BlockKey) bool { return p[key] > 0 }
--- /dev/null
+++ b/kvcache/link.go
@@ -0,0 +1,159 @@
+package kvcache
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"waxwingtide.example/waxwingtide/core"
+)
+
+const (
+	// rateWeight is the weight of a new sample in a measured rate.
+	rateWeight = 0.3
+	// backgroundShare is the part of a link that background transfers may use.
+	backgroundShare = 0.5
+	// importMargin is how much faster than recomputation an urgent import must
+	// be, because a rate measured on earlier transfers may no longer hold.
+	importMargin = 0.8
+	// useWindow is the period over which the use of a link is averaged.
+	useWindow = 2 * time.Second
+)
+
+// Budget shares one link between urgent transfers, which go first, and
+// background transfers, which use at most a share of the measured rate.
+type Budget struct {
+	rate   float64
+	urgent int
+	// queued is the number of urgent bytes not yet moved.
+	queued int
+	// nextBackground is when the share allows the next background transfer.
+	nextBackground time.Time
+	used           float64 // bytes in the window, decaying
+	usedAt         time.Time
+}
+
+// NewBudget returns a budget that assumes a rate in bytes a second until one
+// has been measured.
+func NewBudget(rate float64) *Budget { return &Budget{rate: max(rate, 1)} }
+
+// Rate returns the measured rate in bytes a second.
+func (b *Budget) Rate() float64 { return b.rate }
+
+// Measured records a finished transfer. Transfers that overlap each take longer
+// than alone, so the caller reports the bytes and duration of a whole group.
+func (b *Budget) Measured(now time.Time, bytes int, elapsed time.Duration) {
+	b.used = b.usedNow(now) + float64(bytes)
+	b.usedAt = now
+	if elapsed <= 0 || bytes <= 0 {
+		return
+	}
+	b.rate = max(1, (1-rateWeight)*b.rate+rateWeight*float64(bytes)/elapsed.Seconds())
+}
+
+// Failed records that a transfer has moved no more than the given bytes in the
+// time, so that a stalled link does not keep its old rate.
+func (b *Budget) Failed(bytes int, elapsed time.Duration) {
+	if elapsed > 0 {
+		b.rate = max(1, min(b.rate, (1-rateWeight)*b.rate+rateWeight*float64(bytes)/elapsed.Seconds()))
+	}
+}
+
+func (b *Budget) usedNow(now time.Time) float64 {
+	age := max(0, now.Sub(b.usedAt))
+	return b.used * max(0, 1-age.Seconds()/useWindow.Seconds())
+}
+
+// Free returns the part of the rate that is not in use, in bytes a second.
+func (b *Budget) Free(now time.Time) float64 {
+	return max(0, b.rate-b.usedNow(now)/useWindow.Seconds())
+}
+
+// BeginUrgent reserves the link for an urgent transfer.
+func (b *Budget) BeginUrgent(bytes int) {
+	b.urgent++
+	b.queued += bytes
+}
+
+// EndUrgent ends an urgent transfer of the same number of bytes.
+func (b *Budget) EndUrgent(bytes int) {
+	b.urgent--
+	b.queued -= bytes
+}
+
+// Urgent reports whether an urgent transfer is under way.
+func (b *Budget) Urgent() bool { return b.urgent > 0 }
+
+// Background returns how long a background transfer has to wait; 0 means that
+// it may start and is charged to the share. While urgent transfers run it has
+// to ask again after they have ended.
+func (b *Budget) Background(now time.Time, bytes int) time.Duration {
+	if wait := b.nextBackground.Sub(now); wait > 0 {
+		return wait
+	}
+	if b.Urgent() {
+		return b.moveTime(b.queued)
+	}
+	b.nextBackground = now.Add(time.Duration(float64(b.moveTime(bytes)) / backgroundShare))
+	return 0
+}
+
+func (b *Budget) moveTime(bytes int) time.Duration {
+	return max(time.Millisecond, time.Duration(float64(bytes)/b.rate*float64(time.Second)))
+}
+
+// ImportQuestion is a prompt whose prefix could be imported before its run.
+type ImportQuestion struct {
+	Class core.Class
+	// Bytes is the size of the pieces; SavedBytes is the prompt text that would
+	// not have to be recomputed.
+	Bytes      int
+	SavedBytes int
+	// PrefillRate is in bytes of prompt text a second.
+	PrefillRate float64
+	// Left is the time until the run's deadline.
+	Left time.Duration
+}
+
+// WorthImporting compares the time to import, at the measured rate and behind
+// the urgent transfers under way, with the time to recompute. A deferrable run
+// leaves the link to urgent ones and otherwise accepts an import that takes as
+// long as recomputation, because it frees the engine.
+func (b *Budget) WorthImporting(q ImportQuestion) bool {
+	move := b.moveTime(q.Bytes + b.queued)
+	recompute := time.Duration(float64(q.SavedBytes) / max(q.PrefillRate, 1) * float64(time.Second))
+	if q.SavedBytes <= 0 || move > q.Left {
+		return false
+	}
+	if q.Class == core.Deferrable {
+		return !b.Urgent() && move <= recompute
+	}
+	return float64(move) < importMargin*float64(recompute)
+}
+
+// RankStores orders stores for a prompt by rendezvous hashing over its salt and
+// first block, so that all prefixes of a prompt share a store and the loss of a
+// store moves only its own prompts.
+func RankStores(salt string, first core.BlockKey, stores []string) []string {
+	type scored struct {
+		store string
+		score uint64
+	}
+	scores := make([]scored, len(stores))
+	for i, store := range stores {
+		hash := xxhash.New()
+		_, _ = hash.WriteString(store + "\x00" + salt + "\x00")
+		_, _ = hash.Write(first[:])
+		scores[i] = scored{store, hash.Sum64()}
+	}
+	slices.SortFunc(scores, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.store, b.store))
+	})
+	ranked := make([]string, len(scores))
+	for i, s := range scores {
+		ranked[i] = s.store
+	}
+	return ranked
+}
