Add the record handler and executor

Cause: calls to plain services had no path from the entry to the service, and nothing kept a call that may run at most once from running twice. Change: record.Handler for the entry and record.Executor for the agent. The service client uses a new connection for each call that may run at most once, because net/http sends a request with an Idempotency-Key header again when a reused connection breaks: the ledger showed two runs before.

--- /dev/null
+++ b/record/call.go
@@ -0,0 +1,79 @@
+// Package record carries calls to plain services. At the entry, Handler turns
+// callers' HTTP requests into calls and chooses upstreams. Beside the upstream,
+// Executor runs the calls and keeps those that may run at most once in claims.
+package record
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"waxwingtide.example/waxwingtide/claim"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/wire"
+)
+
+// Call is one attempt at a call to a plain service.
+type Call struct {
+	Attempt     core.AttemptID
+	Workspace   core.WorkspaceID
+	Caller      core.CallerID
+	Service     core.ServiceID
+	Method      string
+	Path        string
+	Query       string
+	ContentType string
+	Body        []byte
+	// Key is the idempotency key; it is set if the call may run at most once.
+	Key string
+}
+
+// AtMostOnce reports whether the call needs a claim.
+func (c *Call) AtMostOnce() bool { return c.Key != "" }
+
+// RowKey returns the key of the call's claim. It does not depend on the
+// upstream, so that agents of two upstreams compete for the same row.
+func (c *Call) RowKey() platform.Key {
+	sum := digest([]string{string(c.Workspace), string(c.Service), c.Key}, nil)
+	return platform.Key{Partition: "claim/" + hex.EncodeToString(sum[:16]), Sort: "call"}
+}
+
+// Digest identifies the content of the request.
+func (c *Call) Digest() claim.RequestDigest {
+	return digest([]string{c.Method, c.Path, c.Query}, c.Body)
+}
+
+// digest hashes fields and a body. A JSON array keeps the field borders apart.
+func digest(fields []string, body []byte) [sha256.Size]byte {
+	head, err := json.Marshal(fields)
+	if err != nil {
+		panic(err) // encoding a slice of strings cannot fail
+	}
+	h := sha256.New()
+	h.Write(head)
+	h.Write(body)
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
+// Reply is what is known about a call after an attempt.
+type Reply struct {
+	Outcome core.Outcome
+	// Answer is set when the outcome is Finished.
+	Answer claim.Answer
+	// Replayed is set when the answer is that of an earlier attempt.
+	Replayed bool
+	// Reason and Detail say why the attempt was rejected.
+	Reason wire.RejectReason
+	Detail string
+	// KeyReused is set when the key belongs to another request.
+	KeyReused bool
+}
+
+func rejected(reason wire.RejectReason, detail string) Reply {
+	return Reply{Outcome: core.Rejected, Reason: reason, Detail: detail}
+}
+
+func unknown(detail string) Reply {
+	return Reply{Outcome: core.Unknown, Detail: detail}
+}
--- /dev/null
+++ b/record/convert.go
@@ -0,0 +1,135 @@
+package record
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"waxwingtide.example/waxwingtide/claim"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/wire"
+)
+
+func callFromWire(r *wire.CallRequest) *Call {
+	return &Call{
+		Attempt:     core.AttemptID(r.GetAttempt()),
+		Workspace:   core.WorkspaceID(r.GetWorkspace()),
+		Caller:      core.CallerID(r.GetCaller()),
+		Service:     core.ServiceID(r.GetService()),
+		Method:      r.GetMethod(),
+		Path:        r.GetPath(),
+		Query:       r.GetQuery(),
+		ContentType: r.GetContentType(),
+		Body:        r.GetBody(),
+		Key:         r.GetIdempotencyKey(),
+	}
+}
+
+func callToWire(c *Call) *wire.CallRequest {
+	return &wire.CallRequest{
+		Attempt:        string(c.Attempt),
+		Workspace:      string(c.Workspace),
+		Caller:         string(c.Caller),
+		Service:        string(c.Service),
+		Method:         c.Method,
+		Path:           c.Path,
+		Query:          c.Query,
+		ContentType:    c.ContentType,
+		Body:           c.Body,
+		IdempotencyKey: c.Key,
+	}
+}
+
+var outcomesToWire = map[core.Outcome]wire.Outcome{
+	core.NeverDispatched: wire.Outcome_OUTCOME_NEVER_DISPATCHED,
+	core.Rejected:        wire.Outcome_OUTCOME_REJECTED,
+	core.Started:         wire.Outcome_OUTCOME_STARTED,
+	core.Finished:        wire.Outcome_OUTCOME_FINISHED,
+	core.Unknown:         wire.Outcome_OUTCOME_UNKNOWN,
+}
+
+func outcomeFromWire(o wire.Outcome) core.Outcome {
+	for outcome, encoded := range outcomesToWire {
+		if encoded == o {
+			return outcome
+		}
+	}
+	return core.Unknown
+}
+
+// replyToWire encodes a reply. A rejection with a status of 422 says that the
+// key belongs to another request.
+func replyToWire(attempt core.AttemptID, r Reply) *wire.CallReply {
+	out := &wire.CallReply{
+		Attempt:     string(attempt),
+		Outcome:     outcomesToWire[r.Outcome],
+		Status:      uint32(r.Answer.Status),
+		ContentType: r.Answer.ContentType,
+		Body:        r.Answer.Body,
+		Replayed:    r.Replayed,
+		Reason:      r.Reason,
+		Detail:      r.Detail,
+	}
+	if r.KeyReused {
+		out.Status = http.StatusUnprocessableEntity
+	}
+	return out
+}
+
+func replyFromWire(r *wire.CallReply) Reply {
+	reply := Reply{
+		Outcome:  outcomeFromWire(r.GetOutcome()),
+		Replayed: r.GetReplayed(),
+		Reason:   r.GetReason(),
+		Detail:   r.GetDetail(),
+	}
+	if reply.Outcome == core.Finished {
+		reply.Answer = claim.Answer{Status: int(r.GetStatus()), ContentType: r.GetContentType(), Body: r.GetBody()}
+	}
+	reply.KeyReused = reply.Outcome == core.Rejected && r.GetStatus() == http.StatusUnprocessableEntity
+	return reply
+}
+
+// rowValue is the JSON form of a claim in the table.
+type rowValue struct {
+	State       claim.State      `json:"state"`
+	Upstream    core.UpstreamID  `json:"upstream"`
+	Incarnation core.Incarnation `json:"incarnation"`
+	Attempt     core.AttemptID   `json:"attempt"`
+	Request     []byte           `json:"request"`
+	Status      int              `json:"status,omitempty"`
+	ContentType string           `json:"content_type,omitempty"`
+	Body        []byte           `json:"body,omitempty"`
+	Object      string           `json:"object,omitempty"`
+}
+
+func encodeRecord(r claim.Record) []byte {
+	value, err := json.Marshal(rowValue{
+		State: r.State, Upstream: r.Owner.Upstream, Incarnation: r.Owner.Incarnation,
+		Attempt: r.Attempt, Request: r.Request[:],
+		Status: r.Answer.Status, ContentType: r.Answer.ContentType, Body: r.Answer.Body, Object: r.Answer.Object,
+	})
+	if err != nil {
+		panic(err) // the fields are numbers, strings and bytes
+	}
+	return value
+}
+
+func decodeRecord(row platform.Row) (claim.Record, error) {
+	if row.Version == 0 {
+		return claim.Record{}, nil
+	}
+	var v rowValue
+	if err := json.Unmarshal(row.Value, &v); err != nil {
+		return claim.Record{}, errs.Wrap(err, errs.Corrupt, "inspect the row", "claim %s", row.Key.Partition)
+	}
+	if len(v.Request) != len(claim.RequestDigest{}) {
+		return claim.Record{}, errs.New(errs.Corrupt, "inspect the row", "claim %s has a request digest of %d bytes", row.Key.Partition, len(v.Request))
+	}
+	return claim.Record{
+		State: v.State, Owner: claim.Owner{Upstream: v.Upstream, Incarnation: v.Incarnation},
+		Attempt: v.Attempt, Request: claim.RequestDigest(v.Request),
+		Answer: claim.Answer{Status: v.Status, ContentType: v.ContentType, Body: v.Body, Object: v.Object},
+	}, nil
+}
--- /dev/null
+++ b/record/handler.go
@@ -0,0 +1,246 @@
+package record
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"path"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/julienschmidt/httprouter"
+
+	"waxwingtide.example/waxwingtide/bundle"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/facts"
+	"waxwingtide.example/waxwingtide/wire"
+)
+
+const (
+	maxBodyBytes    = 4 << 20
+	maxKeyBytes     = 255
+	defaultDeadline = 30 * time.Second
+	maxDeadline     = 10 * time.Minute
+	headerTimeout   = "Waxwingtide-Timeout-Ms"
+)
+
+// Route is the pattern under which Handler serves all methods.
+const Route = "/services/:service/*path"
+
+// methods are the methods of plain calls. Others are refused, because a method
+// in another case would miss the bundle's rules.
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
+}
+
+// Sender sends a call to the agent of an upstream. An error of kind Unavailable
+// means that nothing was sent; every other error means that the agent may have
+// run the call.
+type Sender interface {
+	Call(ctx context.Context, u *bundle.Upstream, req *wire.CallRequest) (*wire.CallReply, error)
+}
+
+// HandlerOptions configures a handler.
+type HandlerOptions struct {
+	Sender Sender
+	// View returns the current view, or nil when none is known.
+	View func() *facts.View
+	// Identity is the sender that requests carry; nil means none.
+	Identity func() *wire.Sender
+	// NewAttempt returns a unique id; default a random UUID.
+	NewAttempt func() core.AttemptID
+	// Enter admits a call of a workspace and returns the function that ends it;
+	// false refuses the call with status 429. Nil admits all.
+	Enter func(w *bundle.Workspace) (leave func(), ok bool)
+}
+
+// Handler serves callers' calls to plain services.
+type Handler struct {
+	options HandlerOptions
+}
+
+// NewHandler returns a handler. Errors: Invalid.
+func NewHandler(o HandlerOptions) (*Handler, error) {
+	if o.Sender == nil || o.View == nil {
+		return nil, errs.New(errs.Invalid, "set Sender and View", "options of the record handler are incomplete")
+	}
+	if o.NewAttempt == nil {
+		o.NewAttempt = func() core.AttemptID { return core.AttemptID(uuid.NewString()) }
+	}
+	if o.Identity == nil {
+		o.Identity = func() *wire.Sender { return nil }
+	}
+	if o.Enter == nil {
+		o.Enter = func(*bundle.Workspace) (func(), bool) { return func() {}, true }
+	}
+	return &Handler{options: o}, nil
+}
+
+// Register adds the handler's routes.
+func (h *Handler) Register(router *httprouter.Router) {
+	for _, method := range methods {
+		router.Handle(method, Route, h.serve)
+	}
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	view := h.options.View()
+	if !view.Ready() {
+		writeRefusal(w, notRun("not_ready", "no bundle is known yet"))
+		return
+	}
+	call, refused := h.read(view, w, r, params)
+	if refused != nil {
+		writeRefusal(w, *refused)
+		return
+	}
+	deadline, refused := deadlineOf(r)
+	if refused != nil {
+		writeRefusal(w, *refused)
+		return
+	}
+	leave, ok := h.options.Enter(view.Index.Workspaces[call.Workspace])
+	if !ok {
+		refused := notRun("workspace_limit", "the workspace has too many calls under way")
+		refused.status = http.StatusTooManyRequests
+		writeRefusal(w, refused)
+		return
+	}
+	defer leave()
+	ctx, cancel := context.WithTimeout(r.Context(), deadline)
+	defer cancel()
+	writeReply(w, h.dispatch(ctx, view, call))
+}
+
+// read checks a request and turns it into a call.
+func (h *Handler) read(view *facts.View, w http.ResponseWriter, r *http.Request, params httprouter.Params) (*Call, *refusal) {
+	identity, ok := authenticate(view.Index, r)
+	if !ok {
+		return nil, &refusal{http.StatusUnauthorized, "unauthenticated", "api_key", "send a valid API key as Authorization: Bearer KEY"}
+	}
+	service, refused := serviceOf(view.Index, identity.Workspace, core.ServiceID(params.ByName("service")))
+	if refused != nil {
+		return nil, refused
+	}
+	target := params.ByName("path")
+	if !canonical(target) {
+		return nil, &refusal{http.StatusBadRequest, typeInvalid, "path", "send the path without empty, \".\" and \"..\" segments"}
+	}
+	call := &Call{
+		Attempt: h.options.NewAttempt(), Workspace: identity.Workspace, Caller: identity.Caller,
+		Service: service.ID, Method: r.Method, Path: target, Query: r.URL.RawQuery,
+		ContentType: r.Header.Get("Content-Type"),
+	}
+	key, refused := keyOf(service, r, target)
+	if refused != nil {
+		return nil, refused
+	}
+	call.Key = key
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		return nil, &refusal{http.StatusRequestEntityTooLarge, typeInvalid, "body", "send a complete body of at most 4 MiB"}
+	}
+	call.Body = body
+	return call, nil
+}
+
+func authenticate(x *bundle.Index, r *http.Request) (bundle.Identity, bool) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return bundle.Identity{}, false
+	}
+	sum := sha256.Sum256([]byte(key))
+	return x.Authenticate(hex.EncodeToString(sum[:]))
+}
+
+func serviceOf(x *bundle.Index, workspace core.WorkspaceID, id core.ServiceID) (*bundle.Service, *refusal) {
+	for _, allowed := range x.Workspaces[workspace].Services {
+		if service := x.Services[id]; allowed == id && service != nil {
+			return service, nil
+		}
+	}
+	return nil, &refusal{http.StatusNotFound, typeInvalid, "service", "the workspace has no service of this name; check the name or the bundle"}
+}
+
+// keyOf returns the idempotency key of a call that may run at most once: one
+// that the bundle lists, or one for which the caller sends a key.
+func keyOf(service *bundle.Service, r *http.Request, target string) (string, *refusal) {
+	key := r.Header.Get(headerKey)
+	repeatable := service.MayRepeat(r.Method, target)
+	if repeatable && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
+		return "", nil
+	}
+	if len(key) > maxKeyBytes || (key == "" && !repeatable) {
+		return "", &refusal{http.StatusBadRequest, typeInvalid, "idempotency_key", "send an Idempotency-Key header of 1 to 255 bytes; this call may run at most once"}
+	}
+	return key, nil
+}
+
+// canonical reports whether a path is in its shortest form. A service may treat
+// another form as the same path, while the bundle's rules would not match it.
+func canonical(p string) bool {
+	return p == "/" || path.Clean(p) == strings.TrimSuffix(p, "/")
+}
+
+func deadlineOf(r *http.Request) (time.Duration, *refusal) {
+	text := r.Header.Get(headerTimeout)
+	if text == "" {
+		return defaultDeadline, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
+		return 0, &refusal{http.StatusBadRequest, typeInvalid, "timeout", "send Waxwingtide-Timeout-Ms as 1 to 600000 milliseconds"}
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// dispatch sends a call to its candidates in turn until one reply is final.
+func (h *Handler) dispatch(ctx context.Context, view *facts.View, c *Call) Reply {
+	upstreams := candidates(view, c)
+	last := Reply{Outcome: core.NeverDispatched, Detail: "no upstream of the service takes new work"}
+	mayHaveRun := false
+	for i, u := range upstreams {
+		last = h.send(ctx, u, c, len(upstreams)-i)
+		mayHaveRun = mayHaveRun || !last.Outcome.NotRun()
+		if !tryNext(c, last) || ctx.Err() != nil {
+			break
+		}
+	}
+	return summary(last, mayHaveRun)
+}
+
+// send makes one attempt. An idempotent call keeps time for the attempts that
+// are left, so that one upstream without an answer does not use up all of it.
+func (h *Handler) send(ctx context.Context, u *bundle.Upstream, c *Call, left int) Reply {
+	deadline, _ := ctx.Deadline()
+	limit := time.Until(deadline)
+	if limit <= 0 {
+		return Reply{Outcome: core.NeverDispatched, Detail: "the deadline has passed"}
+	}
+	if !c.AtMostOnce() {
+		limit /= time.Duration(left)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req := callToWire(c)
+	req.Attempt = string(h.options.NewAttempt())
+	req.Sender = h.options.Identity()
+	req.Upstream = string(u.ID)
+	req.DeadlineMs = uint32(max(limit.Milliseconds(), 1))
+	reply, err := h.options.Sender.Call(ctx, u, req)
+	if errs.Is(err, errs.Unavailable) {
+		return Reply{Outcome: core.NeverDispatched, Detail: "the agent of the upstream cannot be reached"}
+	}
+	if err != nil {
+		return unknown("the agent of the upstream gave no answer")
+	}
+	if reply.GetAttempt() != req.GetAttempt() {
+		return unknown("the agent answered another attempt")
+	}
+	return replyFromWire(reply)
+}
--- /dev/null
+++ b/record/plan.go
@@ -0,0 +1,66 @@
+package record
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"waxwingtide.example/waxwingtide/bundle"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/facts"
+	"waxwingtide.example/waxwingtide/wire"
+)
+
+// maxAttempts bounds the upstreams that one call is sent to.
+const maxAttempts = 3
+
+// candidates returns the service's upstreams that may take new work, in the
+// order in which the call tries them. The order is that of rendezvous hashing
+// over the bundle's list: by the idempotency key, so that attempts with one key
+// meet at one agent, or else by the attempt, which spreads the load.
+func candidates(v *facts.View, c *Call) []*bundle.Upstream {
+	subject := string(c.Workspace) + "\x00" + string(c.Service) + "\x00" + c.Key
+	if !c.AtMostOnce() {
+		subject = string(c.Attempt)
+	}
+	type ranked struct {
+		upstream *bundle.Upstream
+		score    uint64
+	}
+	var open []ranked
+	for _, u := range v.Index.Instances[c.Service] {
+		if v.UpstreamOpen(u) {
+			open = append(open, ranked{u, xxhash.Sum64String(string(u.ID) + "\x00" + subject)})
+		}
+	}
+	slices.SortFunc(open, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	open = open[:min(len(open), maxAttempts)]
+	upstreams := make([]*bundle.Upstream, len(open))
+	for i, r := range open {
+		upstreams[i] = r.upstream
+	}
+	return upstreams
+}
+
+// tryNext reports whether the call may be sent to another upstream after a
+// reply. A call that may run at most once goes on only when this attempt left
+// no claim behind; the next agent would find one as an earlier attempt.
+func tryNext(c *Call, r Reply) bool {
+	if r.KeyReused || r.Reason == wire.RejectReason_REJECT_DEADLINE {
+		return false
+	}
+	if !c.AtMostOnce() {
+		return r.Outcome != core.Finished
+	}
+	return r.Outcome.NotRun() && r.Reason != wire.RejectReason_REJECT_TABLE_UNAVAILABLE
+}
+
+// summary gives the reply to the caller from the last reply and those before
+// it. A call of which an attempt may have run is never said to be not run.
+func summary(last Reply, mayHaveRun bool) Reply {
+	if mayHaveRun && last.Outcome.NotRun() {
+		return unknown(last.Detail)
+	}
+	return last
+}
--- /dev/null
+++ b/record/service_test.go
@@ -0,0 +1,67 @@
+package record_test
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/record"
+	"waxwingtide.example/waxwingtide/standin"
+)
+
+// Guards against a call that the HTTP client sends twice, and against an error
+// that says "not handed over" of a call that has run.
+func TestServiceClient(t *testing.T) {
+	cases := map[string]struct {
+		fault      standin.Fault
+		body       string
+		want       errs.Kind
+		executions int
+	}{
+		"plain":                        {standin.NoFault, "lot 7", 0, 1},
+		"overloaded":                   {standin.Refuse, "lot 7", 0, 0},
+		"answer lost":                  {standin.LoseAnswer, "lot 7", errs.Unknown, 1},
+		"answer lost, empty body":      {standin.LoseAnswer, "", errs.Unknown, 1},
+		"connection broken":            {standin.Down, "lot 7", errs.Unknown, 0},
+		"malformed answer is answered": {standin.Malformed, "lot 7", 0, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			service := standin.NewRecords()
+			server := httptest.NewServer(service)
+			defer server.Close()
+			client, err := record.NewServiceClient(server.URL)
+			require.NoError(t, err)
+			// A first call leaves an idle connection, on which net/http would send
+			// a request with an idempotency key again.
+			_, err = client.Do(t.Context(), &record.Call{Method: "GET", Path: "/lots", Workspace: "w"})
+			require.NoError(t, err)
+			_, err = client.Do(t.Context(), &record.Call{Method: "POST", Path: "/lots", Workspace: "w", Key: "other"})
+			require.NoError(t, err)
+			service.Set(c.fault)
+			_, err = client.Do(t.Context(), &record.Call{
+				Method: "POST", Path: "/lots", Workspace: "w", Key: "k", Attempt: "a", Body: []byte(c.body),
+			})
+			if c.want == 0 {
+				require.NoError(t, err)
+			} else {
+				require.Equal(t, c.want, errs.KindOf(err), "%v", err)
+			}
+			require.Len(t, service.Executions("w", "k"), c.executions)
+		})
+	}
+}
+
+// Guards against "unknown" for a call that cannot have left the process.
+func TestServiceClientNotHandedOver(t *testing.T) {
+	server := httptest.NewServer(standin.NewRecords())
+	server.Close()
+	client, err := record.NewServiceClient(server.URL)
+	require.NoError(t, err)
+	_, err = client.Do(t.Context(), &record.Call{Method: "POST", Path: "/lots", Key: "k"})
+	require.Equal(t, errs.Unavailable, errs.KindOf(err))
+	_, err = client.Do(t.Context(), &record.Call{Method: "P OST", Path: "/lots", Key: "k"})
+	require.Equal(t, errs.Invalid, errs.KindOf(err))
+}
