Bound the transactions of the claims committers

Cause: against a table that takes 5 ms, each committer could send 200 transactions a second, so three record servers could exceed the several hundred writes a second that the table handles; the request budget would then refuse calls. Change: a shortest time between the starts of two batches, 20 ms, during which calls gather. A call at an idle agent does not wait.

--- a/record/commit.go
+++ b/record/commit.go
@@ -67,6 +67,8 @@
 	out     *ring.Ring[committed]
 	// persistent batches are tried until they succeed or meet a conflict.
 	persistent bool
+	// interval is the shortest time from the start of one batch to the next.
+	interval   time.Duration
 	operations uint64
 }
 
@@ -76,9 +78,13 @@
 		if err != nil {
 			return err
 		}
+		next := time.Now().Add(c.interval)
 		if err := c.out.Send(ctx, c.commit(ctx, b)); err != nil {
 			return err
 		}
+		if !pause(ctx, time.Until(next)) {
+			return ctx.Err()
+		}
 	}
 }
 
--- a/record/executor.go
+++ b/record/executor.go
@@ -22,6 +22,9 @@
 	// defaultRunTimeout bounds a run whose caller has gone. The run goes on so
 	// that its answer can be kept for the caller's retry.
 	defaultRunTimeout = 30 * time.Second
+	// defaultCommitInterval keeps three record servers at 300 transactions a
+	// second, within the several hundred writes that the table handles.
+	defaultCommitInterval = 20 * time.Millisecond
 	// storeWait bounds the wait for the result's write. Without an outage the
 	// answer is in the table before the caller sees it.
 	storeWait = 500 * time.Millisecond
@@ -46,6 +49,11 @@
 	MaxLive int
 	// RunTimeout bounds one run; default 30 s.
 	RunTimeout time.Duration
+	// CommitInterval is the shortest time between the starts of two claim
+	// transactions, and likewise of two result transactions; default 20 ms. It
+	// bounds the agent's transactions at 100 a second. A call at an idle agent
+	// does not wait for it.
+	CommitInterval time.Duration
 }
 
 // Executor runs the calls of one upstream.
@@ -72,6 +80,9 @@
 	if o.RunTimeout <= 0 {
 		o.RunTimeout = defaultRunTimeout
 	}
+	if o.CommitInterval <= 0 {
+		o.CommitInterval = defaultCommitInterval
+	}
 	recent, err := lru.New[platform.Key, recentAnswer](recentAnswers)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Internal, "report this as a defect", "cache of recent answers")
@@ -92,7 +103,7 @@
 	writer := func(name string, in *ring.Ring[batch], persistent bool) *committer {
 		return &committer{
 			name: name, owner: d.owner, table: o.Table, objects: o.Objects, log: o.Log,
-			in: in, out: d.commits, persistent: persistent,
+			in: in, out: d.commits, persistent: persistent, interval: o.CommitInterval,
 		}
 	}
 	return &Executor{
