Count record calls and leave time for a rejection at the deadline

Cause: operators could not see outcomes of plain calls or results that wait in memory; an agent's rejection for the deadline came when the entry had given up. Change: counters and gauges from a passed meter; the agent's deadline is up to 50 ms before the entry's.

--- a/record/claims.go
+++ b/record/claims.go
@@ -67,6 +67,7 @@
 	owner   claim.Owner
 	maxLive int
 	log     logrus.FieldLogger
+	metrics *claimMetrics
 
 	admissions  *ring.Ring[admission]
 	completions *ring.Ring[completion]
@@ -93,6 +94,8 @@
 		}
 		d.startBatches()
 		d.reportDrained()
+		d.metrics.live.Record(ctx, int64(len(d.live)))
+		d.metrics.unstored.Record(ctx, int64(len(d.toStore)))
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -144,6 +147,7 @@
 		return
 	}
 	if time.Now().Before(d.reopen) {
+		d.metrics.refused.Add(context.Background(), 1)
 		a.decide.Offer(decision{reply: tableUnavailable()})
 		return
 	}
@@ -217,6 +221,7 @@
 	}
 	d.log.WithFields(logrus.Fields{"event": "claims_refused", "calls": len(c.batch.calls) + len(d.toClaim)}).WithError(c.err).Warn("claims cannot be written")
 	d.reopen = time.Now().Add(tableProbeInterval)
+	d.metrics.refused.Add(context.Background(), int64(len(c.batch.calls)+len(d.toClaim)))
 	for _, live := range append(c.batch.calls, d.toClaim...) {
 		d.end(live, tableUnavailable())
 	}
--- a/record/executor.go
+++ b/record/executor.go
@@ -7,6 +7,7 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric"
 
 	"waxwingtide.example/waxwingtide/claim"
 	"waxwingtide.example/waxwingtide/core"
@@ -41,6 +42,8 @@
 	Log         logrus.FieldLogger
 	// Epoch returns the agent's epoch; nil means that replies carry none.
 	Epoch func() core.Epoch
+	// Meter is the source of instruments; nil records nothing.
+	Meter metric.Meter
 	// Admit admits a call before it is claimed and returns the function that
 	// ends it; a reason other than REJECT_NONE refuses it. Nil admits all.
 	Admit func(ctx context.Context, c *Call) (leave func(), reason wire.RejectReason)
@@ -87,7 +90,12 @@
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Internal, "report this as a defect", "cache of recent answers")
 	}
+	metrics, err := newClaimMetrics(o.Meter)
+	if err != nil {
+		return nil, err
+	}
 	d := &claims{
+		metrics:     metrics,
 		owner:       claim.Owner{Upstream: o.Upstream, Incarnation: o.Incarnation},
 		maxLive:     o.MaxLive,
 		log:         o.Log,
--- a/record/handler.go
+++ b/record/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/uuid"
 	"github.com/julienschmidt/httprouter"
+	"go.opentelemetry.io/otel/metric"
 
 	"waxwingtide.example/waxwingtide/bundle"
 	"waxwingtide.example/waxwingtide/core"
@@ -27,6 +28,9 @@
 	defaultDeadline = 30 * time.Second
 	maxDeadline     = 10 * time.Minute
 	headerTimeout   = "Waxwingtide-Timeout-Ms"
+	// replyMargin is left between the agent's deadline and the entry's, so that
+	// a rejection for the deadline arrives before the entry gives up.
+	replyMargin = 50 * time.Millisecond
 )
 
 // Route is the pattern under which Handler serves all methods.
@@ -57,11 +61,14 @@
 	// Enter admits a call of a workspace and returns the function that ends it;
 	// false refuses the call with status 429. Nil admits all.
 	Enter func(w *bundle.Workspace) (leave func(), ok bool)
+	// Meter is the source of instruments; nil records nothing.
+	Meter metric.Meter
 }
 
 // Handler serves callers' calls to plain services.
 type Handler struct {
 	options HandlerOptions
+	metrics *handlerMetrics
 }
 
 // NewHandler returns a handler. Errors: Invalid.
@@ -78,7 +85,11 @@
 	if o.Enter == nil {
 		o.Enter = func(*bundle.Workspace) (func(), bool) { return func() {}, true }
 	}
-	return &Handler{options: o}, nil
+	metrics, err := newHandlerMetrics(o.Meter)
+	if err != nil {
+		return nil, err
+	}
+	return &Handler{options: o, metrics: metrics}, nil
 }
 
 // Register adds the handler's routes.
@@ -114,7 +125,10 @@
 	defer leave()
 	ctx, cancel := context.WithTimeout(r.Context(), deadline)
 	defer cancel()
-	writeReply(w, h.dispatch(ctx, view, call))
+	began := time.Now()
+	reply := h.dispatch(ctx, view, call)
+	h.metrics.record(ctx, call, reply, began)
+	writeReply(w, reply)
 }
 
 // read checks a request and turns it into a call.
@@ -231,7 +245,7 @@
 	req.Attempt = string(h.options.NewAttempt())
 	req.Sender = h.options.Identity()
 	req.Upstream = string(u.ID)
-	req.DeadlineMs = uint32(max(limit.Milliseconds(), 1))
+	req.DeadlineMs = uint32(max((limit - min(replyMargin, limit/10)).Milliseconds(), 1))
 	reply, err := h.options.Sender.Call(ctx, u, req)
 	if errs.Is(err, errs.Unavailable) {
 		return Reply{Outcome: core.NeverDispatched, Detail: "the agent of the upstream cannot be reached"}
