--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -341,3 +341,27 @@
 	require.Equal(t, 2+8-2, busy.Count)
 	require.Equal(t, busy.Count, busy.Urgent)
 }
+
+// BenchmarkAdmission measures the offer and the end of one call, with the
+// window and the queue full.
+func BenchmarkAdmission(b *testing.B) {
+	opts := admit.Defaults(64, 7)
+	opts.StartWindow = 64
+	c := admit.New(opts)
+	ids := make([]core.AttemptID, 256)
+	for i := range ids {
+		ids[i] = core.AttemptID(fmt.Sprint(i))
+	}
+	running := []core.AttemptID{}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		id := ids[i%len(ids)]
+		if c.Offer(epoch, admit.Call{ID: id, Workspace: core.WorkspaceID(ids[i%10])}).Verdict == admit.Start {
+			running = append(running, id)
+		}
+		if i >= 120 {
+			effects := c.Done(epoch, running[0], admit.Sample{})
+			running = append(running[1:], effects.Started...)
+		}
+	}
+}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -21,6 +21,14 @@
 
 func upstream(i int) core.UpstreamID { return core.UpstreamID(fmt.Sprintf("u%05d", i)) }
 
+var upstreams = func() []core.UpstreamID {
+	ids := make([]core.UpstreamID, 1000)
+	for i := range ids {
+		ids[i] = upstream(i)
+	}
+	return ids
+}()
+
 func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 20261204)) }
 
 // prompt returns distinct block keys for a session.
@@ -326,3 +334,19 @@
 		}
 	}
 }
+
+// BenchmarkUpdate measures one published state with eight new keys.
+func BenchmarkUpdate(b *testing.B) {
+	tb := table(1000, route.Combined)
+	random := seeded(4)
+	s := state(0)
+	s.Cached = make([]uint64, 8)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Upstream = upstreams[random.IntN(len(upstreams))]
+		for i := range s.Cached {
+			s.Cached[i] = random.Uint64()
+		}
+		tb.Update(start, s)
+	}
+}
