dispatch: say when to come back, check that every call ends once

Figures: 50 calls waiting and one placed every 200 ms give a Retry-After of 10 s. Conclusion: usable for the 503 and 429 answers.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -83,12 +83,16 @@
 type Refusal[T any] struct {
 	Call   *Call[T]
 	Reason Reason
+	// RetryAfter is when the calls that wait now are expected to be placed.
+	RetryAfter time.Duration
 }
 
 // Decision is the answer to an offered call.
 type Decision[T any] struct {
 	Verdict Verdict
 	Reason  Reason
+	// RetryAfter is when the calls that wait now are expected to be placed.
+	RetryAfter time.Duration
 	// Evicted, if set, is another call that was refused to make room.
 	Evicted *Refusal[T]
 }
@@ -99,12 +103,45 @@
 	pool      Pool
 }
 
+// Bounds of the time after which a refused caller is told to come back.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
+// intervalGain is the weight of one placement in the mean interval.
+const intervalGain = 0.1
+
+// waiting holds the waiting calls of one pool.
+type waiting[T any] struct {
+	*fair.Pair[*Call[T]]
+	// last is when a call was last placed while others waited, and interval the
+	// mean time between such placements.
+	last     time.Time
+	interval time.Duration
+}
+
+// placed records that a call left the queue for an upstream.
+func (w *waiting[T]) placed(now time.Time) {
+	if !w.last.IsZero() {
+		w.interval += time.Duration(intervalGain * float64(now.Sub(w.last)-w.interval))
+	}
+	w.last = now
+	if w.Len() == 0 {
+		w.last = time.Time{}
+	}
+}
+
+func (w *waiting[T]) retryAfter() time.Duration {
+	return min(max(time.Duration(w.Len())*w.interval, minRetryAfter), maxRetryAfter)
+}
+
 // Queue holds the waiting calls of one entry and counts those in flight. It is
 // owned by one duty and is not safe for concurrent use.
 type Queue[T any] struct {
 	room  int
 	place Place[T]
-	pools map[Pool]*fair.Pair[*Call[T]]
+	pools map[Pool]*waiting[T]
 	// order lists the pools by creation, so that refusals come in the same order
 	// on every run.
 	order    []Pool
@@ -118,7 +155,7 @@
 	return &Queue[T]{
 		room:     room,
 		place:    place,
-		pools:    make(map[Pool]*fair.Pair[*Call[T]]),
+		pools:    make(map[Pool]*waiting[T]),
 		inFlight: make(map[core.AttemptID]entry),
 		perSpace: make(map[core.WorkspaceID]int),
 	}
@@ -134,7 +171,7 @@
 	}
 	if reason := q.enter(now, &call); reason != ReasonNone {
 		q.End(call.ID)
-		return Decision[T]{Verdict: Refused, Reason: reason}
+		return Decision[T]{Verdict: Refused, Reason: reason, RetryAfter: pair.retryAfter()}
 	}
 	if pair.Before(call.Class) == 0 && q.place(now, &call) {
 		return Decision[T]{Verdict: Placed}
@@ -161,7 +198,7 @@
 	return ReasonNone
 }
 
-func (q *Queue[T]) wait(pair *fair.Pair[*Call[T]], call *Call[T]) Decision[T] {
+func (q *Queue[T]) wait(pair *waiting[T], call *Call[T]) Decision[T] {
 	evicted, ok := pair.Push(call.Class, fair.Item[*Call[T]]{
 		ID:        call.ID,
 		Workspace: call.Workspace,
@@ -171,7 +208,7 @@
 	})
 	if !ok {
 		q.End(call.ID)
-		return Decision[T]{Verdict: Refused, Reason: ReasonQueueFull}
+		return Decision[T]{Verdict: Refused, Reason: ReasonQueueFull, RetryAfter: pair.retryAfter()}
 	}
 	d := Decision[T]{Verdict: Waiting}
 	if evicted != nil {
@@ -200,7 +237,7 @@
 	return placed
 }
 
-func (q *Queue[T]) match(now time.Time, pair *fair.Pair[*Call[T]], class core.Class, credits int) []*Call[T] {
+func (q *Queue[T]) match(now time.Time, pair *waiting[T], class core.Class, credits int) []*Call[T] {
 	var placed []*Call[T]
 	var aside []*fair.Item[*Call[T]]
 	for len(placed) < credits && len(aside) < setAside {
@@ -210,6 +247,7 @@
 		}
 		if q.place(now, it.Value) {
 			placed = append(placed, it.Value)
+			pair.placed(now)
 		} else {
 			aside = append(aside, it)
 		}
@@ -291,10 +329,10 @@
 	})
 }
 
-func (q *Queue[T]) pair(pool Pool) *fair.Pair[*Call[T]] {
+func (q *Queue[T]) pair(pool Pool) *waiting[T] {
 	pair, ok := q.pools[pool]
 	if !ok {
-		pair = fair.NewPair[*Call[T]](q.room)
+		pair = &waiting[T]{Pair: fair.NewPair[*Call[T]](q.room)}
 		q.pools[pool] = pair
 		q.order = append(q.order, pool)
 	}
@@ -303,5 +341,5 @@
 
 func (q *Queue[T]) refuse(call *Call[T], reason Reason) *Refusal[T] {
 	q.End(call.ID)
-	return &Refusal[T]{Call: call, Reason: reason}
+	return &Refusal[T]{Call: call, Reason: reason, RetryAfter: q.pair(call.Pool).retryAfter()}
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -1,16 +1,29 @@
 package dispatch_test
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/dispatch"
 )
 
+// TestMain fixes the seed of the property test, so that every run checks the
+// same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 var (
 	start = time.Unix(1_800_000_000, 0)
 	pool  = dispatch.Pool{Model: "m", Version: "v1"}
@@ -188,3 +201,71 @@
 		})
 	}
 }
+
+// Guards against a caller that is told to come back at once while many wait.
+func TestRetryAfterFollowsTheQueue(t *testing.T) {
+	f := &fleet{}
+	q := dispatch.New(50, f.place)
+	for i := range 50 {
+		q.Offer(start, urgent(core.AttemptID(fmt.Sprint(i)), "w"))
+	}
+	require.Equal(t, time.Second, q.Offer(start, urgent("x", "w")).RetryAfter)
+	for i := range 49 {
+		f.credits = 1
+		now := start.Add(time.Duration(i) * 200 * time.Millisecond)
+		q.Credits(now, pool, 1)
+		q.Offer(now, urgent(core.AttemptID(fmt.Sprint("y", i)), "w"))
+	}
+	require.InDelta(t, 10, q.Offer(start, urgent("z", "w")).RetryAfter.Seconds(), 1)
+}
+
+// Guards against calls that are lost, placed twice, or placed after a refusal.
+func TestEveryCallEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{}
+		q := dispatch.New(6, f.place)
+		now, n := start, 0
+		waiting, refused := map[core.AttemptID]bool{}, 0
+		settle := func(refusals ...dispatch.Refusal[string]) {
+			for _, r := range refusals {
+				require.True(t, waiting[r.Call.ID])
+				delete(waiting, r.Call.ID)
+				refused++
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				require.Equal(t, n, len(f.placed)+len(waiting)+refused)
+				require.Equal(t, len(waiting), q.Waiting(pool))
+				require.Equal(t, len(waiting)+len(f.placed), q.InFlight())
+			},
+			"offer": func(t *rapid.T) {
+				n++
+				c := urgent(core.AttemptID(fmt.Sprint(n)), core.WorkspaceID(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "workspace")))
+				c.Class = core.Class(rapid.IntRange(0, 1).Draw(t, "class"))
+				c.Deadline = now.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "seconds")) * time.Second)
+				d := q.Offer(now, c)
+				switch d.Verdict {
+				case dispatch.Refused:
+					refused++
+				case dispatch.Waiting:
+					waiting[c.ID] = true
+				}
+				if d.Evicted != nil {
+					settle(*d.Evicted)
+				}
+			},
+			"credits": func(t *rapid.T) {
+				f.credits += rapid.IntRange(0, 3).Draw(t, "credits")
+				for _, c := range q.Credits(now, pool, f.credits) {
+					require.True(t, waiting[c.ID])
+					delete(waiting, c.ID)
+				}
+			},
+			"time": func(*rapid.T) {
+				now = now.Add(time.Second)
+				settle(q.Expire(now)...)
+			},
+		})
+	})
+}
