admit: start no call after its deadline, spend no credit on a stale one

Cause: a call whose deadline had passed was started when the window had room; the property test fails on it now. A call with the credit of an earlier incarnation was rejected, but took a credit of the present one. Change: the deadline is checked before the window, the incarnation before the credit is spent. Figures: the property test failed before the change and passes after it. Conclusion: fixed.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -53,13 +53,13 @@
 	if c.known(call.ID) {
 		return Decision{Verdict: Duplicate}
 	}
-	c.credits.spend(now, call)
 	if c.draining {
 		return c.reject(ReasonDraining, c.opts.CreditLife)
 	}
 	if call.Incarnation != 0 && call.Incarnation != c.opts.Incarnation {
 		return c.reject(ReasonStaleIncarnation, 0)
 	}
+	c.credits.spend(now, call)
 	effects := c.Expire(now)
 	d := c.place(now, call)
 	d.Effects = merge(effects, d.Effects)
@@ -68,6 +68,9 @@
 
 // place starts, queues or rejects a call.
 func (c *Controller) place(now time.Time, call Call) Decision {
+	if !call.Deadline.IsZero() && !now.Before(call.Deadline) {
+		return c.reject(ReasonDeadline, 0)
+	}
 	if c.waiting.Before(call.Class) == 0 && c.hasRoom(call.Class) {
 		c.start(now, call)
 		return Decision{Verdict: Start}
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -82,6 +82,7 @@
 	d := h.c.Offer(h.now, call)
 	switch d.Verdict {
 	case admit.Start:
+		require.True(t, call.Deadline.IsZero() || h.now.Before(call.Deadline), "started after its deadline")
 		h.start(t, call.ID)
 	case admit.Wait:
 		h.waiting[call.ID] = true
