--- a/admit/admit.go
+++ b/admit/admit.go
@@ -7,6 +7,9 @@
 	"waxwingtide.example/waxwingtide/fair"
 )
 
+// preemptBurst is how many running calls may be preempted at once.
+const preemptBurst = 2
+
 // run is a call that was handed to the upstream.
 type run struct {
 	class   core.Class
@@ -29,16 +32,19 @@
 	waiting  *fair.Pair[Call]
 	credits  credits
 	draining bool
+	// preemptions is how many running calls may be preempted now.
+	preemptions float64
 }
 
 // New returns the controller of a cold upstream.
 func New(opts Options) *Controller {
 	return &Controller{
-		opts:    opts,
-		window:  newWindow(opts),
-		running: make(map[core.AttemptID]*run),
-		waiting: fair.NewPair[Call](opts.QueueRoom),
-		credits: newCredits(),
+		opts:        opts,
+		window:      newWindow(opts),
+		preemptions: preemptBurst,
+		running:     make(map[core.AttemptID]*run),
+		waiting:     fair.NewPair[Call](opts.QueueRoom),
+		credits:     newCredits(),
 	}
 }
 
@@ -47,13 +53,13 @@
 	if c.known(call.ID) {
 		return Decision{Verdict: Duplicate}
 	}
-	c.credits.spend(now, call)
 	if c.draining {
 		return c.reject(ReasonDraining, c.opts.CreditLife)
 	}
 	if call.Incarnation != 0 && call.Incarnation != c.opts.Incarnation {
 		return c.reject(ReasonStaleIncarnation, 0)
 	}
+	c.credits.spend(now, call)
 	effects := c.Expire(now)
 	d := c.place(now, call)
 	d.Effects = merge(effects, d.Effects)
@@ -62,6 +68,9 @@
 
 // place starts, queues or rejects a call.
 func (c *Controller) place(now time.Time, call Call) Decision {
+	if !call.Deadline.IsZero() && !now.Before(call.Deadline) {
+		return c.reject(ReasonDeadline, 0)
+	}
 	if c.waiting.Before(call.Class) == 0 && c.hasRoom(call.Class) {
 		c.start(now, call)
 		return Decision{Verdict: Start}
@@ -111,6 +120,9 @@
 	if r.class == core.Deferrable {
 		c.deferred--
 	}
+	if s.Result == Good {
+		c.preemptions = min(c.preemptions+c.opts.PreemptShare, preemptBurst)
+	}
 	if r.generation == c.window.generation {
 		c.window.observe(s, now.Sub(r.started), atLimit)
 	}
@@ -248,11 +260,12 @@
 		}
 	}
 	var chosen []core.AttemptID
-	for ; need > 0; need-- {
+	for ; need > 0 && c.preemptions >= 1; need-- {
 		id, ok := c.latestDeferrable()
 		if !ok {
 			break
 		}
+		c.preemptions--
 		c.running[id].preempted = true
 		chosen = append(chosen, id)
 	}
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -3,7 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -29,14 +31,16 @@
 // harness applies random steps to a controller and keeps its own account of
 // which call runs, which waits and which was rejected.
 type harness struct {
-	c        *admit.Controller
-	opts     admit.Options
-	now      time.Time
-	next     int
-	running  map[core.AttemptID]bool
-	waiting  map[core.AttemptID]bool
-	started  map[core.AttemptID]bool
-	rejected map[core.AttemptID]bool
+	c       *admit.Controller
+	opts    admit.Options
+	now     time.Time
+	next    int
+	running map[core.AttemptID]bool
+	waiting map[core.AttemptID]bool
+	started map[core.AttemptID]bool
+	// finished counts complete answers, preempted the calls to be cancelled.
+	finished, preempted int
+	rejected            map[core.AttemptID]bool
 }
 
 func newHarness(maxWindow int) *harness {
@@ -70,6 +74,7 @@
 	}
 	for _, id := range e.Preempt {
 		require.True(t, h.running[id])
+		h.preempted++
 	}
 }
 
@@ -77,6 +82,7 @@
 	d := h.c.Offer(h.now, call)
 	switch d.Verdict {
 	case admit.Start:
+		require.True(t, call.Deadline.IsZero() || h.now.Before(call.Deadline), "started after its deadline")
 		h.start(t, call.ID)
 	case admit.Wait:
 		h.waiting[call.ID] = true
@@ -99,33 +105,23 @@
 	require.LessOrEqual(t, s.Queued, h.opts.QueueRoom)
 	require.LessOrEqual(t, s.Window, h.opts.MaxWindow)
 	require.LessOrEqual(t, s.Outstanding, s.Window+h.opts.QueueRoom)
+	require.LessOrEqual(t, float64(h.preempted), 2+h.opts.PreemptShare*float64(h.finished)+1e-9)
 	for id := range h.rejected {
 		require.False(t, h.started[id], "call both rejected and started")
 	}
 }
 
+// anyOf draws one of the calls, if there is one.
 func anyOf(t *rapid.T, set map[core.AttemptID]bool) (core.AttemptID, bool) {
-	ids := make([]core.AttemptID, 0, len(set))
-	for id := range set {
-		ids = append(ids, id)
-	}
-	if len(ids) == 0 {
+	if len(set) == 0 {
 		return "", false
 	}
-	return rapid.SampledFrom(sorted(ids)).Draw(t, "id"), true
-}
-
-func sorted(ids []core.AttemptID) []core.AttemptID {
-	for i := range ids {
-		for j := i; j > 0 && ids[j] < ids[j-1]; j-- {
-			ids[j], ids[j-1] = ids[j-1], ids[j]
-		}
-	}
-	return ids
+	return rapid.SampledFrom(slices.Sorted(maps.Keys(set))).Draw(t, "id"), true
 }
 
 // Guards against runs over the window, also right after a reset, against calls
-// that are both rejected and started, and against credits over the bound.
+// that are both rejected and started, against credits over the bound, and
+// against preemption that leaves a small window no time to finish a call.
 func TestRandomSteps(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := newHarness(rapid.IntRange(1, 12).Draw(t, "max"))
@@ -146,6 +142,9 @@
 					delete(h.running, id)
 					first := time.Duration(rapid.IntRange(1, 900).Draw(t, "first")) * time.Millisecond
 					result := admit.Result(rapid.SampledFrom([]int{0, 0, 0, 0, 1, 2}).Draw(t, "result"))
+					if result == admit.Good {
+						h.finished++
+					}
 					h.apply(t, h.c.Done(h.now, id, admit.Sample{Result: result, FirstToken: first}))
 				}
 			},
@@ -182,12 +181,20 @@
 	})
 }
 
+// reply fills the window and finishes one call.
+func (h *harness) reply(t require.TestingT, s admit.Sample) {
+	for h.offer(t, admit.Call{ID: h.id()}) == admit.Start {
+	}
+	id := slices.Min(slices.Collect(maps.Keys(h.running)))
+	delete(h.running, id)
+	h.apply(t, h.c.Done(h.now, id, s))
+}
+
 // Guards against a window that grows without load, and checks its growth and
 // its bound under load.
 func TestWindowGrowsOnlyAtItsLimit(t *testing.T) {
 	h := newHarness(4)
 	for range 20 {
-		h.now = h.now.Add(10 * time.Millisecond)
 		id := h.id()
 		h.offer(t, admit.Call{ID: id})
 		delete(h.running, id)
@@ -195,13 +202,7 @@
 	}
 	require.Equal(t, 2, h.c.State(h.now).Window, "one call at a time fills a window of 1 only")
 	for range 40 {
-		for h.offer(t, admit.Call{ID: h.id()}) == admit.Start {
-		}
-		for id := range h.running {
-			delete(h.running, id)
-			h.apply(t, h.c.Done(h.now, id, admit.Sample{}))
-			break
-		}
+		h.reply(t, admit.Sample{})
 	}
 	require.Equal(t, 4, h.c.State(h.now).Window)
 	require.False(t, h.c.State(h.now).Cold)
@@ -211,24 +212,15 @@
 // window of a warm one.
 func TestSlowRepliesResetWindow(t *testing.T) {
 	h := newHarness(8)
-	reply := func(first time.Duration) {
-		for h.offer(t, admit.Call{ID: h.id()}) == admit.Start {
-		}
-		ids := make([]core.AttemptID, 0, len(h.running))
-		for id := range h.running {
-			ids = append(ids, id)
-		}
-		id := sorted(ids)[0]
-		delete(h.running, id)
-		h.apply(t, h.c.Done(h.now, id, admit.Sample{FirstToken: first, ComputedBytes: 1000}))
-	}
+	warm := admit.Sample{FirstToken: 50 * time.Millisecond, ComputedBytes: 1000}
+	cold := admit.Sample{FirstToken: 900 * time.Millisecond, ComputedBytes: 1000}
 	for range 100 {
-		reply(50 * time.Millisecond)
+		h.reply(t, warm)
 	}
 	require.Equal(t, 8, h.c.State(h.now).Window)
-	reply(900 * time.Millisecond)
+	h.reply(t, cold)
 	require.Equal(t, 8, h.c.State(h.now).Window, "one slow reply is not enough")
-	reply(900 * time.Millisecond)
+	h.reply(t, cold)
 	require.Equal(t, 1, h.c.State(h.now).Window)
 	require.Equal(t, admit.ResetReplyTime, h.c.State(h.now).LastReset)
 }
@@ -341,3 +333,27 @@
 	require.Equal(t, 2+8-2, busy.Count)
 	require.Equal(t, busy.Count, busy.Urgent)
 }
+
+// BenchmarkAdmission measures the offer and the end of one call, with the
+// window and the queue full.
+func BenchmarkAdmission(b *testing.B) {
+	opts := admit.Defaults(64, 7)
+	opts.StartWindow = 64
+	c := admit.New(opts)
+	ids := make([]core.AttemptID, 256)
+	for i := range ids {
+		ids[i] = core.AttemptID(fmt.Sprint(i))
+	}
+	running := []core.AttemptID{}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		id := ids[i%len(ids)]
+		if c.Offer(epoch, admit.Call{ID: id, Workspace: core.WorkspaceID(ids[i%10])}).Verdict == admit.Start {
+			running = append(running, id)
+		}
+		if i >= 120 {
+			effects := c.Done(epoch, running[0], admit.Sample{})
+			running = append(running[1:], effects.Started...)
+		}
+	}
+}
