rollout: schedule, canary choice, stages and sequential tests

Cause: new versions must take over by their deadline or be withdrawn, and a bad version may get only a small share of traffic. Bundles with YAML tags are refused, because fuzzing found a nil pointer in the YAML library; a panic of the library is now an error of kind Invalid.

--- a/bundle/codec.go
+++ b/bundle/codec.go
@@ -45,9 +45,21 @@
 	if err := checkTokens(body); err != nil {
 		return nil, err
 	}
+	return decodeYAML(body)
+}
+
+func decodeYAML(body []byte) (b *Bundle, err error) {
+	defer func() {
+		// A malformed document must not end the process, even where it makes the
+		// YAML library panic.
+		if cause := recover(); cause != nil {
+			b = nil
+			err = errs.New(errs.Invalid, "write plain YAML with the fields of a bundle", "bundle cannot be read: %v", cause)
+		}
+	}()
 	decoder := yaml.NewDecoder(bytes.NewReader(body), yaml.Strict())
-	b := new(Bundle)
-	err := decoder.Decode(b)
+	b = new(Bundle)
+	err = decoder.Decode(b)
 	if errors.Is(err, io.EOF) {
 		return nil, errs.New(errs.Invalid, "write a bundle with version, models, upstreams and workspaces", "bundle is empty")
 	}
@@ -62,14 +74,15 @@
 }
 
 // checkTokens refuses what could make a small document expensive to decode:
-// aliases, which multiply content, and deeply nested brackets.
+// aliases, which multiply content, and deeply nested brackets. It also refuses
+// tags, on which the YAML library can fail with a nil pointer.
 func checkTokens(body []byte) error {
 	depth := 0
 	for _, t := range lexer.Tokenize(string(body)) {
 		switch t.Type {
-		case token.AnchorType, token.AliasType, token.MergeKeyType:
-			return errs.New(errs.Invalid, "write the value out at each place",
-				"bundle uses a YAML anchor, alias or merge key in line %d", t.Position.Line)
+		case token.AnchorType, token.AliasType, token.MergeKeyType, token.TagType:
+			return errs.New(errs.Invalid, "write the plain value out at each place",
+				"bundle uses a YAML anchor, alias, merge key or tag in line %d", t.Position.Line)
 		case token.SequenceStartType, token.MappingStartType:
 			depth++
 		case token.SequenceEndType, token.MappingEndType:
--- a/facts/view.go
+++ b/facts/view.go
@@ -59,10 +59,17 @@
 	Stage Stage
 	// Share is the share of traffic on the new version, from 0 to 1.
 	Share float64
-	// Upstreams serve the new version while the stage is loading or canary.
+	// Upstreams serve the new version while the stage is loading or canary, and
+	// while it is promoted and not complete.
 	Upstreams []core.UpstreamID
 }
 
+// Complete reports whether all traffic is on the new version. A promoted stage
+// without upstreams is complete.
+func (s ModelStage) Complete() bool {
+	return s.Stage == StagePromoted && (s.Share >= 1 || len(s.Upstreams) == 0)
+}
+
 // Head is the state that permissions change, one row of the table.
 type Head struct {
 	Epoch core.Epoch
@@ -113,10 +120,11 @@
 	if m.Rollout == nil || !v.VersionOpen(m.ID, m.Rollout.To) {
 		return m.Stable
 	}
-	switch stage.Stage {
-	case StagePromoted:
+	if stage.Complete() {
 		return m.Rollout.To
-	case StageCanary:
+	}
+	switch stage.Stage {
+	case StagePromoted, StageCanary:
 		for _, id := range stage.Upstreams {
 			if id == u.ID {
 				return m.Rollout.To
--- /dev/null
+++ b/rollout/stage.go
@@ -0,0 +1,288 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"waxwingtide.example/waxwingtide/bundle"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/facts"
+)
+
+// Phase is how far a rollout has come, as shown to operators.
+type Phase string
+
+// Phases. A rollout is promoted while batches of upstreams take over, and done
+// when all traffic is on the new version. It is judged in all of them.
+const (
+	PhaseNone      Phase = "none"
+	PhasePending   Phase = "pending"
+	PhaseLoading   Phase = "loading"
+	PhaseCanary    Phase = "canary"
+	PhasePromoted  Phase = "promoted"
+	PhaseDone      Phase = "done"
+	PhaseWithdrawn Phase = "withdrawn"
+)
+
+// PhaseOf returns the phase of a model's rollout in the view.
+func PhaseOf(v *facts.View, m *bundle.Model) Phase {
+	if m.Rollout == nil {
+		return PhaseNone
+	}
+	if !v.VersionOpen(m.ID, m.Rollout.To) {
+		return PhaseWithdrawn
+	}
+	return phaseOfStage(v.Head.Rollouts[m.ID])
+}
+
+func phaseOfStage(s facts.ModelStage) Phase {
+	switch s.Stage {
+	case facts.StageLoading:
+		return PhaseLoading
+	case facts.StageCanary:
+		return PhaseCanary
+	case facts.StagePromoted:
+		if s.Complete() {
+			return PhaseDone
+		}
+		return PhasePromoted
+	default:
+		return PhasePending
+	}
+}
+
+// Observation is what the driver of a rollout knows at one moment.
+type Observation struct {
+	Now   time.Time
+	Model *bundle.Model
+	Stage facts.ModelStage
+	// Since is when the driver first saw the stage with these upstreams.
+	Since     time.Time
+	Withdrawn bool
+	Engines   []Engine
+	// Busy is the mean number of concurrent runs of the model.
+	Busy float64
+	// Samples is the number of finished calls on the new version.
+	Samples uint64
+	// Finding is set when a judge found the version bad.
+	Finding *Finding
+}
+
+// Decision is what the driver has to do next. The zero Decision is to wait.
+type Decision struct {
+	// Load lists the engines that are to be ordered to load the new version.
+	Load []core.UpstreamID
+	// Next is the stage to permit, or nil.
+	Next *facts.ModelStage
+	// Withdraw says to raise a restriction on the new version.
+	Withdraw bool
+	Reason   string
+}
+
+// Decide returns the next step of a rollout.
+func Decide(o Observation, t Timing) Decision {
+	if o.Model.Rollout == nil {
+		return Decision{}
+	}
+	if o.Withdrawn {
+		return reset(o)
+	}
+	if o.Finding != nil {
+		return withdraw("%s", o.Finding)
+	}
+	phase := phaseOfStage(o.Stage)
+	if phase != PhaseDone && !o.Now.Before(o.Model.Rollout.Deadline) {
+		return withdraw("deadline %s passed in phase %s", o.Model.Rollout.Deadline.Format(time.RFC3339), phase)
+	}
+	plan := Schedule(o.Model, o.Engines, t)
+	switch phase {
+	case PhasePending:
+		return start(o)
+	case PhaseLoading:
+		return duringLoading(o, t, plan)
+	case PhaseCanary:
+		return duringCanary(o, t, plan)
+	case PhasePromoted:
+		return duringRamp(o, t, plan)
+	default:
+		return Decision{Load: nextLoads(o.Engines, nil, t)}
+	}
+}
+
+func withdraw(reason string, args ...any) Decision {
+	return Decision{Withdraw: true, Reason: fmt.Sprintf(reason, args...)}
+}
+
+// reset clears the stage of a withdrawn version, so that a later bundle starts
+// its rollout from the beginning.
+func reset(o Observation) Decision {
+	if o.Stage.Stage == facts.StageNone {
+		return Decision{}
+	}
+	return Decision{Next: &facts.ModelStage{}, Reason: "version is withdrawn"}
+}
+
+func start(o Observation) Decision {
+	canary := chooseFor(o)
+	if len(canary.Upstreams) == 0 {
+		return Decision{Reason: "waiting for two open engines"}
+	}
+	next := facts.ModelStage{Stage: facts.StageLoading, Upstreams: canary.Upstreams}
+	return Decision{Next: &next, Reason: "weights start to load"}
+}
+
+func chooseFor(o Observation) Canary {
+	r := o.Model.Rollout
+	return ChooseCanary(o.Engines, r.CanaryUpstreams, r.CanaryShare, o.Busy)
+}
+
+func duringLoading(o Observation, t Timing, plan Plan) Decision {
+	if !allOpen(o.Engines, o.Stage.Upstreams) {
+		return start(o)
+	}
+	if !allLoaded(o.Engines, o.Stage.Upstreams) {
+		if o.Now.After(plan.CanaryBy) {
+			return withdraw("canary upstreams did not load the weights by %s", plan.CanaryBy.Format(time.RFC3339))
+		}
+		return Decision{Load: nextLoads(o.Engines, o.Stage.Upstreams, t)}
+	}
+	next := facts.ModelStage{Stage: facts.StageCanary, Share: canaryShare(o), Upstreams: o.Stage.Upstreams}
+	return Decision{Next: &next, Reason: "canary upstreams have loaded the weights"}
+}
+
+// canaryShare is the share that fills the canary upstreams, at most the
+// bundle's canary share.
+func canaryShare(o Observation) float64 {
+	limit := o.Model.Rollout.CanaryShare
+	if o.Busy <= 0 {
+		return limit
+	}
+	window := 0
+	for _, e := range o.Engines {
+		if slices.Contains(o.Stage.Upstreams, e.ID) {
+			window += e.Window
+		}
+	}
+	return min(limit, float64(window)/o.Busy)
+}
+
+func duringCanary(o Observation, t Timing, plan Plan) Decision {
+	loads := nextLoads(o.Engines, nil, t)
+	judged := o.Now.Sub(o.Since) >= t.Judging && o.Samples >= t.MinSamples
+	loaded := allLoaded(o.Engines, openIDs(o.Engines))
+	if judged && loaded {
+		next := rampStage(o, t)
+		return Decision{Next: &next, Reason: fmt.Sprintf("no fault in %d samples", o.Samples)}
+	}
+	if o.Now.Before(plan.PromoteBy) {
+		return Decision{Load: loads}
+	}
+	// At the latest time fewer samples suffice, because judging goes on while the
+	// batches take over. The driver may also be new and have watched for less
+	// than the judging time.
+	if o.Samples >= t.LeastSamples && loaded {
+		next := rampStage(o, t)
+		return Decision{Next: &next, Reason: fmt.Sprintf("no fault in %d samples by the latest promotion time", o.Samples)}
+	}
+	if !loaded {
+		return withdraw("engines did not load the weights by %s", plan.PromoteBy.Format(time.RFC3339))
+	}
+	return withdraw("%d samples by %s are too few to judge the version, %d are needed",
+		o.Samples, plan.PromoteBy.Format(time.RFC3339), t.LeastSamples)
+}
+
+func duringRamp(o Observation, t Timing, plan Plan) Decision {
+	due := o.Now.Sub(o.Since) >= t.RampStep || !o.Now.Before(plan.DoneBy)
+	if !due {
+		return Decision{Load: nextLoads(o.Engines, nil, t)}
+	}
+	next := rampStage(o, t)
+	if !o.Now.Before(plan.DoneBy) {
+		next = completeStage()
+	}
+	return Decision{Load: nextLoads(o.Engines, nil, t), Next: &next, Reason: "next batch of upstreams takes over"}
+}
+
+func completeStage() facts.ModelStage {
+	return facts.ModelStage{Stage: facts.StagePromoted, Share: 1}
+}
+
+// rampStage adds the next batch of loaded engines to those on the new version.
+// Batches keep most of the capacity warm while new upstreams ramp up.
+func rampStage(o Observation, t Timing) facts.ModelStage {
+	batch := (len(o.Engines) + t.RampSteps - 1) / t.RampSteps
+	next := facts.ModelStage{Stage: facts.StagePromoted, Upstreams: slices.Clone(o.Stage.Upstreams)}
+	var window, total int
+	for _, e := range o.Engines {
+		total += e.Window
+		on := slices.Contains(next.Upstreams, e.ID)
+		if !on && e.Loaded && batch > 0 {
+			next.Upstreams = append(next.Upstreams, e.ID)
+			batch--
+			on = true
+		}
+		if on {
+			window += e.Window
+		}
+	}
+	if containsAll(next.Upstreams, openIDs(o.Engines)) {
+		return completeStage()
+	}
+	next.Share = float64(window) / float64(total)
+	return next
+}
+
+// nextLoads returns the engines to order next, so that no more than
+// LoadsAtOnce load at the same time. A nil only means all engines.
+func nextLoads(engines []Engine, only []core.UpstreamID, t Timing) []core.UpstreamID {
+	room := t.LoadsAtOnce
+	for _, e := range engines {
+		if e.Loading {
+			room--
+		}
+	}
+	var out []core.UpstreamID
+	for _, e := range engines {
+		if len(out) >= room {
+			break
+		}
+		wanted := only == nil || slices.Contains(only, e.ID)
+		if wanted && e.Open && !e.Loaded && !e.Loading {
+			out = append(out, e.ID)
+		}
+	}
+	return out
+}
+
+func openIDs(engines []Engine) []core.UpstreamID {
+	var out []core.UpstreamID
+	for _, e := range engines {
+		if e.Open {
+			out = append(out, e.ID)
+		}
+	}
+	return out
+}
+
+func allOpen(engines []Engine, ids []core.UpstreamID) bool {
+	return containsAll(openIDs(engines), ids)
+}
+
+func allLoaded(engines []Engine, ids []core.UpstreamID) bool {
+	for _, e := range engines {
+		if slices.Contains(ids, e.ID) && !e.Loaded {
+			return false
+		}
+	}
+	return true
+}
+
+func containsAll(have, want []core.UpstreamID) bool {
+	for _, id := range want {
+		if !slices.Contains(have, id) {
+			return false
+		}
+	}
+	return true
+}
