--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -168,6 +168,10 @@
 }
 
 func duringCanary(o Observation, t Timing, plan Plan) Decision {
+	if !anyOpen(o.Engines, o.Stage.Upstreams) {
+		// Without an open canary upstream no samples would come in.
+		return start(o)
+	}
 	loads := nextLoads(o.Engines, nil, t)
 	judged := o.Now.Sub(o.Since) >= t.Judging && o.Samples >= t.MinSamples
 	loaded := allLoaded(o.Engines, openIDs(o.Engines))
@@ -269,6 +273,10 @@
 	return containsAll(openIDs(engines), ids)
 }
 
+func anyOpen(engines []Engine, ids []core.UpstreamID) bool {
+	return slices.ContainsFunc(openIDs(engines), func(id core.UpstreamID) bool { return slices.Contains(ids, id) })
+}
+
 func allLoaded(engines []Engine, ids []core.UpstreamID) bool {
 	for _, e := range engines {
 		if slices.Contains(ids, e.ID) && !e.Loaded {
--- a/rollout/stage_test.go
+++ b/rollout/stage_test.go
@@ -221,6 +221,20 @@
 	require.Equal(t, PhaseDone, d.phases[len(d.phases)-1])
 }
 
+// Guards against a canary stage without traffic after its upstreams have left.
+func TestDrainDuringCanaryChoosesAgain(t *testing.T) {
+	d := newDrive(t, 60*time.Second)
+	for len(d.phases) < 2 {
+		d.step()
+	}
+	for i := range d.o.Engines {
+		id := d.o.Engines[i].ID
+		d.o.Engines[i].Open = id != d.o.Stage.Upstreams[0] && id != d.o.Stage.Upstreams[len(d.o.Stage.Upstreams)-1]
+	}
+	d.run(50 * time.Second)
+	require.Equal(t, []Phase{PhaseLoading, PhaseCanary, PhaseLoading, PhaseCanary, PhasePromoted, PhaseDone}, d.phases)
+}
+
 // Guards against a partly promoted version that serves on every engine, and
 // against a withdrawn one that still serves.
 func TestPhaseAndVersionInView(t *testing.T) {
