--- a/admin/notices.go
+++ b/admin/notices.go
@@ -163,6 +163,8 @@
 	result := resultPosted
 	if err != nil {
 		result = resultGivenUp
+	} else {
+		n.o.Log.WithFields(logrus.Fields{"event": "notice_posted", "id": notice.ID, "type": notice.Type}).Info("notice posted")
 	}
 	n.finish(ctx, row, result)
 	return err
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -79,9 +79,16 @@
 		errors   float64
 		promoted bool
 	}{
-		"same version":           {errors: 0.005},
-		"many errors on both":    {errors: 0.3},
-		"accepted slowness":      {errors: 0.005, f: func(_ int, _ *rand.Rand, s *Sample) { s.Latency = s.Latency * 6 / 5 }},
+		"same version":        {errors: 0.005},
+		"many errors on both": {errors: 0.3},
+		"accepted slowness":   {errors: 0.005, f: func(_ int, _ *rand.Rand, s *Sample) { s.Latency = s.Latency * 6 / 5 }},
+		"slowness at the limit": {errors: 0.005, f: func(_ int, _ *rand.Rand, s *Sample) {
+			s.Latency = s.Latency*3/2 + 10*time.Millisecond
+		}},
+		"errors at the limit": {errors: 0.2, f: func(_ int, rng *rand.Rand, s *Sample) {
+			// Odds of 5/16 are 1.25 times the old version's 1/4.
+			s.Failed = rng.Float64() < 5.0/21
+		}},
 		"after promotion":        {errors: 0.005, promoted: true},
 		"errors after promotion": {errors: 0.1, promoted: true},
 	}
