admin: end watch streams with the duty, limit slow bodies

Cause: a graceful shutdown waits for open connections, so a watcher would hold it up; a slow body was bound by the context only after it had been read; empty lists were shown as null. Change: the Events duty closes every stream when it ends and the client connects elsewhere; each request has a read deadline; 401 names the scheme; empty lists are [] in JSON. Conclusion: a planned stop does not wait for watchers.

--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -287,6 +287,19 @@
 	}
 }
 
+// Guards against a graceful shutdown that waits for watchers.
+func TestWatchEndsWithTheDuty(t *testing.T) {
+	f := newFixture(t, nil)
+	f.signOff(t, document("1", "v1", "v2"))
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _ = f.server.Events(ctx) }()
+	err := f.client(admin.RoleViewer).Watch(t.Context(), func(admin.Event) error {
+		cancel()
+		return nil
+	})
+	require.True(t, errs.Is(err, errs.Unavailable), "%v", err)
+}
+
 // Guards against watchers that miss restrictions or changes of the head.
 func TestWatch(t *testing.T) {
 	f := newFixture(t, nil)
--- a/admin/bundles.go
+++ b/admin/bundles.go
@@ -251,6 +251,14 @@
 	return ok(page), err
 }
 
+// orEmpty makes JSON show an empty list instead of null.
+func orEmpty[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
+
 // Sizes of an audit page in entries.
 const (
 	defaultAuditPage = 100
@@ -268,5 +276,5 @@
 		limit = n
 	}
 	entries, next, err := s.control.Audit(ctx, query.Get("after"), limit)
-	return AuditPage{Entries: entries, Next: next}, err
+	return AuditPage{Entries: orEmpty(entries), Next: next}, err
 }
--- a/admin/events.go
+++ b/admin/events.go
@@ -47,6 +47,7 @@
 	ticker := time.NewTicker(eventInterval)
 	defer ticker.Stop()
 	state := newFollower(s.timing)
+	defer s.endWatches(state)
 	for {
 		select {
 		case <-ctx.Done():
@@ -59,6 +60,22 @@
 	}
 }
 
+// endWatches ends every stream, so that a graceful shutdown does not wait for
+// watchers. Their clients connect to another process.
+func (s *Server) endWatches(f *follower) {
+	s.watchers.Close()
+	for {
+		w, ok := s.watchers.TryReceive()
+		if !ok {
+			break
+		}
+		w.events.Close()
+	}
+	for _, w := range f.watchers {
+		w.events.Close()
+	}
+}
+
 // follower is the state of the Events duty.
 type follower struct {
 	timing   rollout.Timing
@@ -195,7 +212,7 @@
 	}
 	joining := &watcher{events: ring.New[Event](watcherEvents), gone: r.Context().Done()}
 	if !s.watchers.Offer(joining) {
-		s.fail(w, r, errs.New(errs.Exhausted, "retry later or watch another process", "too many watchers at this process"))
+		s.fail(w, r, errs.New(errs.Exhausted, "retry later or watch another process", "this process takes no further watchers"))
 		return
 	}
 	s.count(r.Context(), "GET "+watchPath, http.StatusOK)
--- a/admin/server.go
+++ b/admin/server.go
@@ -179,6 +179,8 @@
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 		defer cancel()
+		// Not every writer has a deadline; a test recorder has none.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(requestTimeout))
 		r.Body = http.MaxBytesReader(w, r.Body, rt.maxBody)
 		result, err := rt.handle(ctx, call{r: r, params: params, who: who})
 		if err != nil {
@@ -232,6 +234,9 @@
 		detail.Epoch = conflict.current
 		w.Header().Set("ETag", etag(conflict.current))
 	}
+	if status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", "1")
 	}
--- a/admin/status.go
+++ b/admin/status.go
@@ -12,7 +12,7 @@
 func (s *Server) status(_ context.Context, _ call) (answer, error) {
 	v := s.control.View()
 	out := Status{
-		Epoch: epochOf(v), Members: s.control.Members(), Loads: s.control.Loads(),
+		Epoch: epochOf(v), Members: orEmpty(s.control.Members()), Loads: orEmpty(s.control.Loads()),
 		Domains: []DomainStatus{}, Restrictions: []RestrictionStatus{}, Rollouts: []RolloutStatus{},
 	}
 	if v.Ready() {
--- a/bundle/diff.go
+++ b/bundle/diff.go
@@ -48,7 +48,7 @@
 	if to == nil {
 		to = new(Bundle)
 	}
-	d := new(differ)
+	d := &differ{changes: []Change{}}
 	d.structs("", reflect.ValueOf(*from), reflect.ValueOf(*to))
 	return d.changes
 }
