Keep facts that cannot be read apart from the health of a peer

Cause: on review, a bundle that one process cannot parse made its exchanges fail, so it would have suspected its peers; and a permission that took effect was reported as failed when it could not be adopted at once. Change: refused facts are logged and the exchange succeeds; Permit returns the head once it is in the table and logs a failed adoption. Restrict always sets the origin, because the origin is what writes it to the table. Conclusion: version skew of the bundle format costs one process, not its view of the members.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"waxwingtide.example/waxwingtide/bundle"
 	"waxwingtide.example/waxwingtide/control"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
@@ -170,6 +171,31 @@
 	})
 }
 
+// Guards against a process that takes its peers for failed because it cannot
+// read the bundle that they send.
+func TestUnreadableBundleIsNotAFailureOfPeers(t *testing.T) {
+	strict := func(o *control.Options) {
+		if parse := o.ParseBundle; o.Node == "n0002" {
+			o.ParseBundle = func(body []byte) (*bundle.Index, error) {
+				if strings.Contains(string(body), "later") {
+					return nil, errs.New(errs.Invalid, "update the program", "unknown field")
+				}
+				return parse(body)
+			}
+		}
+	}
+	inCluster(t, 3, strict, func(t *testing.T, c *cluster) {
+		c.begin()
+		_, err := c.nodes[0].signOff(t.Context(), "later")
+		require.NoError(t, err)
+		time.Sleep(time.Minute)
+		require.Equal(t, core.Epoch(1), c.nodes[2].control.Epoch())
+		for _, m := range c.nodes[2].control.Members().All {
+			require.Equal(t, membership.Live, m.State)
+		}
+	})
+}
+
 // Guards against a permission that takes effect twice or is reported wrongly
 // when the table's answer is lost.
 func TestLostTableAnswers(t *testing.T) {
--- a/control/facts.go
+++ b/control/facts.go
@@ -74,7 +74,7 @@
 
 // Restrict puts a restriction in force in this process at once, without the
 // table. It spreads from here to all processes and is written to the table when
-// that is available. The stamp, and an unset origin and time, are filled in. A
+// that is available. The stamp, the origin and an unset time are filled in. A
 // permission that this process had not heard of may lift the restriction; raise
 // it again if its cause still exists. Errors: Invalid for a bad subject,
 // Unavailable when the process ends first.
@@ -82,9 +82,7 @@
 	if r.Subject.Name == "" || r.Subject.Kind < facts.SubjectDomain || r.Subject.Kind > facts.SubjectVersion {
 		return errs.New(errs.Invalid, "name a failure domain, an upstream or a version", "restriction has no valid subject")
 	}
-	if r.Origin == "" {
-		r.Origin = c.opts.Node
-	}
+	r.Origin = c.opts.Node // the origin writes it to the table
 	if r.RaisedMS == 0 {
 		r.RaisedMS = time.Now().UnixMilli()
 	}
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"storj.io/drpc"
 
 	"waxwingtide.example/waxwingtide/core"
@@ -262,9 +263,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := c.takeIn(ctx, delta); err != nil {
-		return nil, err
-	}
+	c.takeIn(ctx, delta)
 	if delta.GetWants() {
 		reply := c.deltaMessage(c.snapshot.Load().Delta(theirDigest(delta)))
 		if _, err := client.Deliver(ctx, reply); err != nil {
@@ -274,14 +273,18 @@
 	return delta.GetSender(), nil
 }
 
-// takeIn merges the facts of a message.
-func (c *Control) takeIn(ctx context.Context, delta *wire.Delta) error {
+// takeIn merges the facts of a message. Facts that cannot be read, for example
+// a bundle for a later version of this program, say nothing about whether the
+// peer is alive, so they do not fail the exchange.
+func (c *Control) takeIn(ctx context.Context, delta *wire.Delta) {
 	if !carriesFacts(delta) {
-		return nil
+		return
 	}
 	u, err := c.updateFrom(delta)
+	if err == nil {
+		err = c.merge(ctx, update{facts: u})
+	}
 	if err != nil {
-		return err
+		c.log.WithFields(logrus.Fields{"event": "facts_refused", "peer": delta.GetSender().GetNode()}).WithError(err).Error("facts from a peer cannot be used")
 	}
-	return c.merge(ctx, update{facts: u})
 }
--- a/control/peer.go
+++ b/control/peer.go
@@ -37,8 +37,6 @@
 
 // Deliver merges facts that Exchange asked for.
 func (s peerServer) Deliver(ctx context.Context, in *wire.Delta) (*wire.Delta, error) {
-	if err := s.c.takeIn(ctx, in); err != nil {
-		return nil, err
-	}
+	s.c.takeIn(ctx, in)
 	return &wire.Delta{Sender: s.c.sender()}, nil
 }
--- a/control/permit.go
+++ b/control/permit.go
@@ -43,7 +43,7 @@
 // for the operation id and an audit row. The change function gets a copy of the
 // head that already has the following epoch, so that it may call Clear. Permit
 // with the id of an operation that took effect changes nothing and returns the
-// head. On success the head is in force in this process.
+// head of the table.
 //
 // Errors: Conflict when another change came first, with the current epoch in
 // the message; Unavailable when nothing took effect; Unknown when the answer was
@@ -60,7 +60,7 @@
 	if err != nil {
 		return facts.Head{}, err
 	}
-	next, err := c.nextHead(ctx, row, change)
+	next, bundle, err := c.nextHead(ctx, row, change)
 	if err != nil {
 		return facts.Head{}, err
 	}
@@ -74,28 +74,37 @@
 		return c.afterFailure(ctx, operationID, err)
 	}
 	c.log.WithFields(logrus.Fields{"event": "permission", "epoch": next.Epoch, "actor": audit.Actor, "action": audit.Action, "operation": operationID}).Info("permission given")
-	return next, c.adopt(ctx, next)
+	if err := c.merge(ctx, update{facts: facts.Update{Head: &next, Bundle: bundle}}); err != nil {
+		c.notAdopted(next.Epoch, err)
+	}
+	return next, nil
 }
 
-// nextHead applies the change and fills in what does not depend on it.
-func (c *Control) nextHead(ctx context.Context, row platform.Row, change func(facts.Head) (facts.Head, error)) (facts.Head, error) {
+// notAdopted logs that a permission in the table is not yet in force here. It
+// arrives with the next exchange or reading of the table.
+func (c *Control) notAdopted(epoch core.Epoch, err error) {
+	c.NoteEpoch(epoch)
+	c.log.WithFields(logrus.Fields{"event": "permission_not_adopted", "epoch": epoch}).WithError(err).Warn("permission is not yet in force here")
+}
+
+// nextHead applies the change, fills in what does not depend on it and returns
+// the head with its bundle.
+func (c *Control) nextHead(ctx context.Context, row platform.Row, change func(facts.Head) (facts.Head, error)) (facts.Head, *facts.Bundle, error) {
 	old, err := decodeHead(row)
 	if err != nil {
-		return facts.Head{}, err
+		return facts.Head{}, nil, err
 	}
 	next, err := change(old.Next())
 	if err != nil {
-		return facts.Head{}, err
+		return facts.Head{}, nil, err
 	}
 	next.Epoch = old.Epoch + 1
 	if next.BundleDigest != old.BundleDigest {
 		next.BundleEpoch = next.Epoch
 	}
 	// A head that names a missing or invalid bundle could never be in force.
-	if _, err := c.bundleFor(ctx, next.BundleDigest); err != nil {
-		return facts.Head{}, err
-	}
-	return next, nil
+	bundle, err := c.bundleFor(ctx, next.BundleDigest)
+	return next, bundle, err
 }
 
 func permitWrites(next *facts.Head, version uint64, operationID string, audit AuditEntry) ([]platform.Write, error) {
@@ -137,7 +146,10 @@
 	if err != nil {
 		return facts.Head{}, err
 	}
-	return h, c.adopt(ctx, h)
+	if err := c.adopt(ctx, h); err != nil {
+		c.notAdopted(h.Epoch, err)
+	}
+	return h, nil
 }
 
 // afterFailure reads the operation id back after a failed transaction.
