Remove lifted restrictions from the table with the permission that lifts them

Cause: on review, a lifted restriction stayed in the table's row until the next restriction was written. Change: a permission that clears a subject rewrites the restrictions row in its transaction. Options without the process's own failure domain are refused, because the readiness rule would then skip it. Conclusion: what is lifted stays lifted.

--- a/control/audit.go
+++ b/control/audit.go
@@ -136,7 +136,8 @@
 
 // commit writes the merged row and returns what it holds.
 func (a *auditDuty) commit(ctx context.Context, version uint64, held, fresh []facts.Restriction) ([]facts.Restriction, error) {
-	merged := a.mergeRow(held, fresh)
+	snapshot := a.c.snapshot.Load()
+	merged := mergeRow(&snapshot.View.Head, snapshot.Bundle, append(held, fresh...))
 	value, err := encodeRestrictions(merged)
 	if err != nil {
 		return nil, err
@@ -155,12 +156,10 @@
 	return merged, a.c.table.Transact(ctx, a.c.transactionID("restrict"), writes)
 }
 
-// mergeRow merges restrictions by the rules of facts and drops lifted ones.
-func (a *auditDuty) mergeRow(held, fresh []facts.Restriction) []facts.Restriction {
-	snapshot := a.c.snapshot.Load()
+// mergeRow merges restrictions by the rules of facts and drops those that a
+// head has lifted.
+func mergeRow(head *facts.Head, bundle *facts.Bundle, list []facts.Restriction) []facts.Restriction {
 	store := facts.NewStore()
-	store.Merge(facts.Update{Head: &snapshot.View.Head, Bundle: snapshot.Bundle})
-	store.Merge(facts.Update{Restrictions: held})
-	store.Merge(facts.Update{Restrictions: fresh})
+	store.Merge(facts.Update{Head: head, Bundle: bundle, Restrictions: list})
 	return store.Snapshot().Delta(facts.Digest{}).Restrictions
 }
--- a/control/control.go
+++ b/control/control.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -152,6 +153,8 @@
 	switch {
 	case o.Node == "" || o.Address == "" || o.FailureDomain == "":
 		missing = "node, address or failure domain"
+	case !slices.Contains(o.FailureDomains, o.FailureDomain):
+		missing = "its own failure domain in the list of failure domains"
 	case o.Incarnation == 0:
 		missing = "incarnation"
 	case o.Table == nil || o.Objects == nil || o.Lister == nil:
--- a/control/permit.go
+++ b/control/permit.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -69,6 +71,11 @@
 	if err != nil {
 		return facts.Head{}, err
 	}
+	lifted, err := c.liftedWrites(ctx, &next, bundle)
+	if err != nil {
+		return facts.Head{}, err
+	}
+	writes = append(writes, lifted...)
 	err = c.table.Transact(ctx, c.transactionID("permit/"+operationID), writes)
 	if err != nil {
 		return c.afterFailure(ctx, operationID, err)
@@ -127,6 +134,28 @@
 	}, nil
 }
 
+// liftedWrites removes the restrictions that a head lifts from their row. They
+// must not outlive the head's memory of the return.
+func (c *Control) liftedWrites(ctx context.Context, next *facts.Head, bundle *facts.Bundle) ([]platform.Write, error) {
+	if !slices.Contains(slices.Collect(maps.Values(next.Cleared)), next.Epoch) {
+		return nil, nil
+	}
+	row, err := c.table.Get(ctx, restrictionsKey)
+	if err != nil {
+		return nil, err
+	}
+	held, err := decodeRestrictions(row)
+	if err != nil {
+		return nil, err
+	}
+	kept := mergeRow(next, bundle, held)
+	if len(kept) == len(held) {
+		return nil, nil
+	}
+	value, err := encodeRestrictions(kept)
+	return []platform.Write{{Key: restrictionsKey, IfVersion: row.Version, Value: value}}, err
+}
+
 // permitted reports whether the operation took effect.
 func (c *Control) permitted(ctx context.Context, operationID string) (bool, error) {
 	row, err := c.table.Get(ctx, permitKey(operationID))
