--- a/control/audit.go
+++ b/control/audit.go
@@ -36,7 +36,7 @@
 
 func (c *Control) runAudit(ctx context.Context) error {
 	a := &auditDuty{c: c, rng: c.rng(auditStream), dueAt: make(map[facts.Subject]time.Time)}
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(minWait)
 	defer timer.Stop()
 	for {
 		select {
@@ -49,7 +49,7 @@
 			}
 		case <-timer.C:
 		}
-		timer.Reset(a.turn(ctx, time.Now()))
+		timer.Reset(max(a.turn(ctx, time.Now()), minWait))
 	}
 }
 
--- a/control/fakes_test.go
+++ b/control/fakes_test.go
@@ -68,9 +68,11 @@
 	p.mu.Lock()
 	slow := p.slow
 	p.mu.Unlock()
-	select {
-	case <-time.After(slow):
-	case <-ctx.Done():
+	if slow > 0 { // a timer that is due at once crashes the runtime under the race detector
+		select {
+		case <-time.After(slow):
+		case <-ctx.Done():
+		}
 	}
 	if ctx.Err() != nil {
 		return errs.Wrap(ctx.Err(), errs.Unavailable, "retry", "fake is slow")
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -57,7 +57,7 @@
 		state:     gossip.New(c.opts.Gossip, c.opts.Node, c.rng(gossipStream), time.Now()),
 		readiness: gossip.NewReadiness(c.opts.FailureDomain, c.opts.FailureDomains),
 	}
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(minWait)
 	defer timer.Stop()
 	for {
 		select {
@@ -69,7 +69,7 @@
 		case <-c.heard.Ready():
 		case <-c.exchanges.Ready():
 		}
-		timer.Reset(time.Until(g.turn(time.Now())))
+		timer.Reset(max(time.Until(g.turn(time.Now())), minWait))
 	}
 }
 
