Add the agent's cache and transfer duties

Cause: contexts that return after long gaps are evicted from the engine and were recomputed each time. Change: package transfer. Prepare imports a kept prefix before a run when the measured link rate beats the measured prefill rate, and ends fetching when recomputation would have been done. Finished makes the prompt, and the start it shares with earlier prompts, a candidate for export at background priority. Flush exports everything again before a planned leave. kvcache.Budget returns to its assumed rate 10 s after the last measurement, so that a link that was slow is tried again; kvcache.Retention counts shared blocks, so that a dropped prefix keeps the pieces of others. Conclusion: every fault of a store costs recomputation only.

--- a/kvcache/kvcache_test.go
+++ b/kvcache/kvcache_test.go
@@ -197,6 +197,13 @@
 	require.Equal(t, []core.BlockKey{key(2), key(4), key(1), key(3)}, order)
 	pins := kvcache.Pins{}
 	pins.Pin(key(3))
+	kept := fill(4)
+	kept.Add(kvcache.Candidate{Keys: keyRange(0, 2), SavedBytes: 1 << 20, MovedBytes: 1}, now, pins)
+	require.Equal(t, 4, kept.Len())
+	require.False(t, kept.Remove(key(9)))
+	dropped := kvcache.Candidate{Keys: keyRange(0, 3)}
+	require.True(t, kept.Remove(key(1)))
+	require.Equal(t, keyRange(0, 2), kept.Unused(dropped), "block 2 belongs to another prefix")
 	dropped, ok := fill(4).DropLowest(now, pins)
 	require.True(t, ok)
 	require.Equal(t, key(1), dropped.Last())
@@ -255,8 +262,12 @@
 	require.InDelta(t, 100, b.Rate(), 1)
 	require.Zero(t, b.Free(now))
 	require.InDelta(t, 100, b.Free(now.Add(time.Minute)), 1)
-	b.Failed(0, time.Second)
+	b.Failed(now, 0, time.Second)
 	require.Less(t, b.Rate(), 75.0)
+	b.Refresh(now.Add(time.Second))
+	require.Less(t, b.Rate(), 75.0)
+	b.Refresh(now.Add(time.Minute))
+	require.InDelta(t, 1000, b.Rate(), 1, "a slow link is tried again")
 }
 
 // Guards against a lost store that moves prompts of the other stores.
--- a/kvcache/link.go
+++ b/kvcache/link.go
@@ -20,13 +20,21 @@
 	importMargin = 0.8
 	// useWindow is the period over which the use of a link is averaged.
 	useWindow = 2 * time.Second
+	// minSample is the shortest transfer that may lower the measured rate.
+	// Shorter ones mostly measure the round trip.
+	minSample = 20 * time.Millisecond
+	// rateLifetime is how long a measured rate holds without a new transfer. A
+	// link that was slow for a time is then tried again.
+	rateLifetime = 10 * time.Second
 )
 
 // Budget shares one link between urgent transfers, which go first, and
 // background transfers, which use at most a share of the measured rate.
 type Budget struct {
-	rate   float64
-	urgent int
+	initial    float64
+	rate       float64
+	measuredAt time.Time
+	urgent     int
 	// queued is the number of urgent bytes not yet moved.
 	queued int
 	// nextBackground is when the share allows the next background transfer.
@@ -37,7 +45,17 @@
 
 // NewBudget returns a budget that assumes a rate in bytes a second until one
 // has been measured.
-func NewBudget(rate float64) *Budget { return &Budget{rate: max(rate, 1)} }
+func NewBudget(rate float64) *Budget {
+	rate = max(rate, 1)
+	return &Budget{initial: rate, rate: rate}
+}
+
+// Refresh returns to the assumed rate when the measured one is too old.
+func (b *Budget) Refresh(now time.Time) {
+	if now.Sub(b.measuredAt) > rateLifetime {
+		b.rate = max(b.rate, b.initial)
+	}
+}
 
 // Rate returns the measured rate in bytes a second.
 func (b *Budget) Rate() float64 { return b.rate }
@@ -50,13 +68,19 @@
 	if elapsed <= 0 || bytes <= 0 {
 		return
 	}
-	b.rate = max(1, (1-rateWeight)*b.rate+rateWeight*float64(bytes)/elapsed.Seconds())
+	sample := float64(bytes) / elapsed.Seconds()
+	if sample < b.rate && elapsed < minSample {
+		return
+	}
+	b.measuredAt = now
+	b.rate = max(1, (1-rateWeight)*b.rate+rateWeight*sample)
 }
 
 // Failed records that a transfer has moved no more than the given bytes in the
 // time, so that a stalled link does not keep its old rate.
-func (b *Budget) Failed(bytes int, elapsed time.Duration) {
+func (b *Budget) Failed(now time.Time, bytes int, elapsed time.Duration) {
 	if elapsed > 0 {
+		b.measuredAt = now
 		b.rate = max(1, min(b.rate, (1-rateWeight)*b.rate+rateWeight*float64(bytes)/elapsed.Seconds()))
 	}
 }
--- a/kvcache/retention.go
+++ b/kvcache/retention.go
@@ -1,6 +1,8 @@
 package kvcache
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -93,11 +95,16 @@
 	limit   int
 	history *History
 	entries map[core.BlockKey]Candidate
+	// users counts the prefixes that contain each block.
+	users map[core.BlockKey]int
 }
 
 // NewRetention returns an empty set of at most limit prefixes.
 func NewRetention(limit int, history *History) *Retention {
-	return &Retention{limit: max(limit, 1), history: history, entries: make(map[core.BlockKey]Candidate)}
+	return &Retention{
+		limit: max(limit, 1), history: history,
+		entries: make(map[core.BlockKey]Candidate), users: make(map[core.BlockKey]int),
+	}
 }
 
 // Len returns the number of prefixes.
@@ -112,7 +119,11 @@
 // Add adds a prefix. It returns the prefix that has to go, which may be the
 // added one, and whether there is one.
 func (r *Retention) Add(c Candidate, now time.Time, pins Pins) (dropped Candidate, ok bool) {
+	r.Remove(c.Last())
 	r.entries[c.Last()] = c
+	for _, key := range c.Keys {
+		r.users[key]++
+	}
 	if len(r.entries) <= r.limit {
 		return Candidate{}, false
 	}
@@ -129,19 +140,33 @@
 	return r.pick(func(Candidate) bool { return true }, func(a, b float64) bool { return a > b }, now)
 }
 
-// Remove removes a prefix.
-func (r *Retention) Remove(key core.BlockKey) { delete(r.entries, key) }
+// Remove removes a prefix and reports whether it was in the set.
+func (r *Retention) Remove(last core.BlockKey) bool {
+	c, ok := r.entries[last]
+	if !ok {
+		return false
+	}
+	delete(r.entries, last)
+	for _, key := range c.Keys {
+		if r.users[key]--; r.users[key] == 0 {
+			delete(r.users, key)
+		}
+	}
+	return true
+}
+
+// Unused returns the blocks of a removed prefix that no other prefix contains.
+func (r *Retention) Unused(c Candidate) []core.BlockKey {
+	return slices.DeleteFunc(slices.Clone(c.Keys), func(key core.BlockKey) bool { return r.users[key] > 0 })
+}
 
 // All returns the prefixes, highest value first.
 func (r *Retention) All(now time.Time) []Candidate {
-	rest := &Retention{history: r.history, entries: make(map[core.BlockKey]Candidate, len(r.entries))}
-	for key, c := range r.entries {
-		rest.entries[key] = c
-	}
-	all := make([]Candidate, 0, len(r.entries))
-	for c, ok := rest.TakeHighest(now); ok; c, ok = rest.TakeHighest(now) {
-		all = append(all, c)
-	}
+	all := slices.Collect(maps.Values(r.entries))
+	slices.SortFunc(all, func(a, b Candidate) int {
+		valueA, valueB := a.Value(r.history.Visit(a.Last()), now), b.Value(r.history.Visit(b.Last()), now)
+		return cmp.Or(cmp.Compare(valueB, valueA), slices.Compare(lastOf(a), lastOf(b)))
+	})
 	return all
 }
 
@@ -163,7 +188,7 @@
 	if best.Keys == nil {
 		return Candidate{}, false
 	}
-	delete(r.entries, best.Last())
+	r.Remove(best.Last())
 	return best, true
 }
 
--- /dev/null
+++ b/transfer/transfer_test.go
@@ -0,0 +1,254 @@
+package transfer_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/duty"
+	"waxwingtide.example/waxwingtide/engine"
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/keptcache"
+	"waxwingtide.example/waxwingtide/standin"
+	"waxwingtide.example/waxwingtide/transfer"
+)
+
+const (
+	model     = "gate@v1"
+	maxTokens = 4
+)
+
+var scope = core.Scope{Workspace: "celaya", Model: "gate", Version: "v1"}
+
+// TestMain guards against duties and fetches that outlive their group.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type node struct {
+	t        *testing.T
+	engine   *standin.Engine
+	client   *engine.Client
+	transfer *transfer.Transfer
+}
+
+func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// startNode starts an engine with its duties. Prefill is taken as very slow, so
+// that imports are worthwhile and their time limits are never reached.
+func startNode(t *testing.T, o transfer.Options) *node {
+	t.Helper()
+	e := standin.NewEngine(standin.EngineOptions{Models: []string{model}, CacheBlocks: 64})
+	t.Cleanup(e.Close)
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	o.Engine = engine.New(engine.Options{BaseURL: serve(t, e), HTTP: &http.Client{Transport: transport}})
+	if o.LinkRate == 0 {
+		o.LinkRate = 1 << 30
+	}
+	if o.PrefillRate == 0 {
+		o.PrefillRate = 100
+	}
+	if o.LookupLimit == 0 {
+		o.LookupLimit = time.Minute
+	}
+	o.StoreRetry = 20 * time.Millisecond
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	o.Log = log
+	n := &node{t: t, engine: e, client: o.Engine, transfer: transfer.New(o)}
+	group := duty.NewGroup(t.Context(), log)
+	n.transfer.Start(group)
+	t.Cleanup(func() {
+		group.Stop()
+		require.NoError(t, group.Wait())
+	})
+	return n
+}
+
+// run prepares and runs a prompt, checks the answer and returns the bytes
+// imported and the blocks that the engine had cached.
+func (n *node) run(ctx context.Context, prompt string) (imported, cachedBlocks int) {
+	n.t.Helper()
+	imported, _ = n.transfer.Prepare(ctx, scope, prompt, core.Urgent)
+	var text strings.Builder
+	usage, _, err := n.client.Complete(n.t.Context(), engine.CompletionRequest{
+		Model: model, Prompt: prompt, MaxTokens: maxTokens, CacheSalt: scope.Salt(), RequestID: "r",
+	}, func(_ int, token string) error {
+		text.WriteString(token)
+		return nil
+	})
+	require.NoError(n.t, err)
+	require.Equal(n.t, standin.ExpectedAnswer(scope.Salt(), model, prompt, maxTokens), text.String())
+	n.transfer.Finished(scope, prompt, usage)
+	return imported, usage.CachedTokens * standin.TokenBytes / core.BlockBytes
+}
+
+func (n *node) flush() {
+	n.t.Helper()
+	ctx, cancel := context.WithTimeout(n.t.Context(), time.Minute)
+	defer cancel()
+	require.NoError(n.t, n.transfer.Flush(ctx))
+}
+
+func (n *node) requireCleanLedger() {
+	n.t.Helper()
+	ledger := n.engine.Ledger()
+	require.Zero(n.t, ledger.ForeignBlocks)
+	require.Zero(n.t, ledger.DamagedBlocks)
+	require.Zero(n.t, ledger.BadImports)
+}
+
+func startStore(t *testing.T, id string, o standin.KeptCacheOptions) (*standin.KeptCache, transfer.Store) {
+	t.Helper()
+	store := standin.NewKeptCache(o)
+	t.Cleanup(store.Close)
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	client := keptcache.New(keptcache.Options{BaseURL: serve(t, store), HTTP: &http.Client{Transport: transport}})
+	return store, transfer.Store{ID: id, Client: client}
+}
+
+func prompt(name string, blocks int) string {
+	return strings.Repeat(name+strings.Repeat(".", 64-len(name)), blocks*core.BlockBytes/64)
+}
+
+// Guards against kept context that another engine does not find, and against a
+// shared start of prompts that is recomputed by every prompt with a new end.
+func TestImportOnAnotherEngine(t *testing.T) {
+	store, s := startStore(t, "kept-1", standin.KeptCacheOptions{})
+	first := startNode(t, transfer.Options{Stores: []transfer.Store{s}})
+	second := startNode(t, transfer.Options{Stores: []transfer.Store{s}})
+	handbook := prompt("handbook", 4)
+	for _, note := range []string{"belt 1", "belt 2"} {
+		first.run(t.Context(), handbook+prompt(note, 2))
+	}
+	first.flush()
+	imported, cached := second.run(t.Context(), handbook+prompt("belt 1", 2))
+	require.Equal(t, 6*4096, imported)
+	require.Equal(t, 6, cached)
+	second.engine.TurnCold()
+	second.transfer.Feed(engine.EventPage{CacheEpoch: 99})
+	imported, cached = second.run(t.Context(), handbook+prompt("belt 3", 2))
+	require.Equal(t, 4*4096, imported)
+	require.Equal(t, 4, cached)
+	imported, cached = second.run(t.Context(), handbook+prompt("belt 3", 2))
+	require.Zero(t, imported, "the engine holds the prompt")
+	require.Equal(t, 6, cached)
+	keys := core.BlockKeys(scope.Salt(), handbook+prompt("belt 3", 2))
+	require.Equal(t, keys[5], second.transfer.RecentKeys()[0])
+	require.Zero(t, store.Ledger().EarlyManifests)
+	second.requireCleanLedger()
+}
+
+// Guards against a fault of the store that reaches a run as anything but
+// recomputation, and against a node that does not use the store afterwards.
+func TestStoreFaultsOnlyCostRecomputation(t *testing.T) {
+	faults := func(f standin.KeptCacheFaults) func(*standin.KeptCache) {
+		return func(s *standin.KeptCache) { s.SetFaults(f) }
+	}
+	cases := map[string]func(*standin.KeptCache){
+		"down":           faults(standin.KeptCacheFaults{Down: true}),
+		"slow":           faults(standin.KeptCacheFaults{Delay: time.Hour}),
+		"answers lost":   faults(standin.KeptCacheFaults{LoseAnswers: true}),
+		"corrupt pieces": faults(standin.KeptCacheFaults{CorruptPieces: true}),
+		"half manifest":  faults(standin.KeptCacheFaults{HalfManifests: true}),
+		"lost all":       (*standin.KeptCache).LoseEverything,
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			store, s := startStore(t, "kept-1", standin.KeptCacheOptions{})
+			first := startNode(t, transfer.Options{Stores: []transfer.Store{s}})
+			limit := time.Minute
+			if name == "slow" {
+				limit = 10 * time.Millisecond
+			}
+			second := startNode(t, transfer.Options{Stores: []transfer.Store{s}, LookupLimit: limit})
+			first.run(t.Context(), prompt("log", 4))
+			first.flush()
+			fault(store)
+			imported, cached := second.run(t.Context(), prompt("log", 4))
+			require.Zero(t, imported)
+			require.Zero(t, cached)
+			second.requireCleanLedger()
+			store.SetFaults(standin.KeptCacheFaults{})
+			// A bad manifest is deleted in the background; the deletion must not
+			// meet the manifest that is written next.
+			second.flush()
+			first.flush()
+			third := startNode(t, transfer.Options{Stores: []transfer.Store{s}})
+			imported, _ = third.run(t.Context(), prompt("log", 4))
+			require.Equal(t, 4*4096, imported)
+			require.Zero(t, store.Ledger().EarlyManifests)
+			third.requireCleanLedger()
+		})
+	}
+}
+
+// Guards against exports that stop for good when a store dies.
+func TestFlushUsesTheOtherStore(t *testing.T) {
+	dead, a := startStore(t, "kept-1", standin.KeptCacheOptions{})
+	live, b := startStore(t, "kept-2", standin.KeptCacheOptions{})
+	n := startNode(t, transfer.Options{Stores: []transfer.Store{a, b}})
+	for _, name := range []string{"p", "q", "r", "s"} {
+		n.run(t.Context(), prompt(name, 2))
+	}
+	n.flush()
+	require.Positive(t, dead.Ledger().Manifests)
+	dead.SetFaults(standin.KeptCacheFaults{Down: true})
+	n.flush()
+	require.Equal(t, 4, live.Ledger().Manifests, "a leave of one store publishes its prefixes on the other")
+	live.SetFaults(standin.KeptCacheFaults{Down: true})
+	n.run(t.Context(), prompt("t", 2))
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	require.True(t, errs.Is(n.transfer.Flush(ctx), errs.Unavailable), "a flush without a store ends with its context")
+}
+
+// Guards against a full store that keeps old prefixes forever or that ends up
+// with manifests whose pieces are gone.
+func TestFullStoreKeepsTheHigherValue(t *testing.T) {
+	store, s := startStore(t, "kept-1", standin.KeptCacheOptions{MemoryBytes: 2*4*4096 + 2*1024})
+	n := startNode(t, transfer.Options{Stores: []transfer.Store{s}})
+	for range 3 {
+		n.run(t.Context(), prompt("returns", 4))
+	}
+	n.flush()
+	for _, name := range []string{"once 1", "once 2", "once 3"} {
+		n.run(t.Context(), prompt(name, 4))
+		n.flush()
+	}
+	require.Positive(t, store.Ledger().Refused)
+	require.Positive(t, n.transfer.Stats().Dropped)
+	require.Zero(t, store.Ledger().EarlyManifests)
+	other := startNode(t, transfer.Options{Stores: []transfer.Store{s}})
+	imported, _ := other.run(t.Context(), prompt("returns", 4))
+	require.Equal(t, 4*4096, imported)
+	other.requireCleanLedger()
+}
+
+// Guards against imports over a link that is slower than recomputation.
+func TestSlowLinkRecomputes(t *testing.T) {
+	store, s := startStore(t, "kept-1", standin.KeptCacheOptions{})
+	first := startNode(t, transfer.Options{Stores: []transfer.Store{s}})
+	first.run(t.Context(), prompt("log", 4))
+	first.flush()
+	require.Equal(t, 1, store.Ledger().Manifests)
+	second := startNode(t, transfer.Options{Stores: []transfer.Store{s}, LinkRate: 700, PrefillRate: 100})
+	imported, cached := second.run(t.Context(), prompt("log", 4))
+	require.Zero(t, imported, "16 KiB at 700 B/s take longer than 2 KiB of prefill at 100 B/s")
+	require.Zero(t, cached)
+	require.InDelta(t, 700, second.transfer.LinkFree(), 1)
+}
