--- /dev/null
+++ b/cmd/waxwing-agent/main.go
@@ -0,0 +1,21 @@
+// Command waxwing-agent runs the agent daemon with the settings file that it is
+// given.
+package main
+
+import (
+	"context"
+	"os"
+
+	"waxwingtide.example/waxwingtide/daemon"
+	"waxwingtide.example/waxwingtide/settings"
+)
+
+func main() {
+	os.Exit(daemon.Main("waxwing-agent", func(ctx context.Context, file string) error {
+		s, err := settings.LoadAgent(file)
+		if err != nil {
+			return err
+		}
+		return daemon.RunAgent(ctx, s, daemon.Deps{})
+	}))
+}
--- /dev/null
+++ b/cmd/waxwing-entry/main.go
@@ -0,0 +1,21 @@
+// Command waxwing-entry runs the entry daemon with the settings file that it is
+// given.
+package main
+
+import (
+	"context"
+	"os"
+
+	"waxwingtide.example/waxwingtide/daemon"
+	"waxwingtide.example/waxwingtide/settings"
+)
+
+func main() {
+	os.Exit(daemon.Main("waxwing-entry", func(ctx context.Context, file string) error {
+		s, err := settings.LoadEntry(file)
+		if err != nil {
+			return err
+		}
+		return daemon.RunEntry(ctx, s, daemon.Deps{})
+	}))
+}
