Run the whole system with the dev command

Cause: a newcomer needs to see prompts and records served by the real parts. The daemons gained the administration API, plain calls and a crash for tests. Agents publish which block keys were stored. Ruled out: the first sign-off failed because the API's change expects the head with the epoch read, while the control duties pass the next one; the adapter converts it.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -47,14 +47,32 @@
 type doneEvent struct {
 	id     core.AttemptID
 	sample admit.Sample
+	// stored are hints on the blocks that the engine holds after the run.
+	stored []uint64
 }
 
 // grantEvent asks for a watcher's credits.
 type grantEvent struct {
 	watcher core.NodeID
-	reply   *ring.Ring[admit.Credit]
+	reply   *ring.Ring[grant]
 }
 
+// grant is what a watcher is told besides the published snapshot.
+type grant struct {
+	admit.Credit
+	// stored are hints on blocks that were stored since the last grant.
+	stored []uint64
+}
+
+// watcher is an entry that watches this agent.
+type watcher struct {
+	notify *ring.Ring[struct{}]
+	stored []uint64
+}
+
+// maxStored bounds the hints in one message to a watcher; the newest are kept.
+const maxStored = 64
+
 // watchEvent starts or ends the notification of a watcher.
 type watchEvent struct {
 	watcher core.NodeID
@@ -92,7 +110,7 @@
 	state    atomic.Pointer[snapshot]
 	control  *admit.Controller
 	calls    map[core.AttemptID]pending
-	watchers map[core.NodeID]*ring.Ring[struct{}]
+	watchers map[core.NodeID]*watcher
 	info     engine.Info
 	prefill  float64
 	stopping bool
@@ -108,7 +126,7 @@
 		events:   ring.New[event](eventRing),
 		control:  admit.New(admit.Defaults(defaultMaxWindow, o.Incarnation)),
 		calls:    make(map[core.AttemptID]pending),
-		watchers: make(map[core.NodeID]*ring.Ring[struct{}]),
+		watchers: make(map[core.NodeID]*watcher),
 		limit:    defaultMaxWindow,
 	}
 	a.state.Store(&snapshot{State: a.control.State(o.Now())})
@@ -186,6 +204,10 @@
 	effects := a.control.Done(now, e.id, e.sample)
 	delete(a.calls, e.id)
 	a.observePrefill(e.sample)
+	for _, w := range a.watchers {
+		w.stored = append(w.stored, e.stored...)
+		w.stored = w.stored[max(0, len(w.stored)-maxStored):]
+	}
 	a.effects(effects)
 }
 
@@ -206,16 +228,20 @@
 
 func (e grantEvent) apply(a *admission, now time.Time) {
 	a.followView()
-	e.reply.Offer(a.control.Grant(now, e.watcher))
+	g := grant{Credit: a.control.Grant(now, e.watcher)}
+	if w := a.watchers[e.watcher]; w != nil {
+		g.stored, w.stored = w.stored, nil
+	}
+	e.reply.Offer(g)
 }
 
 func (e watchEvent) apply(a *admission, _ time.Time) {
 	if !e.leave {
-		a.watchers[e.watcher] = e.notify
+		a.watchers[e.watcher] = &watcher{notify: e.notify}
 		return
 	}
 	// A watcher that reconnected has a newer ring, which stays.
-	if a.watchers[e.watcher] == e.notify {
+	if w := a.watchers[e.watcher]; w != nil && w.notify == e.notify {
 		delete(a.watchers, e.watcher)
 		a.control.Leave(e.watcher)
 	}
@@ -278,8 +304,8 @@
 	if !before.differs(next) {
 		return
 	}
-	for _, notify := range a.watchers {
-		notify.Push(struct{}{})
+	for _, w := range a.watchers {
+		w.notify.Push(struct{}{})
 	}
 }
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -46,8 +46,6 @@
 	Finished(scope core.Scope, prompt string, usage engine.Usage)
 	// LinkFree returns the unused rate of the link, in bytes per second.
 	LinkFree() uint64
-	// RecentKeys returns prefixes of block keys stored lately, a hint.
-	RecentKeys() []uint64
 	// Flush exports what is kept before a planned leave.
 	Flush(ctx context.Context)
 }
--- a/agent/call.go
+++ b/agent/call.go
@@ -31,7 +31,7 @@
 	if reply.GetOutcome() == wire.Outcome_OUTCOME_UNKNOWN || reply.GetStatus() >= http.StatusInternalServerError {
 		sample.Result = admit.Failed
 	}
-	s.finish(core.AttemptID(req.GetAttempt()), sample)
+	s.finish(doneEvent{id: core.AttemptID(req.GetAttempt()), sample: sample})
 	return reply, nil
 }
 
--- a/agent/run.go
+++ b/agent/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +13,7 @@
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
 	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/route"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -31,6 +33,7 @@
 	tokens  uint32
 	started time.Time
 	first   time.Time
+	stored  []uint64
 }
 
 // Run runs one attempt and streams its frames. Every attempt ends with exactly
@@ -55,7 +58,7 @@
 	}
 	r.started = s.opts.Now()
 	sample, err := r.execute(ctx, r.started.Sub(arrived))
-	s.finish(core.AttemptID(req.GetAttempt()), sample)
+	s.finish(doneEvent{core.AttemptID(req.GetAttempt()), sample, r.stored})
 	return err
 }
 
@@ -120,7 +123,7 @@
 	}
 	v, err := reply.Receive(ctx)
 	if err != nil {
-		a.finish(call.ID, admit.Sample{Result: admit.Cancelled})
+		a.finish(doneEvent{id: call.ID, sample: admit.Sample{Result: admit.Cancelled}})
 		return verdict{}, errs.Wrap(err, errs.Unavailable, "send the call again", "caller left before admission")
 	}
 	return v, nil
@@ -128,8 +131,8 @@
 
 // finish reports the end of a call. It waits for room, so that no run is
 // counted as under way for ever, and ends with the duty itself.
-func (a *Agent) finish(id core.AttemptID, sample admit.Sample) {
-	_ = a.admission.events.Send(context.Background(), doneEvent{id, sample})
+func (a *Agent) finish(done doneEvent) {
+	_ = a.admission.events.Send(context.Background(), done)
 }
 
 func rejectionOf(v verdict) *wire.Reject {
@@ -189,6 +192,7 @@
 		r.opts.Transfer.Finished(scope, r.req.GetPrompt(), usage)
 	}
 	sample := r.sample(handedOver, usage)
+	r.stored = storedHints(scope, r.req.GetPrompt(), sample.ComputedBytes)
 	r.metrics.finished(r.class(), usage, imported)
 	return sample, r.send(&wire.Frame{Body: &wire.Frame_End{End: &wire.End{
 		Frames:        r.seq,
@@ -203,6 +207,18 @@
 	}}})
 }
 
+// storedHints returns the hints that entries record for a finished run: the
+// first 8 bytes of some of its block keys.
+func storedHints(scope core.Scope, prompt string, computedBytes int) []uint64 {
+	keys := core.BlockKeys(scope.Salt(), prompt)
+	cached := (len(prompt) - computedBytes) / core.BlockBytes
+	var hints []uint64
+	route.HintDepths(len(keys), cached, func(depth int) {
+		hints = append(hints, binary.BigEndian.Uint64(keys[depth-1][:8]))
+	})
+	return hints
+}
+
 func (r *run) completion(scope core.Scope) engine.CompletionRequest {
 	return engine.CompletionRequest{
 		Model:      engine.ModelName(scope.Model, scope.Version, scope.Adapter),
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"waxwingtide.example/waxwingtide/admit"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/ring"
@@ -64,15 +63,15 @@
 	return nil
 }
 
-func (s *server) grant(ctx context.Context, watcher core.NodeID) (admit.Credit, error) {
-	reply := ring.New[admit.Credit](1)
+func (s *server) grant(ctx context.Context, watcher core.NodeID) (grant, error) {
+	reply := ring.New[grant](1)
 	if err := s.admission.events.Send(ctx, grantEvent{watcher, reply}); err != nil {
-		return admit.Credit{}, err
+		return grant{}, err
 	}
 	return reply.Receive(ctx)
 }
 
-func (s *server) upstreamState(credit admit.Credit) *wire.UpstreamState {
+func (s *server) upstreamState(credit grant) *wire.UpstreamState {
 	now := s.admission.state.Load()
 	state := &wire.UpstreamState{
 		Sender:           s.sender(),
@@ -89,6 +88,7 @@
 		PrefillBytesPerS: now.prefillRate,
 		Draining:         now.Draining,
 		Loaded:           now.info.Loaded,
+		Cached:           credit.stored,
 	}
 	view := s.opts.Control.View()
 	if upstream := s.upstream(view); upstream != nil {
@@ -96,7 +96,6 @@
 	}
 	if s.opts.Transfer != nil {
 		state.LinkBytesPerS = s.opts.Transfer.LinkFree()
-		state.Cached = s.opts.Transfer.RecentKeys()
 	}
 	return state
 }
--- a/cmd/waxwingtide/main.go
+++ b/cmd/waxwingtide/main.go
@@ -1,4 +1,4 @@
-// Command waxwingtide holds the operators' commands.
+// Command waxwingtide is the operators' command.
 package main
 
 import (
@@ -8,11 +8,14 @@
 	"syscall"
 
 	"waxwingtide.example/waxwingtide/cli"
+	"waxwingtide.example/waxwingtide/dev"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	status := cli.Run(ctx, cli.NewRoot(), os.Args[1:])
-	stop()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	root := cli.NewRoot()
+	root.AddCommand(dev.NewCommand(), cli.NewConfig())
+	status := cli.Run(ctx, root, os.Args[1:])
+	cancel()
 	os.Exit(status)
 }
--- a/control/permit.go
+++ b/control/permit.go
@@ -37,6 +37,9 @@
 	Cursor string `json:"-"`
 }
 
+// Time returns the time of the change.
+func (e AuditEntry) Time() time.Time { return time.UnixMilli(e.TimeMS).UTC() }
+
 type permitRow struct {
 	Epoch core.Epoch `json:"epoch"`
 }
--- /dev/null
+++ b/daemon/admincontrol.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"context"
+
+	"waxwingtide.example/waxwingtide/admin"
+	"waxwingtide.example/waxwingtide/control"
+	"waxwingtide.example/waxwingtide/facts"
+	"waxwingtide.example/waxwingtide/membership"
+)
+
+// adminControl offers the control duties to the administration API.
+type adminControl struct {
+	*control.Control
+	loads func() []admin.UpstreamLoad
+}
+
+// Permit implements admin.Control.
+func (a *adminControl) Permit(ctx context.Context, operationID string, change func(facts.Head) (facts.Head, error), entry admin.AuditEntry) (facts.Head, error) {
+	detail := entry.Subject
+	if entry.Detail != "" {
+		detail += ": " + entry.Detail
+	}
+	audit := control.AuditEntry{Actor: entry.Actor, Action: entry.Action, Detail: detail}
+	return a.Control.Permit(ctx, operationID, atReadEpoch(change), audit)
+}
+
+// atReadEpoch gives the change the head with the epoch that was read, as the
+// administration API wants it. The control duties pass the following epoch.
+func atReadEpoch(change func(facts.Head) (facts.Head, error)) func(facts.Head) (facts.Head, error) {
+	return func(next facts.Head) (facts.Head, error) {
+		epoch := next.Epoch
+		next.Epoch = epoch - 1
+		out, err := change(next)
+		out.Epoch = epoch
+		return out, err
+	}
+}
+
+// Members implements admin.Control.
+func (a *adminControl) Members() []admin.Member {
+	all := a.Control.Members().All
+	out := make([]admin.Member, len(all))
+	for i, m := range all {
+		out[i] = admin.Member{
+			Node: m.Node, Role: m.Role, FailureDomain: m.Domain, State: m.State.String(), Incarnation: m.Incarnation, Address: m.Address,
+		}
+	}
+	return out
+}
+
+// Loads implements admin.Control.
+func (a *adminControl) Loads() []admin.UpstreamLoad { return a.loads() }
+
+// Audit implements admin.Control.
+func (a *adminControl) Audit(ctx context.Context, after string, limit int) ([]admin.AuditEntry, string, error) {
+	rows, err := a.AuditTrail(ctx, after, limit)
+	if err != nil {
+		return nil, "", err
+	}
+	entries := make([]admin.AuditEntry, len(rows))
+	next := after
+	for i, r := range rows {
+		entries[i] = admin.AuditEntry{
+			At: r.Time(), Actor: r.Actor, Action: r.Action, Detail: r.Detail, Epoch: r.Epoch, OperationID: r.OperationID,
+		}
+		next = r.Cursor
+	}
+	return entries, next, nil
+}
+
+// liveEntries counts the entries that are not known to have failed.
+func liveEntries(members *membership.Members) int {
+	n := 0
+	for _, m := range members.All {
+		if m.Role == roleEntry && m.State == membership.Live {
+			n++
+		}
+	}
+	return n
+}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -2,17 +2,33 @@
 
 import (
 	"context"
+	"net/http"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"waxwingtide.example/waxwingtide/admin"
+	"waxwingtide.example/waxwingtide/bundle"
 	"waxwingtide.example/waxwingtide/entry"
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/facts"
+	"waxwingtide.example/waxwingtide/record"
+	"waxwingtide.example/waxwingtide/rollout"
 	"waxwingtide.example/waxwingtide/settings"
+	"waxwingtide.example/waxwingtide/transport"
+	"waxwingtide.example/waxwingtide/wire"
 )
 
+const roleEntry = "entry"
+
 // RunEntry runs the entry daemon until the context ends, which is a planned
 // stop: calls under way finish first.
 func RunEntry(ctx context.Context, s *settings.Entry, deps Deps) error {
-	p, err := newProcess("entry", s.Common, deps, nil)
+	p, err := newProcess(roleEntry, s.Common, deps, nil)
+	if err != nil {
+		return err
+	}
+	services, err := p.services()
 	if err != nil {
 		return err
 	}
@@ -22,6 +38,8 @@
 		FailureDomain: s.FailureDomain,
 		Control:       p.control,
 		Dial:          p.dialer.Dial,
+		Services:      services.Register,
+		Peers:         func() int { return liveEntries(p.control.Members()) },
 		Limits:        s.Limits,
 		Routing:       s.Routing,
 		Log:           p.log,
@@ -31,10 +49,14 @@
 	if err != nil {
 		return err
 	}
-	// The duties outlive ctx: they end after the calls under way.
-	if err := p.start(context.WithoutCancel(ctx), p.adminHandler(e.Ready, nil)); err != nil {
+	api, err := p.administration(s, e)
+	if err != nil {
 		return err
 	}
+	if err := p.start(p.adminHandler(e.Ready, api)); err != nil {
+		return err
+	}
+	p.group.Go("administration events", api.Events)
 	e.Start(p.group)
 	callers, err := p.serveHTTP("callers", p.deps.Callers, s.Callers, e.Handler())
 	if err != nil {
@@ -43,6 +65,74 @@
 	p.log.WithFields(logrus.Fields{"event": "start", "node": s.Node, "failure_domain": s.FailureDomain}).Info("entry started")
 	return p.wait(ctx, func(ctx context.Context) {
 		e.Drain()
-		_ = callers.Shutdown(ctx)
+		if err := callers.Shutdown(ctx); err != nil {
+			p.log.WithFields(logrus.Fields{"event": "drain", "node": s.Node}).WithError(err).Warn("calls were cut")
+		}
 	})
 }
+
+// administration sets up the API that operators use.
+func (p *process) administration(s *settings.Entry, e *entry.Entry) (*admin.Server, error) {
+	tokens := make([]admin.Token, len(s.Administration.Users))
+	for i, u := range s.Administration.Users {
+		role, err := admin.ParseRole(u.Role)
+		if err != nil {
+			return nil, err
+		}
+		tokens[i] = admin.Token{Name: u.Name, Role: role, SHA256: u.TokenSHA256}
+	}
+	var notices *admin.Notices
+	if s.Administration.Webhook != "" {
+		notices = admin.NewNotices(admin.NoticeOptions{
+			URL: s.Administration.Webhook, Node: s.Node, Table: p.control.Table(), Log: p.log,
+		})
+		p.later = append(p.later, namedDuty{"notices", notices.Run})
+	}
+	return admin.New(admin.Options{
+		Node:    s.Node,
+		Control: &adminControl{Control: p.control, loads: e.Loads},
+		Objects: p.objects,
+		Tokens:  tokens,
+		Timing:  rollout.DefaultTiming(),
+		Log:     p.log,
+		Meter:   p.metrics.Meter("admin"),
+		Notices: notices,
+		Notifies: func() bool {
+			_, held := p.control.Lease()
+			return held
+		},
+	})
+}
+
+// services sets up the handler of plain calls.
+func (p *process) services() (*record.Handler, error) {
+	return record.NewHandler(record.HandlerOptions{
+		Sender: callSender{p.dialer},
+		View:   func() *facts.View { return p.control.View() },
+		Identity: func() *wire.Sender {
+			return &wire.Sender{
+				Node: string(p.common.Node), Incarnation: uint64(p.deps.Incarnation), Epoch: uint64(p.control.Epoch()),
+			}
+		},
+		Meter: p.metrics.Meter("record"),
+	})
+}
+
+// callSender sends plain calls over the inner protocol.
+type callSender struct{ dialer *transport.Dialer }
+
+// Call implements record.Sender. Only a failure to connect proves that nothing
+// was sent.
+func (s callSender) Call(ctx context.Context, u *bundle.Upstream, req *wire.CallRequest) (*wire.CallReply, error) {
+	reply, err := wire.NewDRPCAgentClient(s.dialer.Dial(ctx, u.Agent)).Call(ctx, req)
+	if err == nil {
+		return reply, nil
+	}
+	var known *errs.Error
+	if errors.As(err, &known) && known.Kind == errs.Unavailable {
+		return nil, err
+	}
+	return nil, errs.Wrap(err, errs.Unknown, "retry with the same idempotency key", "agent of %s gave no answer", u.ID)
+}
+
+var _ http.Handler = (*admin.Server)(nil)
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -43,8 +43,10 @@
 	Log *logrus.Logger
 	// Dial replaces the TCP dialler of the inner protocol.
 	Dial transport.DialFunc
-	// Transport replaces the HTTP transport towards upstreams and stores.
-	Transport http.RoundTripper
+	// Transport replaces the HTTP transport towards the upstream and
+	// StoreTransport that towards kept-cache stores.
+	Transport      http.RoundTripper
+	StoreTransport http.RoundTripper
 	// Inner, Admin and Callers are listeners to use instead of the settings'
 	// addresses.
 	Inner, Admin, Callers net.Listener
@@ -52,6 +54,15 @@
 	Incarnation core.Incarnation
 	// Seed makes random choices repeatable; 0 takes one from the incarnation.
 	Seed uint64
+	// Life, when it ends, ends the process at once and cuts everything, as a
+	// crash does; nil means never.
+	Life context.Context
+}
+
+// namedDuty is a duty to be started with the process.
+type namedDuty struct {
+	name string
+	run  duty.Func
 }
 
 // process is what both daemons have.
@@ -64,8 +75,11 @@
 	dialer  *transport.Dialer
 	control *control.Control
 	mux     *drpcmux.Mux
+	table   platform.Table
 	objects platform.Objects
 	secured *security.Material
+	// later are duties that start with the process.
+	later []namedDuty
 }
 
 // newProcess sets up what both daemons need. onLease runs operators' duties
@@ -127,7 +141,7 @@
 }
 
 func (p *process) setControl(role string, onLease func(*process) func(context.Context, core.Fence) error) error {
-	table, lister, err := p.platform()
+	lister, err := p.platform()
 	if err != nil {
 		return err
 	}
@@ -138,7 +152,7 @@
 		FailureDomains: p.common.FailureDomains,
 		Incarnation:    p.deps.Incarnation,
 		Address:        p.innerAddress(),
-		Table:          table,
+		Table:          p.table,
 		Objects:        p.objects,
 		Lister:         lister,
 		Dial:           p.dial,
@@ -155,7 +169,7 @@
 }
 
 func parseBundle(body []byte) (*bundle.Index, error) {
-	b, err := bundle.Parse(body)
+	b, err := bundle.Decode(body, bundle.Digest(body))
 	if err != nil {
 		return nil, err
 	}
@@ -170,26 +184,25 @@
 }
 
 // platform sets up the clients of the platform's services.
-func (p *process) platform() (platform.Table, platform.Lister, error) {
+func (p *process) platform() (platform.Lister, error) {
 	s := p.common.Platform
 	secret, err := readSecret(s.SecretKeyFile)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	endpoint := func(url string) platform.Endpoint {
 		return platform.Endpoint{URL: url, AccessKey: s.AccessKey, SecretKey: secret}
 	}
 	retry := platform.RetryOptions{Seed: p.deps.Seed}
-	table, err := platform.NewTable(platform.TableOptions{Endpoint: endpoint(s.TableURL), Name: s.TableName, Retry: retry})
+	p.table, err = platform.NewTable(platform.TableOptions{Endpoint: endpoint(s.TableURL), Name: s.TableName, Retry: retry})
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	p.objects, err = platform.NewObjects(platform.ObjectsOptions{Endpoint: endpoint(s.ObjectsURL), Bucket: s.Bucket, Retry: retry})
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
-	lister, err := platform.NewLister(platform.ListerOptions{URL: s.MembersURL, Retry: retry})
-	return table, lister, err
+	return platform.NewLister(platform.ListerOptions{URL: s.MembersURL, Retry: retry})
 }
 
 // readSecret reads the secret key of the platform's stores.
@@ -205,9 +218,16 @@
 }
 
 // start runs the duties that both daemons have.
-func (p *process) start(ctx context.Context, admin http.Handler) error {
-	p.group = duty.NewGroup(ctx, p.log)
+func (p *process) start(admin http.Handler) error {
+	life := p.deps.Life
+	if life == nil {
+		life = context.Background()
+	}
+	p.group = duty.NewGroup(life, p.log)
 	p.control.Start(p.group)
+	for _, d := range p.later {
+		p.group.Go(d.name, d.run)
+	}
 	inner, err := listen(p.deps.Inner, p.common.Inner.Address)
 	if err != nil {
 		return err
@@ -291,13 +311,13 @@
 func (p *process) wait(ctx context.Context, drain func(context.Context)) error {
 	select {
 	case <-ctx.Done():
+		p.log.WithFields(logrus.Fields{"event": "stop", "node": p.common.Node}).Info("stopping")
+		p.control.SetLeaving()
+		drainContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.common.StopTimeout)
+		defer cancel()
+		drain(drainContext)
 	case <-p.group.Context().Done():
 	}
-	p.log.WithFields(logrus.Fields{"event": "stop", "node": p.common.Node}).Info("stopping")
-	p.control.SetLeaving()
-	drainContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.common.StopTimeout)
-	defer cancel()
-	drain(drainContext)
 	p.group.Stop()
 	err := p.group.Wait()
 	_ = p.dialer.Close()
--- a/dev/client.go
+++ b/dev/client.go
@@ -48,22 +48,29 @@
 type callers struct {
 	d       *Deployment
 	http    *http.Client
-	entries *atomic.Pointer[[]target]
+	entries []target
 	next    atomic.Uint64
 	keys    map[core.WorkspaceID]string
 }
 
 // target is an entry as the balancer sees it.
 type target struct {
-	url string
-	// stopping is set while a planned stop is under way.
-	stopping *atomic.Bool
+	url  string
+	unit *unit
 }
 
-// pick returns the next entry in turn.
+// pick returns the next live entry in turn, as a balancer with health checks
+// does.
 func (c *callers) pick() target {
-	entries := *c.entries.Load()
-	return entries[c.next.Add(1)%uint64(len(entries))]
+	n := uint64(len(c.entries))
+	at := c.next.Add(1)
+	for i := range n {
+		t := c.entries[(at+i)%n]
+		if unitState(t.unit.state.Load()) == unitLive {
+			return t
+		}
+	}
+	return c.entries[at%n]
 }
 
 // errNotRun is a refusal that says that nothing ran.
@@ -158,9 +165,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return refusalOf(resp)
 	}
-	stopping := to.stopping.Load()
+	stopping := to.unit.stopping.Load()
 	if err := c.follow(resp.Body, r, started); err != nil {
-		r.cutByStop = stopping || to.stopping.Load()
+		r.cutByStop = stopping || to.unit.stopping.Load()
 		return err
 	}
 	return nil
--- a/dev/summary.go
+++ b/dev/summary.go
@@ -28,8 +28,13 @@
 	Counters
 	// BadVersionShare is the part of prompts that the bad version got after its
 	// rollout began.
-	BadVersionShare float64  `json:"bad_version_share"`
-	Baseline        *Summary `json:"baseline,omitempty"`
+	BadVersionShare float64 `json:"bad_version_share"`
+	// BadVersionSeconds is the time from the sign-off of the rollout to the last
+	// prompt on its version.
+	BadVersionSeconds float64 `json:"bad_version_seconds"`
+	// FaultErrors counts fault steps that could not be carried out.
+	FaultErrors int      `json:"fault_errors"`
+	Baseline    *Summary `json:"baseline,omitempty"`
 }
 
 // Counters are the invariants. Each is zero in a correct run.
@@ -42,10 +47,8 @@
 	StaleBlocks    int `json:"stale_blocks"`
 	OverloadedCold int `json:"overloaded_cold"`
 	AfterDrain     int `json:"after_drain"`
-	// AfterWithdrawal counts prompts that a withdrawn version got later than
-	// the time in which a change is in force everywhere.
-	AfterWithdrawal int `json:"after_withdrawal"`
-	CutByStop       int `json:"cut_by_stop"`
+	StaleOrders    int `json:"stale_orders"`
+	CutByStop      int `json:"cut_by_stop"`
 }
 
 // violated reports whether an invariant was broken.
--- a/entry/call.go
+++ b/entry/call.go
@@ -45,10 +45,6 @@
 
 // completions serves POST /v1/completions.
 func (e *Entry) completions(w http.ResponseWriter, r *http.Request) {
-	if !e.Ready() {
-		notServing().write(w)
-		return
-	}
 	p, refused := parsePrompt(r, e.opts.Control.View(), e.opts.Limits.BodyBytes, e.opts.Limits.Timeout)
 	if refused != nil {
 		refused.write(w)
@@ -141,11 +137,11 @@
 // stable version serves the call.
 func (c *call) place() (assignment, *refusal) {
 	view := c.opts.Control.View()
-	c.chooseVersion(view, true)
-	a, refused := c.ask()
+	canary := c.chooseVersion(view, true)
+	a, refused := c.ask(canary)
 	if refused == nil && a.unserved && c.canChangeVersion() {
 		c.chooseVersion(view, false)
-		a, refused = c.ask()
+		a, refused = c.ask(false)
 	}
 	if refused == nil && a.unserved {
 		return a, c.refuse(errs.Unavailable, "no upstream serves model "+string(c.model)+" now; retry later")
@@ -157,17 +153,19 @@
 // from one weight version.
 func (c *call) canChangeVersion() bool { return c.answer.Position() == 0 }
 
-// chooseVersion sets the weight version and the block keys under it.
-func (c *call) chooseVersion(view *facts.View, canary bool) {
+// chooseVersion sets the weight version and the block keys under it. It
+// reports whether the call belongs to the canary share.
+func (c *call) chooseVersion(view *facts.View, canary bool) bool {
 	if !c.canChangeVersion() {
-		return
+		return false
 	}
-	version := splitFor(view, c.model, canary).Version(c.id)
-	if version == c.version {
-		return
+	split := splitFor(view, c.model, canary)
+	version := split.Version(c.id)
+	if version != c.version {
+		c.version = version
+		c.blocks = core.BlockKeys(c.scope().Salt(), c.text)
 	}
-	c.version = version
-	c.blocks = core.BlockKeys(c.scope().Salt(), c.text)
+	return version == split.Canary
 }
 
 // splitFor returns how a model's traffic is divided between weight versions.
@@ -196,8 +194,9 @@
 	return core.Scope{Workspace: c.identity.Workspace, Model: c.model, Adapter: c.adapter, Version: c.version}
 }
 
-func (c *call) ask() (assignment, *refusal) {
+func (c *call) ask(canary bool) (assignment, *refusal) {
 	p := &placement{
+		canary: canary,
 		route: route.Request{
 			Scope: c.scope(), Class: c.class, Blocks: c.blocks, PromptBytes: len(c.text), Tried: c.tried,
 		},
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -99,23 +100,14 @@
 func (p *prompt) setModel(name string, w *bundle.Workspace, x *bundle.Index) *refusal {
 	model, adapter, _ := strings.Cut(name, "+")
 	p.model, p.adapter = core.ModelID(model), core.AdapterID(adapter)
-	allowed := false
-	for _, m := range w.Models {
-		allowed = allowed || m == p.model
-	}
 	m := x.Models[p.model]
-	if !allowed || m == nil {
+	if m == nil || !slices.Contains(w.Models, p.model) {
 		return invalid("model", "model "+strconv.Quote(name)+" is not served to this workspace; name one of the bundle's models for it")
 	}
-	if p.adapter == "" {
-		return nil
+	if !w.MayUse(m, p.adapter) {
+		return invalid("model", "adapter "+strconv.Quote(adapter)+" is not served to this workspace; name one of the bundle's adapters for it")
 	}
-	for _, a := range m.Adapters {
-		if a == p.adapter {
-			return nil
-		}
-	}
-	return invalid("model", "adapter "+strconv.Quote(adapter)+" is not in the bundle; name one of the model's adapters")
+	return nil
 }
 
 func (p *prompt) setTokens() *refusal {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -1,10 +1,15 @@
 package entry
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"time"
 
+	"waxwingtide.example/waxwingtide/admin"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/dispatch"
 	"waxwingtide.example/waxwingtide/facts"
@@ -31,6 +36,9 @@
 type placement struct {
 	call  dispatch.Call[*placement]
 	route route.Request
+	// canary is set for a call of the canary share. It does not wait for a
+	// credit: the stable version serves it instead.
+	canary bool
 	// reply receives exactly one assignment.
 	reply *ring.Ring[assignment]
 }
@@ -101,6 +109,9 @@
 	ids        *stream.IDs
 	view       *facts.View
 	members    map[core.UpstreamID]member
+	published  map[core.UpstreamID]admin.UpstreamLoad
+	loads      atomic.Pointer[[]admin.UpstreamLoad]
+	nextLoads  time.Time
 }
 
 // member is what dispatch needs to know of an engine of the bundle in force.
@@ -125,7 +136,9 @@
 		budget:     retry.NewBudget(retry.DefaultBudget()),
 		random:     random,
 		ids:        stream.NewIDs(o.Node, o.Incarnation),
+		published:  make(map[core.UpstreamID]admin.UpstreamLoad),
 	}
+	d.loads.Store(&[]admin.UpstreamLoad{})
 	d.queue = dispatch.New(o.Limits.Waiting, d.place)
 	return d
 }
@@ -216,8 +229,8 @@
 func (d *dispatcher) place(now time.Time, call *dispatch.Call[*placement]) bool {
 	p := call.Value
 	choice, refusal := d.table.Choose(now, &p.route)
-	switch refusal {
-	case route.Chosen:
+	switch {
+	case refusal == route.Chosen:
 		p.reply.Offer(assignment{
 			attempt: d.ids.Next(),
 			choice:  choice,
@@ -225,7 +238,7 @@
 			epoch:   d.view.Head.Epoch,
 		})
 		return true
-	case route.NoMember:
+	case refusal == route.NoMember || p.canary:
 		p.reply.Offer(assignment{unserved: true})
 		return true
 	default:
@@ -241,12 +254,35 @@
 	}
 	if u.state == nil {
 		d.table.Forget(u.id)
+		delete(d.published, u.id)
 		return
 	}
 	d.table.Update(now, stateOf(now, u.state))
+	d.publishLoad(now, u.state)
 	d.serveWaiting(now, m.pool, int(u.state.GetCredits()))
 }
 
+// loadsInterval is how often the loads are published to operators.
+const loadsInterval = time.Second
+
+// publishLoad keeps the loads that operators see, and the number of entries
+// that share the upstreams.
+func (d *dispatcher) publishLoad(now time.Time, s *wire.UpstreamState) {
+	id := core.UpstreamID(s.GetUpstream())
+	d.published[id] = admin.UpstreamLoad{
+		Upstream: id, Running: int(s.GetRunning()), Queued: int(s.GetQueued()), Window: int(s.GetWindow()), Cold: s.GetCold(),
+	}
+	if now.Before(d.nextLoads) {
+		return
+	}
+	d.nextLoads = now.Add(loadsInterval)
+	loads := slices.SortedFunc(maps.Values(d.published), func(a, b admin.UpstreamLoad) int {
+		return cmp.Compare(a.Upstream, b.Upstream)
+	})
+	d.loads.Store(&loads)
+	d.table.SetPeers(d.opts.Peers())
+}
+
 func (d *dispatcher) serveWaiting(now time.Time, pool dispatch.Pool, credits int) {
 	if credits > 0 {
 		d.queue.Credits(now, pool, credits)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"storj.io/drpc"
 
+	"waxwingtide.example/waxwingtide/admin"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
@@ -65,8 +66,11 @@
 	Control       Control
 	// Dial returns a connection of the inner protocol to an agent.
 	Dial func(ctx context.Context, address string) drpc.Conn
-	// Services answers /services/{service}/{path}; nil answers 404.
-	Services http.Handler
+	// Services adds the routes of plain services; nil adds none.
+	Services func(router *httprouter.Router)
+	// Peers returns how many entries serve callers, this one included; nil
+	// means one.
+	Peers func() int
 	// Judge is nil where no rollout is judged.
 	Judge   Judge
 	Limits  settings.Limits
@@ -96,6 +100,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Peers == nil {
+		o.Peers = func() int { return 1 }
+	}
 	m, err := newMetrics(o.Metrics)
 	if err != nil {
 		return nil, err
@@ -116,11 +123,9 @@
 	router := httprouter.New()
 	router.HandlerFunc(http.MethodPost, "/v1/completions", e.completions)
 	if e.opts.Services != nil {
-		for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
-			router.Handler(method, "/services/:service/*path", e.whileServing(e.opts.Services))
-		}
+		e.opts.Services(router)
 	}
-	return router
+	return e.whileServing(router)
 }
 
 // Ready reports whether the entry takes calls.
@@ -132,6 +137,9 @@
 // waits for the calls under way.
 func (e *Entry) Drain() { e.stopping.Store(true) }
 
+// Loads returns what is known about the load of the watched upstreams.
+func (e *Entry) Loads() []admin.UpstreamLoad { return *e.dispatch.loads.Load() }
+
 // notServing is the refusal while the entry starts or stops.
 func notServing() *refusal {
 	return refuseOutcome(core.NeverDispatched, errs.Unavailable,
