--- a/keptcache/client.go
+++ b/keptcache/client.go
@@ -164,14 +164,16 @@
 	if resp.StatusCode/100 != 2 {
 		return nil, statusError(resp)
 	}
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	size := min(max(resp.ContentLength, 0), limit)
+	answer := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
+	_, err = answer.ReadFrom(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Unavailable, remedyRecompute, "kept-cache store's answer was cut")
 	}
-	if int64(len(answer)) > limit {
+	if int64(answer.Len()) > limit {
 		return nil, errs.New(errs.Corrupt, remedyDelete, "kept-cache store's answer exceeds %d bytes", limit)
 	}
-	return answer, nil
+	return answer.Bytes(), nil
 }
 
 func statusError(resp *http.Response) error {
--- a/kvcache/link.go
+++ b/kvcache/link.go
@@ -15,6 +15,9 @@
 	rateWeight = 0.3
 	// backgroundShare is the part of a link that background transfers may use.
 	backgroundShare = 0.5
+	// maxBackgroundWait bounds the pause after a background transfer, so that a
+	// rate that was measured too low does not stop exports.
+	maxBackgroundWait = time.Minute
 	// importMargin is how much faster than recomputation an urgent import must
 	// be, because a rate measured on earlier transfers may no longer hold.
 	importMargin = 0.8
@@ -77,11 +80,11 @@
 }
 
 // Failed records that a transfer has moved no more than the given bytes in the
-// time, so that a stalled link does not keep its old rate.
+// time. The rate falls at once: a few more samples would each delay a run.
 func (b *Budget) Failed(now time.Time, bytes int, elapsed time.Duration) {
 	if elapsed > 0 {
 		b.measuredAt = now
-		b.rate = max(1, min(b.rate, (1-rateWeight)*b.rate+rateWeight*float64(bytes)/elapsed.Seconds()))
+		b.rate = max(1, min(b.rate, float64(bytes)/elapsed.Seconds()))
 	}
 }
 
@@ -120,7 +123,7 @@
 	if b.Urgent() {
 		return b.moveTime(b.queued)
 	}
-	b.nextBackground = now.Add(time.Duration(float64(b.moveTime(bytes)) / backgroundShare))
+	b.nextBackground = now.Add(min(maxBackgroundWait, time.Duration(float64(b.moveTime(bytes))/backgroundShare)))
 	return 0
 }
 
--- a/transfer/duty.go
+++ b/transfer/duty.go
@@ -133,11 +133,7 @@
 // apply answers without stores when even a complete import would be slower than
 // recomputation, which saves the lookup.
 func (m planRequest) apply(d *transferDuty) {
-	missing := len(m.keys) - m.present
-	best := kvcache.ImportQuestion{
-		Class: core.Deferrable, Bytes: int(float64(missing) * d.blockBytes), SavedBytes: missing * core.BlockBytes,
-		PrefillRate: d.prefill, Left: defaultLeft,
-	}
+	best := d.importOf(len(m.keys) - m.present)
 	short := d.recompute(best.SavedBytes) < minRecompute
 	if short || !d.budget.Urgent() && !d.budget.WorthImporting(best) {
 		m.reply.Offer(plan{})
@@ -146,6 +142,14 @@
 	m.reply.Offer(plan{stores: d.liveStores(m.salt, m.keys[0])})
 }
 
+// importOf is the question for an import of so many blocks of average size.
+func (d *transferDuty) importOf(blocks int) kvcache.ImportQuestion {
+	return kvcache.ImportQuestion{
+		Class: core.Deferrable, Bytes: int(float64(blocks) * d.blockBytes), SavedBytes: blocks * core.BlockBytes,
+		PrefillRate: d.prefill, Left: defaultLeft,
+	}
+}
+
 type importRequest struct {
 	task  importTask
 	left  time.Duration
@@ -360,9 +364,9 @@
 }
 
 // exportStore returns the store for a candidate, if it is worth the link now.
+// A flush exports in any case.
 func (d *transferDuty) exportStore(c kvcache.Candidate) (Store, bool) {
-	busyLink := d.budget.Free(d.now) < idleShare*d.budget.Rate()
-	if len(d.flushes) == 0 && busyLink && d.history.Visit(c.Last()).Returns == 0 {
+	if len(d.flushes) == 0 && !d.worthExporting(c) {
 		return Store{}, false
 	}
 	for _, store := range d.liveStores(c.Salt, c.Keys[0]) {
@@ -373,6 +377,14 @@
 	return Store{}, false
 }
 
+// worthExporting refuses what would not be imported at the measured rate, and
+// prompts that have not returned yet while the link is in use.
+func (d *transferDuty) worthExporting(c kvcache.Candidate) bool {
+	idleLink := d.budget.Free(d.now) >= idleShare*d.budget.Rate()
+	returned := d.history.Visit(c.Last()).Returns > 0
+	return (idleLink || returned) && d.budget.WorthImporting(d.importOf(len(c.Keys)))
+}
+
 func (d *transferDuty) endFlushes() {
 	for _, f := range d.flushes {
 		f.done.Offer(struct{}{})
