Split the engine stand-in by concern

Events and load samples share one list of late values; handlers run on the owner. Conclusion: no change of behaviour.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -4,7 +4,6 @@
 package standin
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
@@ -19,11 +18,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
-	"github.com/sourcegraph/conc"
 
-	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/engine"
-	"waxwingtide.example/waxwingtide/ring"
 )
 
 // TokenBytes is the length of one token in bytes of text.
@@ -39,65 +35,6 @@
 	loadedVersions   = 2
 )
 
-// stateOwner runs functions one at a time on one goroutine, which owns the
-// state that they use.
-type stateOwner struct {
-	work   *ring.Ring[func()]
-	ctx    context.Context
-	cancel context.CancelFunc
-	group  conc.WaitGroup
-}
-
-func newStateOwner() *stateOwner {
-	ctx, cancel := context.WithCancel(context.Background())
-	o := &stateOwner{work: ring.New[func()](256), ctx: ctx, cancel: cancel}
-	o.group.Go(func() {
-		for {
-			f, err := o.work.Receive(ctx)
-			if err != nil {
-				return
-			}
-			f()
-		}
-	})
-	return o
-}
-
-// do runs f and reports whether it has run; after close it does not.
-func (o *stateOwner) do(f func()) bool {
-	done := make(chan struct{})
-	if o.work.Send(o.ctx, func() { f(); close(done) }) != nil {
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-o.ctx.Done():
-		return false
-	}
-}
-
-func (o *stateOwner) close() {
-	o.cancel()
-	o.group.Wait()
-}
-
-// pause waits for a duration and reports whether it passed before the context
-// ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // EngineOptions describes the modelled engine. Zero values turn a limit off.
 type EngineOptions struct {
 	// Models are loaded at the start, each as "model@version".
@@ -193,9 +130,9 @@
 	waiting     []*engineRun
 	runSeq      uint64
 	blocks      *simplelru.LRU[string, cacheBlock]
-	events      []timedEvent
+	events      []timed[engine.Event]
 	eventSeq    uint64
-	samples     []loadSample
+	samples     []timed[engine.Load]
 }
 
 type engineRun struct {
@@ -211,24 +148,6 @@
 	other    *engineRun
 }
 
-type cacheBlock struct {
-	header blockHeader
-	key    string
-	whole  bool
-	raw    []byte // nil for a block that this engine computed
-}
-
-type timedEvent struct {
-	event engine.Event
-	at    time.Time
-}
-
-type loadSample struct {
-	at               time.Time
-	running, waiting int
-	cache            float64
-}
-
 // NewEngine returns a running engine; Close ends it.
 func NewEngine(o EngineOptions) *Engine {
 	o.MaxBatch = max(o.MaxBatch, 1)
@@ -244,13 +163,13 @@
 		e.resetCache()
 	})
 	e.mux.HandleFunc("POST "+engine.PathCompletions, e.complete)
-	e.mux.HandleFunc("GET "+engine.PathInfo, handle(e.info))
+	e.mux.HandleFunc("GET "+engine.PathInfo, handle(e.owner, e.info))
 	e.mux.HandleFunc("GET "+engine.PathMetrics, e.metrics)
-	e.mux.HandleFunc("GET "+engine.PathEvents, handle(e.listEvents))
-	e.mux.HandleFunc("POST "+engine.PathExport, handle(e.export))
-	e.mux.HandleFunc("POST "+engine.PathImport, handle(e.importBlocks))
-	e.mux.HandleFunc("POST "+engine.PathLoad, handle(e.load))
-	e.mux.HandleFunc("POST "+engine.PathRole, handle(e.setRole))
+	e.mux.HandleFunc("GET "+engine.PathEvents, handle(e.owner, e.listEvents))
+	e.mux.HandleFunc("POST "+engine.PathExport, handle(e.owner, e.export))
+	e.mux.HandleFunc("POST "+engine.PathImport, handle(e.owner, e.importBlocks))
+	e.mux.HandleFunc("POST "+engine.PathLoad, e.load)
+	e.mux.HandleFunc("POST "+engine.PathRole, handle(e.owner, e.setRole))
 	return e
 }
 
@@ -509,220 +428,69 @@
 	return http.NewResponseController(w).Flush() == nil
 }
 
-// usePrefix checks the cached prefix of the run's prompt and returns its length
-// in bytes of text.
-func (e *Engine) usePrefix(run *engineRun) int {
-	cached := 0
-	for _, key := range core.BlockKeys(run.req.CacheSalt, run.req.Prompt) {
-		block, ok := e.blocks.Peek(key.String())
-		if !ok {
-			break
-		}
-		if !block.whole || block.header.Key != key.String() {
-			e.ledger.DamagedBlocks++
-			run.damaged = true
-		}
-		if block.header.Salt != run.req.CacheSalt || block.header.Model != run.req.Model {
-			e.ledger.ForeignBlocks++
-			run.damaged = true
-		}
-		cached += core.BlockBytes
-	}
-	e.ledger.PromptTokens += tokens(len(run.req.Prompt))
-	e.ledger.RecomputedTokens += tokens(len(run.req.Prompt)) - tokens(cached)
-	return cached
-}
-
-func (e *Engine) storePrompt(run *engineRun) {
-	var fresh []cacheBlock
-	for _, key := range core.BlockKeys(run.req.CacheSalt, run.req.Prompt) {
-		header := blockHeader{Salt: run.req.CacheSalt, Model: run.req.Model, Generation: e.cacheEpoch, Key: key.String()}
-		fresh = append(fresh, cacheBlock{header: header, key: header.Key, whole: true})
-	}
-	e.store(run.req.CacheSalt, fresh[:min(len(fresh), e.o.CacheBlocks)])
-}
-
-// store adds the blocks of a prefix, at most as many as the cache holds. The
-// end of the prefix becomes the first part to be evicted.
-func (e *Engine) store(salt string, blocks []cacheBlock) {
-	var added []string
-	for _, block := range blocks {
-		if _, known := e.blocks.Get(block.key); !known {
-			e.blocks.Add(block.key, block)
-			added = append(added, block.key)
-		}
-	}
-	for _, block := range slices.Backward(blocks) {
-		e.blocks.Get(block.key)
-	}
-	e.publish("stored", salt, added)
-}
-
-func (e *Engine) publish(kind, salt string, keys []string) {
-	if kind != "cleared" && len(keys) == 0 {
-		return
-	}
-	e.eventSeq++
-	if e.o.EventGap > 0 && e.eventSeq%e.o.EventGap == 0 {
-		return
-	}
-	event := engine.Event{Seq: e.eventSeq, Kind: kind, Salt: salt, Keys: keys}
-	e.events = append(e.events, timedEvent{event: event, at: time.Now()})
-	if len(e.events) > maxStoredEvents {
-		e.events = slices.Delete(e.events, 0, len(e.events)-maxStoredEvents)
-	}
-}
-
-// reply is the status and the JSON body of an answer.
-type reply struct {
-	status int
-	body   any
-}
-
-// handle decodes the request body, unless the method is GET, and encodes the
-// reply.
-func handle[Req any](serve func(*http.Request, Req) reply) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		var req Req
-		if r.Method != http.MethodGet && json.NewDecoder(r.Body).Decode(&req) != nil {
-			http.Error(w, "malformed request", http.StatusBadRequest)
-			return
-		}
-		answer := serve(r, req)
-		w.WriteHeader(answer.status)
-		if answer.body != nil {
-			_ = json.NewEncoder(w).Encode(answer.body)
-		}
-	}
-}
-
-func (e *Engine) listEvents(r *http.Request, _ struct{}) reply {
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	if err != nil {
-		return reply{status: http.StatusBadRequest}
-	}
-	page := engine.EventPage{Events: []engine.Event{}}
-	e.owner.do(func() {
-		page.CacheEpoch = e.cacheEpoch
-		shown := time.Now().Add(-e.o.EventDelay)
-		for _, timed := range e.events {
-			if timed.event.Seq > after && !timed.at.After(shown) && len(page.Events) < maxEventsInPage {
-				page.Events = append(page.Events, timed.event)
-			}
-		}
-	})
-	return reply{status: http.StatusOK, body: page}
-}
-
 func (e *Engine) info(_ *http.Request, _ struct{}) reply {
-	var info engine.Info
-	e.owner.do(func() {
-		info = engine.Info{Incarnation: e.incarnation, CacheEpoch: e.cacheEpoch, Loaded: slices.Clone(e.loaded), Role: e.role}
-	})
-	return reply{status: http.StatusOK, body: info}
+	return reply{status: http.StatusOK, body: engine.Info{
+		Incarnation: e.incarnation, CacheEpoch: e.cacheEpoch, Loaded: slices.Clone(e.loaded), Role: e.role,
+	}}
 }
 
 func (e *Engine) sampleLoad() {
-	sample := loadSample{at: time.Now(), running: int(e.running.Load()), waiting: len(e.waiting)}
+	load := engine.Load{Running: int(e.running.Load()), Waiting: len(e.waiting)}
 	if e.o.CacheBlocks > 0 {
-		sample.cache = float64(e.blocks.Len()) / float64(e.o.CacheBlocks)
-	}
-	e.samples = append(e.samples, sample)
-	if len(e.samples) > maxLoadSamples {
-		e.samples = slices.Delete(e.samples, 0, maxLoadSamples/2)
+		load.CacheUse = float64(e.blocks.Len()) / float64(e.o.CacheBlocks)
 	}
+	e.samples = record(e.samples, load, maxLoadSamples)
 }
 
 func (e *Engine) metrics(w http.ResponseWriter, _ *http.Request) {
-	var shown loadSample
+	var load engine.Load
 	e.owner.do(func() {
-		until := time.Now().Add(-e.o.MetricsLag)
-		for _, sample := range e.samples {
-			if !sample.at.After(until) {
-				shown = sample
-			}
+		if samples := shown(e.samples, e.o.MetricsLag); len(samples) > 0 {
+			load = samples[len(samples)-1].value
 		}
 	})
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	for name, value := range map[string]float64{
-		engine.MetricRunning: float64(shown.running), engine.MetricWaiting: float64(shown.waiting), engine.MetricCache: shown.cache,
+		engine.MetricRunning: float64(load.Running), engine.MetricWaiting: float64(load.Waiting), engine.MetricCache: load.CacheUse,
 	} {
 		_, _ = fmt.Fprintf(w, "# TYPE %s gauge\n%s %g\n", name, name, value)
 	}
 }
 
-func (e *Engine) export(_ *http.Request, req engine.ExportRequest) reply {
-	resp := engine.ExportResponse{Blocks: []engine.Block{}}
-	e.owner.do(func() {
-		for _, key := range req.Keys {
-			block, ok := e.blocks.Peek(key)
-			if !ok || block.header.Salt != req.Salt {
-				continue
-			}
-			data := block.raw
-			if data == nil {
-				data = encodeBlock(block.header, e.o.KVBytes)
-			}
-			resp.Blocks = append(resp.Blocks, engine.Block{Key: key, Data: data})
-		}
-	})
-	return reply{status: http.StatusOK, body: resp}
-}
-
-// importBlocks stores blocks as they come, as an engine that cannot check
-// their content does, and counts those that are damaged or misplaced.
-func (e *Engine) importBlocks(_ *http.Request, req engine.ImportRequest) reply {
-	blocks := make([]cacheBlock, len(req.Blocks))
-	bad := 0
-	for i, block := range req.Blocks {
-		header, whole := decodeBlock(block.Data)
-		if !whole || header.Salt != req.Salt || header.Key != block.Key {
-			bad++
-		}
-		blocks[i] = cacheBlock{header: header, key: block.Key, whole: whole, raw: block.Data}
-	}
-	status := http.StatusInsufficientStorage
-	e.owner.do(func() {
-		e.ledger.BadImports += bad
-		if len(blocks) <= e.o.CacheBlocks {
-			e.store(req.Salt, blocks)
-			status = http.StatusOK
-		}
-	})
-	return reply{status: status}
-}
-
 // acceptOrder checks an order's fencing token.
 func (e *Engine) acceptOrder(r *http.Request) bool {
 	fence, _ := strconv.ParseUint(r.Header.Get(engine.HeaderFence), 10, 64)
-	accepted := true
-	e.owner.do(func() {
-		stale := fence < e.fence
-		e.fence = max(e.fence, fence)
-		accepted = !stale || !e.o.CheckFence
-		if stale && accepted {
-			e.ledger.StaleOrders++
-		}
-	})
-	return accepted
+	stale := fence < e.fence
+	e.fence = max(e.fence, fence)
+	if stale && !e.o.CheckFence {
+		e.ledger.StaleOrders++
+	}
+	return !stale || !e.o.CheckFence
 }
 
-func (e *Engine) load(r *http.Request, req engine.LoadRequest) reply {
-	if !e.acceptOrder(r) {
-		return reply{status: http.StatusPreconditionFailed}
-	}
-	if e.o.Weights != nil && e.o.Weights.Load(r.Context(), req.Model) != nil {
-		return reply{status: http.StatusBadGateway}
+// load runs on the handler's goroutine, because loading takes long.
+func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
+	var req engine.LoadRequest
+	accepted := false
+	err := json.NewDecoder(r.Body).Decode(&req)
+	e.owner.do(func() { accepted = err == nil && e.acceptOrder(r) })
+	switch {
+	case err != nil:
+		w.WriteHeader(http.StatusBadRequest)
+	case !accepted:
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case e.o.Weights != nil && e.o.Weights.Load(r.Context(), req.Model) != nil:
+		w.WriteHeader(http.StatusBadGateway)
+	default:
+		e.owner.do(func() { e.addVersion(req.Model) })
 	}
-	e.owner.do(func() { e.addVersion(req.Model) })
-	return reply{status: http.StatusOK}
 }
 
 func (e *Engine) setRole(r *http.Request, req engine.RoleRequest) reply {
 	if !e.acceptOrder(r) {
 		return reply{status: http.StatusPreconditionFailed}
 	}
-	e.owner.do(func() { e.role = req.Role })
+	e.role = req.Role
 	return reply{status: http.StatusOK}
 }
 
@@ -742,36 +510,3 @@
 		}
 	}
 }
-
-// blockHeader is written inside the data of each exported block, so that a use
-// in the wrong place shows.
-type blockHeader struct {
-	Salt       string `json:"salt"`
-	Model      string `json:"model"`
-	Generation uint64 `json:"generation"`
-	Key        string `json:"key"`
-}
-
-// encodeBlock returns the header in one line, filler and a SHA-256 checksum.
-func encodeBlock(header blockHeader, size int) []byte {
-	data, err := json.Marshal(header)
-	if err != nil {
-		panic(err) // a struct of strings and a number always encodes
-	}
-	data = append(data, '\n')
-	if missing := size - sha256.Size - len(data); missing > 0 {
-		data = append(data, bytes.Repeat([]byte(header.Key[:1]), missing)...)
-	}
-	sum := sha256.Sum256(data)
-	return append(data, sum[:]...)
-}
-
-// decodeBlock returns the header and whether the block is whole.
-func decodeBlock(data []byte) (header blockHeader, whole bool) {
-	line, _, _ := bytes.Cut(data, []byte("\n"))
-	if json.Unmarshal(line, &header) != nil || len(data) < sha256.Size {
-		return header, false
-	}
-	body, sum := data[:len(data)-sha256.Size], data[len(data)-sha256.Size:]
-	return header, sha256.Sum256(body) == [sha256.Size]byte(sum)
-}
