--- a/transfer/duty.go
+++ b/transfer/duty.go
@@ -12,6 +12,9 @@
 )
 
 const (
+	// maxRetryDoublings bounds the time that a store is left alone after repeated
+	// failures. Each retry of a slow store delays the runs that look it up.
+	maxRetryDoublings = 4
 	// fullRetries is how many times longer than a failed store a full one is
 	// left alone: room comes from other agents' deletions only.
 	fullRetries = 5
@@ -48,6 +51,7 @@
 	kept      map[string]*kvcache.Retention
 	pins      kvcache.Pins
 	downUntil map[string]time.Time
+	failures  map[string]int // in a row
 	fullUntil map[string]time.Time
 	lost      map[string]bool
 	removals  []job
@@ -66,7 +70,8 @@
 		t: t, budget: kvcache.NewBudget(t.o.LinkRate), prefill: t.o.PrefillRate,
 		history: history, waiting: kvcache.NewRetention(waitingExports, history),
 		kept: make(map[string]*kvcache.Retention), pins: make(kvcache.Pins),
-		downUntil: make(map[string]time.Time), fullUntil: make(map[string]time.Time), lost: make(map[string]bool),
+		downUntil: make(map[string]time.Time), failures: make(map[string]int),
+		fullUntil: make(map[string]time.Time), lost: make(map[string]bool),
 	}
 }
 
@@ -202,6 +207,7 @@
 			storeDown{store: m.task.store.ID}.apply(d)
 		}
 	default:
+		delete(d.failures, m.task.store.ID)
 		d.budget.Measured(d.now, o.movedBytes, o.elapsed)
 	}
 }
@@ -217,7 +223,11 @@
 // apply also distrusts what was written to the store, because it may come back
 // as an empty replacement.
 func (m storeDown) apply(d *transferDuty) {
-	d.downUntil[m.store] = d.now.Add(d.t.o.StoreRetry)
+	if d.now.Before(d.downUntil[m.store]) {
+		return // several calls met the same failure
+	}
+	d.downUntil[m.store] = d.now.Add(d.t.o.StoreRetry << min(d.failures[m.store], maxRetryDoublings))
+	d.failures[m.store]++
 	d.lost[m.store] = true
 }
 
@@ -405,6 +415,7 @@
 	}
 	c, store := m.job.candidate, m.job.store
 	if m.err == nil {
+		delete(d.failures, store.ID)
 		d.stats.Exports++
 		if dropped, ok := d.keptIn(store.ID).Add(c, d.now, d.pins); ok {
 			d.drop(store, dropped)
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -61,8 +61,9 @@
 	// LookupLimit bounds the wait for a store's answer to a lookup, so that a
 	// slow store delays a run by little; 0 means 250 ms.
 	LookupLimit time.Duration
-	// StoreRetry is how long a store that failed is left alone; 0 means 2 s. A
-	// full store gets no exports for five times as long.
+	// StoreRetry is how long a store that failed is left alone; 0 means 2 s. It
+	// doubles with each further failure, up to 16 times. A full store gets no
+	// exports for five times as long.
 	StoreRetry time.Duration
 	// EventInterval is how often the engine's cache events are read; 0 means
 	// that the caller reads them and passes them to Feed.
