--- a/transfer/duty.go
+++ b/transfer/duty.go
@@ -12,6 +12,9 @@
 )
 
 const (
+	// maxRetryDoublings bounds the time that a store is left alone after repeated
+	// failures. Each retry of a slow store delays the runs that look it up.
+	maxRetryDoublings = 4
 	// fullRetries is how many times longer than a failed store a full one is
 	// left alone: room comes from other agents' deletions only.
 	fullRetries = 5
@@ -48,6 +51,7 @@
 	kept      map[string]*kvcache.Retention
 	pins      kvcache.Pins
 	downUntil map[string]time.Time
+	failures  map[string]int // in a row
 	fullUntil map[string]time.Time
 	lost      map[string]bool
 	removals  []job
@@ -66,7 +70,8 @@
 		t: t, budget: kvcache.NewBudget(t.o.LinkRate), prefill: t.o.PrefillRate,
 		history: history, waiting: kvcache.NewRetention(waitingExports, history),
 		kept: make(map[string]*kvcache.Retention), pins: make(kvcache.Pins),
-		downUntil: make(map[string]time.Time), fullUntil: make(map[string]time.Time), lost: make(map[string]bool),
+		downUntil: make(map[string]time.Time), failures: make(map[string]int),
+		fullUntil: make(map[string]time.Time), lost: make(map[string]bool),
 	}
 }
 
@@ -133,11 +138,7 @@
 // apply answers without stores when even a complete import would be slower than
 // recomputation, which saves the lookup.
 func (m planRequest) apply(d *transferDuty) {
-	missing := len(m.keys) - m.present
-	best := kvcache.ImportQuestion{
-		Class: core.Deferrable, Bytes: int(float64(missing) * d.blockBytes), SavedBytes: missing * core.BlockBytes,
-		PrefillRate: d.prefill, Left: defaultLeft,
-	}
+	best := d.importOf(len(m.keys) - m.present)
 	short := d.recompute(best.SavedBytes) < minRecompute
 	if short || !d.budget.Urgent() && !d.budget.WorthImporting(best) {
 		m.reply.Offer(plan{})
@@ -146,6 +147,14 @@
 	m.reply.Offer(plan{stores: d.liveStores(m.salt, m.keys[0])})
 }
 
+// importOf is the question for an import of so many blocks of average size.
+func (d *transferDuty) importOf(blocks int) kvcache.ImportQuestion {
+	return kvcache.ImportQuestion{
+		Class: core.Deferrable, Bytes: int(float64(blocks) * d.blockBytes), SavedBytes: blocks * core.BlockBytes,
+		PrefillRate: d.prefill, Left: defaultLeft,
+	}
+}
+
 type importRequest struct {
 	task  importTask
 	left  time.Duration
@@ -198,6 +207,7 @@
 			storeDown{store: m.task.store.ID}.apply(d)
 		}
 	default:
+		delete(d.failures, m.task.store.ID)
 		d.budget.Measured(d.now, o.movedBytes, o.elapsed)
 	}
 }
@@ -213,7 +223,11 @@
 // apply also distrusts what was written to the store, because it may come back
 // as an empty replacement.
 func (m storeDown) apply(d *transferDuty) {
-	d.downUntil[m.store] = d.now.Add(d.t.o.StoreRetry)
+	if d.now.Before(d.downUntil[m.store]) {
+		return // several calls met the same failure
+	}
+	d.downUntil[m.store] = d.now.Add(d.t.o.StoreRetry << min(d.failures[m.store], maxRetryDoublings))
+	d.failures[m.store]++
 	d.lost[m.store] = true
 }
 
@@ -360,9 +374,9 @@
 }
 
 // exportStore returns the store for a candidate, if it is worth the link now.
+// A flush exports in any case.
 func (d *transferDuty) exportStore(c kvcache.Candidate) (Store, bool) {
-	busyLink := d.budget.Free(d.now) < idleShare*d.budget.Rate()
-	if len(d.flushes) == 0 && busyLink && d.history.Visit(c.Last()).Returns == 0 {
+	if len(d.flushes) == 0 && !d.worthExporting(c) {
 		return Store{}, false
 	}
 	for _, store := range d.liveStores(c.Salt, c.Keys[0]) {
@@ -373,6 +387,14 @@
 	return Store{}, false
 }
 
+// worthExporting refuses what would not be imported at the measured rate, and
+// prompts that have not returned yet while the link is in use.
+func (d *transferDuty) worthExporting(c kvcache.Candidate) bool {
+	idleLink := d.budget.Free(d.now) >= idleShare*d.budget.Rate()
+	returned := d.history.Visit(c.Last()).Returns > 0
+	return (idleLink || returned) && d.budget.WorthImporting(d.importOf(len(c.Keys)))
+}
+
 func (d *transferDuty) endFlushes() {
 	for _, f := range d.flushes {
 		f.done.Offer(struct{}{})
@@ -393,6 +415,7 @@
 	}
 	c, store := m.job.candidate, m.job.store
 	if m.err == nil {
+		delete(d.failures, store.ID)
 		d.stats.Exports++
 		if dropped, ok := d.keptIn(store.ID).Add(c, d.now, d.pins); ok {
 			d.drop(store, dropped)
