Keep cache over evictions, and protect engines that turn cold without warning

Change: agents import from and export to kept-cache stores; the bundle says how many runs a fresh upstream bears and for how long; an agent looks at the engine's incarnation and cache epoch just before each hand-over; processes of dev listen on an address of their own. Ruled out: growth by good replies alone passes the cold limit, because the first slow reply comes after the overload.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -124,7 +124,7 @@
 		c.preemptions = min(c.preemptions+c.opts.PreemptShare, preemptBurst)
 	}
 	if r.generation == c.window.generation {
-		c.window.observe(s, now.Sub(r.started), atLimit)
+		c.window.observe(now, s, now.Sub(r.started), atLimit)
 	}
 	return merge(effects, c.advance(now))
 }
@@ -150,6 +150,12 @@
 // SetMaxWindow changes the largest window. A smaller one takes effect at once.
 func (c *Controller) SetMaxWindow(limit int) { c.window.setLimit(limit) }
 
+// SetColdBound sets how many concurrent runs a fresh upstream bears and for how
+// long after a reset; a warmUp of 0 means that only replies bound the window.
+func (c *Controller) SetColdBound(runs int, warmUp time.Duration) {
+	c.window.coldLimit, c.window.warmUp = runs, warmUp
+}
+
 // Drain stops admission. Waiting calls are rejected, running ones finish.
 func (c *Controller) Drain() Effects {
 	c.draining = true
@@ -173,6 +179,7 @@
 // Grant renews the credits of a watcher.
 func (c *Controller) Grant(now time.Time, watcher core.NodeID) Credit {
 	c.credits.expire(now)
+	c.window.bound(now) // the time since a reset counts from the first grant at the latest
 	credit := Credit{Expires: now.Add(c.opts.CreditLife), Incarnation: c.opts.Incarnation}
 	if c.draining {
 		c.credits.grant(now, watcher, 0, c.opts.CreditLife)
--- a/admit/window.go
+++ b/admit/window.go
@@ -35,6 +35,11 @@
 	replies    replyModel
 	generation int
 	lastReset  ResetReason
+	// coldLimit bounds the window until warmUp has passed since the first grant
+	// or reply after a reset; a warmUp of 0 means no bound.
+	coldLimit int
+	warmUp    time.Duration
+	since     time.Time
 }
 
 func newWindow(opts Options) window {
@@ -55,23 +60,38 @@
 func (w *window) reset(reason ResetReason) {
 	w.size = w.start()
 	w.good, w.slow = 0, 0
+	w.since = time.Time{}
 	w.generation++
 	w.lastReset = reason
 }
 
+// bound is the largest window now.
+func (w *window) bound(now time.Time) int {
+	if w.warmUp <= 0 {
+		return w.limit
+	}
+	if w.since.IsZero() {
+		w.since = now
+	}
+	if now.Before(w.since.Add(w.warmUp)) {
+		return min(w.limit, max(w.coldLimit, w.start()))
+	}
+	return w.limit
+}
+
 // observe adjusts the window to the end of a run.
-func (w *window) observe(s Sample, took time.Duration, atLimit bool) {
+func (w *window) observe(now time.Time, s Sample, took time.Duration, atLimit bool) {
 	switch s.Result {
 	case Cancelled:
 	case Failed:
 		w.shrink()
 	case Good:
 		w.learnService(took)
-		w.goodReply(s, atLimit)
+		w.goodReply(now, s, atLimit)
 	}
 }
 
-func (w *window) goodReply(s Sample, atLimit bool) {
+func (w *window) goodReply(now time.Time, s Sample, atLimit bool) {
 	if w.isSlow(s) {
 		w.good = 0
 		w.slow++
@@ -82,13 +102,13 @@
 	}
 	w.slow = 0
 	if atLimit {
-		w.grow()
+		w.grow(now)
 	}
 }
 
-func (w *window) grow() {
+func (w *window) grow(now time.Time) {
 	w.good++
-	if w.good < max(w.size, w.opts.GrowReplies) || w.size >= w.limit {
+	if w.good < max(w.size, w.opts.GrowReplies) || w.size >= w.bound(now) {
 		return
 	}
 	w.size++
--- a/agent/admission.go
+++ b/agent/admission.go
@@ -290,6 +290,7 @@
 		a.limit = upstream.MaxWindow
 		a.control.SetMaxWindow(a.limit)
 	}
+	a.control.SetColdBound(upstream.ColdWindow, upstream.WarmUp())
 }
 
 // publish stores the snapshot and notifies watchers of a change that matters
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -20,6 +20,10 @@
 	"waxwingtide.example/waxwingtide/wire"
 )
 
+// flushTime bounds the export of kept cache at a planned stop, which competes
+// with a VM that has to leave.
+const flushTime = 10 * time.Second
+
 // Control is what the agent needs from the control duties.
 type Control interface {
 	// View returns what is in force in this process.
@@ -41,13 +45,15 @@
 type Transfer interface {
 	// Prepare imports what is worth importing before a run. It returns the
 	// bytes moved and the blocks of the prompt that the engine then holds.
-	Prepare(ctx context.Context, scope core.Scope, prompt string, class core.Class) (importedBytes uint64, cachedBlocks int)
+	Prepare(ctx context.Context, scope core.Scope, prompt string, class core.Class) (importedBytes, cachedBlocks int)
 	// Finished tells that the engine holds the prompt's blocks now.
 	Finished(scope core.Scope, prompt string, usage engine.Usage)
 	// LinkFree returns the unused rate of the link, in bytes per second.
-	LinkFree() uint64
+	LinkFree() float64
+	// ObservePrefill records how long the engine took to compute prompt text.
+	ObservePrefill(ctx context.Context, uncachedBytes int, elapsed time.Duration)
 	// Flush exports what is kept before a planned leave.
-	Flush(ctx context.Context)
+	Flush(ctx context.Context) error
 }
 
 // Options configure an agent.
@@ -123,12 +129,22 @@
 		return err
 	}
 	if a.opts.Transfer != nil {
-		a.opts.Transfer.Flush(ctx)
+		a.flush(ctx)
 	}
 	_, err := idle.Receive(ctx)
 	return errs.Wrap(err, errs.Unavailable, "allow a longer stop_timeout", "work under way did not end in time")
 }
 
+// flush exports the kept cache before a planned leave. A failure costs
+// recomputation only.
+func (a *Agent) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTime)
+	defer cancel()
+	if err := a.opts.Transfer.Flush(ctx); err != nil {
+		a.opts.Log.WithFields(logrus.Fields{"event": "flush", "upstream": a.opts.Upstream}).WithError(err).Warn("kept cache was not fully exported")
+	}
+}
+
 // upstream returns the upstream's entry in the bundle in force, or nil.
 func (a *Agent) upstream(view *facts.View) *bundle.Upstream {
 	if !view.Ready() {
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -66,7 +66,7 @@
 
 func (m *metrics) preempted() { m.count(m.preempts, 1) }
 
-func (m *metrics) finished(class core.Class, usage engine.Usage, imported uint64) {
+func (m *metrics) finished(class core.Class, usage engine.Usage, imported int) {
 	m.count(m.runs, 1, attribute.String("class", class.String()), attribute.String("result", "finished"))
 	m.count(m.tokens, int64(usage.CachedTokens), attribute.Bool("recomputed", false))
 	m.count(m.tokens, int64(usage.PromptTokens-usage.CachedTokens), attribute.Bool("recomputed", true))
--- a/agent/run.go
+++ b/agent/run.go
@@ -17,6 +17,9 @@
 	"waxwingtide.example/waxwingtide/wire"
 )
 
+// infoTimeout bounds the look at the engine before a hand-over.
+const infoTimeout = time.Second
+
 // errPreempted is the cause of a run that was cancelled for an urgent call.
 var errPreempted = errors.New("preempted by an urgent call")
 
@@ -57,6 +60,10 @@
 		return r.reject(rejectionOf(v))
 	}
 	r.started = s.opts.Now()
+	if rejection := r.checkEngine(ctx); rejection != nil {
+		s.finish(doneEvent{id: core.AttemptID(req.GetAttempt()), sample: admit.Sample{Result: admit.Cancelled}})
+		return r.reject(rejection)
+	}
 	sample, err := r.execute(ctx, r.started.Sub(arrived))
 	s.finish(doneEvent{core.AttemptID(req.GetAttempt()), sample, r.stored})
 	return err
@@ -95,6 +102,24 @@
 	return nil
 }
 
+// checkEngine asks the engine for its state just before hand-over. An engine
+// may turn cold at any moment, and the sampler would notice too late to keep
+// the runs that were admitted for a warm one away from it.
+func (r *run) checkEngine(ctx context.Context) *wire.Reject {
+	ctx, cancel := context.WithTimeout(ctx, infoTimeout)
+	defer cancel()
+	known := r.admission.state.Load().info
+	info, err := r.opts.Engine.Info(ctx)
+	if err != nil {
+		return &wire.Reject{Reason: wire.RejectReason_REJECT_UPSTREAM_UNAVAILABLE, Detail: err.Error()}
+	}
+	if known.Incarnation == 0 || info.Incarnation == known.Incarnation && info.CacheEpoch == known.CacheEpoch {
+		return nil
+	}
+	_ = r.admission.events.Send(ctx, infoEvent{info})
+	return &wire.Reject{Reason: wire.RejectReason_REJECT_WINDOW_FULL, Detail: "upstream turned cold"}
+}
+
 func (r *run) class() core.Class {
 	if r.req.GetDeferrable() {
 		return core.Deferrable
@@ -179,7 +204,7 @@
 // execute hands the admitted run to the engine and streams its tokens.
 func (r *run) execute(ctx context.Context, queued time.Duration) (admit.Sample, error) {
 	scope := r.scope()
-	var imported uint64
+	var imported int
 	if r.opts.Transfer != nil {
 		imported, _ = r.opts.Transfer.Prepare(ctx, scope, r.req.GetPrompt(), r.class())
 	}
@@ -188,10 +213,11 @@
 	if err != nil {
 		return r.fail(ctx, err)
 	}
+	sample := r.sample(handedOver, usage)
 	if r.opts.Transfer != nil {
+		r.opts.Transfer.ObservePrefill(ctx, sample.ComputedBytes, sample.FirstToken)
 		r.opts.Transfer.Finished(scope, r.req.GetPrompt(), usage)
 	}
-	sample := r.sample(handedOver, usage)
 	r.stored = storedHints(scope, r.req.GetPrompt(), sample.ComputedBytes)
 	r.metrics.finished(r.class(), usage, imported)
 	return sample, r.send(&wire.Frame{Body: &wire.Frame_End{End: &wire.End{
@@ -200,7 +226,7 @@
 		FinishReason:  finish,
 		PromptTokens:  uint32(usage.PromptTokens),
 		CachedTokens:  uint32(usage.CachedTokens),
-		ImportedBytes: imported,
+		ImportedBytes: uint64(imported),
 		PrefixBlocks:  uint32(len(r.req.GetPrompt()) / core.BlockBytes),
 		QueueMs:       uint32(queued.Milliseconds()),
 		PrefillMs:     uint32(sample.FirstToken.Milliseconds()),
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -95,7 +95,7 @@
 		state.Version = string(view.VersionOn(upstream))
 	}
 	if s.opts.Transfer != nil {
-		state.LinkBytesPerS = s.opts.Transfer.LinkFree()
+		state.LinkBytesPerS = uint64(s.opts.Transfer.LinkFree())
 	}
 	return state
 }
--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -68,6 +68,12 @@
 	ChecksFence bool `yaml:"checks_fence,omitempty" json:"checks_fence,omitempty"`
 	// MaxWindow is the largest number of concurrent runs on the upstream.
 	MaxWindow int `yaml:"max_window" json:"max_window" validate:"min=1,max=4096"`
+	// ColdWindow is the number of concurrent runs that a fresh upstream bears;
+	// 0 means one.
+	ColdWindow int `yaml:"cold_window,omitempty" json:"cold_window,omitempty" validate:"min=0,max=4096"`
+	// WarmUpSeconds is how long an upstream stays fresh after a start or the
+	// loss of its cache; 0 means until its replies show that it bears more.
+	WarmUpSeconds float64 `yaml:"warm_up_seconds,omitempty" json:"warm_up_seconds,omitempty" validate:"min=0,max=3600"`
 }
 
 // Service is a plain service beside the engines.
@@ -110,6 +116,11 @@
 	FailureDomain core.FailureDomain `yaml:"failure_domain" json:"failure_domain" validate:"required"`
 }
 
+// WarmUp returns how long the upstream stays fresh.
+func (u *Upstream) WarmUp() time.Duration {
+	return time.Duration(u.WarmUpSeconds * float64(time.Second))
+}
+
 // Class returns the workspace's default urgency.
 func (w Workspace) Class() core.Class {
 	if w.DefaultClass == core.Deferrable.String() {
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -80,6 +80,8 @@
 	secured *security.Material
 	// later are duties that start with the process.
 	later []namedDuty
+	// starters start groups of duties with the process.
+	starters []func(*duty.Group)
 }
 
 // newProcess sets up what both daemons need. onLease runs operators' duties
@@ -228,6 +230,9 @@
 	for _, d := range p.later {
 		p.group.Go(d.name, d.run)
 	}
+	for _, start := range p.starters {
+		start(p.group)
+	}
 	inner, err := listen(p.deps.Inner, p.common.Inner.Address)
 	if err != nil {
 		return err
--- a/dev/cluster.go
+++ b/dev/cluster.go
@@ -27,22 +27,26 @@
 )
 
 const (
-	loopback       = "127.0.0.1:0"
-	versionStable  = core.WeightVersion("v1")
-	versionNext    = core.WeightVersion("v2")
-	signerToken    = "dev-signer"
-	listLag        = time.Second
-	readyLimit     = 30 * time.Second
-	stopLimit      = 20 * time.Second
-	observations   = 1 << 18
-	canaryShare    = 0.1
-	canaryCount    = 2
-	coldFor        = 3 * time.Second
-	coldLimit      = 2
-	coldSlowdown   = 4
-	recordWindow   = 32
-	storeBytes     = 256 << 20
-	credentialName = "dev"
+	loopback = "127.0.0.1:0"
+	// processLoopback is where processes listen. Outgoing connections start from
+	// 127.0.0.1, so they never take a port that a process listens on again after
+	// a restart.
+	processLoopback = "127.0.1.1:0"
+	versionStable   = core.WeightVersion("v1")
+	versionNext     = core.WeightVersion("v2")
+	signerToken     = "dev-signer"
+	listLag         = time.Second
+	readyLimit      = 30 * time.Second
+	stopLimit       = 20 * time.Second
+	observations    = 1 << 18
+	canaryShare     = 0.1
+	canaryCount     = 2
+	coldFor         = 3 * time.Second
+	coldLimit       = 2
+	coldSlowdown    = 4
+	recordWindow    = 32
+	storeBytes      = 256 << 20
+	credentialName  = "dev"
 )
 
 // engineUnit is a model server: the stand-in, its agent and its link.
@@ -136,7 +140,7 @@
 func reserve(n int) ([]string, error) {
 	addresses := make([]string, n)
 	for i := range n {
-		listener, err := net.Listen("tcp", loopback)
+		listener, err := net.Listen("tcp", processLoopback)
 		if err != nil {
 			return nil, errs.Wrap(err, errs.Unavailable, "free some ports", "process cannot listen")
 		}
@@ -247,7 +251,7 @@
 		c.engines = append(c.engines, e)
 		c.bundle.Upstreams = append(c.bundle.Upstreams, bundle.Upstream{
 			ID: e.id, Kind: bundle.KindEngine, Agent: e.agent.addresses[0], FailureDomain: e.domain, Model: c.d.Model,
-			ChecksFence: i%2 == 0, MaxWindow: m.MaxBatch,
+			ChecksFence: i%2 == 0, MaxWindow: m.MaxBatch, ColdWindow: coldLimit, WarmUpSeconds: coldFor.Seconds(),
 		})
 	}
 	return nil
--- a/dev/run.go
+++ b/dev/run.go
@@ -87,6 +87,8 @@
 	if err := c.start(ctx); err != nil {
 		return nil, err
 	}
+	// The workload begins when the engines are no longer fresh.
+	sleep(ctx, coldFor)
 	r := &run{options: o, cluster: c, began: time.Now()}
 	linkBefore := r.linkBytes()
 	results := r.work(ctx, workload(d, o.For, o.Seed, o.Heavy))
--- a/dev/unit.go
+++ b/dev/unit.go
@@ -48,14 +48,13 @@
 }
 
 // supervise runs the unit until the context ends, and again after each stop.
-func (u *unit) supervise(ctx context.Context) error {
+func (u *unit) supervise(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := u.once(ctx); err != nil {
 			u.log.WithFields(logrus.Fields{"event": "unit_failed", "node": u.node}).WithError(err).Error("process failed")
 		}
 		sleep(ctx, restartPause)
 	}
-	return nil
 }
 
 // once runs the unit for one incarnation.
@@ -114,6 +113,6 @@
 // startAll supervises units on goroutines of a group.
 func startAll(ctx context.Context, group *conc.WaitGroup, units []*unit) {
 	for _, u := range units {
-		group.Go(func() { _ = u.supervise(ctx) })
+		group.Go(func() { u.supervise(ctx) })
 	}
 }
