Keep recent prompts whose run ended across a change of cache epoch

A run that finished before the first page of events was confirmed for epoch 0 and then ignored, so its prompt was missing from RecentKeys although its events had arrived. Change: a confirmation of another epoch still names a recent prompt; whether it is shown depends on the index, as before. Tests of a lost piece and of the event feed after a crash. Conclusion: hints follow the engine's events through restarts.

--- a/transfer/cache.go
+++ b/transfer/cache.go
@@ -12,8 +12,8 @@
 )
 
 // lookup asks how much of a prefix the engine holds, or confirms that it held
-// the prefix in a cache epoch. A confirmation of an earlier epoch is ignored,
-// because the engine has lost its cache since.
+// the prefix in a cache epoch. A confirmation of an earlier epoch does not
+// reach the index, because the engine has lost its cache since.
 type lookup struct {
 	keys    []core.BlockKey
 	confirm bool
@@ -87,8 +87,10 @@
 
 func (d *cacheDuty) answer(call lookup) {
 	epoch, _ := d.index.Position()
-	if call.confirm && call.epoch == epoch && len(call.keys) > 0 {
+	if call.confirm && call.epoch == epoch {
 		d.index.Confirm(call.keys)
+	}
+	if call.confirm {
 		d.remember(call.keys[len(call.keys)-1])
 	}
 	if call.reply != nil {
--- a/transfer/transfer_test.go
+++ b/transfer/transfer_test.go
@@ -103,6 +103,12 @@
 	require.NoError(n.t, n.transfer.Flush(ctx))
 }
 
+// requireRecent waits until the cache duty has seen the events before.
+func (n *node) requireRecent(want int) {
+	n.t.Helper()
+	require.Eventually(n.t, func() bool { return len(n.transfer.RecentKeys()) == want }, time.Minute, time.Millisecond)
+}
+
 func (n *node) requireCleanLedger() {
 	n.t.Helper()
 	ledger := n.engine.Ledger()
@@ -141,6 +147,7 @@
 	require.Equal(t, 6, cached)
 	second.engine.TurnCold()
 	second.transfer.Feed(engine.EventPage{CacheEpoch: 99})
+	second.requireRecent(0)
 	imported, cached = second.run(t.Context(), handbook+prompt("belt 3", 2))
 	require.Equal(t, 4*4096, imported)
 	require.Equal(t, 4, cached)
@@ -197,6 +204,36 @@
 	}
 }
 
+// Guards against a lost piece that costs more than the blocks from it on, or
+// whose manifest misleads the next import.
+func TestLostPieceEndsTheImportedPrefix(t *testing.T) {
+	store, s := startStore(t, "kept-1", standin.KeptCacheOptions{})
+	first := startNode(t, transfer.Options{Stores: []transfer.Store{s}})
+	second := startNode(t, transfer.Options{Stores: []transfer.Store{s}})
+	first.run(t.Context(), prompt("log", 4))
+	first.flush()
+	keys := core.BlockKeys(scope.Salt(), prompt("log", 4))
+	require.NoError(t, s.Client.DeletePiece(t.Context(), scope.Salt(), keys[2].String()))
+	imported, cached := second.run(t.Context(), prompt("log", 4))
+	require.Equal(t, 2*4096, imported)
+	require.Equal(t, 2, cached)
+	second.flush()
+	require.Equal(t, 4, store.Ledger().Pieces, "the whole prompt is published again")
+	second.requireCleanLedger()
+}
+
+// Guards against a feed that stays at an old position after the engine has
+// restarted its sequence numbers.
+func TestEventFeedFollowsRestarts(t *testing.T) {
+	n := startNode(t, transfer.Options{EventInterval: time.Millisecond})
+	for range 3 {
+		n.run(t.Context(), prompt("log", 4))
+		n.requireRecent(1)
+		n.engine.Crash(0)
+		n.requireRecent(0)
+	}
+}
+
 // Guards against exports that stop for good when a store dies.
 func TestFlushUsesTheOtherStore(t *testing.T) {
 	dead, a := startStore(t, "kept-1", standin.KeptCacheOptions{})
