--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -68,8 +68,7 @@
 	require.Equal(t, want[5*standin.TokenBytes:], text)
 	require.Equal(t, 7, usage.CompletionTokens)
 	ledger := e.Ledger()
-	require.Equal(t, 3*512, ledger.PromptTokens)
-	require.Equal(t, 512, ledger.RecomputedTokens)
+	require.Equal(t, [2]int{3 * 512, 512}, [2]int{ledger.PromptTokens, ledger.RecomputedTokens})
 }
 
 // Guards against blocks that change on the way from one engine to another, and
@@ -106,8 +105,7 @@
 			text, usage, err := collect(t.Context(), to, request(prompt(3), 4))
 			require.NoError(t, err)
 			require.Equal(t, 384, usage.CachedTokens)
-			want := standin.ExpectedAnswer(scope.Salt(), model, prompt(3), 4)
-			require.Equal(t, tc.damaged+tc.foreign == 0, text == want)
+			require.Equal(t, tc.damaged+tc.foreign == 0, text == standin.ExpectedAnswer(scope.Salt(), model, prompt(3), 4))
 			require.Equal(t, tc.damaged, e.Ledger().DamagedBlocks)
 			require.Equal(t, tc.foreign, e.Ledger().ForeignBlocks)
 		})
--- a/engine/contract_test.go
+++ b/engine/contract_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -26,11 +27,8 @@
 
 func requireKind(t *testing.T, want errs.Kind, err error) {
 	t.Helper()
-	if want == 0 {
-		require.NoError(t, err)
-		return
-	}
-	require.True(t, errs.Is(err, want), "want %v, got %v", want, err)
+	require.Equal(t, want == 0, err == nil, "%v", err)
+	require.True(t, err == nil || errs.Is(err, want), "want %v, got %v", want, err)
 }
 
 // Guards against a fault of the engine that is taken for a complete answer, or
@@ -69,15 +67,10 @@
 			_, _, err := collect(t.Context(), c, earlier)
 			require.NoError(t, err)
 			tc.fault(e)
-			ctx, cancel := context.WithCancel(t.Context())
-			if tc.limit > 0 {
-				ctx, cancel = context.WithTimeout(t.Context(), tc.limit)
-			}
+			ctx, cancel := context.WithTimeout(t.Context(), cmp.Or(tc.limit, time.Minute))
 			defer cancel()
 			req := request("prompt", 4)
-			if tc.model != "" {
-				req.Model = tc.model
-			}
+			req.Model = cmp.Or(tc.model, model)
 			text, _, err := collect(ctx, c, req)
 			requireKind(t, tc.want, err)
 			answer := standin.ExpectedAnswer(req.CacheSalt, model, req.Prompt, 4)
--- a/keptcache/client_test.go
+++ b/keptcache/client_test.go
@@ -1,6 +1,7 @@
 package keptcache_test
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/http/httptest"
@@ -82,11 +83,11 @@
 		fault              func(*standin.KeptCache)
 		put, lookup, fetch errs.Kind
 		recovered          bool // content is intact after the fault
-		timeout            bool
+		limit              time.Duration
 	}{
 		"none":          {fault: func(*standin.KeptCache) {}, recovered: true},
 		"down":          {fault: faults(standin.KeptCacheFaults{Down: true}), put: errs.Unavailable, lookup: errs.Unavailable, fetch: errs.Unavailable, recovered: true},
-		"slow":          {fault: faults(standin.KeptCacheFaults{Delay: time.Hour}), put: errs.Unavailable, lookup: errs.Unavailable, fetch: errs.Unavailable, recovered: true, timeout: true},
+		"slow":          {fault: faults(standin.KeptCacheFaults{Delay: time.Hour}), put: errs.Unavailable, lookup: errs.Unavailable, fetch: errs.Unavailable, recovered: true, limit: 10 * time.Millisecond},
 		"lost answers":  {fault: faults(standin.KeptCacheFaults{LoseAnswers: true}), put: errs.Unavailable, lookup: errs.Unavailable, fetch: errs.Unavailable, recovered: true},
 		"corrupt":       {fault: faults(standin.KeptCacheFaults{CorruptPieces: true}), fetch: errs.Corrupt, recovered: true},
 		"half manifest": {fault: faults(standin.KeptCacheFaults{HalfManifests: true}), lookup: errs.Corrupt, recovered: true},
@@ -98,12 +99,8 @@
 			m, err := publish(t.Context(), c, 2)
 			require.NoError(t, err)
 			tc.fault(store)
-			ctx := t.Context()
-			if tc.timeout {
-				var cancel context.CancelFunc
-				ctx, cancel = context.WithTimeout(ctx, 10*time.Millisecond)
-				defer cancel()
-			}
+			ctx, cancel := context.WithTimeout(t.Context(), cmp.Or(tc.limit, time.Minute))
+			defer cancel()
 			_, err = c.Lookup(ctx, scope, longestFirst(2))
 			requireKind(t, tc.lookup, err)
 			_, err = c.Fetch(ctx, scope, m.Pieces[0])
@@ -123,11 +120,8 @@
 
 func requireKind(t *testing.T, want errs.Kind, err error) {
 	t.Helper()
-	if want == 0 {
-		require.NoError(t, err)
-		return
-	}
-	require.True(t, errs.Is(err, want), "want %v, got %v", want, err)
+	require.Equal(t, want == 0, err == nil, "%v", err)
+	require.True(t, err == nil || errs.Is(err, want), "want %v, got %v", want, err)
 }
 
 // Guards against a full store that is taken for a broken one, and against a
--- a/transfer/transfer_test.go
+++ b/transfer/transfer_test.go
@@ -1,6 +1,7 @@
 package transfer_test
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -39,11 +40,11 @@
 	transfer *transfer.Transfer
 }
 
-func serve(t *testing.T, h http.Handler) string {
+func serve(t *testing.T, h http.Handler) (url string, client *http.Client) {
 	t.Helper()
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
-	return server.URL
+	return server.URL, server.Client()
 }
 
 // startNode starts an engine with its duties. Prefill is taken as very slow, so
@@ -52,18 +53,11 @@
 	t.Helper()
 	e := standin.NewEngine(standin.EngineOptions{Models: []string{model}, CacheBlocks: 64})
 	t.Cleanup(e.Close)
-	transport := &http.Transport{}
-	t.Cleanup(transport.CloseIdleConnections)
-	o.Engine = engine.New(engine.Options{BaseURL: serve(t, e), HTTP: &http.Client{Transport: transport}})
-	if o.LinkRate == 0 {
-		o.LinkRate = 1 << 30
-	}
-	if o.PrefillRate == 0 {
-		o.PrefillRate = 100
-	}
-	if o.LookupLimit == 0 {
-		o.LookupLimit = time.Minute
-	}
+	url, client := serve(t, e)
+	o.Engine = engine.New(engine.Options{BaseURL: url, HTTP: client})
+	o.LinkRate = cmp.Or(o.LinkRate, 1<<30)
+	o.PrefillRate = cmp.Or(o.PrefillRate, 100)
+	o.LookupLimit = cmp.Or(o.LookupLimit, time.Minute)
 	o.StoreRetry = 20 * time.Millisecond
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -111,20 +105,16 @@
 
 func (n *node) requireCleanLedger() {
 	n.t.Helper()
-	ledger := n.engine.Ledger()
-	require.Zero(n.t, ledger.ForeignBlocks)
-	require.Zero(n.t, ledger.DamagedBlocks)
-	require.Zero(n.t, ledger.BadImports)
+	l := n.engine.Ledger()
+	require.Equal(n.t, [3]int{}, [3]int{l.ForeignBlocks, l.DamagedBlocks, l.BadImports})
 }
 
 func startStore(t *testing.T, id string, o standin.KeptCacheOptions) (*standin.KeptCache, transfer.Store) {
 	t.Helper()
 	store := standin.NewKeptCache(o)
 	t.Cleanup(store.Close)
-	transport := &http.Transport{}
-	t.Cleanup(transport.CloseIdleConnections)
-	client := keptcache.New(keptcache.Options{BaseURL: serve(t, store), HTTP: &http.Client{Transport: transport}})
-	return store, transfer.Store{ID: id, Client: client}
+	url, client := serve(t, store)
+	return store, transfer.Store{ID: id, Client: keptcache.New(keptcache.Options{BaseURL: url, HTTP: client})}
 }
 
 func prompt(name string, blocks int) string {
@@ -178,10 +168,7 @@
 		t.Run(name, func(t *testing.T) {
 			store, s := startStore(t, "kept-1", standin.KeptCacheOptions{})
 			first := startNode(t, transfer.Options{Stores: []transfer.Store{s}})
-			limit := time.Minute
-			if name == "slow" {
-				limit = 10 * time.Millisecond
-			}
+			limit := map[string]time.Duration{"slow": 10 * time.Millisecond}[name]
 			second := startNode(t, transfer.Options{Stores: []transfer.Store{s}, LookupLimit: limit})
 			first.run(t.Context(), prompt("log", 4))
 			first.flush()
