Let a full kept-cache stand-in take a piece that it already has

Cause: a repeated piece was charged twice, so a store at its limit answered 507 to a write that needs no room. Change: only growth is charged; pieces and manifests share one map by path. Conclusion: a retry after a lost answer succeeds in a full store.

--- a/keptcache/client_test.go
+++ b/keptcache/client_test.go
@@ -130,6 +130,8 @@
 	store, c := startStore(t, standin.KeptCacheOptions{MemoryBytes: 250})
 	_, err := publish(t.Context(), c, 3)
 	requireKind(t, errs.Exhausted, err)
+	_, err = c.PutPiece(t.Context(), scope, "k0", []byte(strings.Repeat("k0", 50)))
+	require.NoError(t, err, "a repeated piece needs no room")
 	require.Equal(t, standin.KeptCacheLedger{UsedBytes: 200, Pieces: 2, Refused: 1}, store.Ledger())
 }
 
--- a/standin/keptcache.go
+++ b/standin/keptcache.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"waxwingtide.example/waxwingtide/keptcache"
@@ -47,10 +48,9 @@
 	mux   *http.ServeMux
 
 	// The fields below belong to the owner.
-	faults    KeptCacheFaults
-	ledger    KeptCacheLedger
-	pieces    map[string][]byte
-	manifests map[string][]byte
+	faults  KeptCacheFaults
+	ledger  KeptCacheLedger
+	objects map[string][]byte // by path
 }
 
 // NewKeptCache returns a running store; Close ends it.
@@ -58,12 +58,9 @@
 	s := &KeptCache{o: o, owner: newStateOwner(), mux: http.NewServeMux()}
 	s.LoseEverything()
 	s.mux.HandleFunc("POST /v1/manifests/{scope}/lookup", s.lookup)
-	for kind, objects := range map[string]*map[string][]byte{"pieces": &s.pieces, "manifests": &s.manifests} {
-		path := " /v1/" + kind + "/{scope}/{key}"
-		s.mux.HandleFunc("PUT"+path, func(w http.ResponseWriter, r *http.Request) { s.put(w, r, objects) })
-		s.mux.HandleFunc("GET"+path, func(w http.ResponseWriter, r *http.Request) { s.get(w, r, objects) })
-		s.mux.HandleFunc("DELETE"+path, func(_ http.ResponseWriter, r *http.Request) { s.remove(r, objects) })
-	}
+	s.mux.HandleFunc("PUT /v1/{kind}/{scope}/{key}", s.put)
+	s.mux.HandleFunc("GET /v1/pieces/{scope}/{key}", s.get)
+	s.mux.HandleFunc("DELETE /v1/{kind}/{scope}/{key}", s.remove)
 	return s
 }
 
@@ -75,14 +72,21 @@
 
 // LoseEverything empties the store, as a replaced VM is.
 func (s *KeptCache) LoseEverything() {
-	s.owner.do(func() { s.pieces, s.manifests = make(map[string][]byte), make(map[string][]byte) })
+	s.owner.do(func() { s.objects = make(map[string][]byte) })
 }
 
 // Ledger returns the counters.
 func (s *KeptCache) Ledger() (l KeptCacheLedger) {
 	s.owner.do(func() {
 		l = s.ledger
-		l.Pieces, l.Manifests, l.UsedBytes = len(s.pieces), len(s.manifests), s.used()
+		l.UsedBytes = s.used()
+		for path := range s.objects {
+			if strings.HasPrefix(path, "/v1/pieces/") {
+				l.Pieces++
+			} else {
+				l.Manifests++
+			}
+		}
 	})
 	return l
 }
@@ -102,31 +106,28 @@
 	}
 }
 
-func objectName(r *http.Request) string { return r.PathValue("scope") + "/" + r.PathValue("key") }
-
 func (s *KeptCache) used() int {
 	used := 0
-	for _, objects := range []map[string][]byte{s.pieces, s.manifests} {
-		for _, body := range objects {
-			used += len(body)
-		}
+	for _, body := range s.objects {
+		used += len(body)
 	}
 	return used
 }
 
-func (s *KeptCache) put(w http.ResponseWriter, r *http.Request, objects *map[string][]byte) {
+func (s *KeptCache) put(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	status := http.StatusNoContent
 	s.owner.do(func() {
-		if s.o.MemoryBytes > 0 && s.used()+len(body) > s.o.MemoryBytes {
+		growth := len(body) - len(s.objects[r.URL.Path])
+		if s.o.MemoryBytes > 0 && growth > 0 && s.used()+growth > s.o.MemoryBytes {
 			s.ledger.Refused++
 			status = http.StatusInsufficientStorage
 			return
 		}
-		if objects == &s.manifests {
+		if r.PathValue("kind") == "manifests" {
 			s.checkManifest(r.PathValue("scope"), body)
 		}
-		(*objects)[objectName(r)] = body
+		s.objects[r.URL.Path] = body
 	})
 	w.WriteHeader(status)
 }
@@ -135,33 +136,34 @@
 	var manifest keptcache.Manifest
 	_ = json.Unmarshal(body, &manifest)
 	for _, piece := range manifest.Pieces {
-		if _, ok := s.pieces[scope+"/"+piece.Key]; !ok {
+		if s.objects["/v1/pieces/"+scope+"/"+piece.Key] == nil {
 			s.ledger.EarlyManifests++
 			return
 		}
 	}
 }
 
-func (s *KeptCache) get(w http.ResponseWriter, r *http.Request, objects *map[string][]byte) {
+func (s *KeptCache) get(w http.ResponseWriter, r *http.Request) {
 	var body []byte
-	found, corrupt := false, false
 	s.owner.do(func() {
-		body, found = (*objects)[objectName(r)]
-		corrupt = s.faults.CorruptPieces
+		body = bytes.Clone(s.objects[r.URL.Path])
+		if s.faults.CorruptPieces && len(body) > 0 {
+			body[len(body)/2] ^= 1
+		}
 	})
-	if !found {
+	writeObject(w, r, body)
+}
+
+func writeObject(w http.ResponseWriter, r *http.Request, body []byte) {
+	if body == nil {
 		http.NotFound(w, r)
 		return
 	}
-	if corrupt && len(body) > 0 {
-		body = bytes.Clone(body)
-		body[len(body)/2] ^= 1
-	}
 	_, _ = w.Write(body)
 }
 
-func (s *KeptCache) remove(r *http.Request, objects *map[string][]byte) {
-	s.owner.do(func() { delete(*objects, objectName(r)) })
+func (s *KeptCache) remove(_ http.ResponseWriter, r *http.Request) {
+	s.owner.do(func() { delete(s.objects, r.URL.Path) })
 }
 
 func (s *KeptCache) lookup(w http.ResponseWriter, r *http.Request) {
@@ -170,8 +172,7 @@
 	var body []byte
 	s.owner.do(func() {
 		for _, key := range req.Keys {
-			if manifest, ok := s.manifests[r.PathValue("scope")+"/"+key]; ok {
-				body = manifest
+			if body = s.objects["/v1/manifests/"+r.PathValue("scope")+"/"+key]; body != nil {
 				break
 			}
 		}
@@ -179,9 +180,5 @@
 			body = body[:len(body)/2]
 		}
 	})
-	if body == nil {
-		http.NotFound(w, r)
-		return
-	}
-	_, _ = w.Write(body)
+	writeObject(w, r, body)
 }
