--- /dev/null
+++ b/operator/bench_test.go
@@ -0,0 +1,40 @@
+package operator
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/entry"
+	"waxwingtide.example/waxwingtide/rollout"
+)
+
+// ignore drops reports.
+type ignore struct{}
+
+func (ignore) Report(RolloutKey, uint64) {}
+
+// BenchmarkSample measures one sample of a model under rollout.
+func BenchmarkSample(b *testing.B) {
+	w := newWorld(12, time.Hour)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	bench := &bench{
+		JudgeOptions: JudgeOptions{
+			Control: &holder{world: w}, Entries: func() int { return 3 }, Reports: ignore{}, Limits: rollout.DefaultLimits(), Log: log,
+		},
+		trials: make(map[core.ModelID]*trial),
+	}
+	bench.follow(context.Background(), w.view)
+	s := entry.Sample{Model: "gate", Workspace: "w", FirstToken: 100 * time.Millisecond, PerToken: 20 * time.Millisecond, At: time.Now()}
+	versions := []core.WeightVersion{"v1", "v2"}
+	for n := 0; b.Loop(); n++ {
+		s.Version = versions[n%2]
+		s.At = s.At.Add(10 * time.Millisecond)
+		bench.add(context.Background(), s)
+	}
+}
