--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 export PATH := $(GOBIN):$(PATH)
 
-.PHONY: test tools check unit build generate
+.PHONY: test tools check unit build generate capacity
 
 test: tools check unit
 
@@ -23,3 +23,6 @@
 
 generate:
 	go generate ./...
+
+capacity:
+	go run ./tools/capacity
