Renew credits with each answer

Cause: under heavy load the slowest urgent prompts spent most of their time waiting for a credit, because credits came only with watch messages, at most ten a second and often once a second. Change: the end frame carries the upstream's state with renewed credits; watchers without credits hear of freed room at once. Conclusion: credits flow with the answers; the rest of the wait is in the first seconds, while windows grow from one.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -49,6 +49,9 @@
 	sample admit.Sample
 	// stored are hints on the blocks that the engine holds after the run.
 	stored []uint64
+	// watcher, if set, gets renewed credits through reply.
+	watcher core.NodeID
+	reply   *ring.Ring[grant]
 }
 
 // grantEvent asks for a watcher's credits.
@@ -68,6 +71,8 @@
 type watcher struct {
 	notify *ring.Ring[struct{}]
 	stored []uint64
+	// credits is how many credits the watcher is thought to have left.
+	credits int
 }
 
 // maxStored bounds the hints in one message to a watcher; the newest are kept.
@@ -169,6 +174,9 @@
 
 func (a *admission) offer(now time.Time, o offer) {
 	a.followView()
+	if w := a.watchers[o.call.Watcher]; w != nil {
+		w.credits--
+	}
 	decision := a.control.Offer(now, o.call)
 	a.metrics.offered(decision)
 	switch decision.Verdict {
@@ -209,6 +217,9 @@
 		w.stored = w.stored[max(0, len(w.stored)-maxStored):]
 	}
 	a.effects(effects)
+	if e.reply != nil {
+		grantEvent{e.watcher, e.reply}.apply(a, now)
+	}
 }
 
 // prefillWeight is the weight of the newest sample in the moving average.
@@ -231,6 +242,7 @@
 	g := grant{Credit: a.control.Grant(now, e.watcher)}
 	if w := a.watchers[e.watcher]; w != nil {
 		g.stored, w.stored = w.stored, nil
+		w.credits = g.Count
 	}
 	e.reply.Offer(g)
 }
@@ -294,7 +306,8 @@
 }
 
 // publish stores the snapshot and notifies watchers of a change that matters
-// to them before their next regular message.
+// to them before their next regular message: watchers that have used up their
+// credits hear of freed room, all others only of larger changes.
 func (a *admission) publish(now time.Time) {
 	next := &snapshot{State: a.control.State(now), info: a.info, prefillRate: uint64(a.prefill)}
 	before := a.state.Swap(next)
@@ -302,11 +315,12 @@
 		a.idle.Offer(struct{}{})
 		a.idle = nil
 	}
-	if !before.differs(next) {
-		return
-	}
+	changed := before.differs(next)
+	freed := next.Running+next.Queued < before.Running+before.Queued
 	for _, w := range a.watchers {
-		w.notify.Push(struct{}{})
+		if changed || freed && w.credits <= 0 {
+			w.notify.Push(struct{}{})
+		}
 	}
 }
 
--- a/agent/run.go
+++ b/agent/run.go
@@ -61,12 +61,10 @@
 	}
 	r.started = s.opts.Now()
 	if rejection := r.checkEngine(ctx); rejection != nil {
-		s.finish(doneEvent{id: core.AttemptID(req.GetAttempt()), sample: admit.Sample{Result: admit.Cancelled}})
+		s.finish(doneEvent{id: r.attempt(), sample: admit.Sample{Result: admit.Cancelled}})
 		return r.reject(rejection)
 	}
-	sample, err := r.execute(ctx, r.started.Sub(arrived))
-	s.finish(doneEvent{core.AttemptID(req.GetAttempt()), sample, r.stored})
-	return err
+	return r.execute(ctx, r.started.Sub(arrived))
 }
 
 // check refuses requests that must not reach the upstream whatever its load.
@@ -160,6 +158,22 @@
 	_ = a.admission.events.Send(context.Background(), done)
 }
 
+// finishWithCredit reports the end of a run and returns the state with the
+// entry's renewed credits, or nil when the caller has gone. An entry that keeps
+// sending thus does not wait for its next watch message.
+func (r *run) finishWithCredit(ctx context.Context, done doneEvent) *wire.UpstreamState {
+	done.watcher = core.NodeID(r.req.GetSender().GetNode())
+	done.reply = ring.New[grant](1)
+	r.finish(done)
+	credit, err := done.reply.Receive(ctx)
+	if err != nil {
+		return nil
+	}
+	return r.upstreamState(credit)
+}
+
+func (r *run) attempt() core.AttemptID { return core.AttemptID(r.req.GetAttempt()) }
+
 func rejectionOf(v verdict) *wire.Reject {
 	reject := &wire.Reject{Detail: v.reason.String(), RetryAfterMs: uint32(v.retryAfter.Milliseconds())}
 	switch {
@@ -202,7 +216,7 @@
 }
 
 // execute hands the admitted run to the engine and streams its tokens.
-func (r *run) execute(ctx context.Context, queued time.Duration) (admit.Sample, error) {
+func (r *run) execute(ctx context.Context, queued time.Duration) error {
 	scope := r.scope()
 	var imported int
 	if r.opts.Transfer != nil {
@@ -211,7 +225,9 @@
 	handedOver := r.opts.Now()
 	usage, finish, err := r.opts.Engine.Complete(ctx, r.completion(scope), r.token)
 	if err != nil {
-		return r.fail(ctx, err)
+		sample, err := r.fail(ctx, err)
+		r.finish(doneEvent{id: r.attempt(), sample: sample})
+		return err
 	}
 	sample := r.sample(handedOver, usage)
 	if r.opts.Transfer != nil {
@@ -220,7 +236,9 @@
 	}
 	r.stored = storedHints(scope, r.req.GetPrompt(), sample.ComputedBytes)
 	r.metrics.finished(r.class(), usage, imported)
-	return sample, r.send(&wire.Frame{Body: &wire.Frame_End{End: &wire.End{
+	state := r.finishWithCredit(ctx, doneEvent{id: r.attempt(), sample: sample, stored: r.stored})
+	return r.send(&wire.Frame{Body: &wire.Frame_End{End: &wire.End{
+		State:         state,
 		Frames:        r.seq,
 		Tokens:        r.tokens,
 		FinishReason:  finish,
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -71,14 +71,14 @@
 	return reply.Receive(ctx)
 }
 
-func (s *server) upstreamState(credit grant) *wire.UpstreamState {
-	now := s.admission.state.Load()
+func (a *Agent) upstreamState(credit grant) *wire.UpstreamState {
+	now := a.admission.state.Load()
 	state := &wire.UpstreamState{
-		Sender:           s.sender(),
-		Upstream:         string(s.opts.Upstream),
+		Sender:           a.sender(),
+		Upstream:         string(a.opts.Upstream),
 		Credits:          uint32(credit.Count),
 		UrgentCredits:    uint32(credit.Urgent),
-		CreditMs:         uint32(credit.Expires.Sub(s.opts.Now()).Milliseconds()),
+		CreditMs:         uint32(credit.Expires.Sub(a.opts.Now()).Milliseconds()),
 		Window:           uint32(now.Window),
 		Running:          uint32(now.Running),
 		Queued:           uint32(now.Queued),
@@ -90,12 +90,12 @@
 		Loaded:           now.info.Loaded,
 		Cached:           credit.stored,
 	}
-	view := s.opts.Control.View()
-	if upstream := s.upstream(view); upstream != nil {
+	view := a.opts.Control.View()
+	if upstream := a.upstream(view); upstream != nil {
 		state.Version = string(view.VersionOn(upstream))
 	}
-	if s.opts.Transfer != nil {
-		state.LinkBytesPerS = uint64(s.opts.Transfer.LinkFree())
+	if a.opts.Transfer != nil {
+		state.LinkBytesPerS = uint64(a.opts.Transfer.LinkFree())
 	}
 	return state
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -36,9 +36,11 @@
 	answer   *stream.Answer
 	out      answerWriter
 	tried    []core.UpstreamID
-	first    time.Time
-	last     time.Time
-	end      *wire.End
+	// placed is when the last attempt was given an upstream.
+	placed time.Time
+	first  time.Time
+	last   time.Time
+	end    *wire.End
 	// reason says why the last attempt gave no answer.
 	reason string
 }
@@ -119,7 +121,8 @@
 	if refused != nil {
 		return refused, true
 	}
-	c.tries.Begin(c.opts.Now(), a.attempt)
+	c.placed = c.opts.Now()
+	c.tries.Begin(c.placed, a.attempt)
 	outcome := c.run(a)
 	c.tries.End(a.attempt, outcome)
 	c.metrics.attempt(outcome.String())
@@ -309,6 +312,7 @@
 			}
 		case stream.Complete:
 			c.end = f.GetEnd()
+			c.dispatch.states.Push(stateUpdate{id: a.choice.Upstream, state: c.end.GetState()})
 			return core.Finished
 		case stream.Rejected:
 			return c.rejected(f.GetReject())
@@ -408,6 +412,12 @@
 		return
 	}
 	c.metrics.times(c.class, c.first.Sub(c.arrived), c.perToken())
+	c.opts.Log.WithFields(logrus.Fields{
+		"event": "prompt", "id": c.id, "class": c.class.String(), "attempts": len(c.tried) + 1,
+		"first_token": c.first.Sub(c.arrived), "waited": c.placed.Sub(c.arrived),
+		"agent_queue_ms": c.end.GetQueueMs(), "prefill_ms": c.end.GetPrefillMs(),
+		"imported_bytes": c.end.GetImportedBytes(), "prompt_tokens": c.end.GetPromptTokens(), "cached_tokens": c.end.GetCachedTokens(),
+	}).Debug("prompt finished")
 }
 
 func usageOf(end *wire.End) engine.Usage {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -87,11 +87,12 @@
 // ended reports that a call is over.
 type ended struct{ id core.AttemptID }
 
-// stateUpdate is a message of a watch; a nil state means that the upstream's
-// agent does not answer.
+// stateUpdate is the state of an upstream, from its watch or with an answer.
 type stateUpdate struct {
 	id    core.UpstreamID
 	state *wire.UpstreamState
+	// lost is set when the upstream's agent does not answer.
+	lost bool
 }
 
 // dispatcher is the duty that owns what the entry knows of the upstreams, the
@@ -252,11 +253,14 @@
 	if !ok {
 		return
 	}
-	if u.state == nil {
+	if u.lost {
 		d.table.Forget(u.id)
 		delete(d.published, u.id)
 		return
 	}
+	if u.state == nil {
+		return
+	}
 	d.table.Update(now, stateOf(now, u.state))
 	d.publishLoad(now, u.state)
 	d.serveWaiting(now, m.pool, int(u.state.GetCredits()))
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -162,7 +162,7 @@
 
 // lost tells dispatch that nothing more is known of the upstream.
 func (w *watch) lost(err error) {
-	w.states.Push(stateUpdate{id: w.target.id})
+	w.states.Push(stateUpdate{id: w.target.id, lost: true})
 	if w.failing {
 		return
 	}
