Test lost answers of loads that continue

Cause: the fake agent lost the answer after the load, so a driver that counted an unclear load as ended passed.

Change: the fake loses the answer at once and the load goes on.

--- a/operator/fakes_test.go
+++ b/operator/fakes_test.go
@@ -233,22 +233,29 @@
 		w.mu.Unlock()
 		return reply, nil
 	}
-	w.loading++
-	w.most = max(w.most, w.loading)
+	lost := a.loseAnswers > 0
+	a.loseAnswers--
 	w.mu.Unlock()
-	time.Sleep(loadTime)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.loading--
-	name := req.GetLoad().GetModel() + "@" + req.GetLoad().GetVersion()
-	if !slices.Contains(a.loaded, name) {
-		a.loaded = append(a.loaded, name)
-	}
-	if a.loseAnswers > 0 || ctx.Err() != nil {
-		a.loseAnswers--
+	if lost { // the connection breaks at once, the load goes on
+		w.group.Go("load", func(context.Context) error { w.loadWeights(a, req); return nil })
 		return nil, errs.New(errs.Unknown, "retry", "answer is lost")
 	}
-	return &wire.OrderReply{Done: true}, nil
+	w.loadWeights(a, req)
+	return &wire.OrderReply{Done: true}, ctx.Err()
+}
+
+func (w *world) loadWeights(a *agentFake, req *wire.OrderRequest) {
+	w.set(func() {
+		w.loading++
+		w.most = max(w.most, w.loading)
+	})
+	time.Sleep(loadTime)
+	w.set(func() {
+		w.loading--
+		if name := req.GetLoad().GetModel() + "@" + req.GetLoad().GetVersion(); !slices.Contains(a.loaded, name) {
+			a.loaded = append(a.loaded, name)
+		}
+	})
 }
 
 // drive runs a driver for one term and returns a function that ends it.
