End the duties of a failed rollout test

Cause: after a failed check the duties went on in passed time for ever, so the test hung instead of failing.

Change: each test ends its group when it returns, and the wait for the canary stage is bounded.

Conclusion: a failed check ends the test.

--- a/operator/rollout_test.go
+++ b/operator/rollout_test.go
@@ -84,14 +84,13 @@
 			synctest.Test(t, func(t *testing.T) {
 				start := time.Now()
 				w := newWorld(12, deadline)
+				defer w.group.Stop()
 				w.serve(t, c.act)
 				if c.before != nil {
 					c.before(w)
 				}
 				w.drive(t, &holder{world: w, fence: 1})
-				for w.phase() != rollout.PhaseCanary {
-					w.run(100 * time.Millisecond)
-				}
+				w.untilCanary(t)
 				canary := time.Now()
 				if c.later != nil {
 					w.run(3 * time.Second)
@@ -124,15 +123,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		bad := false
 		w := newWorld(12, 40*time.Second)
+		defer w.group.Stop()
 		w.serve(t, failing(func(time.Duration, core.WorkspaceID) bool {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			return bad
 		}))
 		w.drive(t, &holder{world: w, fence: 1})
-		for w.phase() != rollout.PhaseCanary {
-			w.run(100 * time.Millisecond)
-		}
+		w.untilCanary(t)
 		w.set(func() { w.down = true })
 		w.run(15 * time.Second)
 		require.Equal(t, rollout.PhaseCanary, w.phase())
@@ -150,6 +148,7 @@
 	t.Run("lease lost during a load", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(12, 60*time.Second)
+			defer w.group.Stop()
 			w.serve(t, good)
 			end := w.drive(t, &holder{world: w, fence: 1})
 			w.run(300 * time.Millisecond)
@@ -167,6 +166,7 @@
 	t.Run("paused holder", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(12, 60*time.Second)
+			defer w.group.Stop()
 			w.serve(t, good)
 			old := w.current()
 			w.drive(t, &holder{world: w, fence: 2})
@@ -190,6 +190,7 @@
 	t.Run("two holders at once", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(12, 60*time.Second)
+			defer w.group.Stop()
 			w.serve(t, good)
 			w.drive(t, &holder{world: w, fence: 1})
 			w.drive(t, &holder{world: w, fence: 2})
@@ -201,6 +202,17 @@
 	})
 }
 
+func (w *world) untilCanary(t *testing.T) {
+	for range 200 {
+		if w.phase() == rollout.PhaseCanary {
+			return
+		}
+		w.run(100 * time.Millisecond)
+	}
+	w.group.Stop()
+	require.Equal(t, rollout.PhaseCanary, w.phase())
+}
+
 func (w *world) orders() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -216,6 +228,7 @@
 func TestDrainedEngineReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(12, 60*time.Second)
+		defer w.group.Stop()
 		w.serve(t, good)
 		h := &holder{world: w, fence: 1}
 		subject := facts.Subject{Kind: facts.SubjectUpstream, Name: "e11"}
@@ -240,6 +253,7 @@
 func TestNoSamples(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(12, 30*time.Second)
+		defer w.group.Stop()
 		w.drive(t, &holder{world: w, fence: 1})
 		w.run(30 * time.Second)
 		require.Equal(t, rollout.PhaseWithdrawn, w.phase())
