Fuzz what comes from outside

Cause: settings files, callers' bodies, frames, engine events and manifests are written by others, and only bundles were fuzzed. Decoding of settings recovers from panics of the YAML library.

--- /dev/null
+++ b/keptcache/fuzz_test.go
@@ -0,0 +1,46 @@
+package keptcache
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/errs"
+)
+
+// storeAnswer is a store that answers every request with one body.
+type storeAnswer string
+
+func (a storeAnswer) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Request: r, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(string(a)))}, nil
+}
+
+// Guards against a manifest that makes the agent panic, or that is accepted
+// for another scope, another prompt or with pieces of no size.
+func FuzzManifest(f *testing.F) {
+	for _, seed := range []string{
+		`{"scope":"s","pieces":[{"key":"k1","sha256":"00","bytes":4}]}`,
+		`{"scope":"s","pieces":[{"key":"k1","bytes":4},{"key":"k2","bytes":4}]}`,
+		`{"scope":"s","pieces":[{"key":"k2","bytes":4}]}`, `{"scope":"other","pieces":[{"key":"k1","bytes":4}]}`,
+		`{"scope":"s","pieces":[{"key":"k1","bytes":-1}]}`, `{"scope":"s","pieces":[null,null,null]}`, `{"scope":"s"}`, `null`, `[`, "",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, body string) {
+		client := New(Options{BaseURL: "http://127.0.0.1:1", HTTP: &http.Client{Transport: storeAnswer(body)}})
+		m, err := client.Lookup(t.Context(), "s", []string{"k2", "k1"})
+		if err != nil {
+			require.True(t, errs.Is(err, errs.Corrupt), "%v", err)
+			return
+		}
+		require.Equal(t, "s", m.Scope)
+		require.NotEmpty(t, m.Pieces)
+		for i, piece := range m.Pieces {
+			require.Equal(t, []string{"k1", "k2"}[i], piece.Key)
+			require.True(t, piece.Bytes > 0 && piece.Bytes <= maxPieceBytes)
+		}
+	})
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return "", err
 	}
-	if err := yaml.Unmarshal(body, &probe); err == nil && probe.Upstream != nil {
+	if err := unmarshal(body, &probe); err == nil && probe.Upstream != nil {
 		_, err := LoadAgent(file)
 		return "waxwing-agent", err
 	}
@@ -113,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	if err := yaml.UnmarshalWithOptions(body, into, yaml.Strict()); err != nil {
+	if err := unmarshal(body, into, yaml.Strict()); err != nil {
 		text := strings.TrimSpace(yaml.FormatError(err, false, false))
 		first, _, _ := strings.Cut(text, "\n")
 		return fault(file, keyOf(err), first, "correct the key; docs/settings.md lists all keys")
@@ -121,6 +121,17 @@
 	return validate(file, into)
 }
 
+// unmarshal decodes YAML. The library panics on some malformed documents, for
+// example on a tag without a value.
+func unmarshal(body []byte, into any, options ...yaml.DecodeOption) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Newf("malformed YAML: %v", cause)
+		}
+	}()
+	return yaml.UnmarshalWithOptions(body, into, options...)
+}
+
 // keyOf names the key at which decoding failed, as far as the decoder says.
 func keyOf(err error) string {
 	var unknown *yaml.UnknownFieldError
