--- a/agent/admission.go
+++ b/agent/admission.go
@@ -47,14 +47,37 @@
 type doneEvent struct {
 	id     core.AttemptID
 	sample admit.Sample
+	// stored are hints on the blocks that the engine holds after the run.
+	stored []uint64
+	// watcher, if set, gets renewed credits through reply.
+	watcher core.NodeID
+	reply   *ring.Ring[grant]
 }
 
 // grantEvent asks for a watcher's credits.
 type grantEvent struct {
 	watcher core.NodeID
-	reply   *ring.Ring[admit.Credit]
+	reply   *ring.Ring[grant]
+}
+
+// grant is what a watcher is told besides the published snapshot.
+type grant struct {
+	admit.Credit
+	// stored are hints on blocks that were stored since the last grant.
+	stored []uint64
 }
 
+// watcher is an entry that watches this agent.
+type watcher struct {
+	notify *ring.Ring[struct{}]
+	stored []uint64
+	// credits is how many credits the watcher is thought to have left.
+	credits int
+}
+
+// maxStored bounds the hints in one message to a watcher; the newest are kept.
+const maxStored = 64
+
 // watchEvent starts or ends the notification of a watcher.
 type watchEvent struct {
 	watcher core.NodeID
@@ -92,7 +115,7 @@
 	state    atomic.Pointer[snapshot]
 	control  *admit.Controller
 	calls    map[core.AttemptID]pending
-	watchers map[core.NodeID]*ring.Ring[struct{}]
+	watchers map[core.NodeID]*watcher
 	info     engine.Info
 	prefill  float64
 	stopping bool
@@ -108,7 +131,7 @@
 		events:   ring.New[event](eventRing),
 		control:  admit.New(admit.Defaults(defaultMaxWindow, o.Incarnation)),
 		calls:    make(map[core.AttemptID]pending),
-		watchers: make(map[core.NodeID]*ring.Ring[struct{}]),
+		watchers: make(map[core.NodeID]*watcher),
 		limit:    defaultMaxWindow,
 	}
 	a.state.Store(&snapshot{State: a.control.State(o.Now())})
@@ -151,6 +174,9 @@
 
 func (a *admission) offer(now time.Time, o offer) {
 	a.followView()
+	if w := a.watchers[o.call.Watcher]; w != nil {
+		w.credits--
+	}
 	decision := a.control.Offer(now, o.call)
 	a.metrics.offered(decision)
 	switch decision.Verdict {
@@ -186,7 +212,14 @@
 	effects := a.control.Done(now, e.id, e.sample)
 	delete(a.calls, e.id)
 	a.observePrefill(e.sample)
+	for _, w := range a.watchers {
+		w.stored = append(w.stored, e.stored...)
+		w.stored = w.stored[max(0, len(w.stored)-maxStored):]
+	}
 	a.effects(effects)
+	if e.reply != nil {
+		grantEvent{e.watcher, e.reply}.apply(a, now)
+	}
 }
 
 // prefillWeight is the weight of the newest sample in the moving average.
@@ -206,16 +239,21 @@
 
 func (e grantEvent) apply(a *admission, now time.Time) {
 	a.followView()
-	e.reply.Offer(a.control.Grant(now, e.watcher))
+	g := grant{Credit: a.control.Grant(now, e.watcher)}
+	if w := a.watchers[e.watcher]; w != nil {
+		g.stored, w.stored = w.stored, nil
+		w.credits = g.Count
+	}
+	e.reply.Offer(g)
 }
 
 func (e watchEvent) apply(a *admission, _ time.Time) {
 	if !e.leave {
-		a.watchers[e.watcher] = e.notify
+		a.watchers[e.watcher] = &watcher{notify: e.notify}
 		return
 	}
 	// A watcher that reconnected has a newer ring, which stays.
-	if a.watchers[e.watcher] == e.notify {
+	if w := a.watchers[e.watcher]; w != nil && w.notify == e.notify {
 		delete(a.watchers, e.watcher)
 		a.control.Leave(e.watcher)
 	}
@@ -264,10 +302,12 @@
 		a.limit = upstream.MaxWindow
 		a.control.SetMaxWindow(a.limit)
 	}
+	a.control.SetColdBound(upstream.ColdWindow, upstream.WarmUp())
 }
 
 // publish stores the snapshot and notifies watchers of a change that matters
-// to them before their next regular message.
+// to them before their next regular message: watchers that have used up their
+// credits hear of freed room, all others only of larger changes.
 func (a *admission) publish(now time.Time) {
 	next := &snapshot{State: a.control.State(now), info: a.info, prefillRate: uint64(a.prefill)}
 	before := a.state.Swap(next)
@@ -275,11 +315,12 @@
 		a.idle.Offer(struct{}{})
 		a.idle = nil
 	}
-	if !before.differs(next) {
-		return
-	}
-	for _, notify := range a.watchers {
-		notify.Push(struct{}{})
+	changed := before.differs(next)
+	freed := next.Running+next.Queued < before.Running+before.Queued
+	for _, w := range a.watchers {
+		if changed || freed && w.credits <= 0 {
+			w.notify.Push(struct{}{})
+		}
 	}
 }
 
--- a/agent/run.go
+++ b/agent/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,9 +13,13 @@
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
 	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/route"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
+// infoTimeout bounds the look at the engine before a hand-over.
+const infoTimeout = time.Second
+
 // errPreempted is the cause of a run that was cancelled for an urgent call.
 var errPreempted = errors.New("preempted by an urgent call")
 
@@ -31,6 +36,7 @@
 	tokens  uint32
 	started time.Time
 	first   time.Time
+	stored  []uint64
 }
 
 // Run runs one attempt and streams its frames. Every attempt ends with exactly
@@ -54,9 +60,11 @@
 		return r.reject(rejectionOf(v))
 	}
 	r.started = s.opts.Now()
-	sample, err := r.execute(ctx, r.started.Sub(arrived))
-	s.finish(core.AttemptID(req.GetAttempt()), sample)
-	return err
+	if rejection := r.checkEngine(ctx); rejection != nil {
+		s.finish(doneEvent{id: r.attempt(), sample: admit.Sample{Result: admit.Cancelled}})
+		return r.reject(rejection)
+	}
+	return r.execute(ctx, r.started.Sub(arrived))
 }
 
 // check refuses requests that must not reach the upstream whatever its load.
@@ -92,6 +100,24 @@
 	return nil
 }
 
+// checkEngine asks the engine for its state just before hand-over. An engine
+// may turn cold at any moment, and the sampler would notice too late to keep
+// the runs that were admitted for a warm one away from it.
+func (r *run) checkEngine(ctx context.Context) *wire.Reject {
+	ctx, cancel := context.WithTimeout(ctx, infoTimeout)
+	defer cancel()
+	known := r.admission.state.Load().info
+	info, err := r.opts.Engine.Info(ctx)
+	if err != nil {
+		return &wire.Reject{Reason: wire.RejectReason_REJECT_UPSTREAM_UNAVAILABLE, Detail: err.Error()}
+	}
+	if known.Incarnation == 0 || info.Incarnation == known.Incarnation && info.CacheEpoch == known.CacheEpoch {
+		return nil
+	}
+	_ = r.admission.events.Send(ctx, infoEvent{info})
+	return &wire.Reject{Reason: wire.RejectReason_REJECT_WINDOW_FULL, Detail: "upstream turned cold"}
+}
+
 func (r *run) class() core.Class {
 	if r.req.GetDeferrable() {
 		return core.Deferrable
@@ -120,7 +146,7 @@
 	}
 	v, err := reply.Receive(ctx)
 	if err != nil {
-		a.finish(call.ID, admit.Sample{Result: admit.Cancelled})
+		a.finish(doneEvent{id: call.ID, sample: admit.Sample{Result: admit.Cancelled}})
 		return verdict{}, errs.Wrap(err, errs.Unavailable, "send the call again", "caller left before admission")
 	}
 	return v, nil
@@ -128,10 +154,26 @@
 
 // finish reports the end of a call. It waits for room, so that no run is
 // counted as under way for ever, and ends with the duty itself.
-func (a *Agent) finish(id core.AttemptID, sample admit.Sample) {
-	_ = a.admission.events.Send(context.Background(), doneEvent{id, sample})
+func (a *Agent) finish(done doneEvent) {
+	_ = a.admission.events.Send(context.Background(), done)
+}
+
+// finishWithCredit reports the end of a run and returns the state with the
+// entry's renewed credits, or nil when the caller has gone. An entry that keeps
+// sending thus does not wait for its next watch message.
+func (r *run) finishWithCredit(ctx context.Context, done doneEvent) *wire.UpstreamState {
+	done.watcher = core.NodeID(r.req.GetSender().GetNode())
+	done.reply = ring.New[grant](1)
+	r.finish(done)
+	credit, err := done.reply.Receive(ctx)
+	if err != nil {
+		return nil
+	}
+	return r.upstreamState(credit)
 }
 
+func (r *run) attempt() core.AttemptID { return core.AttemptID(r.req.GetAttempt()) }
+
 func rejectionOf(v verdict) *wire.Reject {
 	reject := &wire.Reject{Detail: v.reason.String(), RetryAfterMs: uint32(v.retryAfter.Milliseconds())}
 	switch {
@@ -174,35 +216,53 @@
 }
 
 // execute hands the admitted run to the engine and streams its tokens.
-func (r *run) execute(ctx context.Context, queued time.Duration) (admit.Sample, error) {
+func (r *run) execute(ctx context.Context, queued time.Duration) error {
 	scope := r.scope()
-	var imported uint64
+	var imported int
 	if r.opts.Transfer != nil {
 		imported, _ = r.opts.Transfer.Prepare(ctx, scope, r.req.GetPrompt(), r.class())
 	}
 	handedOver := r.opts.Now()
 	usage, finish, err := r.opts.Engine.Complete(ctx, r.completion(scope), r.token)
 	if err != nil {
-		return r.fail(ctx, err)
+		sample, err := r.fail(ctx, err)
+		r.finish(doneEvent{id: r.attempt(), sample: sample})
+		return err
 	}
+	sample := r.sample(handedOver, usage)
 	if r.opts.Transfer != nil {
+		r.opts.Transfer.ObservePrefill(ctx, sample.ComputedBytes, sample.FirstToken)
 		r.opts.Transfer.Finished(scope, r.req.GetPrompt(), usage)
 	}
-	sample := r.sample(handedOver, usage)
+	r.stored = storedHints(scope, r.req.GetPrompt(), sample.ComputedBytes)
 	r.metrics.finished(r.class(), usage, imported)
-	return sample, r.send(&wire.Frame{Body: &wire.Frame_End{End: &wire.End{
+	state := r.finishWithCredit(ctx, doneEvent{id: r.attempt(), sample: sample, stored: r.stored})
+	return r.send(&wire.Frame{Body: &wire.Frame_End{End: &wire.End{
+		State:         state,
 		Frames:        r.seq,
 		Tokens:        r.tokens,
 		FinishReason:  finish,
 		PromptTokens:  uint32(usage.PromptTokens),
 		CachedTokens:  uint32(usage.CachedTokens),
-		ImportedBytes: imported,
+		ImportedBytes: uint64(imported),
 		PrefixBlocks:  uint32(len(r.req.GetPrompt()) / core.BlockBytes),
 		QueueMs:       uint32(queued.Milliseconds()),
 		PrefillMs:     uint32(sample.FirstToken.Milliseconds()),
 	}}})
 }
 
+// storedHints returns the hints that entries record for a finished run: the
+// first 8 bytes of some of its block keys.
+func storedHints(scope core.Scope, prompt string, computedBytes int) []uint64 {
+	keys := core.BlockKeys(scope.Salt(), prompt)
+	cached := (len(prompt) - computedBytes) / core.BlockBytes
+	var hints []uint64
+	route.HintDepths(len(keys), cached, func(depth int) {
+		hints = append(hints, binary.BigEndian.Uint64(keys[depth-1][:8]))
+	})
+	return hints
+}
+
 func (r *run) completion(scope core.Scope) engine.CompletionRequest {
 	return engine.CompletionRequest{
 		Model:      engine.ModelName(scope.Model, scope.Version, scope.Adapter),
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"waxwingtide.example/waxwingtide/admit"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/ring"
@@ -64,22 +63,22 @@
 	return nil
 }
 
-func (s *server) grant(ctx context.Context, watcher core.NodeID) (admit.Credit, error) {
-	reply := ring.New[admit.Credit](1)
+func (s *server) grant(ctx context.Context, watcher core.NodeID) (grant, error) {
+	reply := ring.New[grant](1)
 	if err := s.admission.events.Send(ctx, grantEvent{watcher, reply}); err != nil {
-		return admit.Credit{}, err
+		return grant{}, err
 	}
 	return reply.Receive(ctx)
 }
 
-func (s *server) upstreamState(credit admit.Credit) *wire.UpstreamState {
-	now := s.admission.state.Load()
+func (a *Agent) upstreamState(credit grant) *wire.UpstreamState {
+	now := a.admission.state.Load()
 	state := &wire.UpstreamState{
-		Sender:           s.sender(),
-		Upstream:         string(s.opts.Upstream),
+		Sender:           a.sender(),
+		Upstream:         string(a.opts.Upstream),
 		Credits:          uint32(credit.Count),
 		UrgentCredits:    uint32(credit.Urgent),
-		CreditMs:         uint32(credit.Expires.Sub(s.opts.Now()).Milliseconds()),
+		CreditMs:         uint32(credit.Expires.Sub(a.opts.Now()).Milliseconds()),
 		Window:           uint32(now.Window),
 		Running:          uint32(now.Running),
 		Queued:           uint32(now.Queued),
@@ -89,14 +88,14 @@
 		PrefillBytesPerS: now.prefillRate,
 		Draining:         now.Draining,
 		Loaded:           now.info.Loaded,
+		Cached:           credit.stored,
 	}
-	view := s.opts.Control.View()
-	if upstream := s.upstream(view); upstream != nil {
+	view := a.opts.Control.View()
+	if upstream := a.upstream(view); upstream != nil {
 		state.Version = string(view.VersionOn(upstream))
 	}
-	if s.opts.Transfer != nil {
-		state.LinkBytesPerS = s.opts.Transfer.LinkFree()
-		state.Cached = s.opts.Transfer.RecentKeys()
+	if a.opts.Transfer != nil {
+		state.LinkBytesPerS = uint64(a.opts.Transfer.LinkFree())
 	}
 	return state
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -36,19 +36,17 @@
 	answer   *stream.Answer
 	out      answerWriter
 	tried    []core.UpstreamID
-	first    time.Time
-	last     time.Time
-	end      *wire.End
+	// placed is when the last attempt was given an upstream.
+	placed time.Time
+	first  time.Time
+	last   time.Time
+	end    *wire.End
 	// reason says why the last attempt gave no answer.
 	reason string
 }
 
 // completions serves POST /v1/completions.
 func (e *Entry) completions(w http.ResponseWriter, r *http.Request) {
-	if !e.Ready() {
-		notServing().write(w)
-		return
-	}
 	p, refused := parsePrompt(r, e.opts.Control.View(), e.opts.Limits.BodyBytes, e.opts.Limits.Timeout)
 	if refused != nil {
 		refused.write(w)
@@ -123,7 +121,8 @@
 	if refused != nil {
 		return refused, true
 	}
-	c.tries.Begin(c.opts.Now(), a.attempt)
+	c.placed = c.opts.Now()
+	c.tries.Begin(c.placed, a.attempt)
 	outcome := c.run(a)
 	c.tries.End(a.attempt, outcome)
 	c.metrics.attempt(outcome.String())
@@ -141,11 +140,11 @@
 // stable version serves the call.
 func (c *call) place() (assignment, *refusal) {
 	view := c.opts.Control.View()
-	c.chooseVersion(view, true)
-	a, refused := c.ask()
+	canary := c.chooseVersion(view, true)
+	a, refused := c.ask(canary)
 	if refused == nil && a.unserved && c.canChangeVersion() {
 		c.chooseVersion(view, false)
-		a, refused = c.ask()
+		a, refused = c.ask(false)
 	}
 	if refused == nil && a.unserved {
 		return a, c.refuse(errs.Unavailable, "no upstream serves model "+string(c.model)+" now; retry later")
@@ -157,17 +156,19 @@
 // from one weight version.
 func (c *call) canChangeVersion() bool { return c.answer.Position() == 0 }
 
-// chooseVersion sets the weight version and the block keys under it.
-func (c *call) chooseVersion(view *facts.View, canary bool) {
+// chooseVersion sets the weight version and the block keys under it. It
+// reports whether the call belongs to the canary share.
+func (c *call) chooseVersion(view *facts.View, canary bool) bool {
 	if !c.canChangeVersion() {
-		return
+		return false
 	}
-	version := splitFor(view, c.model, canary).Version(c.id)
-	if version == c.version {
-		return
+	split := splitFor(view, c.model, canary)
+	version := split.Version(c.id)
+	if version != c.version {
+		c.version = version
+		c.blocks = core.BlockKeys(c.scope().Salt(), c.text)
 	}
-	c.version = version
-	c.blocks = core.BlockKeys(c.scope().Salt(), c.text)
+	return version == split.Canary
 }
 
 // splitFor returns how a model's traffic is divided between weight versions.
@@ -196,8 +197,9 @@
 	return core.Scope{Workspace: c.identity.Workspace, Model: c.model, Adapter: c.adapter, Version: c.version}
 }
 
-func (c *call) ask() (assignment, *refusal) {
+func (c *call) ask(canary bool) (assignment, *refusal) {
 	p := &placement{
+		canary: canary,
 		route: route.Request{
 			Scope: c.scope(), Class: c.class, Blocks: c.blocks, PromptBytes: len(c.text), Tried: c.tried,
 		},
@@ -310,6 +312,7 @@
 			}
 		case stream.Complete:
 			c.end = f.GetEnd()
+			c.dispatch.states.Push(stateUpdate{id: a.choice.Upstream, state: c.end.GetState()})
 			return core.Finished
 		case stream.Rejected:
 			return c.rejected(f.GetReject())
@@ -409,6 +412,12 @@
 		return
 	}
 	c.metrics.times(c.class, c.first.Sub(c.arrived), c.perToken())
+	c.opts.Log.WithFields(logrus.Fields{
+		"event": "prompt", "id": c.id, "class": c.class.String(), "attempts": len(c.tried) + 1,
+		"first_token": c.first.Sub(c.arrived), "waited": c.placed.Sub(c.arrived),
+		"agent_queue_ms": c.end.GetQueueMs(), "prefill_ms": c.end.GetPrefillMs(),
+		"imported_bytes": c.end.GetImportedBytes(), "prompt_tokens": c.end.GetPromptTokens(), "cached_tokens": c.end.GetCachedTokens(),
+	}).Debug("prompt finished")
 }
 
 func usageOf(end *wire.End) engine.Usage {
