Run the operators' duties on entries and judge weight versions

Cause: rollouts were signed off but nobody loaded, judged or promoted them. Change: entries run the judge and, under the lease, the rollout driver; failure frames carry a cause, so that lost VMs, preemptions and drains do not count against a version. A timeout header beyond the range of a duration is refused.

--- a/agent/run.go
+++ b/agent/run.go
@@ -306,10 +306,28 @@
 	if errs.Is(err, errs.Unavailable) && r.seq == 0 {
 		return sample, r.reject(&wire.Reject{Reason: wire.RejectReason_REJECT_UPSTREAM_UNAVAILABLE, Detail: err.Error()})
 	}
-	detail := err.Error()
-	if cause := context.Cause(ctx); cause != nil {
-		detail = cause.Error()
-	}
 	r.metrics.failed(r.class())
-	return sample, r.send(&wire.Frame{Body: &wire.Frame_Failure{Failure: &wire.Failure{Detail: detail, Tokens: r.tokens}}})
+	return sample, r.send(&wire.Frame{Body: &wire.Frame_Failure{Failure: &wire.Failure{
+		Cause: r.causeOf(ctx, err), Detail: err.Error(), Tokens: r.tokens,
+	}}})
+}
+
+// causeOf tells why an admitted run failed. An engine that still answers as the
+// same incarnation has failed the run itself; otherwise all its runs were lost.
+func (r *run) causeOf(ctx context.Context, err error) wire.FailureCause {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errPreempted):
+		return wire.FailureCause_CAUSE_PREEMPTED
+	case errors.Is(cause, context.DeadlineExceeded):
+		return wire.FailureCause_CAUSE_DEADLINE
+	case cause != nil:
+		return wire.FailureCause_CAUSE_CALLER_LEFT
+	case errs.Is(err, errs.Corrupt):
+		return wire.FailureCause_CAUSE_GARBLED
+	case r.checkEngine(ctx) == nil:
+		return wire.FailureCause_CAUSE_ENGINE_FAILED
+	default:
+		return wire.FailureCause_CAUSE_ENGINE_LOST
+	}
 }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -12,6 +12,7 @@
 	"waxwingtide.example/waxwingtide/entry"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
+	"waxwingtide.example/waxwingtide/operator"
 	"waxwingtide.example/waxwingtide/record"
 	"waxwingtide.example/waxwingtide/rollout"
 	"waxwingtide.example/waxwingtide/settings"
@@ -24,10 +25,14 @@
 // RunEntry runs the entry daemon until the context ends, which is a planned
 // stop: calls under way finish first.
 func RunEntry(ctx context.Context, s *settings.Entry, deps Deps) error {
-	p, err := newProcess(roleEntry, s.Common, deps, nil)
+	o := &operators{states: operator.NewStates()}
+	p, err := newProcess(roleEntry, s.Common, deps, o.onLease)
 	if err != nil {
 		return err
 	}
+	if err := o.set(p); err != nil {
+		return err
+	}
 	services, err := p.services()
 	if err != nil {
 		return err
@@ -40,6 +45,8 @@
 		Dial:          p.dialer.Dial,
 		Services:      services.Register,
 		Peers:         func() int { return liveEntries(p.control.Members()) },
+		Judge:         o.judge,
+		Watcher:       o.states,
 		Limits:        s.Limits,
 		Routing:       s.Routing,
 		Log:           p.log,
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -86,7 +86,7 @@
 
 // newProcess sets up what both daemons need. onLease runs operators' duties
 // and is nil in agents.
-func newProcess(role string, common settings.Common, deps Deps, onLease func(*process) func(context.Context, core.Fence) error) (*process, error) {
+func newProcess(role string, common settings.Common, deps Deps, onLease func(context.Context, core.Fence) error) (*process, error) {
 	p := &process{common: common, deps: deps, log: deps.Log, mux: drpcmux.New()}
 	if p.log == nil {
 		level, err := logrus.ParseLevel(common.Log.Level)
@@ -142,7 +142,7 @@
 	return p.dialer.Dial(ctx, address), nil
 }
 
-func (p *process) setControl(role string, onLease func(*process) func(context.Context, core.Fence) error) error {
+func (p *process) setControl(role string, onLease func(context.Context, core.Fence) error) error {
 	lister, err := p.platform()
 	if err != nil {
 		return err
@@ -162,9 +162,7 @@
 		Log:            p.log,
 		Metrics:        p.metrics,
 		Seed:           p.deps.Seed,
-	}
-	if onLease != nil {
-		options.OnLease = onLease(p)
+		OnLease:        onLease,
 	}
 	p.control, err = control.New(options)
 	return err
--- a/dev/ledger.go
+++ b/dev/ledger.go
@@ -74,8 +74,11 @@
 	}
 	noted := &statusWriter{ResponseWriter: w}
 	defer func() {
-		// A run that was cut before its first byte was taken all the same.
-		if noted.status == 0 || noted.status == http.StatusOK {
+		// A run that failed or was cut before its first byte was taken all the
+		// same; only these statuses say that it was not.
+		refused := noted.status == http.StatusServiceUnavailable || noted.status == http.StatusTooManyRequests ||
+			noted.status == http.StatusNotFound
+		if !refused {
 			if !o.seen.Offer(seen) {
 				o.lost.Add(1)
 			}
--- a/entry/call.go
+++ b/entry/call.go
@@ -16,6 +16,7 @@
 	"waxwingtide.example/waxwingtide/facts"
 	"waxwingtide.example/waxwingtide/retry"
 	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/rollout"
 	"waxwingtide.example/waxwingtide/route"
 	"waxwingtide.example/waxwingtide/stream"
 	"waxwingtide.example/waxwingtide/wire"
@@ -42,8 +43,9 @@
 	first  time.Time
 	last   time.Time
 	end    *wire.End
-	// reason says why the last attempt gave no answer.
+	// reason and ending say how the last attempt ended.
 	reason string
+	ending rollout.Ending
 }
 
 // completions serves POST /v1/completions.
@@ -128,6 +130,7 @@
 	c.tries.End(a.attempt, outcome)
 	c.metrics.attempt(outcome.String())
 	c.learn(a, outcome)
+	c.judge(a, outcome)
 	if outcome != core.Finished {
 		c.tried = append(c.tried, a.choice.Upstream)
 		c.logAttempt(a, outcome)
@@ -256,6 +259,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	resume := c.answer.Begin(a.attempt)
+	c.ending = rollout.NotHandedOver
 	client := wire.NewDRPCAgentClient(c.opts.Dial(ctx, a.address))
 	frames, err := client.Run(ctx, c.request(a, resume))
 	if err != nil {
@@ -295,7 +299,7 @@
 		f, err := frames.Recv()
 		if err != nil {
 			c.answer.Closed(a.attempt)
-			c.reason = "stream was cut"
+			c.reason, c.ending = "stream was cut", c.cutEnding()
 			if !errors.Is(err, io.EOF) {
 				c.reason += ": " + err.Error()
 			}
@@ -308,17 +312,18 @@
 		switch step.Verdict {
 		case stream.Deliver:
 			if err := c.deliver(f.GetToken().GetText()); err != nil {
-				c.reason = "caller has gone"
+				c.reason, c.ending = "caller has gone", rollout.CallerLeft
 				return core.Unknown
 			}
 		case stream.Complete:
-			c.end = f.GetEnd()
+			c.end, c.ending = f.GetEnd(), rollout.Complete
 			c.dispatch.states.Push(stateUpdate{id: a.choice.Upstream, state: c.end.GetState()})
 			return core.Finished
 		case stream.Rejected:
 			return c.rejected(f.GetReject())
 		case stream.Broken:
 			c.reason = "attempt broke (" + step.Fault.String() + ") " + f.GetFailure().GetDetail()
+			c.ending = brokenEnding(f.GetFailure())
 			return core.Unknown
 		}
 	}
@@ -368,6 +373,61 @@
 	return out
 }
 
+// cutEnding classifies an attempt whose stream ended without an end frame.
+func (c *call) cutEnding() rollout.Ending {
+	switch {
+	case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
+		return rollout.TimedOut
+	case c.ctx.Err() != nil:
+		return rollout.CallerLeft
+	default:
+		return rollout.VMLost
+	}
+}
+
+// brokenEnding classifies an attempt by the agent's failure frame; without one
+// the frames did not add up.
+func brokenEnding(f *wire.Failure) rollout.Ending {
+	if f == nil {
+		return rollout.Garbled
+	}
+	switch f.GetCause() {
+	case wire.FailureCause_CAUSE_ENGINE_FAILED:
+		return rollout.EngineFailed
+	case wire.FailureCause_CAUSE_GARBLED:
+		return rollout.Garbled
+	case wire.FailureCause_CAUSE_PREEMPTED:
+		return rollout.Preempted
+	case wire.FailureCause_CAUSE_DEADLINE:
+		return rollout.TimedOut
+	case wire.FailureCause_CAUSE_CALLER_LEFT:
+		return rollout.CallerLeft
+	default:
+		return rollout.EngineLost
+	}
+}
+
+// judge gives the rollout's tests a sample, if the ending says anything about
+// the weight version. An upstream that is leaving says nothing.
+func (c *call) judge(a assignment, outcome core.Outcome) {
+	counts, failed := rollout.Classify(c.ending)
+	view := c.opts.Control.View()
+	upstream := view.Index.Upstreams[a.choice.Upstream]
+	if c.opts.Judge == nil || !counts || upstream == nil || failed && !view.UpstreamOpen(upstream) {
+		return
+	}
+	s := Sample{
+		Model: c.model, Version: c.version, Workspace: c.identity.Workspace, Upstream: a.choice.Upstream,
+		Class: c.class, Failed: failed, At: c.opts.Now(),
+	}
+	if outcome == core.Finished {
+		s.FirstToken = time.Duration(c.end.GetPrefillMs()) * time.Millisecond
+		s.PerToken = c.perToken()
+		s.Work = int(c.end.GetPromptTokens()) - int(c.end.GetCachedTokens())
+	}
+	c.opts.Judge.Observe(s)
+}
+
 // learn tells dispatch what the attempt showed about its upstream's cache.
 func (c *call) learn(a assignment, outcome core.Outcome) {
 	l := learned{choice: a.choice, unsent: outcome == core.NeverDispatched, run: route.Run{
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -143,7 +143,7 @@
 		return nil
 	}
 	ms, err := strconv.Atoi(header)
-	if err != nil || ms < 1 || time.Duration(ms)*time.Millisecond > maxTimeout {
+	if err != nil || ms < 1 || int64(ms) > maxTimeout.Milliseconds() {
 		return invalid("timeout", headerTimeout+" is out of range; use 1 to "+strconv.FormatInt(maxTimeout.Milliseconds(), 10)+" milliseconds")
 	}
 	p.timeout = time.Duration(ms) * time.Millisecond
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,10 +52,21 @@
 	Upstream  core.UpstreamID
 	Class     core.Class
 	// Failed is set when the upstream ended the run without a whole answer.
-	Failed     bool
+	Failed bool
+	// FirstToken is the time from hand-over to the first token.
 	FirstToken time.Duration
 	PerToken   time.Duration
-	At         time.Time
+	// Work is the number of prompt tokens that were recomputed.
+	Work int
+	At   time.Time
+}
+
+// Watcher is told of the states that agents publish. Its methods never block.
+type Watcher interface {
+	// Report records a published state.
+	Report(state *wire.UpstreamState)
+	// Lost records that an agent does not answer.
+	Lost(id core.UpstreamID)
 }
 
 // Options configure an entry.
@@ -72,7 +83,9 @@
 	// means one.
 	Peers func() int
 	// Judge is nil where no rollout is judged.
-	Judge   Judge
+	Judge Judge
+	// Watcher is nil where nobody else needs the published states.
+	Watcher Watcher
 	Limits  settings.Limits
 	Routing settings.Routing
 	Log     logrus.FieldLogger
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -157,12 +157,18 @@
 		received = true
 		w.opts.Control.NoteEpoch(core.Epoch(state.GetSender().GetEpoch()))
 		w.states.Push(stateUpdate{id: w.target.id, state: state})
+		if w.opts.Watcher != nil {
+			w.opts.Watcher.Report(state)
+		}
 	}
 }
 
 // lost tells dispatch that nothing more is known of the upstream.
 func (w *watch) lost(err error) {
 	w.states.Push(stateUpdate{id: w.target.id, lost: true})
+	if w.opts.Watcher != nil {
+		w.opts.Watcher.Lost(w.target.id)
+	}
 	if w.failing {
 		return
 	}
--- a/operator/judge.go
+++ b/operator/judge.go
@@ -174,11 +174,11 @@
 	}
 	out := rollout.Sample{
 		Version: s.Version, Route: rollout.Route{Workspace: s.Workspace, Class: s.Class},
-		At: s.At, Failed: s.Failed, Latency: s.FirstToken,
+		At: s.At, Failed: s.Failed, Latency: s.FirstToken, Work: s.Work,
 	}
 	found, cause := t.errors.Add(out), "first token"
 	if found == nil && !s.Failed && s.PerToken > 0 {
-		out.Latency = s.PerToken
+		out.Latency, out.Work = s.PerToken, 0
 		found, cause = t.tokens.Add(out), "time per token"
 	}
 	if found != nil {
