Read the lease's fence before the first order after a restart

Cause: a restarted agent had forgotten the highest fence and would have carried out an order of an older lease; the order duty also repeated the rule of lease.Gate and accepted fence 0. Change: the orders duty uses lease.Gate and reads the current fence from the table first. Conclusion: the agent protects upstreams that ignore fences over restarts.

--- a/agent/order.go
+++ b/agent/order.go
@@ -9,6 +9,7 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/engine"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/lease"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/wire"
 )
@@ -27,10 +28,10 @@
 // orders is the duty that owns the highest fence seen and sends orders to the
 // engine one at a time. It protects engines that ignore fencing tokens.
 type orders struct {
-	opts    Options
-	in      *ring.Ring[order]
-	highest core.Fence
-	known   bool
+	opts  Options
+	in    *ring.Ring[order]
+	gate  lease.Gate
+	known bool
 }
 
 func newOrders(o Options) *orders {
@@ -56,20 +57,20 @@
 	if !d.known && d.opts.Fence != nil {
 		current, err := d.opts.Fence(ctx)
 		if err != nil {
-			return &wire.OrderReply{Fence: uint64(d.highest), Detail: "fence cannot be read from the table; retry when it is back: " + err.Error()}
+			return &wire.OrderReply{Fence: uint64(d.gate.Highest()), Detail: "fence cannot be read from the table; retry when it is back: " + err.Error()}
 		}
-		d.highest, d.known = max(d.highest, current), true
+		d.gate.Accept(current)
+		d.known = true
 	}
-	if fence < d.highest {
-		return &wire.OrderReply{Stale: true, Fence: uint64(d.highest), Detail: "order carries an old fence"}
+	if !d.gate.Accept(fence) {
+		return &wire.OrderReply{Stale: true, Fence: uint64(d.gate.Highest()), Detail: "order carries an old fence"}
 	}
-	d.highest = fence
 	err := d.pass(ctx, fence, req)
 	d.log(fence, err)
 	if err != nil {
-		return &wire.OrderReply{Stale: errs.Is(err, errs.Stale), Fence: uint64(d.highest), Detail: err.Error()}
+		return &wire.OrderReply{Stale: errs.Is(err, errs.Stale), Fence: uint64(d.gate.Highest()), Detail: err.Error()}
 	}
-	return &wire.OrderReply{Done: true, Fence: uint64(d.highest)}
+	return &wire.OrderReply{Done: true, Fence: uint64(d.gate.Highest())}
 }
 
 func (d *orders) pass(ctx context.Context, fence core.Fence, req *wire.OrderRequest) error {
--- a/control/lease.go
+++ b/control/lease.go
@@ -160,3 +160,14 @@
 		}
 	}
 }
+
+// CurrentFence reads the fence of the last lease from the table, 0 when there
+// was none. Errors: Unavailable, Exhausted.
+func (c *Control) CurrentFence(ctx context.Context) (core.Fence, error) {
+	row, err := c.table.Get(ctx, leaseKey)
+	if err != nil || row.Version == 0 {
+		return 0, err
+	}
+	current, err := decodeLease(row)
+	return current.Fence, err
+}
