--- a/control/control.go
+++ b/control/control.go
@@ -267,15 +267,3 @@
 // also keeps timers from being due when they are made: with the race detector,
 // such a timer crashes the Go 1.26 runtime in tests with passed time.
 const minWait = time.Millisecond
-
-// pause waits for a time and reports false when the context ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(max(d, minWait))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/control/lease.go
+++ b/control/lease.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/lease"
 	"waxwingtide.example/waxwingtide/platform"
 )
@@ -45,7 +46,7 @@
 	defer d.end()
 	for {
 		d.turn(ctx)
-		if !pause(ctx, time.Until(d.state.Next())) {
+		if !duty.Pause(ctx, time.Until(d.state.Next())) {
 			return ctx.Err()
 		}
 	}
--- a/control/membership.go
+++ b/control/membership.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/membership"
 	"waxwingtide.example/waxwingtide/platform"
 )
@@ -78,7 +79,7 @@
 			wait = max(wait, time.Duration(len(vms))*listIntervalPerEntry)
 		}
 		jitter := time.Duration(rng.Int64N(int64(wait) / 4))
-		if !pause(ctx, wait+jitter) {
+		if !duty.Pause(ctx, wait+jitter) {
 			return ctx.Err()
 		}
 	}
--- a/control/permit.go
+++ b/control/permit.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
 	"waxwingtide.example/waxwingtide/platform"
@@ -199,7 +200,7 @@
 		if err == nil {
 			return facts.Head{}, errs.Wrap(cause, errs.Unavailable, "try again with the same operation id", "permission has not taken effect")
 		}
-		if !pause(ctx, readBackPause) {
+		if !duty.Pause(ctx, readBackPause) {
 			return facts.Head{}, errs.Wrap(cause, errs.Unknown, "try again with the same operation id", "permission may have taken effect")
 		}
 	}
--- a/control/reader.go
+++ b/control/reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/facts"
 	"waxwingtide.example/waxwingtide/gossip"
 	"waxwingtide.example/waxwingtide/membership"
@@ -41,7 +42,7 @@
 			}
 		}
 		wait = wait*3/4 + time.Duration(rng.Int64N(int64(wait)/2))
-		if !pause(ctx, wait) {
+		if !duty.Pause(ctx, wait) {
 			return ctx.Err()
 		}
 	}
--- a/dev/client.go
+++ b/dev/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/engine"
 	"waxwingtide.example/waxwingtide/standin"
 )
@@ -85,7 +86,7 @@
 	}
 	started := time.Now()
 	for i := range tries {
-		if i > 0 && !sleep(ctx, retryPause) {
+		if i > 0 && !duty.Pause(ctx, retryPause) {
 			break
 		}
 		err := try(ctx, &r, started)
@@ -99,17 +100,6 @@
 	return r
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (c *callers) request(ctx context.Context, to target, method, path string, item *workItem, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, to.url+path, bytes.NewReader(body))
 	if err != nil {
--- a/dev/cluster.go
+++ b/dev/cluster.go
@@ -17,6 +17,7 @@
 	"waxwingtide.example/waxwingtide/bundle"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/daemon"
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/engine"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/platform"
@@ -349,7 +350,7 @@
 				vms = append(vms, vm)
 			}
 		}
-		if !sleep(ctx, listLag) {
+		if !duty.Pause(ctx, listLag) {
 			return
 		}
 		c.members.SetList(vms)
@@ -371,7 +372,7 @@
 			return err
 		}
 		c.log.WithField("event", "sign_off").WithError(err).Debug("sign-off failed")
-		if !sleep(ctx, retryPause) {
+		if !duty.Pause(ctx, retryPause) {
 			return errs.Wrap(err, errs.Unavailable, "see the log", "bundle was not signed off in time")
 		}
 	}
@@ -390,7 +391,7 @@
 				return nil
 			}
 		}
-		if !sleep(ctx, listLag/10) {
+		if !duty.Pause(ctx, listLag/10) {
 			return errs.New(errs.Unavailable, "see the log", "%s was not ready in time", u.node)
 		}
 	}
--- a/dev/fault.go
+++ b/dev/fault.go
@@ -10,6 +10,7 @@
 
 	"waxwingtide.example/waxwingtide/admin"
 	"waxwingtide.example/waxwingtide/bundle"
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/engine"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/standin"
@@ -132,7 +133,7 @@
 func (r *run) inject(ctx context.Context, names []string) {
 	for _, s := range schedule(names) {
 		at := time.Duration(s.at * float64(r.options.length()))
-		if !sleep(ctx, time.Until(r.began.Add(at))) {
+		if !duty.Pause(ctx, time.Until(r.began.Add(at))) {
 			return
 		}
 		entry := r.cluster.log.WithFields(logrus.Fields{"event": "fault", "step": s.name, "at": at})
@@ -206,7 +207,7 @@
 		if err == nil || errs.Is(err, errs.Invalid) {
 			return err
 		}
-		if !sleep(ctx, retryPause) {
+		if !duty.Pause(ctx, retryPause) {
 			return err
 		}
 	}
--- a/dev/run.go
+++ b/dev/run.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/engine"
 	"waxwingtide.example/waxwingtide/ring"
 )
@@ -88,7 +89,7 @@
 		return nil, err
 	}
 	// The workload begins when the engines are no longer fresh.
-	sleep(ctx, coldFor)
+	duty.Pause(ctx, coldFor)
 	r := &run{options: o, cluster: c, began: time.Now().Add(warmUp)}
 	linkBefore := r.linkBytes()
 	results := r.work(ctx, workload(d, o.For, o.Seed, o.Heavy))
@@ -139,7 +140,7 @@
 	side.Go(func() { r.progress(ctx) })
 	callers := r.newCallers()
 	for _, item := range items {
-		if !sleep(ctx, time.Until(r.began.Add(item.at-warmUp))) {
+		if !duty.Pause(ctx, time.Until(r.began.Add(item.at-warmUp))) {
 			break
 		}
 		r.sent.Add(1)
@@ -180,7 +181,7 @@
 	if r.options.Progress == nil {
 		return
 	}
-	for sleep(ctx, progressTime) {
+	for duty.Pause(ctx, progressTime) {
 		_, _ = fmt.Fprintf(r.options.Progress, "event=progress elapsed=%s sent=%d done=%d\n",
 			time.Since(r.began).Round(time.Second), r.sent.Load(), r.done.Load())
 	}
--- a/dev/unit.go
+++ b/dev/unit.go
@@ -11,6 +11,7 @@
 
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/daemon"
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/platform"
 )
 
@@ -53,7 +54,7 @@
 		if err := u.once(ctx); err != nil {
 			u.log.WithFields(logrus.Fields{"event": "unit_failed", "node": u.node}).WithError(err).Error("process failed")
 		}
-		sleep(ctx, restartPause)
+		duty.Pause(ctx, restartPause)
 	}
 }
 
--- a/entry/call.go
+++ b/entry/call.go
@@ -11,6 +11,7 @@
 
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/dispatch"
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/engine"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
@@ -112,7 +113,7 @@
 		if err != nil || permission.denial != retry.Allowed {
 			return c.giveUp(permission.denial)
 		}
-		if !pause(c.ctx, permission.delay) {
+		if !duty.Pause(c.ctx, permission.delay) {
 			return c.giveUp(retry.DeniedDeadline)
 		}
 	}
@@ -496,15 +497,3 @@
 	}
 	return 0
 }
-
-// pause waits and reports whether the time passed before the context ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/operator/counts.go
+++ b/operator/counts.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/ring"
@@ -121,7 +122,7 @@
 				delete(d.latest, model)
 			}
 		}
-		if !pause(ctx, countInterval) {
+		if !duty.Pause(ctx, countInterval) {
 			return ctx.Err()
 		}
 	}
--- a/operator/fakes_test.go
+++ b/operator/fakes_test.go
@@ -296,7 +296,7 @@
 
 func (w *world) send(ctx context.Context, j *Judge, act behaviour) error {
 	var began time.Time
-	for n := 0; pause(ctx, 20*time.Millisecond); n++ {
+	for n := 0; duty.Pause(ctx, 20*time.Millisecond); n++ {
 		v := w.current()
 		stage := v.Head.Rollouts["gate"]
 		s := entry.Sample{
--- a/operator/permits.go
+++ b/operator/permits.go
@@ -8,6 +8,7 @@
 	"waxwingtide.example/waxwingtide/bundle"
 	"waxwingtide.example/waxwingtide/control"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
 )
@@ -136,7 +137,7 @@
 			continue
 		}
 		t.counted.Push(t.count(ctx, keys))
-		if !pause(ctx, sampleInterval) {
+		if !duty.Pause(ctx, sampleInterval) {
 			return nil
 		}
 	}
--- a/operator/states.go
+++ b/operator/states.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/wire"
 )
@@ -68,7 +69,7 @@
 			return err
 		}
 		apply(states, r)
-		if !pause(ctx, publishInterval) {
+		if !duty.Pause(ctx, publishInterval) {
 			return ctx.Err()
 		}
 		for {
@@ -94,15 +95,3 @@
 // minWait keeps timers from being due when they are made: with the race
 // detector, such a timer crashes the Go 1.26 runtime in tests with passed time.
 const minWait = time.Millisecond
-
-// pause waits for a time and reports false when the context ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(max(d, minWait))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/record/commit.go
+++ b/record/commit.go
@@ -9,6 +9,7 @@
 
 	"waxwingtide.example/waxwingtide/claim"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/ring"
@@ -82,7 +83,7 @@
 		if err := c.out.Send(ctx, c.commit(ctx, b)); err != nil {
 			return err
 		}
-		if !pause(ctx, time.Until(next)) {
+		if !duty.Pause(ctx, time.Until(next)) {
 			return ctx.Err()
 		}
 	}
@@ -94,7 +95,7 @@
 	err := c.write(ctx, id, b)
 	for delay := firstStoreDelay; c.persistent && retryStore(err); delay = min(2*delay, maxStoreDelay) {
 		c.log.WithFields(logrus.Fields{"event": "result_not_stored", "calls": len(b.calls)}).WithError(err).Warn("result is kept in memory")
-		if !pause(ctx, delay) {
+		if !duty.Pause(ctx, delay) {
 			break
 		}
 		err = c.write(ctx, id, b)
@@ -104,7 +105,7 @@
 	}
 	rows, readErr := c.read(ctx, b)
 	for delay := firstStoreDelay; c.persistent && readErr != nil; delay = min(2*delay, maxStoreDelay) {
-		if !pause(ctx, delay) {
+		if !duty.Pause(ctx, delay) {
 			break
 		}
 		rows, readErr = c.read(ctx, b)
@@ -119,17 +120,6 @@
 // a conflict may pass: an operator can repair settings while the agent runs.
 func retryStore(err error) bool { return err != nil && !errs.Is(err, errs.Conflict) }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (c *committer) write(ctx context.Context, id string, b batch) error {
 	writes := make([]platform.Write, 0, len(b.rows))
 	for _, row := range b.rows {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -19,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/engine"
 )
 
@@ -377,7 +378,7 @@
 		return false
 	}
 	uncached := len(run.req.Prompt) - cached + run.req.ResumeFrom*TokenBytes
-	if e.o.PrefillRate > 0 && !pause(ctx, time.Duration(run.slowdown*float64(uncached)/e.o.PrefillRate*float64(time.Second))) {
+	if e.o.PrefillRate > 0 && !duty.Pause(ctx, time.Duration(run.slowdown*float64(uncached)/e.o.PrefillRate*float64(time.Second))) {
 		return false
 	}
 	if !e.owner.do(func() { e.storePrompt(run) }) {
@@ -386,7 +387,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := run.req.ResumeFrom; i < run.req.MaxTokens; i++ {
 		step := e.o.TokenTime + time.Duration(e.running.Load())*e.o.TokenTimePerRun
-		if !pause(ctx, time.Duration(run.slowdown*float64(step))) || !e.send(w, run, i) {
+		if !duty.Pause(ctx, time.Duration(run.slowdown*float64(step))) || !e.send(w, run, i) {
 			return false
 		}
 		if sent := i + 1 - run.req.ResumeFrom; run.cutAfter > 0 && sent >= run.cutAfter {
--- a/standin/keptcache.go
+++ b/standin/keptcache.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/keptcache"
 )
 
@@ -96,7 +97,7 @@
 	var faults KeptCacheFaults
 	// The server notices a closed connection only after the body has been read.
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxStandinBody))
-	if err != nil || !s.owner.do(func() { faults = s.faults }) || faults.Down || !pause(r.Context(), faults.Delay) {
+	if err != nil || !s.owner.do(func() { faults = s.faults }) || faults.Down || !duty.Pause(r.Context(), faults.Delay) {
 		panic(http.ErrAbortHandler)
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
--- a/standin/owner.go
+++ b/standin/owner.go
@@ -55,17 +55,6 @@
 	o.group.Wait()
 }
 
-// pause waits for a duration and reports whether it passed before the context
-// ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // reply is the status and the JSON body of an answer.
 type reply struct {
 	status int
--- a/standin/weights.go
+++ b/standin/weights.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"waxwingtide.example/waxwingtide/duty"
 )
 
 // weightSteps is how often a load adapts to the number of concurrent loads.
@@ -63,7 +65,7 @@
 			return errors.Newf("weight store cannot read %s", model)
 		}
 		share := max(1, float64(s.active.Load())/float64(s.o.Parallel)) * float64(max(1, s.slowdown.Load()))
-		if !pause(ctx, time.Duration(share*float64(s.o.LoadTime)/weightSteps)) {
+		if !duty.Pause(ctx, time.Duration(share*float64(s.o.LoadTime)/weightSteps)) {
 			return ctx.Err()
 		}
 	}
@@ -125,7 +127,7 @@
 
 func (b *pacedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p[:min(len(p), linkChunkBytes)])
-	if wait := b.link.cross(n); wait > linkSlack && !pause(b.ctx, wait) {
+	if wait := b.link.cross(n); wait > linkSlack && !duty.Pause(b.ctx, wait) {
 		return 0, b.ctx.Err()
 	}
 	return n, err
