--- /dev/null
+++ b/entry/judging.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/rollout"
+	"waxwingtide.example/waxwingtide/wire"
+)
+
+// cutEnding classifies an attempt whose stream ended without an end frame.
+func (c *call) cutEnding() rollout.Ending {
+	switch {
+	case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
+		return rollout.TimedOut
+	case c.ctx.Err() != nil:
+		return rollout.CallerLeft
+	default:
+		return rollout.VMLost
+	}
+}
+
+// brokenEnding classifies an attempt by the agent's failure frame; without one
+// the frames did not add up.
+func brokenEnding(f *wire.Failure) rollout.Ending {
+	if f == nil {
+		return rollout.Garbled
+	}
+	switch f.GetCause() {
+	case wire.FailureCause_CAUSE_ENGINE_FAILED:
+		return rollout.EngineFailed
+	case wire.FailureCause_CAUSE_GARBLED:
+		return rollout.Garbled
+	case wire.FailureCause_CAUSE_PREEMPTED:
+		return rollout.Preempted
+	case wire.FailureCause_CAUSE_DEADLINE:
+		return rollout.TimedOut
+	case wire.FailureCause_CAUSE_CALLER_LEFT:
+		return rollout.CallerLeft
+	default:
+		return rollout.EngineLost
+	}
+}
+
+// judge gives the rollout's tests a sample, if the ending says anything about
+// the weight version. An upstream that is leaving says nothing.
+func (c *call) judge(a assignment, outcome core.Outcome) {
+	counts, failed := rollout.Classify(c.ending)
+	view := c.opts.Control.View()
+	upstream := view.Index.Upstreams[a.choice.Upstream]
+	if c.opts.Judge == nil || !counts || upstream == nil || failed && !view.UpstreamOpen(upstream) {
+		return
+	}
+	s := Sample{
+		Model: c.model, Version: c.version, Workspace: c.identity.Workspace, Upstream: a.choice.Upstream,
+		Class: c.class, Failed: failed, At: c.opts.Now(),
+	}
+	if outcome == core.Finished {
+		s.FirstToken = time.Duration(c.end.GetPrefillMs()) * time.Millisecond
+		s.PerToken = c.perToken()
+		s.Work = int(c.end.GetPromptTokens()) - int(c.end.GetCachedTokens())
+	}
+	c.opts.Judge.Observe(s)
+}
