Show the warm-up in dev's progress lines

Cause: the elapsed time began at minus four seconds. Change: the lines name the phase and count from the start of the load. Conclusion: progress reads from zero.

--- a/dev/run.go
+++ b/dev/run.go
@@ -182,8 +182,12 @@
 		return
 	}
 	for duty.Pause(ctx, progressTime) {
-		_, _ = fmt.Fprintf(r.options.Progress, "event=progress elapsed=%s sent=%d done=%d\n",
-			time.Since(r.began).Round(time.Second), r.sent.Load(), r.done.Load())
+		phase := "measured"
+		if time.Now().Before(r.began) {
+			phase = "warm_up"
+		}
+		_, _ = fmt.Fprintf(r.options.Progress, "event=progress phase=%s elapsed=%s sent=%d done=%d\n",
+			phase, time.Since(r.began.Add(-warmUp)).Round(time.Second), r.sent.Load(), r.done.Load())
 	}
 }
 
