Withdraw versions that fail nearly every call after few samples

At one call a second on the new version the test in pairs, which needs about 24 samples, did not withdraw a failing version within 14 s. A second test compares each call on the new version with up to 16 calls on the old one and takes a quarter of the false alarm rate. It stays an e-process for any failure rate that both versions share, so it needs no estimate of that rate.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -130,6 +130,7 @@
 	from, to core.WeightVersion
 	limits   Limits
 	routes   map[Route]*routeTest
+	hard     hardFailures
 	samples  uint64
 	finding  *Finding
 }
@@ -164,9 +165,15 @@
 	for _, r := range j.tests(s.Route) {
 		r.old(s)
 	}
+	// A call on the old version may complete the block of a new one.
+	j.hard.old(s.Failed, s.At, j.limits)
+	if threshold := 1 / (hardShare * j.limits.FalseAlarm); j.hard.stake >= threshold && j.finding == nil {
+		j.finding = &Finding{Signal: SignalErrors, Samples: j.samples, Evidence: j.hard.stake, Threshold: threshold}
+	}
 }
 
 func (j *Judge) addNew(s Sample) {
+	j.hard.add(s.Failed, s.At, j.limits)
 	for _, r := range j.tests(s.Route) {
 		found := r.add(s, j.limits)
 		if found != nil && j.finding == nil {
@@ -192,12 +199,13 @@
 	if len(j.routes) >= maxRoutes {
 		return nil
 	}
-	// The k-th route may use 1/(k(k+1)) of the false alarm rate; these parts
-	// add up to at most one for any number of routes.
+	// The k-th route may use 1/(k(k+1)) of the false alarm rate that the test for
+	// hard failures leaves; these parts add up to at most one for any number of
+	// routes.
 	k := float64(len(j.routes) + 1)
 	r := &routeTest{
 		route:     route,
-		threshold: alarmsPerRoute * k * (k + 1) / j.limits.FalseAlarm,
+		threshold: alarmsPerRoute * k * (k + 1) / ((1 - hardShare) * j.limits.FalseAlarm),
 		latencies: make(map[int]*latencies),
 	}
 	j.routes[route] = r
