--- a/rollout/hard_test.go
+++ b/rollout/hard_test.go
@@ -72,6 +72,19 @@
 			}
 		}
 	})
+	t.Run("start of a disturbance", func(t *testing.T) {
+		// The new version's first call of the disturbance comes before any of the
+		// old one's.
+		var h hardFailures
+		at := newTraffic(0).now
+		for range 20 {
+			h.old(false, at, DefaultLimits())
+		}
+		h.add(true, at, DefaultLimits())
+		h.old(true, at, DefaultLimits())
+		h.old(true, at, DefaultLimits())
+		require.Less(t, h.stake, 1.0)
+	})
 	for name, good := range map[string]int{"at once": 0, "later": 300} {
 		t.Run(name, func(t *testing.T) {
 			// 20 samples are a third of the bound for errors in pairs. The mean may
