Count doubt from the oldest trusted block, and make less doubtful

Cause: after a lost event the doubtful part was measured from the last doubt, which lies far behind the oldest block still held, so evicted blocks stayed trusted and their prompts were recomputed (2.3% of urgent prompts). Change: the span begins at the oldest trusted block; each lost event makes a thirty-second of it doubtful.

--- a/kvcache/index.go
+++ b/kvcache/index.go
@@ -66,8 +66,8 @@
 // doubtful. Engines evict the blocks that were used longest ago, so a lost
 // removal concerns the oldest part. When a gap made all blocks doubtful, an
 // engine that lost one event in twenty had nearly every returning prompt
-// transferred again.
-const gapShare = 8
+// transferred again; an eighth still transferred three prompts in four.
+const gapShare = 32
 
 // AllLost is a gap of unknown size.
 const AllLost = gapShare
@@ -97,16 +97,23 @@
 	}
 }
 
-// Gap makes the blocks that were confirmed longest ago doubtful, an eighth of
-// the sequence numbers for each lost event; eight or more make all doubtful.
+// Gap makes the blocks that were confirmed longest ago doubtful, a share of the
+// sequence numbers of the blocks still trusted for each lost event; gapShare
+// lost events or more make all doubtful.
 func (x *Index) Gap(lost uint64) {
 	x.gaps++
 	if lost >= gapShare {
 		x.doubt = max(x.last, x.doubt+1)
 		return
 	}
-	span := x.last - min(x.doubt, x.last)
-	x.doubt += max(1, span*lost/gapShare)
+	oldest := max(x.last, 1)
+	for _, seq := range x.stored {
+		if seq > x.doubt {
+			oldest = min(oldest, seq)
+		}
+	}
+	span := x.last + 1 - oldest
+	x.doubt = max(x.doubt+1, oldest-1+max(1, span*lost/gapShare))
 }
 
 // Confirm records blocks as present, for example because a run has reported
