--- a/control/control.go
+++ b/control/control.go
@@ -265,5 +265,5 @@
 
 // minWait bounds how often a duty takes a turn for times that have passed. It
 // also keeps timers from being due when they are made: with the race detector,
-// such a timer crashes the Go 1.26 runtime in tests with passed time.
+// such a timer crashes the Go 1.26 runtime in synctest bubbles.
 const minWait = time.Millisecond
--- a/control/fakes_test.go
+++ b/control/fakes_test.go
@@ -289,7 +289,7 @@
 
 var domains = []core.FailureDomain{"a", "b", "c"}
 
-// inCluster runs a test with a cluster of n processes in passed time.
+// inCluster runs a test with a cluster of n processes in a synctest bubble.
 func inCluster(t *testing.T, n int, tune func(*control.Options), run func(t *testing.T, c *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -385,7 +385,7 @@
 	})
 }
 
-// until advances passed time until the condition holds, and returns how long
+// until advances the bubble's time until the condition holds, and returns how long
 // that took.
 func (c *cluster) until(what string, limit time.Duration, holds func() bool) time.Duration {
 	c.t.Helper()
--- a/duty/pause.go
+++ b/duty/pause.go
@@ -8,7 +8,7 @@
 // Pause waits for a time and reports whether it passed before the context
 // ended. A time that is not above zero passes at once, without a timer: with
 // the race detector, a timer that is due when it is made crashes the Go 1.26
-// runtime in tests with passed time.
+// runtime in synctest bubbles.
 func Pause(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
--- a/operator/states.go
+++ b/operator/states.go
@@ -93,5 +93,5 @@
 }
 
 // minWait keeps timers from being due when they are made: with the race
-// detector, such a timer crashes the Go 1.26 runtime in tests with passed time.
+// detector, such a timer crashes the Go 1.26 runtime in synctest bubbles.
 const minWait = time.Millisecond
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -144,7 +144,7 @@
 	group.Go("transfer", newTransferDuty(t).run)
 	group.Go("exporter", newExporter(t).run)
 	if t.o.EventInterval > 0 {
-		group.Go("sampler", t.readEvents)
+		group.Go("cache events", t.readEvents)
 	}
 }
 
