Close a duty's rings at its end, and drop derived fields

Cause: reading the change again: a handler that reports to a duty waits without a context, and its comment says that the wait ends with the duty, but nothing closed the rings, so a full ring would have kept it for ever. Two fields of a run were local values, and one assertion of a type was unused. Change: the admission and dispatch duties close their rings when they end; the fields are locals; the assertion is gone. Conclusion: a stopping process leaves no waiting handler; nothing else changed.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -138,8 +138,11 @@
 	return a
 }
 
-// run is the loop of the duty.
+// run is the loop of the duty. Its end closes the rings, so that no handler
+// waits for a duty that has gone.
 func (a *admission) run(ctx context.Context) error {
+	defer a.offers.Close()
+	defer a.events.Close()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
--- a/agent/run.go
+++ b/agent/run.go
@@ -30,13 +30,11 @@
 // run is one attempt of a prompt.
 type run struct {
 	*Agent
-	req     *wire.RunRequest
-	out     wire.DRPCAgent_RunStream
-	seq     uint64
-	tokens  uint32
-	started time.Time
-	first   time.Time
-	stored  []uint64
+	req    *wire.RunRequest
+	out    wire.DRPCAgent_RunStream
+	seq    uint64
+	tokens uint32
+	first  time.Time
 }
 
 // Run runs one attempt and streams its frames. Every attempt ends with exactly
@@ -59,12 +57,12 @@
 	if !v.admitted {
 		return r.reject(rejectionOf(v))
 	}
-	r.started = s.opts.Now()
+	queued := s.opts.Now().Sub(arrived)
 	if rejection := r.checkEngine(ctx); rejection != nil {
 		s.finish(doneEvent{id: r.attempt(), sample: admit.Sample{Result: admit.Cancelled}})
 		return r.reject(rejection)
 	}
-	return r.execute(ctx, r.started.Sub(arrived))
+	return r.execute(ctx, queued)
 }
 
 // check refuses requests that must not reach the upstream whatever its load.
@@ -127,7 +125,7 @@
 
 func (r *run) call(now time.Time) admit.Call {
 	return admit.Call{
-		ID:          core.AttemptID(r.req.GetAttempt()),
+		ID:          r.attempt(),
 		Workspace:   core.WorkspaceID(r.req.GetWorkspace()),
 		Weight:      int(r.req.GetWeight()),
 		Class:       r.class(),
@@ -234,9 +232,9 @@
 		r.opts.Transfer.ObservePrefill(ctx, sample.ComputedBytes, sample.FirstToken)
 		r.opts.Transfer.Finished(scope, r.req.GetPrompt(), usage)
 	}
-	r.stored = storedHints(scope, r.req.GetPrompt(), sample.ComputedBytes)
+	stored := storedHints(scope, r.req.GetPrompt(), sample.ComputedBytes)
 	r.metrics.finished(r.class(), usage, imported)
-	state := r.finishWithCredit(ctx, doneEvent{id: r.attempt(), sample: sample, stored: r.stored})
+	state := r.finishWithCredit(ctx, doneEvent{id: r.attempt(), sample: sample, stored: stored})
 	return r.send(&wire.Frame{Body: &wire.Frame_End{End: &wire.End{
 		State:         state,
 		Frames:        r.seq,
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -141,5 +140,3 @@
 	}
 	return nil, errs.Wrap(err, errs.Unknown, "retry with the same idempotency key", "agent of %s gave no answer", u.ID)
 }
-
-var _ http.Handler = (*admin.Server)(nil)
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -144,8 +144,11 @@
 	return d
 }
 
-// run is the loop of the duty.
+// run is the loop of the duty. Its end closes the rings, so that no handler
+// waits for a duty that has gone.
 func (d *dispatcher) run(ctx context.Context) error {
+	defer d.placements.Close()
+	defer d.reports.Close()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	d.follow(d.opts.Control.View())
