--- a/admin/admintest/control.go
+++ b/admin/admintest/control.go
@@ -13,7 +13,7 @@
 	"waxwingtide.example/waxwingtide/bundle"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
-	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 // Control is an in-memory admin.Control.
@@ -146,18 +146,18 @@
 	return all[start:end], next, nil
 }
 
-// Objects is an in-memory platform.Objects.
+// Objects is an in-memory stores.Objects.
 type Objects struct{ rows Table }
 
-// Put implements platform.Objects.
+// Put implements stores.Objects.
 func (o *Objects) Put(_ context.Context, name string, body []byte) error {
-	o.rows.rows.Store(platform.Key{Sort: name}, &platform.Row{Value: body})
+	o.rows.rows.Store(stores.Key{Sort: name}, &stores.Row{Value: body})
 	return nil
 }
 
-// Get implements platform.Objects.
+// Get implements stores.Objects.
 func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
-	row, err := o.rows.Get(ctx, platform.Key{Sort: name})
+	row, err := o.rows.Get(ctx, stores.Key{Sort: name})
 	if err == nil && row.Value == nil {
 		err = errs.New(errs.NotFound, "store it first", "there is no object %s", name)
 	}
--- a/admin/admintest/table.go
+++ b/admin/admintest/table.go
@@ -6,35 +6,35 @@
 	"sync/atomic"
 
 	"waxwingtide.example/waxwingtide/errs"
-	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
-// Table is an in-memory platform.Table for transactions of one write.
+// Table is an in-memory stores.Table for transactions of one write.
 type Table struct {
 	rows sync.Map
 	// Fail is how many further calls fail as unavailable.
 	Fail atomic.Int32
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(_ context.Context, key platform.Key) (platform.Row, error) {
+// Get implements stores.Table.
+func (t *Table) Get(_ context.Context, key stores.Key) (stores.Row, error) {
 	if t.Fail.Add(-1) >= 0 {
-		return platform.Row{}, errs.New(errs.Unavailable, "retry later", "table does not answer")
+		return stores.Row{}, errs.New(errs.Unavailable, "retry later", "table does not answer")
 	}
 	row, ok := t.rows.Load(key)
 	if !ok {
-		return platform.Row{Key: key}, nil
+		return stores.Row{Key: key}, nil
 	}
-	return *row.(*platform.Row), nil
+	return *row.(*stores.Row), nil
 }
 
-// List implements platform.Table; it finds nothing.
-func (t *Table) List(context.Context, string, string, int) ([]platform.Row, error) { return nil, nil }
+// List implements stores.Table; it finds nothing.
+func (t *Table) List(context.Context, string, string, int) ([]stores.Row, error) { return nil, nil }
 
-// Transact implements platform.Table.
-func (t *Table) Transact(_ context.Context, _ string, writes []platform.Write) error {
+// Transact implements stores.Table.
+func (t *Table) Transact(_ context.Context, _ string, writes []stores.Write) error {
 	w := writes[0]
-	next := &platform.Row{Key: w.Key, Version: w.IfVersion + 1, Value: w.Value}
+	next := &stores.Row{Key: w.Key, Version: w.IfVersion + 1, Value: w.Value}
 	if w.IfVersion == 0 {
 		if _, loaded := t.rows.LoadOrStore(w.Key, next); loaded {
 			return conflict()
@@ -42,7 +42,7 @@
 		return nil
 	}
 	old, ok := t.rows.Load(w.Key)
-	if !ok || old.(*platform.Row).Version != w.IfVersion || !t.rows.CompareAndSwap(w.Key, old, next) {
+	if !ok || old.(*stores.Row).Version != w.IfVersion || !t.rows.CompareAndSwap(w.Key, old, next) {
 		return conflict()
 	}
 	return nil
--- a/admin/notices.go
+++ b/admin/notices.go
@@ -16,9 +16,9 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
-	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/rollout"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 // Notice is the body that is posted to the webhook.
@@ -77,7 +77,7 @@
 	// URL is the webhook.
 	URL   string
 	Node  core.NodeID
-	Table platform.Table
+	Table stores.Table
 	Log   logrus.FieldLogger
 	// Client posts; nil means a client with a time limit and no redirects.
 	Client *http.Client
@@ -173,8 +173,8 @@
 // claim waits until the table answers, because a post without a claim could be
 // a second one, and until another process's claim ends or expires. It returns
 // errHandled when the notice has been handled.
-func (n *Notices) claim(ctx context.Context, notice Notice) (platform.Row, error) {
-	return retry(ctx, n.backoff(), 0, func() (platform.Row, error) { return n.tryClaim(ctx, notice) })
+func (n *Notices) claim(ctx context.Context, notice Notice) (stores.Row, error) {
+	return retry(ctx, n.backoff(), 0, func() (stores.Row, error) { return n.tryClaim(ctx, notice) })
 }
 
 var (
@@ -182,8 +182,8 @@
 	errHandled = errs.New(errs.Conflict, "do nothing", "the notice has been handled")
 )
 
-func (n *Notices) tryClaim(ctx context.Context, notice Notice) (platform.Row, error) {
-	row, err := n.o.Table.Get(ctx, platform.Key{Partition: noticePartition, Sort: notice.ID})
+func (n *Notices) tryClaim(ctx context.Context, notice Notice) (stores.Row, error) {
+	row, err := n.o.Table.Get(ctx, stores.Key{Partition: noticePartition, Sort: notice.ID})
 	if err != nil {
 		return row, err
 	}
@@ -203,21 +203,21 @@
 }
 
 // write stores a claim's state and returns the row as it is then.
-func (n *Notices) write(ctx context.Context, row platform.Row, state claimState) (platform.Row, error) {
+func (n *Notices) write(ctx context.Context, row stores.Row, state claimState) (stores.Row, error) {
 	value, err := json.Marshal(state)
 	if err != nil {
 		return row, backoff.Permanent(err)
 	}
 	operation := fmt.Sprintf("notice/%s/%s/%d/%s", row.Key.Sort, n.o.Node, row.Version, state.Result)
-	err = n.o.Table.Transact(ctx, operation, []platform.Write{{Key: row.Key, IfVersion: row.Version, Value: value}})
+	err = n.o.Table.Transact(ctx, operation, []stores.Write{{Key: row.Key, IfVersion: row.Version, Value: value}})
 	row.Version++
 	row.Value = value
 	return row, err
 }
 
-func (n *Notices) finish(ctx context.Context, row platform.Row, result string) {
+func (n *Notices) finish(ctx context.Context, row stores.Row, result string) {
 	state := claimState{Node: n.o.Node, Until: n.o.Now(), Result: result}
-	_, err := retry(ctx, n.backoff(), noticeTries, func() (platform.Row, error) { return n.write(ctx, row, state) })
+	_, err := retry(ctx, n.backoff(), noticeTries, func() (stores.Row, error) { return n.write(ctx, row, state) })
 	if err != nil {
 		n.o.Log.WithFields(logrus.Fields{"event": "notice_not_recorded", "id": row.Key.Sort}).WithError(err).Warn("result of the notice was not recorded")
 	}
--- a/admin/server.go
+++ b/admin/server.go
@@ -21,9 +21,9 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
-	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/rollout"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 // Prefix is the start of every path of the API.
@@ -44,7 +44,7 @@
 type Options struct {
 	Node    core.NodeID
 	Control Control
-	Objects platform.Objects
+	Objects stores.Objects
 	Tokens  []Token
 	Timing  rollout.Timing
 	Log     logrus.FieldLogger
@@ -63,7 +63,7 @@
 type Server struct {
 	node     core.NodeID
 	control  Control
-	objects  platform.Objects
+	objects  stores.Objects
 	tokens   []tokenHash
 	timing   rollout.Timing
 	log      logrus.FieldLogger
--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,182 @@
+// Package catalog holds what the operators have configured and which upstreams
+// are listed. Its types are immutable once built and perform no I/O.
+package catalog
+
+import (
+	"strings"
+	"time"
+
+	"waxwingtide.example/waxwingtide/core"
+)
+
+// ConfigVersion orders configurations; a larger one replaces a smaller one.
+type ConfigVersion uint64
+
+// WeightNumber orders the weight versions of one model.
+type WeightNumber uint64
+
+// Target is a service that a route sends calls to.
+type Target struct {
+	Service core.ServiceID
+	// Weight is the target's share relative to the route's other targets.
+	Weight float64
+}
+
+// Route says how calls of one host and path prefix are served.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   core.CallKind
+	// Resumable streams may go on at another upstream after their last event.
+	Resumable bool
+	// Public routes need no key.
+	Public  bool
+	Targets []Target
+	// Timeout is the longest time until the answer, Aim the time in which it has
+	// its full value.
+	Timeout time.Duration
+	Aim     time.Duration
+	// Priority is the rank of the route's calls; 0 is served first.
+	Priority int
+	// MaxAttempts is the number of upstreams at which one call may run.
+	MaxAttempts int
+}
+
+// Repeatable reports whether a call may run again after an attempt that may
+// have run.
+func (r *Route) Repeatable() bool {
+	return r.Kind == core.Idempotent || r.Kind == core.Stream && r.Resumable
+}
+
+// Engine describes the model servers of a service.
+type Engine struct {
+	Slots int
+	// CacheTokens is the KV cache of one upstream, TokenBytes the size of one
+	// token in it, LinkMbps the rate of its transfers in megabits a second.
+	CacheTokens int
+	TokenBytes  int
+	LinkMbps    float64
+	Models      []core.ModelID
+}
+
+// Service is a group of upstreams that serve the same calls.
+type Service struct {
+	ID core.ServiceID
+	// Engine is nil for plain services.
+	Engine *Engine
+	// ColdPerSecond is the rate that one cold upstream bears; 0 means no limit.
+	ColdPerSecond float64
+	// ColdFor is how long an upstream stays cold after its start.
+	ColdFor        time.Duration
+	MaxConnections int
+}
+
+// KeptStore is a store of kept KV cache. It drops nothing by itself.
+type KeptStore struct {
+	ID             core.ServiceID
+	Address        string
+	Domain         core.FailureDomain
+	CapacityTokens int
+	LinkMbps       float64
+	// FirstDelay is added to every transfer.
+	FirstDelay time.Duration
+}
+
+// Workspace is a customer with its keys.
+type Workspace struct {
+	ID   core.WorkspaceID
+	Keys []string
+	// Priority takes precedence over that of the route; nil means none is set.
+	Priority *int
+	// Isolated workspaces share no cached part with others.
+	Isolated bool
+}
+
+// Limits bound what callers may send. Zero means no limit.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	Version    ConfigVersion
+	Routes     []Route
+	Services   map[core.ServiceID]*Service
+	Stores     []KeptStore
+	Workspaces []Workspace
+	Limits     Limits
+
+	routes map[string][]*Route
+	keys   map[string]*Workspace
+}
+
+// Index builds the look-up tables. It is called once, before the configuration
+// is shared.
+func (c *Config) Index() *Config {
+	c.routes = make(map[string][]*Route)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		c.routes[r.Host] = append(c.routes[r.Host], r)
+	}
+	c.keys = make(map[string]*Workspace)
+	for i := range c.Workspaces {
+		for _, key := range c.Workspaces[i].Keys {
+			c.keys[key] = &c.Workspaces[i]
+		}
+	}
+	return c
+}
+
+// Route returns the route with the longest prefix of the path, or nil.
+func (c *Config) Route(host, path string) *Route {
+	var best *Route
+	for _, r := range c.routes[host] {
+		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// NeedsKeys reports whether calls on routes that are not public need a key.
+func (c *Config) NeedsKeys() bool { return len(c.Workspaces) > 0 }
+
+// Workspace returns the holder of a key, or nil.
+func (c *Config) Workspace(key string) *Workspace { return c.keys[key] }
+
+// Upstream is a listed model server or instance of a plain service.
+type Upstream struct {
+	ID      core.UpstreamID
+	Service core.ServiceID
+	Address string
+	Domain  core.FailureDomain
+	// Software is the version of the program that the upstream runs.
+	Software string
+	Slots    int
+	Draining bool
+	// ColdFor is how much longer the upstream was cold when it was listed.
+	ColdFor time.Duration
+	// Weights holds the weight version of each model.
+	Weights map[core.ModelID]WeightNumber
+	// Born is the start of the upstream's incarnation in Unix milliseconds; 0
+	// when it is not known.
+	Born int64
+}
+
+// Listed is an upstream with the revision of its entry in the list.
+type Listed struct {
+	*Upstream
+	Revision uint64
+}
+
+// Rollout asks to move a service to a software version.
+type Rollout struct {
+	Service core.ServiceID
+	To      string
+	// Within is the time in which the move has to be complete.
+	Within time.Duration
+}
--- a/control/audit.go
+++ b/control/audit.go
@@ -11,7 +11,7 @@
 
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
-	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 const (
@@ -142,7 +142,7 @@
 	if err != nil {
 		return nil, err
 	}
-	writes := []platform.Write{{Key: restrictionsKey, IfVersion: version, Value: value}}
+	writes := []stores.Write{{Key: restrictionsKey, IfVersion: version, Value: value}}
 	for _, r := range fresh {
 		entry, err := json.Marshal(AuditEntry{
 			Actor: string(r.Origin), Action: "restrict", Epoch: r.Stamp, TimeMS: r.RaisedMS,
@@ -151,7 +151,7 @@
 		if err != nil {
 			return nil, err
 		}
-		writes = append(writes, platform.Write{Key: restrictionAuditKey(r), Value: entry})
+		writes = append(writes, stores.Write{Key: restrictionAuditKey(r), Value: entry})
 	}
 	return merged, a.c.table.Transact(ctx, a.c.transactionID("restrict"), writes)
 }
--- a/control/control.go
+++ b/control/control.go
@@ -24,8 +24,8 @@
 	"waxwingtide.example/waxwingtide/gossip"
 	"waxwingtide.example/waxwingtide/lease"
 	"waxwingtide.example/waxwingtide/membership"
-	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/stores"
 	"waxwingtide.example/waxwingtide/telemetry"
 )
 
@@ -49,9 +49,9 @@
 	// Address is where peers reach this process, as IP:port.
 	Address string
 
-	Table   platform.Table
-	Objects platform.Objects
-	Lister  platform.Lister
+	Table   stores.Table
+	Objects stores.Objects
+	Lister  stores.Lister
 	// Dial opens a connection of the inner protocol. Control closes it.
 	Dial func(ctx context.Context, address string) (drpc.Conn, error)
 	// ParseBundle validates and indexes a bundle body.
@@ -231,7 +231,7 @@
 
 // Table returns the platform's table behind the request budget of this
 // process. Requests beyond the budget or the ring are refused.
-func (c *Control) Table() platform.Table { return c.table }
+func (c *Control) Table() stores.Table { return c.table }
 
 // rng returns a random source of its own for one duty.
 func (c *Control) rng(stream uint64) *rand.Rand {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -18,7 +18,7 @@
 	"waxwingtide.example/waxwingtide/facts"
 	"waxwingtide.example/waxwingtide/lease"
 	"waxwingtide.example/waxwingtide/membership"
-	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 // target is the stated time for a change to be in force everywhere.
@@ -129,7 +129,7 @@
 		_, err := c.nodes[2].control.Permit(t.Context(), "lift", lift, control.AuditEntry{Action: "return"})
 		require.NoError(t, err)
 		c.everywhere(2, target)
-		row, err := tableFake{c.platform, nil}.Get(t.Context(), platform.Key{Partition: "head", Sort: "restrictions"})
+		row, err := tableFake{c.platform, nil}.Get(t.Context(), stores.Key{Partition: "head", Sort: "restrictions"})
 		require.NoError(t, err)
 		require.NotContains(t, string(row.Value), "u1")
 		require.Contains(t, string(row.Value), "u2")
--- a/control/fakes_test.go
+++ b/control/fakes_test.go
@@ -25,8 +25,8 @@
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
-	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/stores"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -34,10 +34,10 @@
 // fault switches.
 type platformFake struct {
 	mu      sync.Mutex
-	rows    map[platform.Key]platform.Row
+	rows    map[stores.Key]stores.Row
 	done    map[string]bool
 	objects map[string][]byte
-	vms     []platform.VM
+	vms     []stores.VM
 	// down makes table and object store refuse all requests.
 	down bool
 	// loseAnswers is how many transactions take effect without an answer.
@@ -50,7 +50,7 @@
 }
 
 func newPlatform() *platformFake {
-	return &platformFake{rows: map[platform.Key]platform.Row{}, done: map[string]bool{}, objects: map[string][]byte{}}
+	return &platformFake{rows: map[stores.Key]stores.Row{}, done: map[string]bool{}, objects: map[string][]byte{}}
 }
 
 func (p *platformFake) set(change func()) {
@@ -91,9 +91,9 @@
 	from *node
 }
 
-func (p tableFake) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
+func (p tableFake) Get(ctx context.Context, key stores.Key) (stores.Row, error) {
 	if err := p.enter(ctx, p.from); err != nil {
-		return platform.Row{}, err
+		return stores.Row{}, err
 	}
 	defer p.mu.Unlock()
 	p.reads++
@@ -102,22 +102,22 @@
 	return row, nil
 }
 
-func (p tableFake) List(ctx context.Context, partition, after string, limit int) ([]platform.Row, error) {
+func (p tableFake) List(ctx context.Context, partition, after string, limit int) ([]stores.Row, error) {
 	if err := p.enter(ctx, p.from); err != nil {
 		return nil, err
 	}
 	defer p.mu.Unlock()
-	var rows []platform.Row
+	var rows []stores.Row
 	for k, r := range p.rows {
 		if k.Partition == partition && k.Sort > after {
 			rows = append(rows, r)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return cmp.Compare(a.Key.Sort, b.Key.Sort) })
+	slices.SortFunc(rows, func(a, b stores.Row) int { return cmp.Compare(a.Key.Sort, b.Key.Sort) })
 	return rows[:min(limit, len(rows))], nil
 }
 
-func (p tableFake) Transact(ctx context.Context, id string, writes []platform.Write) error {
+func (p tableFake) Transact(ctx context.Context, id string, writes []stores.Write) error {
 	if err := p.enter(ctx, p.from); err != nil {
 		return err
 	}
@@ -132,7 +132,7 @@
 		}
 	}
 	for _, w := range writes {
-		p.rows[w.Key] = platform.Row{Key: w.Key, Version: w.IfVersion + 1, Value: w.Value}
+		p.rows[w.Key] = stores.Row{Key: w.Key, Version: w.IfVersion + 1, Value: w.Value}
 	}
 	p.done[id] = true
 	if p.loseAnswers > 0 {
@@ -170,7 +170,7 @@
 // listerFake serves the list even while the table is down.
 type listerFake struct{ *platformFake }
 
-func (l listerFake) List(context.Context) ([]platform.VM, error) {
+func (l listerFake) List(context.Context) ([]stores.VM, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return slices.Clone(l.vms), nil
@@ -362,7 +362,7 @@
 	c.net.mu.Lock()
 	c.net.nodes[n.options.Address] = endpoint{n, n.control.PeerServer()}
 	c.net.mu.Unlock()
-	c.list(n, platform.VMLive)
+	c.list(n, stores.VMLive)
 }
 
 func (n *node) stop() {
@@ -375,10 +375,10 @@
 }
 
 // list sets a process's entry on the platform's list.
-func (c *cluster) list(n *node, state platform.VMState) {
+func (c *cluster) list(n *node, state stores.VMState) {
 	c.platform.set(func() {
-		c.platform.vms = slices.DeleteFunc(c.platform.vms, func(v platform.VM) bool { return v.Node == n.options.Node })
-		c.platform.vms = append(c.platform.vms, platform.VM{
+		c.platform.vms = slices.DeleteFunc(c.platform.vms, func(v stores.VM) bool { return v.Node == n.options.Node })
+		c.platform.vms = append(c.platform.vms, stores.VM{
 			Node: n.options.Node, Role: "entry", FailureDomain: n.options.FailureDomain,
 			State: state, Incarnation: n.options.Incarnation, Address: n.options.Address,
 		})
--- a/control/lease.go
+++ b/control/lease.go
@@ -9,7 +9,7 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/lease"
-	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 // leaseTimeout bounds one request of the lease duty.
@@ -105,7 +105,7 @@
 	row, ifVersion := d.state.Proposal()
 	value, err := encodeLease(row)
 	if err == nil {
-		err = d.c.table.Transact(ctx, d.c.transactionID("lease"), []platform.Write{{Key: leaseKey, IfVersion: ifVersion, Value: value}})
+		err = d.c.table.Transact(ctx, d.c.transactionID("lease"), []stores.Write{{Key: leaseKey, IfVersion: ifVersion, Value: value}})
 	}
 	if err != nil {
 		d.state.Missed(time.Now())
--- a/control/membership.go
+++ b/control/membership.go
@@ -8,7 +8,7 @@
 
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/membership"
-	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 const (
@@ -85,17 +85,17 @@
 	}
 }
 
-func (c *Control) readList(ctx context.Context) ([]platform.VM, error) {
+func (c *Control) readList(ctx context.Context) ([]stores.VM, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	return c.opts.Lister.List(ctx)
 }
 
-func membersFrom(vms []platform.VM) []membership.Member {
+func membersFrom(vms []stores.VM) []membership.Member {
 	out := make([]membership.Member, len(vms))
 	for i, vm := range vms {
 		state := membership.Live
-		if vm.State == platform.VMLeaving {
+		if vm.State == stores.VMLeaving {
 			state = membership.Leaving
 		}
 		out[i] = membership.Member{
--- a/control/permit.go
+++ b/control/permit.go
@@ -13,7 +13,7 @@
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
-	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 // readBackTime bounds the reading back of an operation after a lost answer.
@@ -100,7 +100,7 @@
 
 // nextHead applies the change, fills in what does not depend on it and returns
 // the head with its bundle.
-func (c *Control) nextHead(ctx context.Context, row platform.Row, change func(facts.Head) (facts.Head, error)) (facts.Head, *facts.Bundle, error) {
+func (c *Control) nextHead(ctx context.Context, row stores.Row, change func(facts.Head) (facts.Head, error)) (facts.Head, *facts.Bundle, error) {
 	old, err := decodeHead(row)
 	if err != nil {
 		return facts.Head{}, nil, err
@@ -118,7 +118,7 @@
 	return next, bundle, err
 }
 
-func permitWrites(next *facts.Head, version uint64, operationID string, audit AuditEntry) ([]platform.Write, error) {
+func permitWrites(next *facts.Head, version uint64, operationID string, audit AuditEntry) ([]stores.Write, error) {
 	head, err := encodeHead(next)
 	if err != nil {
 		return nil, err
@@ -131,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return []platform.Write{
+	return []stores.Write{
 		{Key: headKey, IfVersion: version, Value: head},
 		{Key: permitKey(operationID), Value: operation},
 		{Key: permissionAuditKey(next.Epoch, operationID), Value: entry},
@@ -140,7 +140,7 @@
 
 // liftedWrites removes the restrictions that a head lifts from their row. They
 // must not outlive the head's memory of the return.
-func (c *Control) liftedWrites(ctx context.Context, next *facts.Head, bundle *facts.Bundle) ([]platform.Write, error) {
+func (c *Control) liftedWrites(ctx context.Context, next *facts.Head, bundle *facts.Bundle) ([]stores.Write, error) {
 	if !slices.Contains(slices.Collect(maps.Values(next.Cleared)), next.Epoch) {
 		return nil, nil
 	}
@@ -157,7 +157,7 @@
 		return nil, nil
 	}
 	value, err := encodeRestrictions(kept)
-	return []platform.Write{{Key: restrictionsKey, IfVersion: row.Version, Value: value}}, err
+	return []stores.Write{{Key: restrictionsKey, IfVersion: row.Version, Value: value}}, err
 }
 
 // permitted reports whether the operation took effect.
--- a/control/rows.go
+++ b/control/rows.go
@@ -11,34 +11,34 @@
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
 	"waxwingtide.example/waxwingtide/lease"
-	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 // Keys of the rows that control owns.
 var (
-	headKey = platform.Key{Partition: "head", Sort: "head"}
+	headKey = stores.Key{Partition: "head", Sort: "head"}
 	// restrictionsKey is one row with all restrictions in force, so that a
 	// reader needs one request and lifted ones leave with the next write.
-	restrictionsKey = platform.Key{Partition: "head", Sort: "restrictions"}
-	leaseKey        = platform.Key{Partition: "lease", Sort: "operators"}
+	restrictionsKey = stores.Key{Partition: "head", Sort: "restrictions"}
+	leaseKey        = stores.Key{Partition: "lease", Sort: "operators"}
 )
 
 const auditPartition = "audit"
 
-func permitKey(operationID string) platform.Key {
-	return platform.Key{Partition: "permit", Sort: operationID}
+func permitKey(operationID string) stores.Key {
+	return stores.Key{Partition: "permit", Sort: operationID}
 }
 
 // permissionAuditKey and restrictionAuditKey sort by epoch; the restrictions
 // stamped with an epoch follow the permission that raised it, in the order in
 // which they were raised.
-func permissionAuditKey(epoch core.Epoch, operationID string) platform.Key {
-	return platform.Key{Partition: auditPartition, Sort: fmt.Sprintf("%020d/p/%s", epoch, operationID)}
+func permissionAuditKey(epoch core.Epoch, operationID string) stores.Key {
+	return stores.Key{Partition: auditPartition, Sort: fmt.Sprintf("%020d/p/%s", epoch, operationID)}
 }
 
-func restrictionAuditKey(r facts.Restriction) platform.Key {
+func restrictionAuditKey(r facts.Restriction) stores.Key {
 	sort := fmt.Sprintf("%020d/r/%015d/%d/%s", r.Stamp, r.RaisedMS, r.Subject.Kind, r.Subject.Name)
-	return platform.Key{Partition: auditPartition, Sort: sort}
+	return stores.Key{Partition: auditPartition, Sort: sort}
 }
 
 type subjectRow struct {
@@ -79,7 +79,7 @@
 	return json.Marshal(row)
 }
 
-func decodeHead(row platform.Row) (facts.Head, error) {
+func decodeHead(row stores.Row) (facts.Head, error) {
 	var in headRow
 	if err := decode(row, &in); err != nil {
 		return facts.Head{}, err
@@ -114,7 +114,7 @@
 	return json.Marshal(rows)
 }
 
-func decodeRestrictions(row platform.Row) ([]facts.Restriction, error) {
+func decodeRestrictions(row stores.Row) ([]facts.Restriction, error) {
 	var rows []restrictionRow
 	if err := decode(row, &rows); err != nil {
 		return nil, err
@@ -137,14 +137,14 @@
 	return json.Marshal(leaseRow{r.Holder, r.Incarnation, r.Fence, r.Length.Milliseconds()})
 }
 
-func decodeLease(row platform.Row) (lease.Row, error) {
+func decodeLease(row stores.Row) (lease.Row, error) {
 	var in leaseRow
 	err := decode(row, &in)
 	return lease.Row{Holder: in.Holder, Incarnation: in.Incarnation, Fence: in.Fence, Length: time.Duration(in.LengthMS) * time.Millisecond}, err
 }
 
 // decode reads a row's JSON. A row that does not exist leaves out unchanged.
-func decode(row platform.Row, out any) error {
+func decode(row stores.Row, out any) error {
 	if row.Version == 0 {
 		return nil
 	}
--- a/control/table.go
+++ b/control/table.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"waxwingtide.example/waxwingtide/errs"
-	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 const (
@@ -22,7 +22,7 @@
 )
 
 // tableJob is one request; it pushes its answer to the ring of its caller.
-type tableJob func(t platform.Table)
+type tableJob func(t stores.Table)
 
 // runTable carries out requests to the table, one at a time.
 func (c *Control) runTable(ctx context.Context) error {
@@ -41,7 +41,7 @@
 }
 
 // request passes a request to the table duties and waits for its answer.
-func request[T any](ctx context.Context, c *Control, run func(t platform.Table) (T, error)) (T, error) {
+func request[T any](ctx context.Context, c *Control, run func(t stores.Table) (T, error)) (T, error) {
 	var zero T
 	if !c.budget.Allow() {
 		return zero, errs.New(errs.Exhausted, "send fewer changes a second", "request budget of the table is used up")
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	replies := ring.New[answer[T]](1)
-	job := func(t platform.Table) {
+	job := func(t stores.Table) {
 		if err := ctx.Err(); err != nil {
 			replies.Push(answer[T]{err: errs.Wrap(err, errs.Unavailable, "retry later", "table request waited too long")})
 			return
@@ -72,22 +72,22 @@
 type tableClient struct{ c *Control }
 
 // Get reads one row.
-func (t *tableClient) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
-	row, err := request(ctx, t.c, func(p platform.Table) (platform.Row, error) { return p.Get(ctx, key) })
+func (t *tableClient) Get(ctx context.Context, key stores.Key) (stores.Row, error) {
+	row, err := request(ctx, t.c, func(p stores.Table) (stores.Row, error) { return p.Get(ctx, key) })
 	return row, readError(err)
 }
 
 // List reads rows of a partition in order.
-func (t *tableClient) List(ctx context.Context, partition, after string, limit int) ([]platform.Row, error) {
-	rows, err := request(ctx, t.c, func(p platform.Table) ([]platform.Row, error) {
+func (t *tableClient) List(ctx context.Context, partition, after string, limit int) ([]stores.Row, error) {
+	rows, err := request(ctx, t.c, func(p stores.Table) ([]stores.Row, error) {
 		return p.List(ctx, partition, after, limit)
 	})
 	return rows, readError(err)
 }
 
 // Transact applies all writes or none.
-func (t *tableClient) Transact(ctx context.Context, operationID string, writes []platform.Write) error {
-	_, err := request(ctx, t.c, func(p platform.Table) (struct{}, error) {
+func (t *tableClient) Transact(ctx context.Context, operationID string, writes []stores.Write) error {
+	_, err := request(ctx, t.c, func(p stores.Table) (struct{}, error) {
 		return struct{}{}, p.Transact(ctx, operationID, writes)
 	})
 	return err
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -22,9 +22,9 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
-	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/security"
 	"waxwingtide.example/waxwingtide/settings"
+	"waxwingtide.example/waxwingtide/stores"
 	"waxwingtide.example/waxwingtide/telemetry"
 	"waxwingtide.example/waxwingtide/transport"
 	"waxwingtide.example/waxwingtide/wire"
@@ -75,8 +75,8 @@
 	dialer  *transport.Dialer
 	control *control.Control
 	mux     *drpcmux.Mux
-	table   platform.Table
-	objects platform.Objects
+	table   stores.Table
+	objects stores.Objects
 	secured *security.Material
 	// later are duties that start with the process.
 	later []namedDuty
@@ -184,25 +184,25 @@
 }
 
 // platform sets up the clients of the platform's services.
-func (p *process) platform() (platform.Lister, error) {
+func (p *process) platform() (stores.Lister, error) {
 	s := p.common.Platform
 	secret, err := readSecret(s.SecretKeyFile)
 	if err != nil {
 		return nil, err
 	}
-	endpoint := func(url string) platform.Endpoint {
-		return platform.Endpoint{URL: url, AccessKey: s.AccessKey, SecretKey: secret}
+	endpoint := func(url string) stores.Endpoint {
+		return stores.Endpoint{URL: url, AccessKey: s.AccessKey, SecretKey: secret}
 	}
-	retry := platform.RetryOptions{Seed: p.deps.Seed}
-	p.table, err = platform.NewTable(platform.TableOptions{Endpoint: endpoint(s.TableURL), Name: s.TableName, Retry: retry})
+	retry := stores.RetryOptions{Seed: p.deps.Seed}
+	p.table, err = stores.NewTable(stores.TableOptions{Endpoint: endpoint(s.TableURL), Name: s.TableName, Retry: retry})
 	if err != nil {
 		return nil, err
 	}
-	p.objects, err = platform.NewObjects(platform.ObjectsOptions{Endpoint: endpoint(s.ObjectsURL), Bucket: s.Bucket, Retry: retry})
+	p.objects, err = stores.NewObjects(stores.ObjectsOptions{Endpoint: endpoint(s.ObjectsURL), Bucket: s.Bucket, Retry: retry})
 	if err != nil {
 		return nil, err
 	}
-	return platform.NewLister(platform.ListerOptions{URL: s.MembersURL, Retry: retry})
+	return stores.NewLister(stores.ListerOptions{URL: s.MembersURL, Retry: retry})
 }
 
 // readSecret reads the secret key of the platform's stores.
--- a/dev/cluster.go
+++ b/dev/cluster.go
@@ -20,11 +20,11 @@
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/engine"
 	"waxwingtide.example/waxwingtide/errs"
-	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/security"
 	"waxwingtide.example/waxwingtide/settings"
 	"waxwingtide.example/waxwingtide/standin"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 const (
@@ -344,7 +344,7 @@
 // list publishes the processes as the platform's lagging list.
 func (c *cluster) list(ctx context.Context) {
 	for {
-		var vms []platform.VM
+		var vms []stores.VM
 		for _, u := range append(append([]*unit{}, c.entries...), c.agents...) {
 			if vm, ok := u.vm(); ok {
 				vms = append(vms, vm)
--- a/dev/unit.go
+++ b/dev/unit.go
@@ -12,7 +12,7 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/daemon"
 	"waxwingtide.example/waxwingtide/duty"
-	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 // restartPause is how long the platform takes to replace a process.
@@ -99,14 +99,14 @@
 func (u *unit) crash() { (*u.kill.Load())() }
 
 // vm is the unit's entry in the platform's list, if it has one.
-func (u *unit) vm() (platform.VM, bool) {
+func (u *unit) vm() (stores.VM, bool) {
 	state := unitState(u.state.Load())
-	vm := platform.VM{
-		Node: u.node, Role: u.role, FailureDomain: u.domain, State: platform.VMLive,
+	vm := stores.VM{
+		Node: u.node, Role: u.role, FailureDomain: u.domain, State: stores.VMLive,
 		Incarnation: core.Incarnation(u.incarnation.Load()), Address: u.addresses[0],
 	}
 	if state == unitLeaving {
-		vm.State = platform.VMLeaving
+		vm.State = stores.VMLeaving
 	}
 	return vm, state != unitGone
 }
--- /dev/null
+++ b/fleet/duties.go
@@ -0,0 +1,423 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
+
+	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/duty"
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/wire"
+)
+
+const (
+	// feedWait is how long one call waits for changes. A store that has gone
+	// silent is noticed after it.
+	feedWait = 2 * time.Second
+	// readInterval is the time between two calls for one table. It bounds the
+	// number of calls when rows change often.
+	readInterval = 100 * time.Millisecond
+	// retryInterval is the time between two calls while the store fails.
+	retryInterval = 200 * time.Millisecond
+	// pullInterval is the time between two questions to peers while the store
+	// does not serve this process.
+	pullInterval = 300 * time.Millisecond
+	pullTimeout  = 600 * time.Millisecond
+	// pullPeers is how many peers are asked at once.
+	pullPeers = 2
+	// updates waiting for the state duty; senders wait when it is full.
+	updateRing = 64
+)
+
+// Options are what a Fleet needs.
+type Options struct {
+	Self    Member
+	Store   Store
+	Tables  Tables
+	Decoder Decoder
+	// Seeds are addresses of peers to ask before any member is known.
+	Seeds []string
+	Dial  func(ctx context.Context, address string) drpc.Conn
+	Log   logrus.FieldLogger
+	Seed  uint64
+}
+
+// Fleet runs the duties. Its view is nil until the first rows are known.
+type Fleet struct {
+	opts    Options
+	view    atomic.Pointer[View]
+	updates *ring.Ring[update]
+	pulls   *ring.Ring[pull]
+	// subscribers are told of each change of the view.
+	subscribers []*ring.Ring[struct{}]
+	away        *ring.Ring[bool]
+	random      *rand.Rand
+	seeds       atomic.Pointer[[]string]
+}
+
+// update tells the state duty of rows, or of the store's absence.
+type update struct {
+	source  string
+	table   Table
+	rows    []Row
+	version uint64
+	whole   bool
+	failed  error
+}
+
+// pull asks the state duty for rows on behalf of a peer.
+type pull struct {
+	known map[Table]uint64
+	reply chan pullResult
+}
+
+type pullResult struct {
+	rows  []Row
+	known map[Table]uint64
+}
+
+// New returns a Fleet that has not started.
+func New(opts Options) *Fleet {
+	f := &Fleet{
+		opts: opts, updates: ring.New[update](updateRing), pulls: ring.New[pull](updateRing),
+		away:   ring.New[bool](1),
+		random: rand.New(rand.NewPCG(opts.Seed, 1)),
+	}
+	f.SetSeeds(opts.Seeds)
+	return f
+}
+
+// SetSeeds replaces the addresses of peers to ask before any member is known.
+func (f *Fleet) SetSeeds(seeds []string) { f.seeds.Store(&seeds) }
+
+// View returns the newest snapshot; it is never nil.
+func (f *Fleet) View() *View {
+	if v := f.view.Load(); v != nil {
+		return v
+	}
+	return &View{}
+}
+
+// Subscribe returns a ring that holds an element after the view has changed. It
+// is called before Start.
+func (f *Fleet) Subscribe() *ring.Ring[struct{}] {
+	r := ring.New[struct{}](1)
+	f.subscribers = append(f.subscribers, r)
+	return r
+}
+
+// Start runs the duties in a group.
+func (f *Fleet) Start(g *duty.Group) {
+	g.Go("fleet state", f.runState)
+	for _, table := range []Table{f.opts.Tables.Operator, f.opts.Tables.Upstreams, Members} {
+		g.Go("feed "+string(table), func(ctx context.Context) error { return f.follow(ctx, table) })
+	}
+	g.Go("peers", f.runPeers)
+	g.Go("registration", f.register)
+}
+
+// follow reads a table and then waits for its changes.
+func (f *Fleet) follow(ctx context.Context, table Table) error {
+	var version uint64
+	whole, failing := true, false
+	for ctx.Err() == nil {
+		var page Page
+		var err error
+		if whole {
+			page, err = f.opts.Store.Rows(ctx, table)
+		} else {
+			page, err = f.opts.Store.Changes(ctx, table, version, feedWait)
+		}
+		if errs.Is(err, errs.Stale) {
+			whole = true
+			continue
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil || failing || whole || len(page.Rows) > 0 {
+			u := update{source: "store", table: table, rows: page.Rows, version: page.Version, whole: whole, failed: err}
+			if err := f.updates.Send(ctx, u); err != nil {
+				return nil
+			}
+		}
+		failing = err != nil
+		pause := readInterval
+		if failing {
+			// Rows may lapse and versions be dropped meanwhile: read all again.
+			pause = retryInterval
+		} else {
+			version, whole = page.Version, false
+		}
+		duty.Pause(ctx, pause)
+	}
+	return nil
+}
+
+// runState owns the rows.
+func (f *Fleet) runState(ctx context.Context) error {
+	s := newState(f.opts.Tables, f.opts.Decoder)
+	failing := make(map[Table]bool)
+	for {
+		changed, next := s.expire(time.Now())
+		if changed {
+			f.publish(s)
+		}
+		if !f.awaitWork(ctx, next) {
+			return nil
+		}
+		for u, ok := f.updates.TryReceive(); ok; u, ok = f.updates.TryReceive() {
+			f.apply(s, failing, u)
+		}
+		for p, ok := f.pulls.TryReceive(); ok; p, ok = f.pulls.TryReceive() {
+			p.reply <- pullResult{rows: s.since(p.known), known: copyKnown(s.known)}
+		}
+	}
+}
+
+func copyKnown(known map[Table]uint64) map[Table]uint64 {
+	out := make(map[Table]uint64, len(known))
+	for table, version := range known {
+		out[table] = version
+	}
+	return out
+}
+
+// awaitWork blocks until a ring has an element or the time has come. It
+// reports whether the duty goes on.
+func (f *Fleet) awaitWork(ctx context.Context, next time.Time) bool {
+	var due <-chan time.Time
+	if !next.IsZero() {
+		timer := time.NewTimer(time.Until(next))
+		defer timer.Stop()
+		due = timer.C
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-due:
+	case <-f.updates.Ready():
+	case <-f.pulls.Ready():
+	}
+	return true
+}
+
+func (f *Fleet) apply(s *state, failing map[Table]bool, u update) {
+	now := time.Now()
+	log := f.opts.Log.WithFields(logrus.Fields{"table": u.table, "source": u.source})
+	if u.failed != nil {
+		if !failing[u.table] {
+			log.WithField("event", "store_lost").WithError(u.failed).Warn("the store does not serve this process")
+		}
+		failing[u.table] = true
+		s.storeAway(now)
+		f.away.Push(true)
+		return
+	}
+	if u.source == "store" && failing[u.table] {
+		delete(failing, u.table)
+		log.WithFields(logrus.Fields{"event": "store_regained", "version": u.version}).Info("the store serves this process again")
+		if len(failing) == 0 {
+			s.storeBack(now)
+			f.away.Push(false)
+		}
+	}
+	var changed bool
+	if u.whole {
+		changed = s.replace(now, u.table, u.rows, u.version)
+	} else {
+		changed = s.merge(now, u.table, u.rows, u.version)
+	}
+	if changed {
+		log.WithFields(logrus.Fields{"event": "rows_changed", "version": u.version, "rows": len(u.rows)}).Info("rows changed")
+		f.publish(s)
+	}
+}
+
+func (f *Fleet) publish(s *state) {
+	old, v := f.View(), s.view()
+	for _, err := range s.invalid {
+		f.opts.Log.WithField("event", "row_ignored").WithError(err).Warn("a row was ignored")
+	}
+	s.invalid = nil
+	if v.Config != nil && (old.Config == nil || old.Config.Version != v.Config.Version) {
+		f.opts.Log.WithFields(logrus.Fields{
+			"event": "config_in_force", "version": v.Config.Version, "routes": len(v.Config.Routes),
+		}).Info("configuration is in force")
+	}
+	f.logUpstreams(old, v)
+	f.view.Store(v)
+	for _, r := range f.subscribers {
+		r.Push(struct{}{})
+	}
+}
+
+// logUpstreams writes a line for each upstream that came, left or changed its
+// state.
+func (f *Fleet) logUpstreams(old, v *View) {
+	before := make(map[string]catalog.Listed, len(old.Upstreams))
+	for _, u := range old.Upstreams {
+		before[string(u.ID)] = u
+	}
+	for _, u := range v.Upstreams {
+		b, known := before[string(u.ID)]
+		delete(before, string(u.ID))
+		if !known || b.Draining != u.Draining || b.Born != u.Born || b.Address != u.Address {
+			f.opts.Log.WithFields(logrus.Fields{
+				"event": "upstream_listed", "upstream": u.ID, "service": u.Service, "address": u.Address,
+				"draining": u.Draining, "cold_ms": u.ColdFor.Milliseconds(), "born": u.Born, "revision": u.Revision,
+			}).Info("upstream is listed")
+		}
+	}
+	for id := range before {
+		f.opts.Log.WithFields(logrus.Fields{"event": "upstream_gone", "upstream": id}).Info("upstream is no longer listed")
+	}
+}
+
+// register writes this process's own row. The row stays until the process is
+// stopped as planned, so that limits are never shared among too few.
+func (f *Fleet) register(ctx context.Context) error {
+	value, err := encodeMember(f.opts.Self)
+	if err != nil {
+		return errs.Wrap(err, errs.Internal, "report this as a defect", "own row cannot be encoded")
+	}
+	row := Row{Table: Members, Key: string(f.opts.Self.Node), Value: value}
+	for ctx.Err() == nil {
+		_, err := f.opts.Store.Commit(ctx, Transaction{Puts: []Row{row}})
+		if err == nil {
+			f.opts.Log.WithFields(logrus.Fields{"event": "registered", "address": f.opts.Self.Address}).Info("process is registered")
+			return nil
+		}
+		f.opts.Log.WithField("event", "register_failed").WithError(err).Warn("process is not registered yet")
+		duty.Pause(ctx, retryInterval)
+	}
+	return nil
+}
+
+// Leave removes this process's own row.
+func (f *Fleet) Leave(ctx context.Context) {
+	row := Row{Table: Members, Key: string(f.opts.Self.Node)}
+	if _, err := f.opts.Store.Commit(ctx, Transaction{Removes: []Row{row}}); err != nil {
+		f.opts.Log.WithField("event", "leave_failed").WithError(err).Warn("own row was not removed")
+	}
+}
+
+// runPeers asks peers for rows while the store does not serve this process.
+func (f *Fleet) runPeers(ctx context.Context) error {
+	away := false
+	for {
+		if !away {
+			next, err := f.away.Receive(ctx)
+			if err != nil {
+				return nil
+			}
+			away = next
+			continue
+		}
+		f.pullOnce(ctx)
+		if !duty.Pause(ctx, pullInterval) {
+			return nil
+		}
+		if next, ok := f.away.TryReceive(); ok {
+			away = next
+		}
+	}
+}
+
+func (f *Fleet) pullOnce(ctx context.Context) {
+	own := pull{reply: make(chan pullResult, 1)}
+	if err := f.pulls.Send(ctx, own); err != nil {
+		return
+	}
+	var state pullResult
+	select {
+	case state = <-own.reply:
+	case <-ctx.Done():
+		return
+	}
+	request := &wire.PullRequest{Sender: &wire.Sender{Node: string(f.opts.Self.Node), Incarnation: uint64(f.opts.Self.Incarnation)}}
+	for table, version := range state.known {
+		request.Known = append(request.Known, &wire.TableVersion{Table: string(table), Version: version})
+	}
+	addresses := f.peerAddresses()
+	f.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	for _, address := range addresses[:min(pullPeers, len(addresses))] {
+		f.pullFrom(ctx, address, request)
+	}
+}
+
+func (f *Fleet) peerAddresses() []string {
+	seen := map[string]bool{f.opts.Self.Address: true}
+	var out []string
+	add := func(address string) {
+		if address != "" && !seen[address] {
+			seen[address] = true
+			out = append(out, address)
+		}
+	}
+	for _, m := range f.View().Members {
+		add(m.Address)
+	}
+	for _, seed := range *f.seeds.Load() {
+		add(seed)
+	}
+	return out
+}
+
+func (f *Fleet) pullFrom(ctx context.Context, address string, request *wire.PullRequest) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	reply, err := wire.NewDRPCCatalogClient(f.opts.Dial(ctx, address)).Pull(ctx, request)
+	if err != nil {
+		f.opts.Log.WithFields(logrus.Fields{"event": "pull_failed", "peer": address}).WithError(err).Debug("peer gave no rows")
+		return
+	}
+	byTable := make(map[Table][]Row)
+	for _, r := range reply.Rows {
+		row := Row{Table: Table(r.Table), Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed}
+		byTable[row.Table] = append(byTable[row.Table], row)
+	}
+	for _, known := range reply.Known {
+		table := Table(known.Table)
+		u := update{source: "peer " + address, table: table, rows: byTable[table], version: known.Version}
+		if err := f.updates.Send(ctx, u); err != nil {
+			return
+		}
+	}
+}
+
+// Pull implements the peer's side of the inner protocol.
+func (f *Fleet) Pull(ctx context.Context, request *wire.PullRequest) (*wire.PullReply, error) {
+	p := pull{known: make(map[Table]uint64), reply: make(chan pullResult, 1)}
+	for _, k := range request.Known {
+		p.known[Table(k.Table)] = k.Version
+	}
+	if err := f.pulls.Send(ctx, p); err != nil {
+		return nil, errs.Wrap(err, errs.Unavailable, "ask another peer", "process is stopping")
+	}
+	select {
+	case state := <-p.reply:
+		return encodePull(state), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func encodePull(state pullResult) *wire.PullReply {
+	reply := &wire.PullReply{}
+	for _, r := range state.rows {
+		reply.Rows = append(reply.Rows, &wire.StoredRow{
+			Table: string(r.Table), Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed,
+		})
+	}
+	for table, version := range state.known {
+		reply.Known = append(reply.Known, &wire.TableVersion{Table: string(table), Version: version})
+	}
+	return reply
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,112 @@
+// Package fleet keeps what this process knows of the operators' configuration,
+// of the listed upstreams and of the system's other processes. One duty for
+// each table follows the platform's store, one duty owns the rows and
+// publishes an immutable view, and one learns from peers while the store does
+// not serve this process.
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/core"
+)
+
+// Table names a table of the platform's store.
+type Table string
+
+// Members is the table in which the system's processes list themselves.
+const Members Table = "members"
+
+// Tables names the tables that others write to.
+type Tables struct {
+	Operator  Table
+	Upstreams Table
+	// Status is written by the system and read by the operator.
+	Status Table
+}
+
+// Row is one row. Versions come from one counter of the whole store.
+type Row struct {
+	Table   Table
+	Key     string
+	Value   []byte
+	Version uint64
+	Removed bool
+}
+
+// Page is an answer of the store.
+type Page struct {
+	Rows []Row
+	// Version is the store's version at the answer.
+	Version uint64
+	// Now is the store's steady clock.
+	Now time.Duration
+}
+
+// Transaction writes rows if all conditions hold. A condition names the
+// version that a row must have, 0 for none.
+type Transaction struct {
+	Conditions []Row
+	Puts       []Row
+	Removes    []Row
+}
+
+// Store is the platform's store.
+type Store interface {
+	// Rows returns a whole table.
+	Rows(ctx context.Context, table Table) (Page, error)
+	// Changes waits for changes after a version.
+	Changes(ctx context.Context, table Table, after uint64, wait time.Duration) (Page, error)
+	// Commit writes rows in one transaction.
+	Commit(ctx context.Context, tx Transaction) (Page, error)
+}
+
+// NamedWeights is the newest weight version that the operator named.
+type NamedWeights struct {
+	Model   core.ModelID
+	Version catalog.WeightNumber
+	// Since is when this process learned of it.
+	Since time.Time
+}
+
+// Change is what a row says. At most one field is set.
+type Change struct {
+	Config *catalog.Config
+	// Upstream has no service when its row was removed.
+	Upstream  *catalog.Upstream
+	Evacuated core.FailureDomain
+	Weights   *NamedWeights
+	// Rollout has no version when its row was removed.
+	Rollout *catalog.Rollout
+}
+
+// Decoder decodes rows of the operator's and the upstreams' tables. The error
+// has the kind errs.Invalid for rows of unknown writers.
+type Decoder interface {
+	Decode(row Row) (Change, error)
+}
+
+// Member is a process of the system.
+type Member struct {
+	Node        core.NodeID
+	Address     string
+	Domain      core.FailureDomain
+	Incarnation core.Incarnation
+}
+
+// View is an immutable snapshot of what the process knows.
+type View struct {
+	// Config is nil until a configuration is known.
+	Config *catalog.Config
+	// Upstreams are in the order of their ids.
+	Upstreams []catalog.Listed
+	Evacuated map[core.FailureDomain]bool
+	Weights   map[core.ModelID]NamedWeights
+	Rollouts  map[core.ServiceID]catalog.Rollout
+	Members   []Member
+}
+
+// Fronts returns the number of processes that share limits, at least one.
+func (v *View) Fronts() int { return max(len(v.Members), 1) }
--- /dev/null
+++ b/frontend/frontend.go
@@ -0,0 +1,261 @@
+// Package frontend wires the library into the front daemon, which serves
+// callers on the users' platform. It makes no decisions.
+package frontend
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/julienschmidt/httprouter"
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+
+	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/duty"
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/fleet"
+	"waxwingtide.example/waxwingtide/gateway"
+	"waxwingtide.example/waxwingtide/keptfeed"
+	"waxwingtide.example/waxwingtide/placement"
+	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/settings"
+	"waxwingtide.example/waxwingtide/telemetry"
+	"waxwingtide.example/waxwingtide/transport"
+	"waxwingtide.example/waxwingtide/upstreamhttp"
+	"waxwingtide.example/waxwingtide/weights"
+	"waxwingtide.example/waxwingtide/wire"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 64 << 10
+	// connectTimeout bounds a connection to an upstream; the network's round
+	// trip takes a few milliseconds.
+	connectTimeout = 300 * time.Millisecond
+	// memoryShare is the part of the VM's memory that the garbage collector
+	// keeps the process under.
+	memoryShare = 0.8
+	// stopReserve is kept of the grace time for the end of the process.
+	stopReserve = 400 * time.Millisecond
+	leaveWait   = 300 * time.Millisecond
+)
+
+// process is the running daemon.
+type process struct {
+	settings    *settings.Front
+	log         *logrus.Logger
+	lines       *telemetry.AsyncWriter
+	group       *duty.Group
+	fleet       *fleet.Fleet
+	gateway     *gateway.Gateway
+	metrics     *telemetry.Metrics
+	incarnation core.Incarnation
+	callers     *http.Server
+	stopping    chan struct{}
+	// file is where the settings came from.
+	file string
+}
+
+// Run runs the front with the settings of a file until the context ends, which
+// is a planned stop.
+func Run(ctx context.Context, file string) error {
+	s, err := settings.LoadFront(file)
+	if err != nil {
+		return err
+	}
+	p, err := newProcess(s)
+	if err != nil {
+		return err
+	}
+	p.file = file
+	if err := p.start(); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		p.stop()
+	case <-p.group.Context().Done():
+	}
+	p.group.Stop()
+	err = p.group.Wait()
+	p.log.WithFields(logrus.Fields{"event": "stopped"}).Info("stopped")
+	p.lines.Flush()
+	return err
+}
+
+func newProcess(s *settings.Front) (*process, error) {
+	level, err := logrus.ParseLevel(s.Log.Level)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Invalid, "use debug, info, warning or error", "log.level is not known")
+	}
+	lines := telemetry.NewAsyncWriter(os.Stdout)
+	log := telemetry.NewLogger(lines, level)
+	m, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	debug.SetGCPercent(s.Memory.GCPercent)
+	if s.Memory.LimitMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * s.Memory.LimitMB * (1 << 20)))
+	}
+	p := &process{
+		settings: s, log: log, lines: lines, metrics: m, incarnation: core.Incarnation(time.Now().UnixNano()),
+		group: duty.NewGroup(context.Background(), log), stopping: make(chan struct{}),
+	}
+	return p, nil
+}
+
+// start runs the duties and opens the listeners.
+func (p *process) start() error {
+	s := p.settings
+	p.group.Go("log", p.lines.Run)
+	store := platform.NewStore(s.Store)
+	engines := platform.NewEngines()
+	dialer := transport.NewDialer(platform.Dialer(connectTimeout).DialContext, nil)
+	p.fleet = fleet.New(fleet.Options{
+		Self:  fleet.Member{Node: s.Node, Address: s.Inner, Domain: s.FailureDomain, Incarnation: p.incarnation},
+		Store: store, Tables: platform.Tables(), Decoder: platform.Decoder{}, Seeds: s.Seeds,
+		Dial: func(ctx context.Context, address string) drpc.Conn { return dialer.Dial(ctx, address) },
+		Log:  p.log, Seed: uint64(p.incarnation),
+	})
+	g, err := gateway.New(gateway.Options{
+		Fleet: p.fleet, Kept: keptfeed.New(engines, p.frees, p.log), Codec: platform.Codec{},
+		Client:    upstreamhttp.NewClient(platform.Dialer(connectTimeout)),
+		Placement: placementOptions(s), Log: p.log, Meter: p.metrics.Meter("gateway"), Random: rand.Float64,
+	})
+	if err != nil {
+		return err
+	}
+	p.gateway = g
+	loader := weights.NewLoader(weights.Options{
+		Self: s.Node, Incarnation: p.incarnation, Store: store, Fleet: p.fleet, Engines: engines,
+		Lease: s.Bounds.Lease, Share: s.Weights.LoadShare, Mode: weightsMode(s.Weights.Mode), Log: p.log,
+		Loaded: func(id core.UpstreamID, model core.ModelID, version catalog.WeightNumber) {
+			g.Learn(id, model, version)
+		},
+	})
+	p.fleet.Start(p.group)
+	g.Start(p.group)
+	p.group.Go("weights", loader.Run)
+	p.group.Go("settings", p.followSettings)
+	if err := p.listen(); err != nil {
+		return err
+	}
+	p.log.WithFields(logrus.Fields{"event": "start", "node": s.Node, "failure_domain": s.FailureDomain, "incarnation": p.incarnation}).Info("front started")
+	return nil
+}
+
+func placementOptions(s *settings.Front) placement.Options {
+	return placement.Options{
+		Node: s.Node, PrefillTokensPerMs: s.Engine.PrefillTokensPerMs, ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack,
+		WeightsWithin: s.Bounds.Weights, RetryShare: s.Bounds.RetryShare, RetrySlack: s.Bounds.RetrySlack, RetryWindow: s.Bounds.RetryWindow,
+	}
+}
+
+func weightsMode(name string) weights.Mode {
+	return map[string]weights.Mode{"finish": weights.FinishRuns, "cut": weights.CutRuns, "keep": weights.KeepRuns}[name]
+}
+
+// frees reports whether this process frees what broke off in a store: one
+// member does so for each store.
+func (p *process) frees(address string) bool {
+	members := p.fleet.View().Members
+	nodes := make([]core.NodeID, len(members))
+	for i, m := range members {
+		nodes[i] = m.Node
+	}
+	return placement.Owner(nodes, address) == p.settings.Node
+}
+
+// listen opens the listeners and serves them as duties.
+func (p *process) listen() error {
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterCatalog(mux, p.fleet); err != nil {
+		return errs.Wrap(err, errs.Internal, "report this as a defect", "inner protocol cannot be registered")
+	}
+	inner, err := listener(p.settings.Inner)
+	if err != nil {
+		return err
+	}
+	p.group.Go("inner protocol", func(ctx context.Context) error { return transport.Serve(ctx, inner, nil, mux) })
+	if _, err := p.serve("metrics", p.settings.Metrics, p.metrics.Handler()); err != nil {
+		return err
+	}
+	if _, err := p.serve("readiness", p.settings.Readiness, p.readiness()); err != nil {
+		return err
+	}
+	p.callers, err = p.serve("callers", p.settings.Callers, p.gateway)
+	return err
+}
+
+func listener(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	return l, errs.Wrap(err, errs.Invalid, "choose a free address of this VM", "cannot listen on %s", address)
+}
+
+func (p *process) serve(name, address string, handler http.Handler) (*http.Server, error) {
+	l, err := listener(address)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	p.group.Go(name, func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return server, nil
+}
+
+// readiness answers the platform's balancer.
+func (p *process) readiness() http.Handler {
+	router := httprouter.New()
+	router.HandlerFunc(http.MethodGet, platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		select {
+		case <-p.stopping:
+			http.Error(w, "stopping", http.StatusServiceUnavailable)
+			return
+		default:
+		}
+		if !p.gateway.Ready() {
+			http.Error(w, "no configuration or no upstream is known", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return router
+}
+
+// stop ends the front as planned: it is taken out of rotation first, then
+// connections end with their next answer, and calls under way finish.
+func (p *process) stop() {
+	started := time.Now()
+	p.log.WithFields(logrus.Fields{"event": "stop", "grace_ms": p.settings.Bounds.Grace.Milliseconds()}).Info("stopping")
+	close(p.stopping)
+	ctx, cancel := context.WithTimeout(context.Background(), leaveWait)
+	p.fleet.Leave(ctx)
+	cancel()
+	time.Sleep(time.Until(started.Add(p.settings.Stop.Rotation)))
+	p.gateway.CloseConnections()
+	// Callers with idle connections get time to use and thereby close them.
+	time.Sleep(time.Until(started.Add(p.settings.Bounds.Grace / 2)))
+	ctx, cancel = context.WithDeadline(context.Background(), started.Add(p.settings.Bounds.Grace-stopReserve))
+	defer cancel()
+	if err := p.callers.Shutdown(ctx); err != nil {
+		p.log.WithField("event", "calls_cut").WithError(err).Warn("calls under way were cut at the end of the grace time")
+	}
+}
--- /dev/null
+++ b/gateway/router.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/fleet"
+	"waxwingtide.example/waxwingtide/keptfeed"
+	"waxwingtide.example/waxwingtide/keptindex"
+	"waxwingtide.example/waxwingtide/placement"
+	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/upstreamhttp"
+)
+
+const (
+	// askRing bounds the calls that wait for the router; further ones are
+	// refused.
+	askRing = 1024
+	// reportRing bounds the reports that wait for the router; senders wait.
+	reportRing = 1024
+	// idlePerUpstream is the number of kept connections to one upstream.
+	idlePerUpstream = 24
+	// sweepInterval is the time between two looks at orders to save.
+	sweepInterval = time.Second
+)
+
+// ask is a handler's question where a call goes.
+type ask struct {
+	need  placement.Need
+	reply chan placed
+}
+
+// placed is the router's answer.
+type placed struct {
+	choice  placement.Choice
+	refusal placement.Refusal
+	idle    upstreamhttp.Idle
+}
+
+// link holds the kept connections of one incarnation of an upstream.
+type link struct {
+	address string
+	born    int64
+	idle    upstreamhttp.Idle
+}
+
+// router is the duty that owns the knowledge of upstreams and kept parts.
+type router struct {
+	fleet   *fleet.Fleet
+	changed *ring.Ring[struct{}]
+	kept    *keptfeed.Feed
+	index   *keptindex.Index
+	table   *placement.Table
+	links   map[core.UpstreamID]*link
+	asks    *ring.Ring[ask]
+	reports *ring.Ring[placement.Report]
+	options *ring.Ring[placement.Options]
+	log     logrus.FieldLogger
+}
+
+func newRouter(opts Options) *router {
+	index := keptindex.New()
+	return &router{
+		fleet: opts.Fleet, changed: opts.Fleet.Subscribe(), kept: opts.Kept, index: index, table: placement.New(opts.Placement, index),
+		links: make(map[core.UpstreamID]*link), asks: ring.New[ask](askRing),
+		reports: ring.New[placement.Report](reportRing), options: ring.New[placement.Options](1), log: opts.Log,
+	}
+}
+
+// run is the duty's loop.
+func (r *router) run(ctx context.Context) error {
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	r.takeView(time.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-sweep.C:
+			r.index.Sweep(time.Now())
+		case <-r.changed.Ready():
+		case <-r.options.Ready():
+		case <-r.kept.Updates().Ready():
+		case <-r.reports.Ready():
+		case <-r.asks.Ready():
+		}
+		r.drain()
+	}
+}
+
+// drain handles all that waits. Changes and reports come before questions, so
+// that these are answered with the newest knowledge.
+func (r *router) drain() {
+	now := time.Now()
+	if opts, ok := r.options.TryReceive(); ok {
+		r.table.Configure(opts)
+	}
+	if _, ok := r.changed.TryReceive(); ok {
+		r.takeView(now)
+	}
+	for u, ok := r.kept.Updates().TryReceive(); ok; u, ok = r.kept.Updates().TryReceive() {
+		r.takeKept(u)
+	}
+	for report, ok := r.reports.TryReceive(); ok; report, ok = r.reports.TryReceive() {
+		r.table.Learn(now, report)
+	}
+	for a, ok := r.asks.TryReceive(); ok; a, ok = r.asks.TryReceive() {
+		choice, refusal := r.table.Choose(now, a.need)
+		answer := placed{choice: choice, refusal: refusal}
+		if refusal == placement.Placed {
+			answer.idle = r.links[choice.Upstream.ID].idle
+		}
+		a.reply <- answer
+	}
+}
+
+func (r *router) takeView(now time.Time) {
+	v := r.fleet.View()
+	world := placement.World{
+		Config: v.Config, Upstreams: v.Upstreams, Evacuated: v.Evacuated,
+		Named: make(map[core.ModelID]placement.Named, len(v.Weights)),
+	}
+	for model, w := range v.Weights {
+		world.Named[model] = placement.Named{Version: w.Version, Since: w.Since}
+	}
+	for _, m := range v.Members {
+		world.Fronts = append(world.Fronts, m.Node)
+	}
+	r.table.SetWorld(now, world)
+	if v.Config != nil {
+		r.kept.SetStores(v.Config.Stores)
+	}
+	links := make(map[core.UpstreamID]*link, len(v.Upstreams))
+	for _, u := range v.Upstreams {
+		l := r.links[u.ID]
+		if l == nil || l.address != u.Address || l.born != u.Born {
+			l = &link{address: u.Address, born: u.Born, idle: upstreamhttp.NewIdle(idlePerUpstream)}
+		}
+		links[u.ID] = l
+	}
+	r.links = links
+}
+
+func (r *router) takeKept(u keptfeed.Update) {
+	switch {
+	case u.Lost:
+		r.index.Lost(u.Address)
+	case u.Whole:
+		r.index.Replace(u.At, u.Address, u.Epoch, u.Held)
+	case !r.index.Apply(u.At, u.Address, u.Epoch, u.Held, u.Removed):
+		r.index.Lost(u.Address)
+		r.log.WithFields(logrus.Fields{"event": "kept_store_epoch", "store": u.Address, "epoch": u.Epoch}).Warn("kept-cache store has restarted")
+	}
+}
+
+// ask places a call. A full ring is a refusal: the process is overloaded.
+func (r *router) ask(ctx context.Context, need placement.Need) (placed, error) {
+	a := ask{need: need, reply: make(chan placed, 1)}
+	if !r.asks.Offer(a) {
+		return placed{refusal: placement.Limited}, nil
+	}
+	select {
+	case p := <-a.reply:
+		return p, nil
+	case <-ctx.Done():
+		// The router may still book the attempt; the report takes it back.
+		go r.takeBack(a)
+		return placed{}, errs.Wrap(ctx.Err(), errs.Unavailable, "retry", "call ended before it was placed")
+	}
+}
+
+// takeBack reports an attempt that was placed after its call had ended.
+func (r *router) takeBack(a ask) {
+	p := <-a.reply
+	if p.refusal == placement.Placed {
+		r.report(placement.Report{
+			Ticket: p.choice.Ticket, Upstream: p.choice.Upstream.ID, Ended: true, Result: placement.Abandoned,
+		})
+	}
+}
+
+// report hands a report to the router and waits for room.
+func (r *router) report(report placement.Report) {
+	if err := r.reports.Send(context.Background(), report); err != nil {
+		r.log.WithField("event", "report_lost").WithError(err).Warn("a report on an attempt was lost")
+	}
+}
--- /dev/null
+++ b/keptfeed/keptfeed.go
@@ -0,0 +1,234 @@
+// Package keptfeed follows the events of kept-cache stores, one duty for each
+// store, and hands them on in a ring.
+package keptfeed
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/clock"
+	"waxwingtide.example/waxwingtide/duty"
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/keptindex"
+	"waxwingtide.example/waxwingtide/ring"
+)
+
+const (
+	// eventWait is how long one call waits for events. It is below the time for
+	// which an index trusts a store's content.
+	eventWait = 400 * time.Millisecond
+	// eventTimeout bounds a call that gets no answer.
+	eventTimeout = 800 * time.Millisecond
+	// eventInterval is the least time between two calls.
+	eventInterval = 40 * time.Millisecond
+	// listInterval is the time between two readings of a store's whole content,
+	// which brings back events that were lost.
+	listInterval = 6 * time.Second
+	listTimeout  = 1500 * time.Millisecond
+	retryAfter   = 150 * time.Millisecond
+	// updates waiting for the router; senders wait when it is full.
+	updateRing = 256
+	storesRing = 1
+)
+
+// Events are changes of a store's content.
+type Events struct {
+	Epoch uint64
+	// Next continues the events, Gap is set when some were dropped.
+	Next    uint64
+	Gap     bool
+	Added   []keptindex.Held
+	Removed []keptindex.Key
+}
+
+// Partial is a part that is being written, or whose writing broke off.
+type Partial struct {
+	keptindex.Key
+	Complete int
+	Reserved int
+}
+
+// List is a store's content.
+type List struct {
+	Epoch   uint64
+	Next    uint64
+	Held    []keptindex.Held
+	Partial []Partial
+}
+
+// Client reads kept-cache stores.
+type Client interface {
+	Events(ctx context.Context, address string, since uint64, wait time.Duration) (Events, error)
+	List(ctx context.Context, address string) (List, error)
+	// Free drops parts if the store is still in the given incarnation.
+	Free(ctx context.Context, address string, epoch uint64, keys []keptindex.Key) error
+}
+
+// Update is what the feed has learned of a store. Exactly one of Whole, Lost
+// and neither (events) applies.
+type Update struct {
+	Address string
+	// At is when the store's answer came.
+	At      time.Time
+	Epoch   uint64
+	Whole   bool
+	Lost    bool
+	Held    []keptindex.Held
+	Removed []keptindex.Key
+}
+
+// Feed follows the configured stores.
+type Feed struct {
+	client  Client
+	log     logrus.FieldLogger
+	updates *ring.Ring[Update]
+	stores  *ring.Ring[[]catalog.KeptStore]
+	// freer decides whether this process frees what broke off in a store.
+	freer func(address string) bool
+}
+
+// New returns a feed. The process frees broken saves of the stores for which
+// freer returns true.
+func New(client Client, freer func(address string) bool, log logrus.FieldLogger) *Feed {
+	return &Feed{
+		client: client, log: log, freer: freer, updates: ring.New[Update](updateRing),
+		stores: ring.New[[]catalog.KeptStore](storesRing),
+	}
+}
+
+// Updates holds what was learned, in order for each store.
+func (f *Feed) Updates() *ring.Ring[Update] { return f.updates }
+
+// SetStores sets which stores are followed.
+func (f *Feed) SetStores(stores []catalog.KeptStore) { f.stores.Push(stores) }
+
+// Run starts and ends the duties of stores as the configuration names them.
+func (f *Feed) Run(ctx context.Context) error {
+	group := duty.NewGroup(ctx, f.log)
+	ends := make(map[string]context.CancelFunc)
+	for {
+		stores, err := f.stores.Receive(ctx)
+		if err != nil {
+			break
+		}
+		named := make(map[string]bool, len(stores))
+		for _, s := range stores {
+			named[s.Address] = true
+			if ends[s.Address] != nil {
+				continue
+			}
+			own, cancel := context.WithCancel(group.Context())
+			ends[s.Address] = cancel
+			address := s.Address
+			group.Go("kept store "+address, func(context.Context) error { return f.follow(own, address) })
+		}
+		for address, end := range ends {
+			if !named[address] {
+				end()
+				delete(ends, address)
+			}
+		}
+	}
+	group.Stop()
+	for _, end := range ends {
+		end()
+	}
+	return group.Wait()
+}
+
+// follow is the duty of one store.
+func (f *Feed) follow(ctx context.Context, address string) error {
+	w := &watch{feed: f, address: address}
+	for ctx.Err() == nil {
+		pause := eventInterval
+		if err := w.step(ctx); err != nil && ctx.Err() == nil {
+			if !w.lost {
+				f.log.WithFields(logrus.Fields{"event": "kept_store_lost", "store": address}).WithError(err).Warn("kept-cache store does not answer")
+			}
+			w.lost, w.listed = true, false
+			_ = f.updates.Send(ctx, Update{Address: address, Lost: true}) // fails only when the feed ends
+			pause = retryAfter
+		}
+		duty.Pause(ctx, pause)
+	}
+	return nil
+}
+
+// watch is the state of a store's duty.
+type watch struct {
+	feed    *Feed
+	address string
+	lost    bool
+	listed  bool
+	epoch   uint64
+	next    uint64
+	listAt  time.Time
+	// stuck are the unfinished parts of the last list.
+	stuck map[keptindex.Key]int
+}
+
+func (w *watch) step(ctx context.Context) error {
+	if !w.listed || time.Since(w.listAt) >= listInterval {
+		return w.list(ctx)
+	}
+	asked := clock.Boot()
+	ctx, cancel := context.WithTimeout(ctx, eventTimeout)
+	defer cancel()
+	events, err := w.feed.client.Events(ctx, w.address, w.next, eventWait)
+	if err != nil {
+		return err
+	}
+	if clock.Boot()-asked > eventTimeout {
+		return errs.New(errs.Stale, "the content is read again", "the answer lay unread while the VM was suspended")
+	}
+	if events.Epoch != w.epoch || events.Gap {
+		w.listed = false
+	}
+	w.next = events.Next
+	return w.feed.updates.Send(ctx, Update{
+		Address: w.address, At: time.Now(), Epoch: events.Epoch, Held: events.Added, Removed: events.Removed,
+	})
+}
+
+func (w *watch) list(ctx context.Context) error {
+	asked := clock.Boot()
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	list, err := w.feed.client.List(ctx, w.address)
+	if err != nil {
+		return err
+	}
+	if clock.Boot()-asked > listTimeout {
+		return errs.New(errs.Stale, "the content is read again", "the answer lay unread while the VM was suspended")
+	}
+	at := time.Now()
+	if w.lost {
+		w.feed.log.WithFields(logrus.Fields{"event": "kept_store_regained", "store": w.address, "epoch": list.Epoch, "parts": len(list.Held)}).Info("kept-cache store answers again")
+	}
+	w.lost, w.listed, w.epoch, w.next, w.listAt = false, true, list.Epoch, list.Next, at
+	w.freeBroken(ctx, list)
+	return w.feed.updates.Send(ctx, Update{Address: w.address, At: at, Epoch: list.Epoch, Whole: true, Held: list.Held})
+}
+
+// freeBroken frees parts that made no progress between two lists: their writer
+// broke off, and they take room until they are freed.
+func (w *watch) freeBroken(ctx context.Context, list List) {
+	stuck := make(map[keptindex.Key]int, len(list.Partial))
+	var broken []keptindex.Key
+	for _, p := range list.Partial {
+		if before, ok := w.stuck[p.Key]; ok && before == p.Complete {
+			broken = append(broken, p.Key)
+			continue
+		}
+		stuck[p.Key] = p.Complete
+	}
+	w.stuck = stuck
+	if len(broken) == 0 || !w.feed.freer(w.address) {
+		return
+	}
+	err := w.feed.client.Free(ctx, w.address, list.Epoch, broken)
+	w.feed.log.WithFields(logrus.Fields{"event": "broken_parts_freed", "store": w.address, "parts": len(broken), "epoch": list.Epoch}).WithError(err).Info("parts whose writing broke off were freed")
+}
--- a/operator/counts.go
+++ b/operator/counts.go
@@ -11,8 +11,8 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
-	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 const (
@@ -47,7 +47,7 @@
 	Node        core.NodeID
 	Incarnation core.Incarnation
 	// Table is control.Control.Table.
-	Table platform.Table
+	Table stores.Table
 	// Enough is the number of samples that a promotion needs at most.
 	Enough uint64
 	Log    logrus.FieldLogger
@@ -187,7 +187,7 @@
 }
 
 func (d *countsDuty) replace(ctx context.Context, w *written, r countReport) error {
-	key := platform.Key{Partition: countPartition(r.key.Model), Sort: string(d.Node)}
+	key := stores.Key{Partition: countPartition(r.key.Model), Sort: string(d.Node)}
 	if !w.known {
 		row, err := d.Table.Get(ctx, key)
 		if err != nil {
@@ -201,7 +201,7 @@
 	}
 	d.writes++
 	id := fmt.Sprintf("samples/%s/%d/%d", d.Node, d.Incarnation, d.writes)
-	if err := d.Table.Transact(ctx, id, []platform.Write{{Key: key, IfVersion: w.version, Value: value}}); err != nil {
+	if err := d.Table.Transact(ctx, id, []stores.Write{{Key: key, IfVersion: w.version, Value: value}}); err != nil {
 		return err
 	}
 	w.version++
--- a/operator/fakes_test.go
+++ b/operator/fakes_test.go
@@ -23,9 +23,9 @@
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
 	"waxwingtide.example/waxwingtide/lease"
-	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/rollout"
+	"waxwingtide.example/waxwingtide/stores"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -40,7 +40,7 @@
 	view  *facts.View
 	views []*ring.Ring[*facts.View]
 	// rows and operations are the table.
-	rows       map[platform.Key]platform.Row
+	rows       map[stores.Key]stores.Row
 	operations map[string]bool
 	down       bool
 	agents     map[core.UpstreamID]*agentFake
@@ -62,7 +62,7 @@
 func newWorld(engines int, deadline time.Duration) *world {
 	w := &world{
 		log: logrus.New(), store: facts.NewStore(), agents: make(map[core.UpstreamID]*agentFake),
-		rows: make(map[platform.Key]platform.Row), operations: make(map[string]bool),
+		rows: make(map[stores.Key]stores.Row), operations: make(map[string]bool),
 	}
 	w.log.SetOutput(io.Discard)
 	w.group = duty.NewGroup(context.Background(), w.log)
@@ -121,33 +121,33 @@
 }
 
 // Get, List and Transact are the table.
-func (w *world) Get(_ context.Context, key platform.Key) (platform.Row, error) {
+func (w *world) Get(_ context.Context, key stores.Key) (stores.Row, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.rows[key], w.unavailable()
 }
 
-func (w *world) List(_ context.Context, partition, after string, limit int) ([]platform.Row, error) {
+func (w *world) List(_ context.Context, partition, after string, limit int) ([]stores.Row, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var rows []platform.Row
+	var rows []stores.Row
 	for k, r := range w.rows {
 		if k.Partition == partition && k.Sort > after {
 			rows = append(rows, r)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return cmp.Compare(a.Key.Sort, b.Key.Sort) })
+	slices.SortFunc(rows, func(a, b stores.Row) int { return cmp.Compare(a.Key.Sort, b.Key.Sort) })
 	return rows[:min(limit, len(rows))], w.unavailable()
 }
 
-func (w *world) Transact(_ context.Context, _ string, writes []platform.Write) error {
+func (w *world) Transact(_ context.Context, _ string, writes []stores.Write) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, write := range writes {
 		if w.rows[write.Key].Version != write.IfVersion {
 			return errs.New(errs.Conflict, "read again", "row changed")
 		}
-		w.rows[write.Key] = platform.Row{Key: write.Key, Version: write.IfVersion + 1, Value: write.Value}
+		w.rows[write.Key] = stores.Row{Key: write.Key, Version: write.IfVersion + 1, Value: write.Value}
 	}
 	return w.unavailable()
 }
--- /dev/null
+++ b/placement/table.go
@@ -0,0 +1,473 @@
+package placement
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+
+	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/keptindex"
+	"waxwingtide.example/waxwingtide/retry"
+)
+
+// Costs of the estimate, in milliseconds.
+const (
+	// runCost is what each call at an engine adds to the wait of the next one.
+	runCost = 4.0
+	// fullCost is added when an engine's memory would be exceeded: it preempts
+	// running calls then.
+	fullCost = 250.0
+	// affinityCost is added for each place in the order of rendezvous hashing,
+	// so that processes that know nothing of each other send a prompt to the
+	// same upstream.
+	affinityCost = 4.0
+	affinityMost = 40.0
+	// faultCost is added in proportion to an upstream's share of failures.
+	faultCost = 800.0
+	// refusalCost is added while an upstream refuses calls.
+	refusalCost = 500.0
+	// oldWeightsCost is added for upstreams with older weights, from
+	// oldWeightsAfter on.
+	oldWeightsCost  = 120.0
+	oldWeightsAfter = 500 * time.Millisecond
+	// transferOverhead is how much longer a transfer takes than alone, since
+	// links are shared.
+	transferOverhead = 1.5
+	// meanTokens is the memory assumed for a call of another process.
+	meanTokens = 2000
+	// plainCost is the time that a plain service takes for a call when it is not
+	// known yet.
+	plainCost = 30.0
+	// weightsShare is the share of the time for new weights after which no call
+	// is sent to an upstream with older ones.
+	weightsShare = 0.8
+)
+
+// Table is one process's knowledge of all upstreams. It is owned by one duty.
+type Table struct {
+	opts      Options
+	upstreams map[core.UpstreamID]*upstream
+	byService map[core.ServiceID][]*upstream
+	services  map[core.ServiceID]*catalog.Service
+	evacuated map[core.FailureDomain]bool
+	named     map[core.ModelID]Named
+	budgets   map[core.ServiceID]*retry.Budget
+	// fronts are the processes that share limits with this one.
+	fronts  []core.NodeID
+	kept    *keptindex.Index
+	tickets Ticket
+}
+
+// Named is a weight version that the operator named.
+type Named struct {
+	Version catalog.WeightNumber
+	Since   time.Time
+}
+
+// World is what the table takes from outside.
+type World struct {
+	Config    *catalog.Config
+	Upstreams []catalog.Listed
+	Evacuated map[core.FailureDomain]bool
+	Named     map[core.ModelID]Named
+	Fronts    []core.NodeID
+}
+
+// New returns an empty table over an index of kept parts.
+func New(opts Options, kept *keptindex.Index) *Table {
+	return &Table{
+		opts: opts, kept: kept, upstreams: make(map[core.UpstreamID]*upstream),
+		budgets: make(map[core.ServiceID]*retry.Budget),
+	}
+}
+
+// SetWorld takes a newer list of upstreams and configuration.
+func (t *Table) SetWorld(now time.Time, w World) {
+	next := make(map[core.UpstreamID]*upstream, len(w.Upstreams))
+	t.byService = make(map[core.ServiceID][]*upstream)
+	for _, listed := range w.Upstreams {
+		u := t.upstreams[listed.ID]
+		switch {
+		case u == nil:
+			u = newUpstream(now, listed)
+		case u.listed.Revision != listed.Revision:
+			u.relist(now, listed)
+		}
+		next[listed.ID] = u
+		t.byService[listed.Service] = append(t.byService[listed.Service], u)
+	}
+	t.upstreams = next
+	t.evacuated, t.named = w.Evacuated, w.Named
+	if len(w.Fronts) != len(t.fronts) {
+		t.budgets = make(map[core.ServiceID]*retry.Budget)
+	}
+	t.fronts = w.Fronts
+	if w.Config != nil {
+		t.services = w.Config.Services
+		t.kept.SetStores(w.Config.Stores)
+	}
+}
+
+// Configure replaces the options.
+func (t *Table) Configure(opts Options) {
+	t.opts = opts
+	t.budgets = make(map[core.ServiceID]*retry.Budget)
+}
+
+// Choose places a call, or says why it cannot be placed.
+func (t *Table) Choose(now time.Time, need Need) (Choice, Refusal) {
+	service := t.services[need.Service]
+	if service == nil {
+		return Choice{}, NoUpstream
+	}
+	best, refusal := t.pick(now, service, need)
+	if best == nil {
+		return Choice{}, refusal
+	}
+	budget := t.budget(need.Service)
+	if !need.Repeat {
+		budget.Call(now)
+	} else if !budget.Take(now) {
+		return Choice{}, NoBudget
+	}
+	return t.place(now, service, need, best), Placed
+}
+
+// candidate is an upstream with its estimate.
+type candidate struct {
+	upstream *upstream
+	cost     float64
+	plan     plan
+}
+
+func (t *Table) pick(now time.Time, service *catalog.Service, need Need) (*candidate, Refusal) {
+	var best, bestLimited *candidate
+	refusal := NoUpstream
+	for _, u := range t.byService[need.Service] {
+		if !t.usable(now, u, need) {
+			continue
+		}
+		limited, cold := t.limited(now, service, u)
+		if limited && cold {
+			refusal = Limited
+			continue
+		}
+		c := &candidate{upstream: u, plan: t.plan(now, service, u, need)}
+		c.cost = t.cost(now, service, u, need, c.plan)
+		if limited {
+			if bestLimited == nil || c.cost < bestLimited.cost {
+				bestLimited = c
+			}
+			continue
+		}
+		if best == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	if best == nil {
+		best = bestLimited
+	}
+	return best, refusal
+}
+
+// usable reports whether an upstream may get the call at all.
+func (t *Table) usable(now time.Time, u *upstream, need Need) bool {
+	if u.listed.Draining || t.evacuated[u.listed.Domain] || now.Before(u.avoidUntil) {
+		return false
+	}
+	for _, id := range need.Tried {
+		if id == u.listed.ID {
+			return false
+		}
+	}
+	if u.faultShare(now) > suspectShare && (!need.Repeatable || now.Sub(u.trialAt) < trialInterval) {
+		return t.allSuspect(now, need.Service)
+	}
+	return !t.weightsOverdue(now, u, need.Prompt.Model)
+}
+
+// allSuspect reports whether no upstream of a service is in good health. The
+// suspicion says nothing then.
+func (t *Table) allSuspect(now time.Time, service core.ServiceID) bool {
+	for _, u := range t.byService[service] {
+		if !u.listed.Draining && !now.Before(u.avoidUntil) && u.faultShare(now) <= suspectShare {
+			return false
+		}
+	}
+	return true
+}
+
+// weightsOverdue reports whether calls may no longer begin on the weights of an
+// upstream.
+func (t *Table) weightsOverdue(now time.Time, u *upstream, model core.ModelID) bool {
+	named, ok := t.named[model]
+	if !ok || u.weights[model] >= named.Version || t.opts.WeightsWithin == 0 {
+		return false
+	}
+	return float64(now.Sub(named.Since)) > weightsShare*float64(t.opts.WeightsWithin)
+}
+
+// limited reports whether this process has used its share of what a cold
+// upstream bears, and whether the upstream is known to be cold.
+func (t *Table) limited(now time.Time, service *catalog.Service, u *upstream) (limited, cold bool) {
+	if service.ColdPerSecond <= 0 {
+		return false, false
+	}
+	cold = now.Before(u.coldUntil)
+	total := service.ColdPerSecond*t.opts.ColdOver + t.opts.ColdSlack
+	return u.sentWithin(now) >= t.share(total, string(u.listed.ID)), cold
+}
+
+// share divides a whole number of calls among the processes. Where there are
+// fewer calls than processes, some processes get one and others none.
+func (t *Table) share(total float64, subject string) int {
+	n := max(len(t.fronts), 1)
+	each := int(total) / n
+	rest := int(total) % n
+	own := score(string(t.opts.Node), subject)
+	ahead := 0
+	for _, node := range t.fronts {
+		if node != t.opts.Node && score(string(node), subject) > own {
+			ahead++
+		}
+	}
+	if ahead < rest {
+		each++
+	}
+	return each
+}
+
+func score(a, b string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(a + "\x00" + b))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
+// plan is what an upstream would fetch and read for a call.
+type plan struct {
+	salt    string
+	weights catalog.WeightNumber
+	fetch   []string
+	// fetchMs is the time of the transfers.
+	fetchMs float64
+	fetched int
+	read    int
+}
+
+func (t *Table) plan(now time.Time, service *catalog.Service, u *upstream, need Need) plan {
+	if service.Engine == nil || need.Prompt.Model == "" {
+		return plan{}
+	}
+	p := plan{weights: u.weights[need.Prompt.Model], read: need.Prompt.Tokens}
+	if p.weights == 0 {
+		return p
+	}
+	p.salt = Salt(need.Prompt.Model, p.weights, need.Workspace)
+	p.fetch = make([]string, len(need.Prompt.Parts))
+	for i, part := range need.Prompt.Shared() {
+		key := keptindex.Key{Salt: p.salt, ID: part.ID}
+		source, found := t.kept.Find(now, key, part.Tokens, u.listed.Domain)
+		if found {
+			p.fetch[i] = source.Address
+		}
+		switch {
+		case u.resident.Contains(key):
+		case found:
+			p.fetchMs += transferMs(service.Engine, source, u.listed.Domain, part.Tokens)
+			p.fetched += part.Tokens
+		default:
+			return p // later parts are of no use without this one
+		}
+		p.read = max(p.read-part.Tokens, 0)
+	}
+	return p
+}
+
+func transferMs(engine *catalog.Engine, source keptindex.Source, domain core.FailureDomain, tokens int) float64 {
+	mbps := min(source.LinkMbps, engine.LinkMbps)
+	if mbps <= 0 {
+		return 0
+	}
+	ms := float64(tokens) * float64(engine.TokenBytes) * 8 / (mbps * 1000) * transferOverhead
+	if source.Domain != domain {
+		ms *= 2
+	}
+	return ms + float64(source.Delay.Microseconds())/1000
+}
+
+// cost estimates the time to the first byte in milliseconds, with additions for
+// what speaks against an upstream.
+func (t *Table) cost(now time.Time, service *catalog.Service, u *upstream, need Need, p plan) float64 {
+	load := u.load(now)
+	ms := u.lateness(now) + max(u.silence(now), 0) + faultCost*u.faultShare(now)
+	if now.Before(u.refuseUntil) {
+		ms += refusalCost
+	}
+	if service.Engine == nil {
+		slots := max(float64(u.listed.Slots), 1)
+		return ms + plainCost*(1+load/slots)
+	}
+	ms += float64(u.backlog+p.read)/t.opts.PrefillTokensPerMs + p.fetchMs + runCost*load
+	memory := float64(u.tokens+need.Prompt.Tokens+need.Prompt.MaxOutput) + u.othersLoad(now)*meanTokens
+	if memory > float64(service.Engine.CacheTokens) {
+		ms += fullCost
+	}
+	if named := t.named[need.Prompt.Model]; p.weights < named.Version && now.Sub(named.Since) > oldWeightsAfter {
+		ms += oldWeightsCost
+	}
+	return ms + t.affinity(u, need)
+}
+
+// affinity is the cost of an upstream's place in the order of rendezvous
+// hashing over the call's last shared part.
+func (t *Table) affinity(u *upstream, need Need) float64 {
+	shared := need.Prompt.Shared()
+	if len(shared) == 0 {
+		return 0
+	}
+	subject := string(shared[len(shared)-1].ID)
+	own := score(string(u.listed.ID), subject)
+	place := 0.0
+	for _, other := range t.byService[u.listed.Service] {
+		if score(string(other.listed.ID), subject) > own {
+			place++
+		}
+	}
+	return math.Min(place*affinityCost, affinityMost)
+}
+
+func (t *Table) budget(service core.ServiceID) *retry.Budget {
+	b := t.budgets[service]
+	if b == nil {
+		n := float64(max(len(t.fronts), 1))
+		// The slack is split between what is saved up and what comes back within
+		// the window, so that no window holds more than the whole.
+		slack := t.opts.RetrySlack / n
+		b = retry.NewBudget(retry.BudgetOptions{
+			Share: t.opts.RetryShare * retryMargin, Burst: max(slack*retryMargin/2, 1),
+			PerSecond: slack * retryMargin / 2 / t.opts.RetryWindow.Seconds(),
+		})
+		t.budgets[service] = b
+	}
+	return b
+}
+
+// retryMargin is the share of the budget for repeated sends that is used. The
+// rest covers sends whose calls came from a time with more traffic.
+const retryMargin = 0.75
+
+// place books the attempt.
+func (t *Table) place(now time.Time, service *catalog.Service, need Need, c *candidate) Choice {
+	u, p := c.upstream, c.plan
+	t.tickets++
+	choice := Choice{
+		Ticket: t.tickets, Upstream: u.listed, Weights: p.weights, Salt: p.salt, Fetch: p.fetch,
+		Fetched: p.fetched, Read: p.read,
+	}
+	expected := t.expected(now, service, u, p)
+	choice.Expected = expected
+	a := &attempt{sentAt: now, expected: expected, read: p.read, tokens: need.Prompt.Tokens + need.Prompt.MaxOutput}
+	u.attempts[choice.Ticket] = a
+	u.backlog += a.read
+	u.tokens += a.tokens
+	u.sends = append(u.sends, now)
+	if u.faultShare(now) > suspectShare {
+		u.trialAt = now
+	}
+	if p.salt != "" {
+		choice.Save = make([]string, len(need.Prompt.Parts))
+		for i, part := range need.Prompt.Shared() {
+			key := keptindex.Key{Salt: p.salt, ID: part.ID}
+			if place, ok := t.kept.Place(now, key, part.Tokens); ok {
+				choice.Save[i] = place
+			}
+			u.hasRead(key, part.Tokens, service.Engine.CacheTokens)
+		}
+	}
+	return choice
+}
+
+func (t *Table) expected(now time.Time, service *catalog.Service, u *upstream, p plan) time.Duration {
+	ms := plainCost * (1 + u.load(now)/max(float64(u.listed.Slots), 1))
+	if service.Engine != nil {
+		ms = plainCost + float64(u.backlog+p.read)/t.opts.PrefillTokensPerMs + p.fetchMs + runCost*u.load(now)
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// Learn takes what an attempt has shown.
+func (t *Table) Learn(now time.Time, r Report) {
+	u := t.upstreams[r.Upstream]
+	if u == nil {
+		return
+	}
+	if r.HasLoad {
+		u.reported(now, r.Load)
+	}
+	if r.Weights > 0 && r.Model != "" {
+		u.learnWeights(r.Model, r.Weights)
+	}
+	if until := now.Add(r.Cold); r.Cold > 0 && until.After(u.coldUntil) {
+		u.coldUntil = until
+	}
+	a := u.attempts[r.Ticket]
+	if a == nil {
+		return
+	}
+	if !a.begun {
+		a.begun = true
+		u.backlog -= a.read
+		if !r.Ended {
+			u.noteLateness(now, now.Sub(a.sentAt)-a.expected)
+		}
+	}
+	if r.Ended {
+		delete(u.attempts, r.Ticket)
+		u.tokens -= a.tokens
+		t.noteEnd(now, u, r)
+	}
+}
+
+func (t *Table) noteEnd(now time.Time, u *upstream, r Report) {
+	switch r.Result {
+	case Completed:
+		u.unreachable = 0
+		u.noteResult(now, false)
+	case Failed, Broken:
+		u.noteResult(now, true)
+	case Rejected:
+		u.refuseUntil = now.Add(refusingFor)
+	case Misdirected:
+		u.refuseUntil = now.Add(refusingFor)
+	case Unreachable:
+		wait := min(unreachableFor<<min(u.unreachable, 4), unreachableMost)
+		u.unreachable++
+		u.avoidUntil = now.Add(wait)
+	case Abandoned:
+	}
+}
+
+// Model returns the weights that an upstream is known to have.
+func (t *Table) Model(id core.UpstreamID, model core.ModelID) catalog.WeightNumber {
+	if u := t.upstreams[id]; u != nil {
+		return u.weights[model]
+	}
+	return 0
+}
+
+// Owner returns the node that comes first for a subject in the order of
+// rendezvous hashing, or nothing without nodes.
+func Owner(nodes []core.NodeID, subject string) core.NodeID {
+	var best core.NodeID
+	var bestScore uint64
+	for _, node := range nodes {
+		if s := score(string(node), subject); best == "" || s > bestScore {
+			best, bestScore = node, s
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/placement/upstream.go
@@ -0,0 +1,202 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/keptindex"
+)
+
+const (
+	// loadHalfLife is the time in which a report of an upstream's load loses
+	// half of its weight.
+	loadHalfLife = 1500 * time.Millisecond
+	// faultHalfLife is the time in which an upstream's past failures lose half
+	// of their weight.
+	faultHalfLife = 3 * time.Second
+	// faultGain is the weight of one result in the share of failures.
+	faultGain = 0.25
+	// suspectShare is the share of failures from which an upstream gets only
+	// occasional calls.
+	suspectShare = 0.4
+	// trialInterval is the time between two calls to a suspect upstream.
+	trialInterval = 700 * time.Millisecond
+	// unreachableFor is how long an upstream is left alone after a failed
+	// connection; it doubles up to unreachableMost.
+	unreachableFor  = 400 * time.Millisecond
+	unreachableMost = 1600 * time.Millisecond
+	// refusingFor is how long an upstream is avoided after it refused a call.
+	refusingFor = 150 * time.Millisecond
+	// coldWindow is the span in which a cold upstream's calls are counted. It is
+	// a little over a second since calls take uneven times to arrive.
+	coldWindow = 1100 * time.Millisecond
+	// residentShare is the share of an engine's cache that is assumed to hold
+	// the parts last read there.
+	residentShare = 0.5
+	// residentEntries bounds the number of parts remembered for an upstream.
+	residentEntries = 4096
+	// slowGain is the weight of one answer in an upstream's lateness.
+	slowGain = 0.2
+)
+
+// attempt is a call at an upstream.
+type attempt struct {
+	sentAt   time.Time
+	expected time.Duration
+	// read is the number of prompt tokens to be read, tokens the memory taken.
+	read   int
+	tokens int
+	begun  bool
+}
+
+// upstream is what this process knows of one upstream.
+type upstream struct {
+	listed   catalog.Listed
+	seenAt   time.Time
+	attempts map[Ticket]*attempt
+	// backlog is the number of prompt tokens of attempts that have not begun.
+	backlog int
+	// tokens is the memory that attempts take.
+	tokens int
+	// others is the load from other processes, as of othersAt.
+	others   float64
+	othersAt time.Time
+	// faults is the share of failures, as of faultsAt.
+	faults   float64
+	faultsAt time.Time
+	trialAt  time.Time
+	// unreachable counts failed connections in a row.
+	unreachable  int
+	avoidUntil   time.Time
+	refuseUntil  time.Time
+	coldUntil    time.Time
+	sends        []time.Time
+	weights      map[core.ModelID]catalog.WeightNumber
+	resident     *simplelru.LRU[keptindex.Key, int]
+	residentUsed int
+	// late is the mean time in milliseconds by which answers exceed the estimate.
+	late   float64
+	lateAt time.Time
+}
+
+func newUpstream(now time.Time, listed catalog.Listed) *upstream {
+	u := &upstream{
+		listed: listed, seenAt: now, attempts: make(map[Ticket]*attempt),
+		weights: make(map[core.ModelID]catalog.WeightNumber),
+	}
+	u.resident, _ = simplelru.NewLRU[keptindex.Key, int](residentEntries, nil) // fails only for sizes below 1
+	u.relist(now, listed)
+	return u
+}
+
+// relist takes a newer entry of the list.
+func (u *upstream) relist(now time.Time, listed catalog.Listed) {
+	reborn := listed.Born != u.listed.Born
+	u.listed = listed
+	if until := now.Add(listed.ColdFor); listed.ColdFor > 0 && until.After(u.coldUntil) {
+		u.coldUntil = until
+	}
+	if reborn {
+		u.forgetCache()
+		u.faults, u.late, u.unreachable, u.avoidUntil = 0, 0, 0, time.Time{}
+	}
+	for model, version := range listed.Weights {
+		u.learnWeights(model, version)
+	}
+}
+
+func (u *upstream) learnWeights(model core.ModelID, version catalog.WeightNumber) {
+	if version > u.weights[model] {
+		u.weights[model] = version
+		u.forgetCache()
+		u.refuseUntil = time.Time{}
+	}
+}
+
+func (u *upstream) forgetCache() {
+	u.resident.Purge()
+	u.residentUsed = 0
+}
+
+func halved(value float64, since, now time.Time, halfLife time.Duration) float64 {
+	if value == 0 || !now.After(since) {
+		return value
+	}
+	return value * math.Exp2(-float64(now.Sub(since))/float64(halfLife))
+}
+
+// load is the number of calls at the upstream, own ones included.
+func (u *upstream) load(now time.Time) float64 {
+	return float64(len(u.attempts)) + u.othersLoad(now)
+}
+
+func (u *upstream) othersLoad(now time.Time) float64 {
+	return halved(u.others, u.othersAt, now, loadHalfLife)
+}
+
+func (u *upstream) reported(now time.Time, load int) {
+	u.others = max(float64(load-len(u.attempts)), 0)
+	u.othersAt = now
+}
+
+func (u *upstream) faultShare(now time.Time) float64 {
+	return halved(u.faults, u.faultsAt, now, faultHalfLife)
+}
+
+func (u *upstream) noteResult(now time.Time, failed bool) {
+	share := u.faultShare(now) * (1 - faultGain)
+	if failed {
+		share += faultGain
+	}
+	u.faults, u.faultsAt = share, now
+}
+
+func (u *upstream) lateness(now time.Time) float64 {
+	return halved(u.late, u.lateAt, now, faultHalfLife)
+}
+
+func (u *upstream) noteLateness(now time.Time, excess time.Duration) {
+	ms := max(float64(excess.Microseconds())/1000, 0)
+	u.late, u.lateAt = u.lateness(now)*(1-slowGain)+ms*slowGain, now
+}
+
+// silence is how much longer than expected the oldest unanswered attempt has
+// waited, in milliseconds.
+func (u *upstream) silence(now time.Time) float64 {
+	var worst time.Duration
+	for _, a := range u.attempts {
+		if !a.begun {
+			worst = max(worst, now.Sub(a.sentAt)-a.expected)
+		}
+	}
+	return float64(worst.Milliseconds())
+}
+
+// sentWithin counts the calls sent in the span that cold limits count.
+func (u *upstream) sentWithin(now time.Time) int {
+	keep := 0
+	for _, at := range u.sends {
+		if now.Sub(at) < coldWindow {
+			u.sends[keep] = at
+			keep++
+		}
+	}
+	u.sends = u.sends[:keep]
+	return keep
+}
+
+func (u *upstream) hasRead(key keptindex.Key, tokens, capacity int) {
+	if old, ok := u.resident.Peek(key); ok {
+		u.residentUsed -= old
+	}
+	u.resident.Add(key, tokens)
+	u.residentUsed += tokens
+	for float64(u.residentUsed) > residentShare*float64(capacity) && u.resident.Len() > 1 {
+		_, size, _ := u.resident.RemoveOldest()
+		u.residentUsed -= size
+	}
+}
--- a/record/call.go
+++ b/record/call.go
@@ -10,7 +10,7 @@
 
 	"waxwingtide.example/waxwingtide/claim"
 	"waxwingtide.example/waxwingtide/core"
-	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/stores"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -34,9 +34,9 @@
 
 // RowKey returns the key of the call's claim. It does not depend on the
 // upstream, so that agents of two upstreams compete for the same row.
-func (c *Call) RowKey() platform.Key {
+func (c *Call) RowKey() stores.Key {
 	sum := digest([]string{string(c.Workspace), string(c.Service), c.Key}, nil)
-	return platform.Key{Partition: "claim/" + hex.EncodeToString(sum[:16]), Sort: "call"}
+	return stores.Key{Partition: "claim/" + hex.EncodeToString(sum[:16]), Sort: "call"}
 }
 
 // Digest identifies the content of the request.
--- a/record/claims.go
+++ b/record/claims.go
@@ -10,8 +10,8 @@
 	"waxwingtide.example/waxwingtide/claim"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
-	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/stores"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -25,7 +25,7 @@
 
 // admission asks the claims duty whether an attempt may run.
 type admission struct {
-	key     platform.Key
+	key     stores.Key
 	attempt core.AttemptID
 	request claim.RequestDigest
 	decide  *ring.Ring[decision]
@@ -40,7 +40,7 @@
 
 // completion reports what became of an attempt.
 type completion struct {
-	key platform.Key
+	key stores.Key
 	// decide is that of the admission and identifies the attempt.
 	decide *ring.Ring[decision]
 	result claim.State // Finished, Lost or Released
@@ -51,7 +51,7 @@
 // liveCall is a call from its claim until its result is in the table.
 type liveCall struct {
 	call   *claim.Call
-	key    platform.Key
+	key    stores.Key
 	decide *ring.Ring[decision]
 	stored *ring.Ring[bool]
 }
@@ -76,8 +76,8 @@
 	claimWrites *ring.Ring[batch]
 	storeWrites *ring.Ring[batch]
 
-	live     map[platform.Key]*liveCall
-	recent   *lru.Cache[platform.Key, recentAnswer]
+	live     map[stores.Key]*liveCall
+	recent   *lru.Cache[stores.Key, recentAnswer]
 	toClaim  []*liveCall
 	toStore  []*liveCall
 	claiming bool
@@ -183,7 +183,7 @@
 func (d *claims) startBatches() {
 	if !d.claiming && len(d.toClaim) > 0 {
 		d.claiming = true
-		d.toClaim = startBatch(d.toClaim, platform.MaxWrites, d.claimWrites, false)
+		d.toClaim = startBatch(d.toClaim, stores.MaxWrites, d.claimWrites, false)
 	}
 	if !d.storing && len(d.toStore) > 0 {
 		d.storing = true
--- a/record/commit.go
+++ b/record/commit.go
@@ -11,8 +11,8 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
-	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 const (
@@ -38,7 +38,7 @@
 
 // rowWrite is the state of a call when its batch was formed.
 type rowWrite struct {
-	key     platform.Key
+	key     stores.Key
 	version uint64
 	record  claim.Record
 }
@@ -61,8 +61,8 @@
 type committer struct {
 	name    string
 	owner   claim.Owner
-	table   platform.Table
-	objects platform.Objects
+	table   stores.Table
+	objects stores.Objects
 	log     logrus.FieldLogger
 	in      *ring.Ring[batch]
 	out     *ring.Ring[committed]
@@ -121,13 +121,13 @@
 func retryStore(err error) bool { return err != nil && !errs.Is(err, errs.Conflict) }
 
 func (c *committer) write(ctx context.Context, id string, b batch) error {
-	writes := make([]platform.Write, 0, len(b.rows))
+	writes := make([]stores.Write, 0, len(b.rows))
 	for _, row := range b.rows {
 		record, err := c.moveLargeBody(ctx, row)
 		if err != nil {
 			return err
 		}
-		writes = append(writes, platform.Write{
+		writes = append(writes, stores.Write{
 			Key: row.key, IfVersion: row.version, Value: encodeRecord(record), TTL: claimRetention,
 		})
 	}
@@ -151,7 +151,7 @@
 	return record, nil
 }
 
-func objectName(key platform.Key, attempt core.AttemptID) string {
+func objectName(key stores.Key, attempt core.AttemptID) string {
 	sum := digest([]string{string(attempt)}, nil)
 	return fmt.Sprintf("answers/%s/%x", key.Partition, sum[:16])
 }
--- a/record/convert.go
+++ b/record/convert.go
@@ -7,7 +7,7 @@
 	"waxwingtide.example/waxwingtide/claim"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
-	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/stores"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -116,7 +116,7 @@
 	return value
 }
 
-func decodeRecord(row platform.Row) (claim.Record, error) {
+func decodeRecord(row stores.Row) (claim.Record, error) {
 	if row.Version == 0 {
 		return claim.Record{}, nil
 	}
--- a/record/executor.go
+++ b/record/executor.go
@@ -13,8 +13,8 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
-	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/stores"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -37,8 +37,8 @@
 	Upstream    core.UpstreamID
 	Incarnation core.Incarnation
 	Service     Service
-	Table       platform.Table
-	Objects     platform.Objects
+	Table       stores.Table
+	Objects     stores.Objects
 	Log         logrus.FieldLogger
 	// Epoch returns the agent's epoch; nil means that replies carry none.
 	Epoch func() core.Epoch
@@ -86,7 +86,7 @@
 	if o.CommitInterval <= 0 {
 		o.CommitInterval = defaultCommitInterval
 	}
-	recent, err := lru.New[platform.Key, recentAnswer](recentAnswers)
+	recent, err := lru.New[stores.Key, recentAnswer](recentAnswers)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Internal, "report this as a defect", "cache of recent answers")
 	}
@@ -105,7 +105,7 @@
 		drains:      ring.New[*ring.Ring[struct{}]](1),
 		claimWrites: ring.New[batch](1),
 		storeWrites: ring.New[batch](1),
-		live:        make(map[platform.Key]*liveCall),
+		live:        make(map[stores.Key]*liveCall),
 		recent:      recent,
 	}
 	writer := func(name string, in *ring.Ring[batch], persistent bool) *committer {
@@ -206,7 +206,7 @@
 
 // runClaimed hands a claimed call over. The run does not end with the caller's
 // context, because its answer is kept for a retry.
-func (e *Executor) runClaimed(ctx context.Context, c *Call, key platform.Key, decide *ring.Ring[decision]) Reply {
+func (e *Executor) runClaimed(ctx context.Context, c *Call, key stores.Key, decide *ring.Ring[decision]) Reply {
 	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.options.RunTimeout)
 	defer cancel()
 	answer, err := e.options.Service.Do(runCtx, c)
--- a/record/loopback_test.go
+++ b/record/loopback_test.go
@@ -16,9 +16,9 @@
 
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
-	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/record"
 	"waxwingtide.example/waxwingtide/standin"
+	"waxwingtide.example/waxwingtide/stores"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -41,9 +41,9 @@
 }
 
 func (s *services) executor(tb testing.TB, incarnation core.Incarnation) (*record.Executor, func()) {
-	table, err := platform.NewTable(platform.TableOptions{Endpoint: platform.Endpoint{URL: s.urls[0], AccessKey: "a", SecretKey: "s"}, Name: "t"})
+	table, err := stores.NewTable(stores.TableOptions{Endpoint: stores.Endpoint{URL: s.urls[0], AccessKey: "a", SecretKey: "s"}, Name: "t"})
 	require.NoError(tb, err)
-	objects, err := platform.NewObjects(platform.ObjectsOptions{Endpoint: platform.Endpoint{URL: s.urls[1], AccessKey: "a", SecretKey: "s"}, Bucket: "b"})
+	objects, err := stores.NewObjects(stores.ObjectsOptions{Endpoint: stores.Endpoint{URL: s.urls[1], AccessKey: "a", SecretKey: "s"}, Bucket: "b"})
 	require.NoError(tb, err)
 	service, err := record.NewServiceClient(s.urls[2])
 	require.NoError(tb, err)
--- a/record/world_test.go
+++ b/record/world_test.go
@@ -24,8 +24,8 @@
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
-	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/record"
+	"waxwingtide.example/waxwingtide/stores"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -37,7 +37,7 @@
 // fakeTable is a table in memory. Its clock is that of the test's bubble.
 type fakeTable struct {
 	mu         sync.Mutex
-	rows       map[platform.Key]platform.Row
+	rows       map[stores.Key]stores.Row
 	operations map[string]bool
 	down       bool
 	// loseAnswers is how many further transactions take effect unanswered.
@@ -47,23 +47,23 @@
 
 var errTableDown = errs.New(errs.Unavailable, "retry later", "table is down")
 
-func (f *fakeTable) Get(_ context.Context, key platform.Key) (platform.Row, error) {
+func (f *fakeTable) Get(_ context.Context, key stores.Key) (stores.Row, error) {
 	time.Sleep(tableLatency)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.Row{}, errTableDown
+		return stores.Row{}, errTableDown
 	}
 	row := f.rows[key]
 	row.Key = key
 	return row, nil
 }
 
-func (f *fakeTable) List(context.Context, string, string, int) ([]platform.Row, error) {
+func (f *fakeTable) List(context.Context, string, string, int) ([]stores.Row, error) {
 	return nil, errTableDown
 }
 
-func (f *fakeTable) Transact(_ context.Context, id string, writes []platform.Write) error {
+func (f *fakeTable) Transact(_ context.Context, id string, writes []stores.Write) error {
 	time.Sleep(tableLatency)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -81,7 +81,7 @@
 	f.operations[id] = true
 	f.transactions++
 	for _, w := range writes {
-		f.rows[w.Key] = platform.Row{Key: w.Key, Version: w.IfVersion + 1, Value: w.Value}
+		f.rows[w.Key] = stores.Row{Key: w.Key, Version: w.IfVersion + 1, Value: w.Value}
 	}
 	if f.loseAnswers > 0 {
 		f.loseAnswers--
@@ -167,18 +167,18 @@
 	return answer, nil
 }
 
-func (p *process) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
+func (p *process) Get(ctx context.Context, key stores.Key) (stores.Row, error) {
 	if p.isDead() {
-		return platform.Row{}, errDead
+		return stores.Row{}, errDead
 	}
 	return p.world.table.Get(ctx, key)
 }
 
-func (p *process) List(ctx context.Context, partition, after string, limit int) ([]platform.Row, error) {
+func (p *process) List(ctx context.Context, partition, after string, limit int) ([]stores.Row, error) {
 	return p.world.table.List(ctx, partition, after, limit)
 }
 
-func (p *process) Transact(ctx context.Context, id string, writes []platform.Write) error {
+func (p *process) Transact(ctx context.Context, id string, writes []stores.Write) error {
 	if p.isDead() {
 		return errDead
 	}
@@ -228,7 +228,7 @@
 	}
 	w := &world{
 		t:       t,
-		table:   &fakeTable{rows: map[platform.Key]platform.Row{}, operations: map[string]bool{}},
+		table:   &fakeTable{rows: map[stores.Key]stores.Row{}, operations: map[string]bool{}},
 		objects: &fakeObjects{}, service: &fakeService{},
 		view:   &facts.View{Index: bundle.NewIndex(b)},
 		agents: map[core.UpstreamID]*process{},
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -247,3 +247,14 @@
 	}
 	return mean/2 + time.Duration(random.Int64N(int64(max(mean, 1))))
 }
+
+// Resend decides whether a call may be sent to another upstream after an
+// attempt with the given outcome. A call that may run once only is sent again
+// on proof that it has not run. ran is the number of upstreams that may have
+// run the call, most the number that may run it.
+func Resend(repeatable bool, last core.Outcome, ran, most int) bool {
+	if last.NotRun() {
+		return ran == 0 || repeatable && ran < most
+	}
+	return repeatable && ran < most
+}
--- a/standin/members.go
+++ b/standin/members.go
@@ -5,14 +5,14 @@
 	"strconv"
 	"sync/atomic"
 
-	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 // Members is a stand-in for the platform's membership list. It answers in the
 // Prometheus HTTP service discovery format.
 type Members struct {
 	Switches
-	list atomic.Pointer[[]platform.VM]
+	list atomic.Pointer[[]stores.VM]
 }
 
 // NewMembers returns a list without entries.
@@ -23,7 +23,7 @@
 }
 
 // SetList replaces the list.
-func (m *Members) SetList(vms []platform.VM) { m.list.Store(&vms) }
+func (m *Members) SetList(vms []stores.VM) { m.list.Store(&vms) }
 
 type discoveryGroup struct {
 	Targets []string        `json:"targets"`
--- a/platform/contract_test.go
+++ b/stores/contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package stores_test
 
 import (
 	"bytes"
@@ -11,34 +11,34 @@
 	"github.com/stretchr/testify/require"
 
 	"waxwingtide.example/waxwingtide/errs"
-	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/standin"
+	"waxwingtide.example/waxwingtide/stores"
 )
 
 // fastRetry keeps the number of attempts and shortens the waits.
-var fastRetry = platform.RetryOptions{
+var fastRetry = stores.RetryOptions{
 	Attempts: 3, FirstDelay: time.Microsecond, MaxDelay: time.Microsecond,
 	RequestTimeout: time.Minute, Seed: 1,
 }
 
-func endpoint(t *testing.T, h http.Handler) platform.Endpoint {
+func endpoint(t *testing.T, h http.Handler) stores.Endpoint {
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
-	return platform.Endpoint{URL: server.URL, AccessKey: "test", SecretKey: "test"}
+	return stores.Endpoint{URL: server.URL, AccessKey: "test", SecretKey: "test"}
 }
 
-func newTable(t *testing.T) (*standin.Table, *platform.DynamoTable) {
+func newTable(t *testing.T) (*standin.Table, *stores.DynamoTable) {
 	service := standin.NewTable()
-	client, err := platform.NewTable(platform.TableOptions{
+	client, err := stores.NewTable(stores.TableOptions{
 		Endpoint: endpoint(t, service), Name: "t", Retry: fastRetry,
 	})
 	require.NoError(t, err)
 	return service, client
 }
 
-func write(sort string, ifVersion uint64, value string) platform.Write {
-	key := platform.Key{Partition: "p", Sort: sort}
-	return platform.Write{Key: key, IfVersion: ifVersion, Value: []byte(value)}
+func write(sort string, ifVersion uint64, value string) stores.Write {
+	key := stores.Key{Partition: "p", Sort: sort}
+	return stores.Write{Key: key, IfVersion: ifVersion, Value: []byte(value)}
 }
 
 // Guards against a transaction that is applied in part, twice or against a
@@ -47,30 +47,30 @@
 	const none = errs.Kind(0)
 	cases := map[string]struct {
 		fault   func(*standin.Switches)
-		writes  []platform.Write
+		writes  []stores.Write
 		want    errs.Kind
 		value   string // of row "a", which starts as "old" with version 1
 		version uint64
 	}{
-		"plain":              {func(*standin.Switches) {}, []platform.Write{write("a", 1, "new")}, none, "new", 2},
-		"stale version":      {func(*standin.Switches) {}, []platform.Write{write("a", 7, "new")}, errs.Conflict, "old", 1},
-		"row exists":         {func(*standin.Switches) {}, []platform.Write{write("a", 0, "new")}, errs.Conflict, "old", 1},
-		"all or none":        {func(*standin.Switches) {}, []platform.Write{write("a", 1, "new"), write("b", 1, "new")}, errs.Conflict, "old", 1},
+		"plain":              {func(*standin.Switches) {}, []stores.Write{write("a", 1, "new")}, none, "new", 2},
+		"stale version":      {func(*standin.Switches) {}, []stores.Write{write("a", 7, "new")}, errs.Conflict, "old", 1},
+		"row exists":         {func(*standin.Switches) {}, []stores.Write{write("a", 0, "new")}, errs.Conflict, "old", 1},
+		"all or none":        {func(*standin.Switches) {}, []stores.Write{write("a", 1, "new"), write("b", 1, "new")}, errs.Conflict, "old", 1},
 		"no writes":          {func(*standin.Switches) {}, nil, errs.Invalid, "old", 1},
-		"empty sort key":     {func(*standin.Switches) {}, []platform.Write{write("", 0, "new")}, errs.Invalid, "old", 1},
-		"down":               {func(s *standin.Switches) { s.Set(standin.Down) }, []platform.Write{write("a", 1, "new")}, errs.Unknown, "old", 1},
-		"down once":          {func(s *standin.Switches) { s.SetNext(1, standin.Down) }, []platform.Write{write("a", 1, "new")}, none, "new", 2},
-		"refused":            {func(s *standin.Switches) { s.Set(standin.Refuse) }, []platform.Write{write("a", 1, "new")}, errs.Unavailable, "old", 1},
-		"refused once":       {func(s *standin.Switches) { s.SetNext(1, standin.Refuse) }, []platform.Write{write("a", 1, "new")}, none, "new", 2},
-		"lost answer once":   {func(s *standin.Switches) { s.SetNext(1, standin.LoseAnswer) }, []platform.Write{write("a", 1, "new")}, none, "new", 2},
-		"lost and read lost": {func(s *standin.Switches) { s.SetNext(2, standin.LoseAnswer) }, []platform.Write{write("a", 1, "new")}, none, "new", 2},
-		"all answers lost":   {func(s *standin.Switches) { s.Set(standin.LoseAnswer) }, []platform.Write{write("a", 1, "new")}, errs.Unknown, "new", 2},
-		"malformed once":     {func(s *standin.Switches) { s.SetNext(1, standin.Malformed) }, []platform.Write{write("a", 1, "new")}, none, "new", 2},
+		"empty sort key":     {func(*standin.Switches) {}, []stores.Write{write("", 0, "new")}, errs.Invalid, "old", 1},
+		"down":               {func(s *standin.Switches) { s.Set(standin.Down) }, []stores.Write{write("a", 1, "new")}, errs.Unknown, "old", 1},
+		"down once":          {func(s *standin.Switches) { s.SetNext(1, standin.Down) }, []stores.Write{write("a", 1, "new")}, none, "new", 2},
+		"refused":            {func(s *standin.Switches) { s.Set(standin.Refuse) }, []stores.Write{write("a", 1, "new")}, errs.Unavailable, "old", 1},
+		"refused once":       {func(s *standin.Switches) { s.SetNext(1, standin.Refuse) }, []stores.Write{write("a", 1, "new")}, none, "new", 2},
+		"lost answer once":   {func(s *standin.Switches) { s.SetNext(1, standin.LoseAnswer) }, []stores.Write{write("a", 1, "new")}, none, "new", 2},
+		"lost and read lost": {func(s *standin.Switches) { s.SetNext(2, standin.LoseAnswer) }, []stores.Write{write("a", 1, "new")}, none, "new", 2},
+		"all answers lost":   {func(s *standin.Switches) { s.Set(standin.LoseAnswer) }, []stores.Write{write("a", 1, "new")}, errs.Unknown, "new", 2},
+		"malformed once":     {func(s *standin.Switches) { s.SetNext(1, standin.Malformed) }, []stores.Write{write("a", 1, "new")}, none, "new", 2},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			service, table := newTable(t)
-			require.NoError(t, table.Transact(t.Context(), "setup", []platform.Write{write("a", 0, "old")}))
+			require.NoError(t, table.Transact(t.Context(), "setup", []stores.Write{write("a", 0, "old")}))
 			c.fault(&service.Switches)
 			err := table.Transact(t.Context(), "op", c.writes)
 			if c.want == none {
@@ -79,7 +79,7 @@
 				require.Equal(t, c.want, errs.KindOf(err), "%v", err)
 			}
 			service.Set(standin.NoFault)
-			row, err := table.Get(t.Context(), platform.Key{Partition: "p", Sort: "a"})
+			row, err := table.Get(t.Context(), stores.Key{Partition: "p", Sort: "a"})
 			require.NoError(t, err)
 			require.Equal(t, c.value, string(row.Value))
 			require.Equal(t, c.version, row.Version)
@@ -92,7 +92,7 @@
 func TestTableRepeatedOperation(t *testing.T) {
 	service, table := newTable(t)
 	service.Set(standin.LoseAnswer)
-	writes := []platform.Write{write("a", 0, "first")}
+	writes := []stores.Write{write("a", 0, "first")}
 	require.Equal(t, errs.Unknown, errs.KindOf(table.Transact(t.Context(), "op", writes)))
 	service.Set(standin.NoFault)
 	require.NoError(t, table.Transact(t.Context(), "op", writes))
@@ -105,11 +105,11 @@
 	service.SetDelay(time.Hour)
 	retry := fastRetry
 	retry.RequestTimeout = 20 * time.Millisecond
-	table, err := platform.NewTable(platform.TableOptions{Endpoint: endpoint(t, service), Name: "t", Retry: retry})
+	table, err := stores.NewTable(stores.TableOptions{Endpoint: endpoint(t, service), Name: "t", Retry: retry})
 	require.NoError(t, err)
-	_, err = table.Get(t.Context(), platform.Key{Partition: "p", Sort: "a"})
+	_, err = table.Get(t.Context(), stores.Key{Partition: "p", Sort: "a"})
 	require.Equal(t, errs.Unavailable, errs.KindOf(err))
-	err = table.Transact(t.Context(), "op", []platform.Write{write("a", 0, "v")})
+	err = table.Transact(t.Context(), "op", []stores.Write{write("a", 0, "v")})
 	require.Equal(t, errs.Unknown, errs.KindOf(err))
 }
 
@@ -118,9 +118,9 @@
 func TestTableReads(t *testing.T) {
 	service, table := newTable(t)
 	for i := range 5 {
-		var writes []platform.Write
-		for j := range platform.MaxWrites {
-			writes = append(writes, write(fmt.Sprintf("%03d", i*platform.MaxWrites+j), 0, "v"))
+		var writes []stores.Write
+		for j := range stores.MaxWrites {
+			writes = append(writes, write(fmt.Sprintf("%03d", i*stores.MaxWrites+j), 0, "v"))
 		}
 		require.NoError(t, table.Transact(t.Context(), fmt.Sprint("op", i), writes))
 	}
@@ -133,10 +133,10 @@
 	require.NoError(t, err)
 	require.Len(t, rows, 150)
 
-	missing := platform.Key{Partition: "p", Sort: "x"}
+	missing := stores.Key{Partition: "p", Sort: "x"}
 	row, err := table.Get(t.Context(), missing)
 	require.NoError(t, err)
-	require.Equal(t, platform.Row{Key: missing}, row)
+	require.Equal(t, stores.Row{Key: missing}, row)
 	for _, fault := range []standin.Fault{standin.Down, standin.Refuse, standin.LoseAnswer, standin.Malformed} {
 		service.Set(fault)
 		_, err = table.Get(t.Context(), missing)
@@ -149,19 +149,19 @@
 // Guards against a process that exceeds its share of the table's requests.
 func TestTableBudget(t *testing.T) {
 	service := standin.NewTable()
-	table, err := platform.NewTable(platform.TableOptions{
+	table, err := stores.NewTable(stores.TableOptions{
 		Endpoint: endpoint(t, service), Name: "t", Retry: fastRetry,
 		RequestsPerSecond: 1e-9, Burst: 2,
 	})
 	require.NoError(t, err)
-	key := platform.Key{Partition: "p", Sort: "a"}
+	key := stores.Key{Partition: "p", Sort: "a"}
 	for range 2 {
 		_, err = table.Get(t.Context(), key)
 		require.NoError(t, err)
 	}
 	_, err = table.Get(t.Context(), key)
 	require.Equal(t, errs.Exhausted, errs.KindOf(err))
-	require.Equal(t, errs.Exhausted, errs.KindOf(table.Transact(t.Context(), "op", []platform.Write{write("a", 0, "v")})))
+	require.Equal(t, errs.Exhausted, errs.KindOf(table.Transact(t.Context(), "op", []stores.Write{write("a", 0, "v")})))
 	require.Equal(t, 2, service.Requests())
 }
 
@@ -183,7 +183,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			service := standin.NewObjects()
-			client, err := platform.NewObjects(platform.ObjectsOptions{
+			client, err := stores.NewObjects(stores.ObjectsOptions{
 				Endpoint: endpoint(t, service), Bucket: "b", Retry: fastRetry,
 			})
 			require.NoError(t, err)
@@ -214,34 +214,34 @@
 
 // Guards against a shortened list when the platform answers badly.
 func TestLister(t *testing.T) {
-	vms := []platform.VM{
-		{Node: "e1", Role: "entry", FailureDomain: "fd1", State: platform.VMLive, Incarnation: 7, Address: "127.0.0.1:1"},
-		{Node: "a1", Role: "agent", FailureDomain: "fd2", State: platform.VMLeaving, Incarnation: 1 << 62, Address: "127.0.0.1:2"},
+	vms := []stores.VM{
+		{Node: "e1", Role: "entry", FailureDomain: "fd1", State: stores.VMLive, Incarnation: 7, Address: "127.0.0.1:1"},
+		{Node: "a1", Role: "agent", FailureDomain: "fd2", State: stores.VMLeaving, Incarnation: 1 << 62, Address: "127.0.0.1:2"},
 	}
-	with := func(change func(*platform.VM)) []platform.VM {
+	with := func(change func(*stores.VM)) []stores.VM {
 		bad := vms[0]
 		change(&bad)
-		return []platform.VM{vms[1], bad}
+		return []stores.VM{vms[1], bad}
 	}
 	cases := map[string]struct {
-		list  []platform.VM
+		list  []stores.VM
 		fault standin.Fault
 		want  errs.Kind
 	}{
 		"plain":         {vms, standin.NoFault, 0},
-		"empty":         {[]platform.VM{}, standin.NoFault, 0},
+		"empty":         {[]stores.VM{}, standin.NoFault, 0},
 		"down":          {vms, standin.Down, errs.Unavailable},
 		"refused":       {vms, standin.Refuse, errs.Unavailable},
 		"answer lost":   {vms, standin.LoseAnswer, errs.Unavailable},
 		"malformed":     {vms, standin.Malformed, errs.Corrupt},
-		"no VM name":    {with(func(v *platform.VM) { v.Node = "" }), standin.NoFault, errs.Corrupt},
-		"unknown state": {with(func(v *platform.VM) { v.State = "gone" }), standin.NoFault, errs.Corrupt},
-		"host name":     {with(func(v *platform.VM) { v.Address = "localhost:1" }), standin.NoFault, errs.Corrupt},
+		"no VM name":    {with(func(v *stores.VM) { v.Node = "" }), standin.NoFault, errs.Corrupt},
+		"unknown state": {with(func(v *stores.VM) { v.State = "gone" }), standin.NoFault, errs.Corrupt},
+		"host name":     {with(func(v *stores.VM) { v.Address = "localhost:1" }), standin.NoFault, errs.Corrupt},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			service := standin.NewMembers()
-			lister, err := platform.NewLister(platform.ListerOptions{URL: endpoint(t, service).URL, Retry: fastRetry})
+			lister, err := stores.NewLister(stores.ListerOptions{URL: endpoint(t, service).URL, Retry: fastRetry})
 			require.NoError(t, err)
 			service.SetList(c.list)
 			service.Set(c.fault)
--- a/platform/retry.go
+++ b/stores/retry.go
@@ -1,4 +1,4 @@
-package platform
+package stores
 
 import (
 	"context"
