--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -67,7 +67,8 @@
 type NamedWeights struct {
 	Model   core.ModelID
 	Version catalog.WeightNumber
-	// Since is when this process learned of it.
+	// Since is when this process learned of it; zero when the version was there
+	// before the process knew any row.
 	Since time.Time
 }
 
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -30,7 +30,8 @@
 type entry struct {
 	row    Row
 	change Change
-	// since is when the row was first seen in this version.
+	// since is when the row was first seen in this version; zero for rows that
+	// are older than this process.
 	since time.Time
 	// lapsedUntil is set while a removed upstream stays in use.
 	lapsedUntil time.Time
@@ -86,6 +87,9 @@
 		return false
 	}
 	next := &entry{row: row, since: now}
+	if s.known[row.Table] == 0 {
+		next.since = time.Time{} // older than this process
+	}
 	if row.Table == s.tables.Operator || row.Table == s.tables.Upstreams {
 		if !row.Removed {
 			change, err := s.decoder.Decode(row)
--- a/keptindex/keptindex.go
+++ b/keptindex/keptindex.go
@@ -43,11 +43,17 @@
 	spec    catalog.KeptStore
 	epoch   uint64
 	heardAt time.Time
-	parts   map[Key]int
+	parts   map[Key]part
 	saving  map[Key]time.Time
 	used    int
 }
 
+// part is a complete part at a store, with the time at which it was first seen.
+type part struct {
+	tokens int
+	since  time.Time
+}
+
 // Index is what one process knows of all stores. It is owned by one duty.
 type Index struct {
 	stores map[string]*store
@@ -65,7 +71,7 @@
 	for _, spec := range specs {
 		s := x.stores[spec.Address]
 		if s == nil {
-			s = &store{parts: make(map[Key]int), saving: make(map[Key]time.Time)}
+			s = &store{parts: make(map[Key]part), saving: make(map[Key]time.Time)}
 		}
 		s.spec = spec
 		next[spec.Address] = s
@@ -81,10 +87,18 @@
 	if s == nil {
 		return
 	}
+	before := s.parts
+	if s.epoch != epoch {
+		before = nil
+	}
 	s.epoch, s.heardAt, s.used = epoch, now, 0
-	s.parts = make(map[Key]int, len(held))
+	s.parts = make(map[Key]part, len(held))
 	for _, h := range held {
-		s.add(h)
+		since := now
+		if old, ok := before[h.Key]; ok {
+			since = old.since
+		}
+		s.add(since, h)
 	}
 }
 
@@ -103,7 +117,7 @@
 		s.remove(key)
 	}
 	for _, h := range added {
-		s.add(h)
+		s.add(now, h)
 	}
 	return true
 }
@@ -115,16 +129,19 @@
 	}
 }
 
-func (s *store) add(h Held) {
+func (s *store) add(since time.Time, h Held) {
+	if old, ok := s.parts[h.Key]; ok && old.since.Before(since) {
+		since = old.since
+	}
 	s.remove(h.Key)
 	delete(s.saving, h.Key)
-	s.parts[h.Key] = h.Tokens
+	s.parts[h.Key] = part{tokens: h.Tokens, since: since}
 	s.used += blocks(h.Tokens)
 }
 
 func (s *store) remove(key Key) {
-	if tokens, ok := s.parts[key]; ok {
-		s.used -= blocks(tokens)
+	if p, ok := s.parts[key]; ok {
+		s.used -= blocks(p.tokens)
 		delete(s.parts, key)
 	}
 }
@@ -144,12 +161,14 @@
 }
 
 // Find returns the store from which an upstream in a failure domain fetches a
-// complete part, or false when no store is known to hold it.
-func (x *Index) Find(now time.Time, key Key, tokens int, domain core.FailureDomain) (Source, bool) {
+// complete part, or false when no store is known to hold it. Unless the time
+// seenBefore is zero, the part must have been seen before it.
+func (x *Index) Find(now time.Time, key Key, tokens int, domain core.FailureDomain, seenBefore time.Time) (Source, bool) {
 	var best *store
 	for _, address := range x.order {
 		s := x.stores[address]
-		if held, ok := s.parts[key]; !ok || held < tokens || !s.trusted(now) {
+		held, ok := s.parts[key]
+		if !ok || held.tokens < tokens || !s.trusted(now) || !seenBefore.IsZero() && !held.since.Before(seenBefore) {
 			continue
 		}
 		if best == nil || s.preferred(best, domain) {
--- a/placement/table.go
+++ b/placement/table.go
@@ -44,6 +44,11 @@
 	weightsShare = 0.8
 )
 
+// changeMargin is how long before this process heard of new weights a part must
+// have been complete to be fetched under the older weights. A server whose
+// weights changed while it wrote a part has read its end with the newer ones.
+const changeMargin = 700 * time.Millisecond
+
 // Table is one process's knowledge of all upstreams. It is owned by one duty.
 type Table struct {
 	opts      Options
@@ -62,7 +67,10 @@
 // Named is a weight version that the operator named.
 type Named struct {
 	Version catalog.WeightNumber
-	Since   time.Time
+	// Since is zero when the version was named at an unknown time before this
+	// process started. Older weights are then taken to be overdue as soon as an
+	// upstream has newer ones.
+	Since time.Time
 }
 
 // World is what the table takes from outside.
@@ -205,9 +213,22 @@
 	if !ok || u.weights[model] >= named.Version || t.opts.WeightsWithin == 0 {
 		return false
 	}
+	if named.Since.IsZero() {
+		return t.anyLoaded(u.listed.Service, model, named.Version)
+	}
 	return float64(now.Sub(named.Since)) > weightsShare*float64(t.opts.WeightsWithin)
 }
 
+// anyLoaded reports whether an upstream of a service has a weight version.
+func (t *Table) anyLoaded(service core.ServiceID, model core.ModelID, version catalog.WeightNumber) bool {
+	for _, u := range t.byService[service] {
+		if !u.listed.Draining && u.weights[model] >= version {
+			return true
+		}
+	}
+	return false
+}
+
 // limited reports whether this process has used its share of what a cold
 // upstream bears, and whether the upstream is known to be cold.
 func (t *Table) limited(now time.Time, service *catalog.Service, u *upstream) (limited, cold bool) {
@@ -268,9 +289,13 @@
 	}
 	p.salt = Salt(need.Prompt.Model, p.weights, need.Workspace)
 	p.fetch = make([]string, len(need.Prompt.Parts))
+	var seenBefore time.Time
+	if named := t.named[need.Prompt.Model]; p.weights < named.Version {
+		seenBefore = named.Since.Add(-changeMargin)
+	}
 	for i, part := range need.Prompt.Shared() {
 		key := keptindex.Key{Salt: p.salt, ID: part.ID}
-		source, found := t.kept.Find(now, key, part.Tokens, u.listed.Domain)
+		source, found := t.kept.Find(now, key, part.Tokens, u.listed.Domain, seenBefore)
 		if found {
 			p.fetch[i] = source.Address
 		}
@@ -380,10 +405,11 @@
 	}
 	if p.salt != "" {
 		choice.Save = make([]string, len(need.Prompt.Parts))
+		current := p.weights >= t.named[need.Prompt.Model].Version
 		for i, part := range need.Prompt.Shared() {
 			key := keptindex.Key{Salt: p.salt, ID: part.ID}
-			if place, ok := t.kept.Place(now, key, part.Tokens); ok {
-				choice.Save[i] = place
+			if current {
+				choice.Save[i], _ = t.kept.Place(now, key, part.Tokens) // no place: not saved
 			}
 			u.hasRead(key, part.Tokens, service.Engine.CacheTokens)
 		}
