--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -249,10 +249,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), leaveWait)
 	p.fleet.Leave(ctx)
 	cancel()
-	time.Sleep(time.Until(started.Add(p.settings.Stop.Rotation)))
-	p.gateway.CloseConnections()
-	// Callers with idle connections get time to use and thereby close them.
-	time.Sleep(time.Until(started.Add(p.settings.Bounds.Grace / 2)))
+	p.gateway.Stop(started, p.settings.Bounds.Grace)
+	// The balancer goes on sending connections for a while, and callers with idle
+	// connections get time to use and thereby close them.
+	time.Sleep(time.Until(started.Add(max(p.settings.Stop.Rotation, p.settings.Bounds.Grace/2))))
 	ctx, cancel = context.WithDeadline(context.Background(), started.Add(p.settings.Bounds.Grace-stopReserve))
 	defer cancel()
 	if err := p.callers.Shutdown(ctx); err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,7 +47,7 @@
 	opts     Options
 	router   *router
 	metrics  *metrics
-	stopping atomic.Bool
+	stopping atomic.Pointer[stop]
 }
 
 // New returns a gateway that has not started.
@@ -71,12 +71,15 @@
 	return v.Config != nil && len(v.Upstreams) > 0
 }
 
-// CloseConnections makes every further answer the last one of its connection.
-func (g *Gateway) CloseConnections() { g.stopping.Store(true) }
+// Stop begins a planned stop: every further answer is the last one of its
+// connection, and calls that could not end within the grace time are refused.
+func (g *Gateway) Stop(begun time.Time, grace time.Duration) {
+	g.stopping.Store(&stop{begun: begun, grace: grace})
+}
 
 // ServeHTTP serves one call.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.stopping.Load() {
+	if g.stopping.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	call, err := g.opts.Codec.DecodeCall(r, time.Now())
@@ -130,6 +133,10 @@
 		s.refuse(http.StatusNotFound, "no_route", 0, nil)
 		return false
 	}
+	if !s.gateway.stopping.Load().mayBegin(s.route.Kind, time.Now()) {
+		s.refuse(http.StatusServiceUnavailable, "stopping", stopRetry, nil)
+		return false
+	}
 	s.workspace = nil
 	if s.config.NeedsKeys() && !s.route.Public {
 		if s.workspace = s.config.Workspace(s.call.Key); s.workspace == nil {
