Read in place of fetching over links that are slow or busy

Change: each store's link has an estimate of its queue and its slowness; a part is read in place of fetched where the transfer would take 0.06 ms a token longer.

--- a/placement/table.go
+++ b/placement/table.go
@@ -36,6 +36,9 @@
 	transferOverhead = 1.5
 	// meanTokens is the memory assumed for a call of another process.
 	meanTokens = 2000
+	// rereadCost is added for each token of a shared part that is read although
+	// it could be had from elsewhere: it takes the engine's time from other calls.
+	rereadCost = 0.06
 	// plainCost is the time that a plain service takes for a call when it is not
 	// known yet.
 	plainCost = 30.0
@@ -61,6 +64,7 @@
 	// fronts are the processes that share limits with this one.
 	fronts  []core.NodeID
 	kept    *keptindex.Index
+	links   map[string]*storeLink
 	tickets Ticket
 }
 
@@ -86,7 +90,7 @@
 func New(opts Options, kept *keptindex.Index) *Table {
 	return &Table{
 		opts: opts, kept: kept, upstreams: make(map[core.UpstreamID]*upstream),
-		budgets: make(map[core.ServiceID]*retry.Budget),
+		budgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*storeLink),
 	}
 }
 
@@ -274,9 +278,10 @@
 	weights catalog.WeightNumber
 	fetch   []string
 	// fetchMs is the time of the transfers.
-	fetchMs float64
-	fetched int
-	read    int
+	fetchMs   float64
+	transfers []transfer
+	fetched   int
+	read      int
 }
 
 func (t *Table) plan(now time.Time, service *catalog.Service, u *upstream, need Need) plan {
@@ -296,13 +301,21 @@
 	for i, part := range need.Prompt.Shared() {
 		key := keptindex.Key{Salt: p.salt, ID: part.ID}
 		source, found := t.kept.Find(now, key, part.Tokens, u.listed.Domain, seenBefore)
+		nominal, queued, ms := 0.0, 0.0, 0.0
+		if found {
+			nominal = transferMs(service.Engine, source, u.listed.Domain, part.Tokens)
+			queued = t.queued(source.Address, nominal)
+			ms = queued * t.link(source.Address).slowness(now)
+			found = ms < float64(part.Tokens)*(1/t.opts.PrefillTokensPerMs+rereadCost)
+		}
 		if found {
 			p.fetch[i] = source.Address
 		}
 		switch {
 		case u.resident.Contains(key):
 		case found:
-			p.fetchMs += transferMs(service.Engine, source, u.listed.Domain, part.Tokens)
+			p.fetchMs += ms
+			p.transfers = append(p.transfers, transfer{store: source.Address, nominal: nominal, queued: queued})
 			p.fetched += part.Tokens
 		default:
 			return p // later parts are of no use without this one
@@ -396,6 +409,11 @@
 	expected := t.expected(now, service, u, p)
 	choice.Expected = expected
 	a := &attempt{sentAt: now, expected: expected, read: p.read, tokens: need.Prompt.Tokens + need.Prompt.MaxOutput}
+	a.other = float64(expected.Microseconds())/1000 - p.fetchMs
+	a.transfers = p.transfers
+	for _, f := range p.transfers {
+		t.link(f.store).busy += f.nominal
+	}
 	u.attempts[choice.Ticket] = a
 	u.backlog += a.read
 	u.tokens += a.tokens
@@ -447,6 +465,7 @@
 	if !a.begun {
 		a.begun = true
 		u.backlog -= a.read
+		t.observeTransfers(now, a)
 		if !r.Ended {
 			u.noteLateness(now, now.Sub(a.sentAt)-a.expected)
 		}
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -51,6 +51,9 @@
 	read   int
 	tokens int
 	begun  bool
+	// other is the part of the estimate that is not for transfers, in milliseconds.
+	other     float64
+	transfers []transfer
 }
 
 // upstream is what this process knows of one upstream.
