Follow servers' cache events and fetch parts from their memory

Cause: re-reading shared parts is the largest price; a part that is in no store yet, or in one with a slow link, was read again although a server held it. Change: keptfeed follows model servers as well as stores; placement knows what a server has told of its cache, and takes another server's memory as a source where that is faster. Where more fronts than a source serves would follow it, the first ones by rendezvous hashing do.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -58,6 +58,8 @@
 	TokenBytes  int
 	LinkMbps    float64
 	Models      []core.ModelID
+	// EventReaders is how many callers may wait for cache events of one server.
+	EventReaders int
 }
 
 // Service is a group of upstreams that serve the same calls.
@@ -81,6 +83,8 @@
 	LinkMbps       float64
 	// FirstDelay is added to every transfer.
 	FirstDelay time.Duration
+	// EventReaders is how many callers may wait for the store's events.
+	EventReaders int
 }
 
 // Workspace is a customer with its keys.
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -131,9 +131,7 @@
 		world.Fronts = append(world.Fronts, m.Node)
 	}
 	r.table.SetWorld(now, world)
-	if v.Config != nil {
-		r.kept.SetStores(v.Config.Stores)
-	}
+	r.kept.SetSources(r.table.Sources())
 	links := make(map[core.UpstreamID]*link, len(v.Upstreams))
 	for _, u := range v.Upstreams {
 		l := r.links[u.ID]
@@ -146,6 +144,11 @@
 }
 
 func (r *router) takeKept(u keptfeed.Update) {
+	if r.table.TakeCache(u.Address, placement.CacheChange{
+		At: u.At, Lost: u.Lost, Reset: u.Reset, Held: u.Held, Removed: u.Removed,
+	}) {
+		return
+	}
 	switch {
 	case u.Lost:
 		r.index.Lost(u.Address)
--- a/keptfeed/keptfeed.go
+++ b/keptfeed/keptfeed.go
@@ -1,5 +1,5 @@
-// Package keptfeed follows the events of kept-cache stores, one duty for each
-// store, and hands them on in a ring.
+// Package keptfeed follows the cache events of kept-cache stores and model
+// servers, one duty for each, and hands them on in a ring.
 package keptfeed
 
 import (
@@ -8,7 +8,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/clock"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
@@ -30,8 +29,8 @@
 	listTimeout  = 1500 * time.Millisecond
 	retryAfter   = 150 * time.Millisecond
 	// updates waiting for the router; senders wait when it is full.
-	updateRing = 256
-	storesRing = 1
+	updateRing  = 256
+	sourcesRing = 1
 )
 
 // Events are changes of a store's content.
@@ -67,15 +66,26 @@
 	Free(ctx context.Context, address string, epoch uint64, keys []keptindex.Key) error
 }
 
-// Update is what the feed has learned of a store. Exactly one of Whole, Lost
+// Source is a store or a model server whose events are followed.
+type Source struct {
+	Address string
+	// Listed is set for stores. Their whole content is read at first, at gaps and
+	// at intervals. A server is followed by its events alone, since reading its
+	// content stalls its work; what is known of it is a hint.
+	Listed bool
+}
+
+// Update is what the feed has learned of a source. Exactly one of Whole, Lost
 // and neither (events) applies.
 type Update struct {
 	Address string
 	// At is when the store's answer came.
-	At      time.Time
-	Epoch   uint64
-	Whole   bool
-	Lost    bool
+	At    time.Time
+	Epoch uint64
+	Whole bool
+	Lost  bool
+	// Reset is set with the first events of a server's incarnation.
+	Reset   bool
 	Held    []keptindex.Held
 	Removed []keptindex.Key
 }
@@ -85,7 +95,7 @@
 	client  Client
 	log     logrus.FieldLogger
 	updates *ring.Ring[Update]
-	stores  *ring.Ring[[]catalog.KeptStore]
+	sources *ring.Ring[[]Source]
 	// freer decides whether this process frees what broke off in a store.
 	freer func(address string) bool
 }
@@ -95,35 +105,34 @@
 func New(client Client, freer func(address string) bool, log logrus.FieldLogger) *Feed {
 	return &Feed{
 		client: client, log: log, freer: freer, updates: ring.New[Update](updateRing),
-		stores: ring.New[[]catalog.KeptStore](storesRing),
+		sources: ring.New[[]Source](sourcesRing),
 	}
 }
 
 // Updates holds what was learned, in order for each store.
 func (f *Feed) Updates() *ring.Ring[Update] { return f.updates }
 
-// SetStores sets which stores are followed.
-func (f *Feed) SetStores(stores []catalog.KeptStore) { f.stores.Push(stores) }
+// SetSources sets which stores and servers are followed.
+func (f *Feed) SetSources(sources []Source) { f.sources.Push(sources) }
 
-// Run starts and ends the duties of stores as the configuration names them.
+// Run starts and ends the duties of sources as they come and go.
 func (f *Feed) Run(ctx context.Context) error {
 	group := duty.NewGroup(ctx, f.log)
 	ends := make(map[string]context.CancelFunc)
 	for {
-		stores, err := f.stores.Receive(ctx)
+		sources, err := f.sources.Receive(ctx)
 		if err != nil {
 			break
 		}
-		named := make(map[string]bool, len(stores))
-		for _, s := range stores {
+		named := make(map[string]bool, len(sources))
+		for _, s := range sources {
 			named[s.Address] = true
 			if ends[s.Address] != nil {
 				continue
 			}
 			own, cancel := context.WithCancel(group.Context())
 			ends[s.Address] = cancel
-			address := s.Address
-			group.Go("kept store "+address, func(context.Context) error { return f.follow(own, address) })
+			group.Go("cache events "+s.Address, func(context.Context) error { return f.follow(own, s) })
 		}
 		for address, end := range ends {
 			if !named[address] {
@@ -139,16 +148,17 @@
 	return group.Wait()
 }
 
-// follow is the duty of one store.
-func (f *Feed) follow(ctx context.Context, address string) error {
-	w := &watch{feed: f, address: address}
+// follow is the duty of one source.
+func (f *Feed) follow(ctx context.Context, source Source) error {
+	address := source.Address
+	w := &watch{feed: f, address: address, listed: !source.Listed, lists: source.Listed}
 	for ctx.Err() == nil {
 		pause := eventInterval
 		if err := w.step(ctx); err != nil && ctx.Err() == nil {
 			if !w.lost {
-				f.log.WithFields(logrus.Fields{"event": "kept_store_lost", "store": address}).WithError(err).Warn("kept-cache store does not answer")
+				f.log.WithFields(logrus.Fields{"event": "cache_events_lost", "source": address}).WithError(err).Warn("source of cache events does not answer")
 			}
-			w.lost, w.listed = true, false
+			w.lost, w.listed = true, !w.lists
 			_ = f.updates.Send(ctx, Update{Address: address, Lost: true}) // fails only when the feed ends
 			pause = retryAfter
 		}
@@ -162,16 +172,18 @@
 	feed    *Feed
 	address string
 	lost    bool
-	listed  bool
-	epoch   uint64
-	next    uint64
-	listAt  time.Time
+	// lists is set when the content is read whole, listed when it has been.
+	lists  bool
+	listed bool
+	epoch  uint64
+	next   uint64
+	listAt time.Time
 	// stuck are the unfinished parts of the last list.
 	stuck map[keptindex.Key]int
 }
 
 func (w *watch) step(ctx context.Context) error {
-	if !w.listed || time.Since(w.listAt) >= listInterval {
+	if w.lists && (!w.listed || time.Since(w.listAt) >= listInterval) {
 		return w.list(ctx)
 	}
 	asked := clock.Boot()
@@ -184,12 +196,13 @@
 	if clock.Boot()-asked > eventTimeout {
 		return errs.New(errs.Stale, "the content is read again", "the answer lay unread while the VM was suspended")
 	}
-	if events.Epoch != w.epoch || events.Gap {
-		w.listed = false
+	reset := events.Epoch != w.epoch
+	if reset || events.Gap {
+		w.listed = !w.lists
 	}
-	w.next = events.Next
+	w.epoch, w.next, w.lost = events.Epoch, events.Next, false
 	return w.feed.updates.Send(ctx, Update{
-		Address: w.address, At: time.Now(), Epoch: events.Epoch, Held: events.Added, Removed: events.Removed,
+		Address: w.address, At: time.Now(), Epoch: events.Epoch, Reset: reset && !w.lists, Held: events.Added, Removed: events.Removed,
 	})
 }
 
--- /dev/null
+++ b/placement/caches.go
@@ -0,0 +1,154 @@
+package placement
+
+import (
+	"time"
+
+	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/keptfeed"
+	"waxwingtide.example/waxwingtide/keptindex"
+)
+
+const (
+	// cacheTrust is how long a server's cache events are trusted after its last
+	// answer; a server that died costs a fetch some hundred milliseconds.
+	cacheTrust = 900 * time.Millisecond
+	// spareReaders is kept of the callers that may wait for events, for processes
+	// that have just started.
+	spareReaders = 2
+)
+
+// CacheChange is what a server's events say of its cache.
+type CacheChange struct {
+	At   time.Time
+	Lost bool
+	// Reset is set when the server has started anew.
+	Reset   bool
+	Held    []keptindex.Held
+	Removed []keptindex.Key
+}
+
+// Sources returns the stores and servers whose cache events this process
+// follows. Where more processes than a source serves would follow it, the first
+// ones in the order of rendezvous hashing do.
+func (t *Table) Sources() []keptfeed.Source {
+	var out []keptfeed.Source
+	t.addresses = make(map[string]core.UpstreamID)
+	for _, s := range t.stores {
+		if t.follows(s.Address, s.EventReaders) {
+			out = append(out, keptfeed.Source{Address: s.Address, Listed: true})
+		}
+	}
+	for id, service := range t.services {
+		if service.Engine == nil {
+			continue
+		}
+		for _, u := range t.byService[id] {
+			t.addresses[u.listed.Address] = u.listed.ID
+			if !u.listed.Draining && t.follows(u.listed.Address, service.Engine.EventReaders) {
+				out = append(out, keptfeed.Source{Address: u.listed.Address})
+			}
+		}
+	}
+	return out
+}
+
+func (t *Table) follows(address string, readers int) bool {
+	if readers <= 0 || len(t.fronts) <= readers-spareReaders {
+		return true
+	}
+	return t.succession(address) < readers-spareReaders
+}
+
+// succession is the place of this process in the order of rendezvous hashing for a
+// subject.
+func (t *Table) succession(subject string) int {
+	own := score(string(t.opts.Node), subject)
+	ahead := 0
+	for _, node := range t.fronts {
+		if node != t.opts.Node && score(string(node), subject) > own {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+// TakeCache takes a change of a server's cache. It reports false when the
+// address is not that of a server.
+func (t *Table) TakeCache(address string, c CacheChange) bool {
+	id, ok := t.addresses[address]
+	if !ok {
+		return false
+	}
+	u := t.upstreams[id]
+	if u == nil {
+		return true
+	}
+	if c.Lost {
+		u.heardAt = time.Time{}
+		return true
+	}
+	if c.Reset {
+		u.forgetCache()
+	}
+	u.heardAt = c.At
+	for _, key := range c.Removed {
+		u.drop(key)
+	}
+	for _, h := range c.Held {
+		u.hasRead(h.Key, cached{tokens: h.Tokens, told: true}, t.capacity(u))
+	}
+	return true
+}
+
+func (t *Table) capacity(u *upstream) int {
+	service := t.services[u.listed.Service]
+	if service == nil || service.Engine == nil {
+		return 0
+	}
+	return service.Engine.CacheTokens
+}
+
+// holder returns another server from whose memory a part can be fetched. Only
+// parts that the server itself has reported are fetched.
+func (t *Table) holder(now time.Time, u *upstream, key keptindex.Key, tokens int) (keptindex.Source, bool) {
+	var best *upstream
+	for _, other := range t.byService[u.listed.Service] {
+		if other == u || !other.eventsTrusted(now) || now.Before(other.avoidUntil) {
+			continue
+		}
+		c, ok := other.resident.Peek(key)
+		if !ok || !c.told || c.tokens < tokens {
+			continue
+		}
+		if best == nil || other.listed.Domain == u.listed.Domain && best.listed.Domain != u.listed.Domain {
+			best = other
+		}
+	}
+	if best == nil {
+		return keptindex.Source{}, false
+	}
+	engine := t.services[u.listed.Service].Engine
+	return keptindex.Source{Address: best.listed.Address, Domain: best.listed.Domain, LinkMbps: engine.LinkMbps}, true
+}
+
+// source chooses between the stores and other servers' memory for a part. Under
+// older weights only stores are used, where the time of a part is known.
+func (t *Table) source(now time.Time, engine *catalog.Engine, u *upstream, key keptindex.Key, tokens int, seenBefore time.Time) (s keptindex.Source, f transfer, ms float64, found bool) {
+	consider := func(c keptindex.Source, ok bool) {
+		if !ok {
+			return
+		}
+		nominal := transferMs(engine, c, u.listed.Domain, tokens)
+		queued := t.queued(c.Address, nominal)
+		took := queued * t.link(c.Address).slowness(now)
+		if !found || took < ms {
+			s, f, ms, found = c, transfer{store: c.Address, nominal: nominal, queued: queued}, took, true
+		}
+	}
+	consider(t.kept.Find(now, key, tokens, u.listed.Domain, seenBefore))
+	if seenBefore.IsZero() {
+		consider(t.holder(now, u, key, tokens))
+	}
+	return s, f, ms, found
+}
--- a/placement/table.go
+++ b/placement/table.go
@@ -62,10 +62,13 @@
 	named     map[core.ModelID]Named
 	budgets   map[core.ServiceID]*retry.Budget
 	// fronts are the processes that share limits with this one.
-	fronts  []core.NodeID
-	kept    *keptindex.Index
-	links   map[string]*storeLink
-	tickets Ticket
+	fronts []core.NodeID
+	kept   *keptindex.Index
+	links  map[string]*storeLink
+	stores []catalog.KeptStore
+	// addresses are those of the servers whose cache events are followed.
+	addresses map[string]core.UpstreamID
+	tickets   Ticket
 }
 
 // Named is a weight version that the operator named.
@@ -117,6 +120,7 @@
 	t.fronts = w.Fronts
 	if w.Config != nil {
 		t.services = w.Config.Services
+		t.stores = w.Config.Stores
 		t.kept.SetStores(w.Config.Stores)
 	}
 }
@@ -250,14 +254,7 @@
 	n := max(len(t.fronts), 1)
 	each := int(total) / n
 	rest := int(total) % n
-	own := score(string(t.opts.Node), subject)
-	ahead := 0
-	for _, node := range t.fronts {
-		if node != t.opts.Node && score(string(node), subject) > own {
-			ahead++
-		}
-	}
-	if ahead < rest {
+	if t.succession(subject) < rest {
 		each++
 	}
 	return each
@@ -300,12 +297,8 @@
 	}
 	for i, part := range need.Prompt.Shared() {
 		key := keptindex.Key{Salt: p.salt, ID: part.ID}
-		source, found := t.kept.Find(now, key, part.Tokens, u.listed.Domain, seenBefore)
-		nominal, queued, ms := 0.0, 0.0, 0.0
+		source, f, ms, found := t.source(now, service.Engine, u, key, part.Tokens, seenBefore)
 		if found {
-			nominal = transferMs(service.Engine, source, u.listed.Domain, part.Tokens)
-			queued = t.queued(source.Address, nominal)
-			ms = queued * t.link(source.Address).slowness(now)
 			found = ms < float64(part.Tokens)*(1/t.opts.PrefillTokensPerMs+rereadCost)
 		}
 		if found {
@@ -315,7 +308,7 @@
 		case u.resident.Contains(key):
 		case found:
 			p.fetchMs += ms
-			p.transfers = append(p.transfers, transfer{store: source.Address, nominal: nominal, queued: queued})
+			p.transfers = append(p.transfers, f)
 			p.fetched += part.Tokens
 		default:
 			return p // later parts are of no use without this one
@@ -429,7 +422,7 @@
 			if current {
 				choice.Save[i], _ = t.kept.Place(now, key, part.Tokens) // no place: not saved
 			}
-			u.hasRead(key, part.Tokens, service.Engine.CacheTokens)
+			u.hasRead(key, cached{tokens: part.Tokens}, service.Engine.CacheTokens)
 		}
 	}
 	return choice
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -56,6 +56,13 @@
 	transfers []transfer
 }
 
+// cached is a part in an upstream's cache.
+type cached struct {
+	tokens int
+	// told is set when the upstream itself has reported the part.
+	told bool
+}
+
 // upstream is what this process knows of one upstream.
 type upstream struct {
 	listed   catalog.Listed
@@ -73,13 +80,15 @@
 	faultsAt time.Time
 	trialAt  time.Time
 	// unreachable counts failed connections in a row.
-	unreachable  int
-	avoidUntil   time.Time
-	refuseUntil  time.Time
-	coldUntil    time.Time
-	sends        []time.Time
-	weights      map[core.ModelID]catalog.WeightNumber
-	resident     *simplelru.LRU[keptindex.Key, int]
+	unreachable int
+	avoidUntil  time.Time
+	refuseUntil time.Time
+	coldUntil   time.Time
+	sends       []time.Time
+	weights     map[core.ModelID]catalog.WeightNumber
+	resident    *simplelru.LRU[keptindex.Key, cached]
+	// heardAt is when the upstream last told of its cache; zero when it does not.
+	heardAt      time.Time
 	residentUsed int
 	// late is the mean time in milliseconds by which answers exceed the estimate.
 	late   float64
@@ -91,7 +100,7 @@
 		listed: listed, seenAt: now, attempts: make(map[Ticket]*attempt),
 		weights: make(map[core.ModelID]catalog.WeightNumber),
 	}
-	u.resident, _ = simplelru.NewLRU[keptindex.Key, int](residentEntries, nil) // fails only for sizes below 1
+	u.resident, _ = simplelru.NewLRU[keptindex.Key, cached](residentEntries, nil) // fails only for sizes below 1
 	u.relist(now, listed)
 	return u
 }
@@ -192,14 +201,33 @@
 	return keep
 }
 
-func (u *upstream) hasRead(key keptindex.Key, tokens, capacity int) {
+func (u *upstream) eventsTrusted(now time.Time) bool {
+	return !u.heardAt.IsZero() && now.Sub(u.heardAt) < cacheTrust
+}
+
+// hasRead notes that a part is in the upstream's cache. Without events of the
+// upstream the oldest parts are assumed to be evicted.
+func (u *upstream) hasRead(key keptindex.Key, c cached, capacity int) {
 	if old, ok := u.resident.Peek(key); ok {
-		u.residentUsed -= old
+		u.residentUsed -= old.tokens
+		c.told = c.told || old.told
 	}
-	u.resident.Add(key, tokens)
-	u.residentUsed += tokens
-	for float64(u.residentUsed) > residentShare*float64(capacity) && u.resident.Len() > 1 {
-		_, size, _ := u.resident.RemoveOldest()
-		u.residentUsed -= size
+	u.resident.Add(key, c)
+	u.residentUsed += c.tokens
+	share := residentShare
+	if !u.heardAt.IsZero() {
+		share = 1
+	}
+	for float64(u.residentUsed) > share*float64(capacity) && u.resident.Len() > 1 {
+		_, old, _ := u.resident.RemoveOldest()
+		u.residentUsed -= old.tokens
+	}
+}
+
+// drop notes that a part was evicted.
+func (u *upstream) drop(key keptindex.Key) {
+	if old, ok := u.resident.Peek(key); ok {
+		u.residentUsed -= old.tokens
+		u.resident.Remove(key)
 	}
 }
