--- /dev/null
+++ b/keptindex/keptindex_test.go
@@ -0,0 +1,110 @@
+package keptindex_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/keptindex"
+)
+
+const (
+	address = "10.0.0.1:80"
+	tokens  = 500
+)
+
+var (
+	t0  = time.Unix(1000, 0)
+	key = keptindex.Key{Salt: "1/m/*", ID: "p"}
+)
+
+func oneStore(capacity int) *keptindex.Index {
+	x := keptindex.New()
+	x.SetStores([]catalog.KeptStore{{Address: address, Domain: "a", CapacityTokens: capacity, LinkMbps: 1000}})
+	return x
+}
+
+func held() []keptindex.Held { return []keptindex.Held{{Key: key, Tokens: tokens}} }
+
+func finds(x *keptindex.Index, now time.Time) bool {
+	_, ok := x.Find(now, key, tokens, "a", time.Time{})
+	return ok
+}
+
+// Guards against fetching a part that is being written again after a restart of
+// its store, or that a silent store may have lost.
+func TestFindTrustsOnlyWhatTheStoreConfirmed(t *testing.T) {
+	cases := map[string]struct {
+		change func(x *keptindex.Index)
+		at     time.Duration
+		want   bool
+	}{
+		"complete part":      {func(*keptindex.Index) {}, 0, true},
+		"silent store":       {func(*keptindex.Index) {}, time.Second, false},
+		"lost connection":    {func(x *keptindex.Index) { x.Lost(address) }, 0, false},
+		"events of a reboot": {func(x *keptindex.Index) { x.Apply(t0, address, 2, held(), nil) }, time.Second, false},
+		"content of a reboot": {func(x *keptindex.Index) {
+			x.Replace(t0.Add(time.Second), address, 2, nil)
+		}, time.Second, false},
+		"removed part": {func(x *keptindex.Index) { x.Apply(t0, address, 1, nil, []keptindex.Key{key}) }, 0, false},
+		"store no longer configured": {func(x *keptindex.Index) {
+			x.SetStores(nil)
+		}, 0, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			x := oneStore(10_000)
+			x.Replace(t0, address, 1, held())
+			c.change(x)
+			require.Equal(t, c.want, finds(x, t0.Add(c.at)))
+		})
+	}
+}
+
+// Guards against fetching, under older weights, a part whose writer changed its
+// weights while it wrote.
+func TestFindLeavesOutPartsFromAfterTheNaming(t *testing.T) {
+	x := oneStore(10_000)
+	x.Replace(t0, address, 1, nil)
+	named := t0.Add(time.Second)
+	require.True(t, x.Apply(named.Add(time.Millisecond), address, 1, held(), nil))
+	at := named.Add(2 * time.Millisecond)
+	_, ok := x.Find(at, key, tokens, "a", named)
+	require.False(t, ok)
+	_, ok = x.Find(at, key, tokens, "a", time.Time{})
+	require.True(t, ok, "under current weights the part is used")
+	x.Replace(at, address, 1, held())
+	_, ok = x.Find(at, key, tokens, "a", named)
+	require.False(t, ok, "a list must not make the part look older or newer")
+}
+
+// Guards against two saves of one part, and against saves into a full store,
+// which are lost and cost a transfer.
+func TestPlaceOrdersEachSaveOnce(t *testing.T) {
+	x := oneStore(1_000)
+	x.Replace(t0, address, 1, nil)
+	place, ok := x.Place(t0, key, tokens)
+	require.True(t, ok)
+	require.Equal(t, address, place)
+	_, ok = x.Place(t0.Add(100*time.Millisecond), key, tokens)
+	require.False(t, ok, "a save is under way")
+	x.Apply(t0.Add(200*time.Millisecond), address, 1, held(), nil)
+	_, ok = x.Place(t0.Add(300*time.Millisecond), key, tokens)
+	require.False(t, ok, "the part is there")
+	_, ok = x.Place(t0.Add(300*time.Millisecond), keptindex.Key{Salt: key.Salt, ID: "q"}, tokens)
+	require.False(t, ok, "the store has no room")
+}
+
+// Guards against a part that is never saved again after its save broke off.
+func TestPlaceRepeatsALostSave(t *testing.T) {
+	x := oneStore(1_000)
+	x.Replace(t0, address, 1, nil)
+	_, ok := x.Place(t0, key, tokens)
+	require.True(t, ok)
+	later := t0.Add(3 * time.Second)
+	x.Replace(later, address, 1, nil)
+	_, ok = x.Place(later, key, tokens)
+	require.True(t, ok)
+}
--- a/placement/table.go
+++ b/placement/table.go
@@ -158,7 +158,9 @@
 }
 
 func (t *Table) pick(now time.Time, service *catalog.Service, need Need) (*candidate, Refusal) {
-	var best, bestLimited *candidate
+	// The second choice is an upstream that is suspect, or at a limit that binds
+	// cold upstreams only.
+	var best, second *candidate
 	refusal := NoUpstream
 	for _, u := range t.byService[need.Service] {
 		if !t.usable(now, u, need) {
@@ -171,18 +173,16 @@
 		}
 		c := &candidate{upstream: u, plan: t.plan(now, service, u, need)}
 		c.cost = t.cost(now, service, u, need, c.plan)
-		if limited {
-			if bestLimited == nil || c.cost < bestLimited.cost {
-				bestLimited = c
-			}
-			continue
+		rank := &best
+		if limited || t.suspect(now, u, need) {
+			rank = &second
 		}
-		if best == nil || c.cost < best.cost {
-			best = c
+		if *rank == nil || c.cost < (*rank).cost {
+			*rank = c
 		}
 	}
 	if best == nil {
-		best = bestLimited
+		best = second
 	}
 	return best, refusal
 }
@@ -197,21 +197,16 @@
 			return false
 		}
 	}
-	if u.faultShare(now) > suspectShare && (!need.Repeatable || now.Sub(u.trialAt) < trialInterval) {
-		return t.allSuspect(now, need.Service)
-	}
 	return !t.weightsOverdue(now, u, need.Prompt.Model)
 }
 
-// allSuspect reports whether no upstream of a service is in good health. The
-// suspicion says nothing then.
-func (t *Table) allSuspect(now time.Time, service core.ServiceID) bool {
-	for _, u := range t.byService[service] {
-		if !u.listed.Draining && !now.Before(u.avoidUntil) && u.faultShare(now) <= suspectShare {
-			return false
-		}
+// suspect reports whether an upstream has failed so often that a call avoids it.
+// Calls that may be repeated try it from time to time.
+func (t *Table) suspect(now time.Time, u *upstream, need Need) bool {
+	if u.faultShare(now) <= suspectShare {
+		return false
 	}
-	return true
+	return !need.Repeatable || now.Sub(u.trialAt) < trialInterval
 }
 
 // weightsOverdue reports whether calls may no longer begin on the weights of an
--- /dev/null
+++ b/weights/loader_test.go
@@ -0,0 +1,220 @@
+package weights_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc"
+
+	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/duty"
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/fleet"
+	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/standin"
+	"waxwingtide.example/waxwingtide/transport"
+	"waxwingtide.example/waxwingtide/weights"
+)
+
+const (
+	model    = core.ModelID("m1")
+	patience = 15 * time.Second
+	loadTime = 60 * time.Millisecond
+)
+
+// engine is the state of one fake server.
+type engine struct {
+	version   catalog.WeightNumber
+	orders    uint64
+	busyUntil time.Time
+	next      catalog.WeightNumber
+	given     int
+}
+
+// fakeEngines are model servers. Their state is owned by whoever holds the one
+// token of the ring.
+type fakeEngines struct {
+	token   *ring.Ring[map[string]*engine]
+	orders  *ring.Ring[weights.Order]
+	atOnce  *ring.Ring[int]
+	lose    bool
+	holders *ring.Ring[core.NodeID]
+}
+
+func newEngines(n int) *fakeEngines {
+	all := make(map[string]*engine)
+	for i := range n {
+		all[address(i)] = &engine{version: 1}
+	}
+	f := &fakeEngines{
+		token: ring.New[map[string]*engine](1), orders: ring.New[weights.Order](256),
+		atOnce: ring.New[int](256), holders: ring.New[core.NodeID](256),
+	}
+	f.token.Offer(all)
+	return f
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:80", i) }
+
+func (f *fakeEngines) with(ctx context.Context, use func(all map[string]*engine)) {
+	all, err := f.token.Receive(ctx)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	for _, e := range all {
+		if e.next > 0 && now.After(e.busyUntil) {
+			e.version, e.next = e.next, 0
+		}
+	}
+	use(all)
+	f.token.Offer(all)
+}
+
+func (f *fakeEngines) State(ctx context.Context, at string) (s weights.EngineState, err error) {
+	f.with(ctx, func(all map[string]*engine) {
+		e := all[at]
+		s = weights.EngineState{Weights: map[core.ModelID]catalog.WeightNumber{model: e.version}, Busy: e.next > 0, Orders: e.orders}
+	})
+	return s, ctx.Err()
+}
+
+func (f *fakeEngines) Load(ctx context.Context, o weights.Order) (reply weights.Reply, err error) {
+	f.orders.Push(o)
+	f.with(ctx, func(all map[string]*engine) {
+		e := all[o.Address]
+		e.given++
+		if e.orders != o.Orders || e.next > 0 {
+			reply = weights.Conflicting
+			return
+		}
+		if f.lose && e.given == 1 {
+			reply, err = weights.Unanswered, errs.New(errs.Unknown, "", "no answer")
+			return
+		}
+		e.orders++
+		e.next, e.busyUntil = o.Version, time.Now().Add(loadTime)
+		busy := 0
+		for _, other := range all {
+			if other.next > 0 {
+				busy++
+			}
+		}
+		f.atOnce.Push(busy)
+		reply = weights.Accepted
+	})
+	return reply, err
+}
+
+// loaders starts fleets and loaders of several processes against one store.
+func loaders(t *testing.T, store *standin.PlatformStore, engines weights.Engines, nodes ...core.NodeID) {
+	t.Helper()
+	server := httptest.NewServer(store)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	group := duty.NewGroup(context.Background(), log)
+	for i, node := range nodes {
+		client := platform.NewStore(server.Listener.Addr().String())
+		dialer := transport.NewDialer(nil, nil)
+		f := fleet.New(fleet.Options{
+			Self: fleet.Member{Node: node, Address: fmt.Sprintf("127.0.0.1:%d", i+1)}, Store: client, Tables: platform.Tables(),
+			Decoder: platform.Decoder{}, Log: log,
+			Dial: func(ctx context.Context, at string) drpc.Conn { return dialer.Dial(ctx, at) },
+		})
+		l := weights.NewLoader(weights.Options{
+			Self: node, Incarnation: core.Incarnation(i + 1), Store: client, Fleet: f, Engines: engines,
+			Lease: 600 * time.Millisecond, Share: 0.2, Mode: weights.KeepRuns, Log: log,
+			Loaded: func(core.UpstreamID, core.ModelID, catalog.WeightNumber) {},
+		})
+		f.Start(group)
+		group.Go("loader", l.Run)
+	}
+	t.Cleanup(func() {
+		group.Stop()
+		require.NoError(t, group.Wait())
+		server.CloseClientConnections()
+		server.Close()
+		store.Close()
+	})
+}
+
+func prepare(n int) *standin.PlatformStore {
+	store := standin.NewPlatformStore()
+	store.Put("op", "config", map[string]any{"version": 1})
+	for i := range n {
+		store.Put("servers", fmt.Sprintf("i-%d", i), map[string]any{
+			"service": "svc", "address": address(i), "zone": "z", "version": "v1", "slots": 4, "state": "ready",
+			"models": []any{map[string]any{"name": model, "version": 1}},
+		})
+	}
+	return store
+}
+
+// Guards against servers that keep older weights when orders are lost, when
+// versions are named in a series, and when several processes want the lease;
+// against too many servers that load at once; and against orders of two holders.
+func TestLoaderBringsAllServersToTheNewestWeights(t *testing.T) {
+	cases := map[string]struct {
+		lose   bool
+		series bool
+	}{"one version": {}, "lost orders": {lose: true}, "a series": {series: true}}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			const servers = 10
+			store, engines := prepare(servers), newEngines(servers)
+			engines.lose = c.lose
+			loaders(t, store, engines, "a", "b", "c")
+			want := catalog.WeightNumber(2)
+			store.Put("op", "version/"+string(model), map[string]any{"model": model, "version": want})
+			if c.series {
+				time.Sleep(3 * loadTime)
+				want = 4
+				store.Put("op", "version/"+string(model), map[string]any{"model": model, "version": want})
+			}
+			require.Eventually(t, func() bool {
+				done := true
+				engines.with(t.Context(), func(all map[string]*engine) {
+					for _, e := range all {
+						done = done && e.version == want
+					}
+				})
+				return done
+			}, patience, 20*time.Millisecond)
+			for busy, ok := engines.atOnce.TryReceive(); ok; busy, ok = engines.atOnce.TryReceive() {
+				require.LessOrEqual(t, busy, 2)
+			}
+			first, ok := engines.orders.TryReceive()
+			require.True(t, ok)
+			for o, ok := engines.orders.TryReceive(); ok; o, ok = engines.orders.TryReceive() {
+				require.Equal(t, first.Holder, o.Holder)
+				require.Equal(t, first.Fence, o.Fence)
+			}
+		})
+	}
+}
+
+// Guards against orders by a process that does not hold the lease because the
+// store is away.
+func TestLoaderGivesNoOrderWithoutTheLease(t *testing.T) {
+	const servers = 4
+	store, engines := prepare(servers), newEngines(servers)
+	store.SetLoseAnswers(true)
+	loaders(t, store, engines, "a")
+	store.Put("op", "version/"+string(model), map[string]any{"model": model, "version": 2})
+	time.Sleep(500 * time.Millisecond)
+	_, ordered := engines.orders.TryReceive()
+	require.False(t, ordered, "the answer that grants the lease was lost")
+	store.SetLoseAnswers(false)
+	require.Eventually(t, func() bool {
+		_, ordered := engines.orders.TryReceive()
+		return ordered
+	}, patience, 20*time.Millisecond)
+}
