--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,9 @@
 	defaultTimeout = 30 * time.Second
 	// defaultBodyBytes bounds a body when the configuration sets no limit.
 	defaultBodyBytes = 4 << 20
+	// answerBytesBase and answerBytesPerToken estimate the size of an answer.
+	answerBytesBase     = 1000
+	answerBytesPerToken = 48
 	// notReadyRetry is what callers are told while no configuration is known.
 	notReadyRetry = 300 * time.Millisecond
 )
@@ -244,7 +247,7 @@
 func (s *session) need() placement.Need {
 	return placement.Need{
 		Service: s.service, Prompt: s.call.Prompt, Workspace: s.workspace,
-		Repeatable: s.route.Repeatable(), Tried: s.tried, Repeat: len(s.tried) > 0,
+		Repeatable: s.route.Repeatable(), Bytes: len(s.call.Body) + answerBytesBase + answerBytesPerToken*s.call.Prompt.MaxOutput, Tried: s.tried, Repeat: len(s.tried) > 0,
 	}
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -180,7 +180,8 @@
 	answer := s.gateway.opts.Codec.DecodeAnswer(x.Response.StatusCode, x.Response.Header)
 	report.Load, report.HasLoad, report.Weights, report.Cold = answer.Load, answer.HasLoad, answer.Weights, answer.Cold
 	s.gateway.router.report(report)
-	s.gateway.metrics.firstByte(string(s.service), time.Since(sentAt))
+	first := time.Since(sentAt)
+	s.gateway.metrics.firstByte(string(s.service), first)
 	if !answer.NotRun {
 		s.ran++
 	}
@@ -195,7 +196,7 @@
 	}
 	report.Ended, report.Result = true, a.result
 	s.gateway.router.report(report)
-	s.logAttempt(p, x.Reused, answer.Status, sentAt, a)
+	s.logAttempt(p, attemptTimes{sentAt: sentAt, first: first}, x.Reused, answer.Status, a)
 	return a
 }
 
@@ -235,7 +236,7 @@
 	}
 	report.Ended, report.Result = true, a.result
 	s.gateway.router.report(report)
-	s.logAttempt(p, false, 0, sentAt, a)
+	s.logAttempt(p, attemptTimes{sentAt: sentAt}, false, 0, a)
 	return a
 }
 
@@ -323,11 +324,17 @@
 	return control.Flush()
 }
 
-func (s *session) logAttempt(p placed, reused bool, status int, sentAt time.Time, a outcome) {
+// attemptTimes are the times of an attempt; first is zero when no answer came.
+type attemptTimes struct {
+	sentAt time.Time
+	first  time.Duration
+}
+
+func (s *session) logAttempt(p placed, times attemptTimes, reused bool, status int, a outcome) {
 	entry := s.log("attempt").WithFields(logrus.Fields{
 		"upstream": p.choice.Upstream.ID, "service": s.service, "list_revision": p.choice.Upstream.Revision,
 		"weights": p.choice.Weights, "fetched": p.choice.Fetched, "read": p.choice.Read,
-		"expected_ms": p.choice.Expected.Milliseconds(), "took_ms": time.Since(sentAt).Milliseconds(),
+		"expected_ms": p.choice.Expected.Milliseconds(), "first_ms": times.first.Milliseconds(), "took_ms": time.Since(times.sentAt).Milliseconds(),
 		"reused": reused, "status": status, "result": a.result, "not_run": a.notRun, "number": len(s.tried),
 	})
 	if a.err != nil {
--- a/keptfeed/keptfeed.go
+++ b/keptfeed/keptfeed.go
@@ -21,8 +21,11 @@
 	eventWait = 400 * time.Millisecond
 	// eventTimeout bounds a call that gets no answer.
 	eventTimeout = 800 * time.Millisecond
-	// eventInterval is the least time between two calls.
-	eventInterval = 40 * time.Millisecond
+	// storeInterval and serverInterval are the least times between two calls. A
+	// store's events decide what may be fetched and saved; a server's are hints
+	// and may come in larger groups.
+	storeInterval  = 50 * time.Millisecond
+	serverInterval = 250 * time.Millisecond
 	// listInterval is the time between two readings of a store's whole content,
 	// which brings back events that were lost.
 	listInterval = 6 * time.Second
@@ -153,7 +156,10 @@
 	address := source.Address
 	w := &watch{feed: f, address: address, listed: !source.Listed, lists: source.Listed}
 	for ctx.Err() == nil {
-		pause := eventInterval
+		pause := serverInterval
+		if source.Listed {
+			pause = storeInterval
+		}
 		if err := w.step(ctx); err != nil && ctx.Err() == nil {
 			if !w.lost {
 				f.log.WithFields(logrus.Fields{"event": "cache_events_lost", "source": address}).WithError(err).Warn("source of cache events does not answer")
--- a/placement/links.go
+++ b/placement/links.go
@@ -66,13 +66,13 @@
 // observeTransfers ascribes the time to the first byte that the rest of the
 // estimate does not explain to an attempt's transfers.
 func (t *Table) observeTransfers(now time.Time, a *attempt) {
-	total := 0.0
+	total := a.ahead
 	for _, f := range a.transfers {
 		l := t.link(f.store)
 		l.busy = max(l.busy-f.nominal, 0)
 		total += f.queued
 	}
-	if total == 0 || !a.begun {
+	if len(a.transfers) == 0 || !a.begun {
 		return
 	}
 	took := float64(now.Sub(a.sentAt).Microseconds())/1000 - a.other - fetchNoise
--- a/placement/table.go
+++ b/placement/table.go
@@ -39,6 +39,10 @@
 	// rereadCost is added for each token of a shared part that is read although
 	// it could be had from elsewhere: it takes the engine's time from other calls.
 	rereadCost = 0.06
+	// crossCost and crossByteCost, for each byte, are added for upstreams in
+	// other failure domains: traffic between these is scarce.
+	crossCost     = 4.0
+	crossByteCost = 0.001
 	// plainCost is the time that a plain service takes for a call when it is not
 	// known yet.
 	plainCost = 30.0
@@ -272,8 +276,10 @@
 	// fetchMs is the time of the transfers.
 	fetchMs   float64
 	transfers []transfer
-	fetched   int
-	read      int
+	// ahead is the time of transfers to the upstream that come first.
+	ahead   float64
+	fetched int
+	read    int
 }
 
 func (t *Table) plan(now time.Time, service *catalog.Service, u *upstream, need Need) plan {
@@ -294,7 +300,7 @@
 		key := keptindex.Key{Salt: p.salt, ID: part.ID}
 		source, f, ms, found := t.source(now, service.Engine, u, key, part.Tokens, seenBefore)
 		if found {
-			found = ms < float64(part.Tokens)*(1/t.opts.PrefillTokensPerMs+rereadCost)
+			found = ms+u.fetching < float64(part.Tokens)*(1/t.opts.PrefillTokensPerMs+rereadCost)
 		}
 		if found {
 			p.fetch[i] = source.Address
@@ -306,10 +312,18 @@
 			p.transfers = append(p.transfers, f)
 			p.fetched += part.Tokens
 		default:
-			return p // later parts are of no use without this one
+			return p.behind(u) // later parts are of no use without this one
 		}
 		p.read = max(p.read-part.Tokens, 0)
 	}
+	return p.behind(u)
+}
+
+// behind adds the wait for transfers to the upstream that come first.
+func (p plan) behind(u *upstream) plan {
+	if len(p.transfers) > 0 {
+		p.ahead = u.fetching
+	}
 	return p
 }
 
@@ -333,11 +347,14 @@
 	if now.Before(u.refuseUntil) {
 		ms += refusalCost
 	}
+	if u.listed.Domain != t.opts.Domain {
+		ms += crossCost + crossByteCost*float64(need.Bytes)
+	}
 	if service.Engine == nil {
 		slots := max(float64(u.listed.Slots), 1)
 		return ms + plainCost*(1+load/slots)
 	}
-	ms += float64(u.backlog+p.read)/t.opts.PrefillTokensPerMs + p.fetchMs + runCost*load
+	ms += float64(u.backlog+p.read)/t.opts.PrefillTokensPerMs + p.fetchMs + p.ahead + runCost*load
 	memory := float64(u.tokens+need.Prompt.Tokens+need.Prompt.MaxOutput) + u.othersLoad(now)*meanTokens
 	if memory > float64(service.Engine.CacheTokens) {
 		ms += fullCost
@@ -397,8 +414,9 @@
 	expected := t.expected(now, service, u, p)
 	choice.Expected = expected
 	a := &attempt{sentAt: now, expected: expected, read: p.read, tokens: need.Prompt.Tokens + need.Prompt.MaxOutput}
-	a.other = float64(expected.Microseconds())/1000 - p.fetchMs
-	a.transfers = p.transfers
+	a.other = float64(expected.Microseconds())/1000 - p.fetchMs - p.ahead
+	a.transfers, a.fetching, a.ahead = p.transfers, p.fetchMs, p.ahead
+	u.fetching += a.fetching
 	for _, f := range p.transfers {
 		t.link(f.store).busy += f.nominal
 	}
@@ -426,7 +444,7 @@
 func (t *Table) expected(now time.Time, service *catalog.Service, u *upstream, p plan) time.Duration {
 	ms := plainCost * (1 + u.load(now)/max(float64(u.listed.Slots), 1))
 	if service.Engine != nil {
-		ms = plainCost + float64(u.backlog+p.read)/t.opts.PrefillTokensPerMs + p.fetchMs + runCost*u.load(now)
+		ms = plainCost + float64(u.backlog+p.read)/t.opts.PrefillTokensPerMs + p.fetchMs + p.ahead + runCost*u.load(now)
 	}
 	return time.Duration(ms * float64(time.Millisecond))
 }
@@ -453,6 +471,7 @@
 	if !a.begun {
 		a.begun = true
 		u.backlog -= a.read
+		u.fetching = max(u.fetching-a.fetching, 0)
 		t.observeTransfers(now, a)
 		if !r.Ended {
 			u.noteLateness(now, now.Sub(a.sentAt)-a.expected)
--- a/placement/types.go
+++ b/placement/types.go
@@ -15,6 +15,8 @@
 // in limits that hold for all processes together.
 type Options struct {
 	Node core.NodeID
+	// Domain is the failure domain of this process.
+	Domain core.FailureDomain
 	// PrefillTokensPerMs is the rate at which an engine reads a prompt.
 	PrefillTokensPerMs float64
 	// ColdOver and ColdSlack extend what a cold upstream bears in a second:
@@ -37,6 +39,8 @@
 	Prompt     core.Prompt
 	Workspace  *catalog.Workspace
 	Repeatable bool
+	// Bytes is the size of the call and of its expected answer.
+	Bytes int
 	// Tried are the upstreams that were tried before, in order.
 	Tried []core.UpstreamID
 	// Repeat is set when the call was sent before.
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -51,8 +51,12 @@
 	read   int
 	tokens int
 	begun  bool
-	// other is the part of the estimate that is not for transfers, in milliseconds.
-	other     float64
+	// other is the part of the estimate that is not for transfers, fetching the
+	// part for own transfers, both in milliseconds.
+	other    float64
+	fetching float64
+	// ahead is the time of the transfers before its own ones.
+	ahead     float64
 	transfers []transfer
 }
 
@@ -70,6 +74,9 @@
 	attempts map[Ticket]*attempt
 	// backlog is the number of prompt tokens of attempts that have not begun.
 	backlog int
+	// fetching is the expected time of own transfers to the upstream that have not
+	// ended, in milliseconds. They follow one another.
+	fetching float64
 	// tokens is the memory that attempts take.
 	tokens int
 	// others is the load from other processes, as of othersAt.
