Load the oldest weights first, and judge each version from its own naming

Change: jobs go by the version that a server has; the view keeps the time of each naming; an unanswered order makes room for other servers; a loading server is looked at after 0.55 s and then every 80 ms.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -177,6 +177,36 @@
 	Revision uint64
 }
 
+// Naming is the time at which the operator named a weight version.
+type Naming struct {
+	Version WeightNumber
+	// Since is zero when the version was named before this process knew any row.
+	Since time.Time
+}
+
+// Namings are the weight versions that the operator named for a model, in the
+// order of their versions.
+type Namings []Naming
+
+// Newest returns the last naming; the zero value when there is none.
+func (n Namings) Newest() Naming {
+	if len(n) == 0 {
+		return Naming{}
+	}
+	return n[len(n)-1]
+}
+
+// Above returns the first naming of a version above the given one, which is
+// when that one became old.
+func (n Namings) Above(version WeightNumber) (Naming, bool) {
+	for _, naming := range n {
+		if naming.Version > version {
+			return naming, true
+		}
+	}
+	return Naming{}, false
+}
+
 // Rollout asks to move a service to a software version.
 type Rollout struct {
 	Service core.ServiceID
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -63,13 +63,10 @@
 	Commit(ctx context.Context, tx Transaction) (Page, error)
 }
 
-// NamedWeights is the newest weight version that the operator named.
+// NamedWeights is a weight version that the operator named.
 type NamedWeights struct {
 	Model   core.ModelID
 	Version catalog.WeightNumber
-	// Since is when this process learned of it; zero when the version was there
-	// before the process knew any row.
-	Since time.Time
 }
 
 // Change is what a row says. At most one field is set.
@@ -104,7 +101,7 @@
 	// Upstreams are in the order of their ids.
 	Upstreams []catalog.Listed
 	Evacuated map[core.FailureDomain]bool
-	Weights   map[core.ModelID]NamedWeights
+	Weights   map[core.ModelID]catalog.Namings
 	Rollouts  map[core.ServiceID]catalog.Rollout
 	Members   []Member
 }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -19,6 +19,8 @@
 	// lapseWindow is how long after the store's return a missing row may be due
 	// to the store's absence.
 	lapseWindow = 2200 * time.Millisecond
+	// mostNamings bounds the weight versions of a model that are remembered.
+	mostNamings = 16
 )
 
 type rowKey struct {
@@ -33,6 +35,8 @@
 	// since is when the row was first seen in this version; zero for rows that
 	// are older than this process.
 	since time.Time
+	// namings are the weight versions that the row has named so far.
+	namings catalog.Namings
 	// lapsedUntil is set while a removed upstream stays in use.
 	lapsedUntil time.Time
 }
@@ -100,6 +104,7 @@
 		}
 		s.keepLapsed(now, old, next)
 	}
+	next.namings = namingsAfter(old, next)
 	if !s.configAdvances(old, next) {
 		next.change.Config = old.change.Config
 	}
@@ -107,6 +112,20 @@
 	return true
 }
 
+// namingsAfter adds the weight version of a row to those that it named before.
+func namingsAfter(old, next *entry) catalog.Namings {
+	var namings catalog.Namings
+	if old != nil {
+		namings = old.namings
+	}
+	w := next.change.Weights
+	if w == nil || w.Version <= namings.Newest().Version {
+		return namings
+	}
+	first := max(len(namings)+1-mostNamings, 0)
+	return append(append(catalog.Namings{}, namings[first:]...), catalog.Naming{Version: w.Version, Since: next.since})
+}
+
 // configAdvances reports whether the row does not lead back to an older or an
 // unreadable configuration.
 func (s *state) configAdvances(old, next *entry) bool {
@@ -184,7 +203,7 @@
 func (s *state) view() *View {
 	v := &View{
 		Evacuated: make(map[core.FailureDomain]bool),
-		Weights:   make(map[core.ModelID]NamedWeights),
+		Weights:   make(map[core.ModelID]catalog.Namings),
 		Rollouts:  make(map[core.ServiceID]catalog.Rollout),
 	}
 	for key, e := range s.rows {
@@ -196,9 +215,7 @@
 		case e.change.Evacuated != "" && !e.row.Removed:
 			v.Evacuated[e.change.Evacuated] = true
 		case e.change.Weights != nil:
-			w := *e.change.Weights
-			w.Since = e.since
-			v.Weights[w.Model] = w
+			v.Weights[e.change.Weights.Model] = e.namings
 		case e.change.Rollout != nil && e.change.Rollout.To != "":
 			v.Rollouts[e.change.Rollout.Service] = *e.change.Rollout
 		case key.table == Members && !e.row.Removed:
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -122,10 +122,7 @@
 	v := r.fleet.View()
 	world := placement.World{
 		Config: v.Config, Upstreams: v.Upstreams, Evacuated: v.Evacuated,
-		Named: make(map[core.ModelID]placement.Named, len(v.Weights)),
-	}
-	for model, w := range v.Weights {
-		world.Named[model] = placement.Named{Version: w.Version, Since: w.Since}
+		Named: v.Weights,
 	}
 	for _, m := range v.Members {
 		world.Fronts = append(world.Fronts, m.Node)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -172,19 +172,23 @@
 func TestOldWeightsAreNotUsedWhenOverdue(t *testing.T) {
 	w := world(1)
 	w.Upstreams[0].Weights = map[core.ModelID]catalog.WeightNumber{model: 2}
-	w.Named = map[core.ModelID]Named{model: {Version: 2, Since: t0}}
+	w.Named = map[core.ModelID]catalog.Namings{}
 	cases := map[string]struct {
 		since time.Time
 		after time.Duration
 		only  bool
+		later catalog.Namings
 	}{
-		"just named":                     {t0, 100 * time.Millisecond, false},
-		"overdue":                        {t0, 9 * time.Second, true},
-		"named before the process began": {time.Time{}, 0, true},
+		"just named":                     {t0, 100 * time.Millisecond, false, nil},
+		"overdue":                        {t0, 9 * time.Second, true, nil},
+		"named before the process began": {time.Time{}, 0, true, nil},
+		"overdue in a series": {
+			t0, 9 * time.Second, true, catalog.Namings{{Version: 3, Since: t0.Add(8 * time.Second)}},
+		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			w.Named[model] = Named{Version: 2, Since: c.since}
+			w.Named[model] = append(catalog.Namings{{Version: 2, Since: c.since}}, c.later...)
 			tab := table(w)
 			seen := make(map[catalog.WeightNumber]bool)
 			for i := range 20 {
--- a/placement/table.go
+++ b/placement/table.go
@@ -63,7 +63,7 @@
 	byService map[core.ServiceID][]*upstream
 	services  map[core.ServiceID]*catalog.Service
 	evacuated map[core.FailureDomain]bool
-	named     map[core.ModelID]Named
+	named     map[core.ModelID]catalog.Namings
 	budgets   map[core.ServiceID]*retry.Budget
 	// fronts are the processes that share limits with this one.
 	fronts []core.NodeID
@@ -75,21 +75,12 @@
 	tickets   Ticket
 }
 
-// Named is a weight version that the operator named.
-type Named struct {
-	Version catalog.WeightNumber
-	// Since is zero when the version was named at an unknown time before this
-	// process started. Older weights are then taken to be overdue as soon as an
-	// upstream has newer ones.
-	Since time.Time
-}
-
 // World is what the table takes from outside.
 type World struct {
 	Config    *catalog.Config
 	Upstreams []catalog.Listed
 	Evacuated map[core.FailureDomain]bool
-	Named     map[core.ModelID]Named
+	Named     map[core.ModelID]catalog.Namings
 	Fronts    []core.NodeID
 }
 
@@ -216,14 +207,14 @@
 // weightsOverdue reports whether calls may no longer begin on the weights of an
 // upstream.
 func (t *Table) weightsOverdue(now time.Time, u *upstream, model core.ModelID) bool {
-	named, ok := t.named[model]
-	if !ok || u.weights[model] >= named.Version || t.opts.WeightsWithin == 0 {
+	newer, old := t.named[model].Above(u.weights[model])
+	if !old || t.opts.WeightsWithin == 0 {
 		return false
 	}
-	if named.Since.IsZero() {
-		return t.anyLoaded(u.listed.Service, model, named.Version)
+	if newer.Since.IsZero() {
+		return t.anyLoaded(u.listed.Service, model, newer.Version)
 	}
-	return float64(now.Sub(named.Since)) > weightsShare*float64(t.opts.WeightsWithin)
+	return float64(now.Sub(newer.Since)) > weightsShare*float64(t.opts.WeightsWithin)
 }
 
 // anyLoaded reports whether an upstream of a service has a weight version.
@@ -293,8 +284,8 @@
 	p.salt = Salt(need.Prompt.Model, p.weights, need.Workspace)
 	p.fetch = make([]string, len(need.Prompt.Parts))
 	var seenBefore time.Time
-	if named := t.named[need.Prompt.Model]; p.weights < named.Version {
-		seenBefore = named.Since.Add(-changeMargin)
+	if newer, old := t.named[need.Prompt.Model].Above(p.weights); old {
+		seenBefore = newer.Since.Add(-changeMargin)
 	}
 	for i, part := range need.Prompt.Shared() {
 		key := keptindex.Key{Salt: p.salt, ID: part.ID}
@@ -359,7 +350,7 @@
 	if memory > float64(service.Engine.CacheTokens) {
 		ms += fullCost
 	}
-	if named := t.named[need.Prompt.Model]; p.weights < named.Version && now.Sub(named.Since) > oldWeightsAfter {
+	if newer, old := t.named[need.Prompt.Model].Above(p.weights); old && now.Sub(newer.Since) > oldWeightsAfter {
 		ms += oldWeightsCost
 	}
 	return ms + t.affinity(u, need)
@@ -429,7 +420,7 @@
 	}
 	if p.salt != "" {
 		choice.Save = make([]string, len(need.Prompt.Parts))
-		current := p.weights >= t.named[need.Prompt.Model].Version
+		current := p.weights >= t.named[need.Prompt.Model].Newest().Version
 		for i, part := range need.Prompt.Shared() {
 			key := keptindex.Key{Salt: p.salt, ID: part.ID}
 			if current {
--- a/weights/loader.go
+++ b/weights/loader.go
@@ -30,16 +30,18 @@
 	// process holds; each process waits one more turn than the one before it in
 	// the order of succession.
 	contendInterval = time.Second
-	// pollInterval is the time between two looks at a server that loads.
-	pollInterval = 130 * time.Millisecond
-	callTimeout  = 900 * time.Millisecond
-	// repeatAfter is how long an order without an answer may stay without effect
-	// before it is given again.
-	repeatAfter = 500 * time.Millisecond
+	// loadTime is how long a server needs for a load at least. pollInterval is the
+	// time between two looks at it after that.
+	loadTime     = 550 * time.Millisecond
+	pollInterval = 80 * time.Millisecond
+	callTimeout  = 400 * time.Millisecond
+	// repeatAfter is how long an accepted order may stay without effect before it
+	// is given again.
+	repeatAfter = 1500 * time.Millisecond
 	// jobTimeout bounds one job, jobPause is how long a server is left alone
 	// after a job that failed.
 	jobTimeout = 8 * time.Second
-	jobPause   = time.Second
+	jobPause   = 600 * time.Millisecond
 	// silentPolls is the number of calls without answer after which a job fails.
 	silentPolls = 2
 	endedRing   = 64
@@ -134,7 +136,7 @@
 	v := l.opts.Fleet.View()
 	named := make(map[core.ModelID]catalog.WeightNumber, len(v.Weights))
 	for model, w := range v.Weights {
-		named[model] = w.Version
+		named[model] = w.Newest().Version
 	}
 	jobs := l.plan.due(v.Upstreams, named)
 	switch {
@@ -248,7 +250,6 @@
 	defer cancel()
 	log := l.opts.Log.WithFields(logrus.Fields{"upstream": job.Upstream.ID, "model": job.Model, "weights": job.Version})
 	var orderedAt time.Time
-	var ordersThen uint64
 	silent := 0
 	for ctx.Err() == nil {
 		state, err := l.state(ctx, job)
@@ -264,18 +265,21 @@
 			log.WithFields(logrus.Fields{"event": "weights_loaded", "orders": state.Orders}).Info("server has the weights")
 			return true
 		}
-		waiting := !orderedAt.IsZero() && (state.Orders != ordersThen && state.Busy || time.Since(orderedAt) < repeatAfter)
-		if !state.Busy && !waiting {
-			reply, ok := l.order(ctx, job, state, log)
-			if !ok {
-				return false
-			}
-			if reply == AlreadyLoaded {
+		pause := pollInterval
+		if !state.Busy && time.Since(orderedAt) >= repeatAfter {
+			switch l.order(ctx, job, state, log) {
+			case AlreadyLoaded:
 				return true
+			case Accepted:
+				orderedAt, pause = time.Now(), loadTime
+			case Conflicting:
+			default:
+				// Other servers come first; an order that was carried out all the same
+				// shows in the server's state at the next try.
+				return false
 			}
-			orderedAt, ordersThen = time.Now(), state.Orders
 		}
-		duty.Pause(ctx, pollInterval)
+		duty.Pause(ctx, pause)
 	}
 	return false
 }
@@ -286,14 +290,13 @@
 	return l.opts.Engines.State(ctx, job.Upstream.Address)
 }
 
-// order gives an order if the lease is still held. It reports false when the
-// job cannot go on.
-func (l *Loader) order(ctx context.Context, job Job, state EngineState, log logrus.FieldLogger) (Reply, bool) {
+// order gives an order if the lease is still held.
+func (l *Loader) order(ctx context.Context, job Job, state EngineState, log logrus.FieldLogger) Reply {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	p := l.permit.Load()
 	if p == nil || clock.Boot() >= p.until {
-		return Refused, false
+		return Refused
 	}
 	reply, err := l.opts.Engines.Load(ctx, Order{
 		Upstream: job.Upstream.ID, Address: job.Upstream.Address, Model: job.Model, Version: job.Version,
@@ -304,5 +307,5 @@
 		entry = entry.WithError(err)
 	}
 	entry.Info("order was given")
-	return reply, reply != Refused
+	return reply
 }
--- a/weights/weights.go
+++ b/weights/weights.go
@@ -78,7 +78,10 @@
 type Job struct {
 	Upstream catalog.Listed
 	Model    core.ModelID
-	Version  catalog.WeightNumber
+	// Has is the version that the server is known to have, Version the one it
+	// has to get.
+	Has     catalog.WeightNumber
+	Version catalog.WeightNumber
 }
 
 // plan is the holder's knowledge of its jobs. It performs no I/O.
@@ -105,12 +108,19 @@
 	for _, u := range upstreams {
 		for model, has := range u.Weights {
 			want := named[model]
-			if max(has, p.loaded[u.ID][model]) < want && !u.Draining {
-				jobs = append(jobs, Job{Upstream: u, Model: model, Version: want})
+			has = max(has, p.loaded[u.ID][model])
+			if has < want && !u.Draining {
+				jobs = append(jobs, Job{Upstream: u, Model: model, Has: has, Version: want})
 			}
 		}
 	}
-	sort.Slice(jobs, func(i, j int) bool { return jobs[i].Upstream.ID < jobs[j].Upstream.ID })
+	// The oldest weights are the first to be overdue.
+	sort.Slice(jobs, func(i, j int) bool {
+		if jobs[i].Has != jobs[j].Has {
+			return jobs[i].Has < jobs[j].Has
+		}
+		return jobs[i].Upstream.ID < jobs[j].Upstream.ID
+	})
 	return jobs
 }
 
