Learn of kept-cache stores from other fronts where a store serves few readers

The table of members is read less often, and its failures no longer count as the store's absence: a removed upstream would have stayed in use until that table was read.

--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -23,6 +23,10 @@
 	// readInterval is the time between two calls for one table. It bounds the
 	// number of calls when rows change often.
 	readInterval = 100 * time.Millisecond
+	// memberWait and memberInterval hold for the table of members, which only
+	// decides shares of limits and whom to ask.
+	memberWait     = 8 * time.Second
+	memberInterval = 1500 * time.Millisecond
 	// retryInterval is the time between two calls while the store fails.
 	retryInterval = 200 * time.Millisecond
 	// pullInterval is the time between two questions to peers while the store
@@ -126,13 +130,17 @@
 func (f *Fleet) follow(ctx context.Context, table Table) error {
 	var version uint64
 	whole, failing := true, false
+	wait, interval := feedWait, readInterval
+	if table == Members {
+		wait, interval = memberWait, memberInterval
+	}
 	for ctx.Err() == nil {
 		var page Page
 		var err error
 		if whole {
 			page, err = f.opts.Store.Rows(ctx, table)
 		} else {
-			page, err = f.opts.Store.Changes(ctx, table, version, feedWait)
+			page, err = f.opts.Store.Changes(ctx, table, version, wait)
 		}
 		if errs.Is(err, errs.Stale) {
 			whole = true
@@ -148,7 +156,7 @@
 			}
 		}
 		failing = err != nil
-		pause := readInterval
+		pause := interval
 		if failing {
 			// Rows may lapse and versions be dropped meanwhile: read all again.
 			pause = retryInterval
@@ -216,15 +224,21 @@
 			log.WithField("event", "store_lost").WithError(u.failed).Warn("the store does not serve this process")
 		}
 		failing[u.table] = true
-		s.storeAway(now)
-		f.away.Push(true)
+		if u.table == f.opts.Tables.Upstreams {
+			s.storeAway(now)
+		}
+		if u.table != Members {
+			f.away.Push(true)
+		}
 		return
 	}
 	if u.source == "store" && failing[u.table] {
 		delete(failing, u.table)
 		log.WithFields(logrus.Fields{"event": "store_regained", "version": u.version}).Info("the store serves this process again")
-		if len(failing) == 0 {
+		if u.table == f.opts.Tables.Upstreams {
 			s.storeBack(now)
+		}
+		if !failing[f.opts.Tables.Operator] && !failing[f.opts.Tables.Upstreams] {
 			f.away.Push(false)
 		}
 	}
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -57,6 +57,7 @@
 	group       *duty.Group
 	fleet       *fleet.Fleet
 	gateway     *gateway.Gateway
+	relay       *keptfeed.Relay
 	metrics     *telemetry.Metrics
 	incarnation core.Incarnation
 	callers     *http.Server
@@ -118,6 +119,7 @@
 func (p *process) start() error {
 	s := p.settings
 	p.group.Go("log", p.lines.Run)
+	p.relay = keptfeed.NewRelay(uint64(p.incarnation))
 	store := platform.NewStore(s.Store)
 	engines := platform.NewEngines()
 	dialer := transport.NewDialer(platform.Dialer(connectTimeout).DialContext, nil)
@@ -128,7 +130,7 @@
 		Log:  p.log, Seed: uint64(p.incarnation),
 	})
 	g, err := gateway.New(gateway.Options{
-		Fleet: p.fleet, Kept: keptfeed.New(engines, p.frees, p.log), Codec: platform.Codec{},
+		Fleet: p.fleet, Kept: keptfeed.New(engines, p.frees, p.relay, relayAsker{dialer}, p.log), Codec: platform.Codec{},
 		Client:    upstreamhttp.NewClient(platform.Dialer(connectTimeout)),
 		Placement: placementOptions(s), Log: p.log, Meter: p.metrics.Meter("gateway"), Random: rand.Float64,
 	})
@@ -143,6 +145,7 @@
 			g.Learn(id, model, version)
 		},
 	})
+	p.group.Go("relay", p.relay.Run)
 	p.fleet.Start(p.group)
 	g.Start(p.group)
 	p.group.Go("weights", loader.Run)
@@ -179,7 +182,7 @@
 // listen opens the listeners and serves them as duties.
 func (p *process) listen() error {
 	mux := drpcmux.New()
-	if err := wire.DRPCRegisterCatalog(mux, p.fleet); err != nil {
+	if err := wire.DRPCRegisterCatalog(mux, catalogServer{p.fleet, p.relay}); err != nil {
 		return errs.Wrap(err, errs.Internal, "report this as a defect", "inner protocol cannot be registered")
 	}
 	inner, err := listener(p.settings.Inner)
@@ -197,6 +200,20 @@
 	return err
 }
 
+// catalogServer is the inner protocol's service of a front.
+type catalogServer struct {
+	*fleet.Fleet
+	*keptfeed.Relay
+}
+
+// relayAsker asks relays over the inner protocol.
+type relayAsker struct{ dialer *transport.Dialer }
+
+// CacheSince implements keptfeed.Asker.
+func (a relayAsker) CacheSince(ctx context.Context, relay string, request *wire.CacheRequest) (*wire.CacheReply, error) {
+	return wire.NewDRPCCatalogClient(a.dialer.Dial(ctx, relay)).CacheSince(ctx, request)
+}
+
 func listener(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	return l, errs.Wrap(err, errs.Invalid, "choose a free address of this VM", "cannot listen on %s", address)
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -122,10 +122,11 @@
 	v := r.fleet.View()
 	world := placement.World{
 		Config: v.Config, Upstreams: v.Upstreams, Evacuated: v.Evacuated,
-		Named: v.Weights,
+		Named: v.Weights, Members: make(map[core.NodeID]string, len(v.Members)),
 	}
 	for _, m := range v.Members {
 		world.Fronts = append(world.Fronts, m.Node)
+		world.Members[m.Node] = m.Address
 	}
 	r.table.SetWorld(now, world)
 	r.kept.SetSources(r.table.Sources())
--- a/keptfeed/keptfeed.go
+++ b/keptfeed/keptfeed.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -76,6 +77,14 @@
 	// at intervals. A server is followed by its events alone, since reading its
 	// content stalls its work; what is known of it is a hint.
 	Listed bool
+	// Relays are inner addresses of processes to learn from, in order of
+	// preference; without any the source itself is asked.
+	Relays []string
+}
+
+// same reports whether both are followed in the same way.
+func (s Source) same(other Source) bool {
+	return s.Address == other.Address && s.Listed == other.Listed && slices.Equal(s.Relays, other.Relays)
 }
 
 // Update is what the feed has learned of a source. Exactly one of Whole, Lost
@@ -101,13 +110,16 @@
 	sources *ring.Ring[[]Source]
 	// freer decides whether this process frees what broke off in a store.
 	freer func(address string) bool
+	relay *Relay
+	asker Asker
 }
 
 // New returns a feed. The process frees broken saves of the stores for which
-// freer returns true.
-func New(client Client, freer func(address string) bool, log logrus.FieldLogger) *Feed {
+// freer returns true, tells the relay what it learns, and asks others' relays
+// through the asker.
+func New(client Client, freer func(address string) bool, relay *Relay, asker Asker, log logrus.FieldLogger) *Feed {
 	return &Feed{
-		client: client, log: log, freer: freer, updates: ring.New[Update](updateRing),
+		client: client, log: log, freer: freer, relay: relay, asker: asker, updates: ring.New[Update](updateRing),
 		sources: ring.New[[]Source](sourcesRing),
 	}
 }
@@ -121,7 +133,11 @@
 // Run starts and ends the duties of sources as they come and go.
 func (f *Feed) Run(ctx context.Context) error {
 	group := duty.NewGroup(ctx, f.log)
-	ends := make(map[string]context.CancelFunc)
+	type followed struct {
+		source Source
+		end    context.CancelFunc
+	}
+	duties := make(map[string]followed)
 	for {
 		sources, err := f.sources.Receive(ctx)
 		if err != nil {
@@ -130,56 +146,81 @@
 		named := make(map[string]bool, len(sources))
 		for _, s := range sources {
 			named[s.Address] = true
-			if ends[s.Address] != nil {
-				continue
+			if d, ok := duties[s.Address]; ok {
+				if d.source.same(s) {
+					continue
+				}
+				d.end()
 			}
 			own, cancel := context.WithCancel(group.Context())
-			ends[s.Address] = cancel
+			duties[s.Address] = followed{source: s, end: cancel}
 			group.Go("cache events "+s.Address, func(context.Context) error { return f.follow(own, s) })
 		}
-		for address, end := range ends {
+		for address, d := range duties {
 			if !named[address] {
-				end()
-				delete(ends, address)
+				d.end()
+				delete(duties, address)
 			}
 		}
 	}
 	group.Stop()
-	for _, end := range ends {
-		end()
+	for _, d := range duties {
+		d.end()
 	}
 	return group.Wait()
 }
 
 // follow is the duty of one source.
 func (f *Feed) follow(ctx context.Context, source Source) error {
-	address := source.Address
-	w := &watch{feed: f, address: address, listed: !source.Listed, lists: source.Listed}
+	step, interval := f.steps(source)
+	lost := false
 	for ctx.Err() == nil {
-		pause := serverInterval
-		if source.Listed {
-			pause = storeInterval
-		}
-		if err := w.step(ctx); err != nil && ctx.Err() == nil {
-			if !w.lost {
-				f.log.WithFields(logrus.Fields{"event": "cache_events_lost", "source": address}).WithError(err).Warn("source of cache events does not answer")
+		pause := interval
+		err := step(ctx)
+		if err != nil && ctx.Err() == nil {
+			if !lost {
+				f.log.WithFields(logrus.Fields{"event": "cache_events_lost", "source": source.Address, "relays": len(source.Relays)}).WithError(err).Warn("source of cache events does not answer")
 			}
-			w.lost, w.listed = true, !w.lists
-			_ = f.updates.Send(ctx, Update{Address: address, Lost: true}) // fails only when the feed ends
+			_ = f.send(ctx, source, Update{Address: source.Address, Lost: true}) // fails only when the feed ends
 			pause = retryAfter
+		} else if lost && err == nil {
+			f.log.WithFields(logrus.Fields{"event": "cache_events_regained", "source": source.Address}).Info("source of cache events answers again")
 		}
+		lost = err != nil
 		duty.Pause(ctx, pause)
 	}
 	return nil
 }
 
+// steps returns the way in which a source is followed, and the time between two
+// steps.
+func (f *Feed) steps(source Source) (step func(context.Context) error, interval time.Duration) {
+	if len(source.Relays) > 0 {
+		w := &relayWatch{feed: f, source: source}
+		return w.step, relayInterval
+	}
+	w := &watch{feed: f, source: source}
+	if source.Listed {
+		return w.step, storeInterval
+	}
+	return w.step, serverInterval
+}
+
+// send hands an update to the router and, for stores, to the relay.
+func (f *Feed) send(ctx context.Context, source Source, u Update) error {
+	if source.Listed && len(source.Relays) == 0 {
+		if err := f.relay.updates.Send(ctx, u); err != nil {
+			return err
+		}
+	}
+	return f.updates.Send(ctx, u)
+}
+
 // watch is the state of a store's duty.
 type watch struct {
-	feed    *Feed
-	address string
-	lost    bool
-	// lists is set when the content is read whole, listed when it has been.
-	lists  bool
+	feed   *Feed
+	source Source
+	// listed is set when the content has been read whole.
 	listed bool
 	epoch  uint64
 	next   uint64
@@ -189,13 +230,25 @@
 }
 
 func (w *watch) step(ctx context.Context) error {
-	if w.lists && (!w.listed || time.Since(w.listAt) >= listInterval) {
-		return w.list(ctx)
+	if w.source.Listed && (!w.listed || time.Since(w.listAt) >= listInterval) {
+		return w.again(w.list(ctx))
 	}
+	return w.again(w.events(ctx))
+}
+
+// again makes the content be read whole after a failure.
+func (w *watch) again(err error) error {
+	if err != nil {
+		w.listed = false
+	}
+	return err
+}
+
+func (w *watch) events(ctx context.Context) error {
 	asked := clock.Boot()
 	ctx, cancel := context.WithTimeout(ctx, eventTimeout)
 	defer cancel()
-	events, err := w.feed.client.Events(ctx, w.address, w.next, eventWait)
+	events, err := w.feed.client.Events(ctx, w.source.Address, w.next, eventWait)
 	if err != nil {
 		return err
 	}
@@ -204,11 +257,11 @@
 	}
 	reset := events.Epoch != w.epoch
 	if reset || events.Gap {
-		w.listed = !w.lists
+		w.listed = false
 	}
-	w.epoch, w.next, w.lost = events.Epoch, events.Next, false
-	return w.feed.updates.Send(ctx, Update{
-		Address: w.address, At: time.Now(), Epoch: events.Epoch, Reset: reset && !w.lists, Held: events.Added, Removed: events.Removed,
+	w.epoch, w.next = events.Epoch, events.Next
+	return w.feed.send(ctx, w.source, Update{
+		Address: w.source.Address, At: time.Now(), Epoch: events.Epoch, Reset: reset && !w.source.Listed, Held: events.Added, Removed: events.Removed,
 	})
 }
 
@@ -216,7 +269,7 @@
 	asked := clock.Boot()
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	list, err := w.feed.client.List(ctx, w.address)
+	list, err := w.feed.client.List(ctx, w.source.Address)
 	if err != nil {
 		return err
 	}
@@ -224,12 +277,9 @@
 		return errs.New(errs.Stale, "the content is read again", "the answer lay unread while the VM was suspended")
 	}
 	at := time.Now()
-	if w.lost {
-		w.feed.log.WithFields(logrus.Fields{"event": "kept_store_regained", "store": w.address, "epoch": list.Epoch, "parts": len(list.Held)}).Info("kept-cache store answers again")
-	}
-	w.lost, w.listed, w.epoch, w.next, w.listAt = false, true, list.Epoch, list.Next, at
+	w.listed, w.epoch, w.next, w.listAt = true, list.Epoch, list.Next, at
 	w.freeBroken(ctx, list)
-	return w.feed.updates.Send(ctx, Update{Address: w.address, At: at, Epoch: list.Epoch, Whole: true, Held: list.Held})
+	return w.feed.send(ctx, w.source, Update{Address: w.source.Address, At: at, Epoch: list.Epoch, Whole: true, Held: list.Held})
 }
 
 // freeBroken frees parts that made no progress between two lists: their writer
@@ -245,9 +295,9 @@
 		stuck[p.Key] = p.Complete
 	}
 	w.stuck = stuck
-	if len(broken) == 0 || !w.feed.freer(w.address) {
+	if len(broken) == 0 || !w.feed.freer(w.source.Address) {
 		return
 	}
-	err := w.feed.client.Free(ctx, w.address, list.Epoch, broken)
-	w.feed.log.WithFields(logrus.Fields{"event": "broken_parts_freed", "store": w.address, "parts": len(broken), "epoch": list.Epoch}).WithError(err).Info("parts whose writing broke off were freed")
+	err := w.feed.client.Free(ctx, w.source.Address, list.Epoch, broken)
+	w.feed.log.WithFields(logrus.Fields{"event": "broken_parts_freed", "store": w.source.Address, "parts": len(broken), "epoch": list.Epoch}).WithError(err).Info("parts whose writing broke off were freed")
 }
--- a/placement/caches.go
+++ b/placement/caches.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"waxwingtide.example/waxwingtide/catalog"
@@ -30,14 +32,17 @@
 
 // Sources returns the stores and servers whose cache events this process
 // follows. Where more processes than a source serves would follow it, the first
-// ones in the order of rendezvous hashing do.
+// ones in the order of rendezvous hashing do; the others learn of stores from
+// them, and do without the events of servers.
 func (t *Table) Sources() []keptfeed.Source {
 	var out []keptfeed.Source
 	t.addresses = make(map[string]core.UpstreamID)
 	for _, s := range t.stores {
-		if t.follows(s.Address, s.EventReaders) {
-			out = append(out, keptfeed.Source{Address: s.Address, Listed: true})
+		source := keptfeed.Source{Address: s.Address, Listed: true}
+		if !t.follows(s.Address, s.EventReaders) {
+			source.Relays = t.relays(s.Address, s.EventReaders-spareReaders)
 		}
+		out = append(out, source)
 	}
 	for id, service := range t.services {
 		if service.Engine == nil {
@@ -53,6 +58,25 @@
 	return out
 }
 
+// relays returns the addresses of the processes that follow a source, in an
+// order that spreads those that ask them.
+func (t *Table) relays(address string, n int) []string {
+	nodes := slices.Clone(t.fronts)
+	slices.SortFunc(nodes, func(a, b core.NodeID) int {
+		return cmp.Compare(score(string(b), address), score(string(a), address))
+	})
+	nodes = nodes[:min(max(n, 1), len(nodes))]
+	own := address + string(t.opts.Node)
+	slices.SortFunc(nodes, func(a, b core.NodeID) int {
+		return cmp.Compare(score(string(b), own), score(string(a), own))
+	})
+	out := make([]string, len(nodes))
+	for i, node := range nodes {
+		out[i] = t.members[node]
+	}
+	return out
+}
+
 func (t *Table) follows(address string, readers int) bool {
 	if readers <= 0 || len(t.fronts) <= readers-spareReaders {
 		return true
--- a/placement/table.go
+++ b/placement/table.go
@@ -67,9 +67,11 @@
 	budgets   map[core.ServiceID]*retry.Budget
 	// fronts are the processes that share limits with this one.
 	fronts []core.NodeID
-	kept   *keptindex.Index
-	links  map[string]*storeLink
-	stores []catalog.KeptStore
+	// members are their inner addresses.
+	members map[core.NodeID]string
+	kept    *keptindex.Index
+	links   map[string]*storeLink
+	stores  []catalog.KeptStore
 	// addresses are those of the servers whose cache events are followed.
 	addresses map[string]core.UpstreamID
 	tickets   Ticket
@@ -82,6 +84,8 @@
 	Evacuated map[core.FailureDomain]bool
 	Named     map[core.ModelID]catalog.Namings
 	Fronts    []core.NodeID
+	// Members are the inner addresses of the fronts.
+	Members map[core.NodeID]string
 }
 
 // New returns an empty table over an index of kept parts.
@@ -112,7 +116,7 @@
 	if len(w.Fronts) != len(t.fronts) {
 		t.budgets = make(map[core.ServiceID]*retry.Budget)
 	}
-	t.fronts = w.Fronts
+	t.fronts, t.members = w.Fronts, w.Members
 	if w.Config != nil {
 		t.services = w.Config.Services
 		t.stores = w.Config.Stores
