Free kept parts whose weights no upstream has any more

Change: the front that owns a store frees parts whose salt is older than the oldest weights in use for 3.5 s, longer than a transfer may wait.

--- a/gateway/router.go
+++ b/gateway/router.go
@@ -81,7 +81,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-sweep.C:
-			r.index.Sweep(time.Now())
+			r.sweep(time.Now())
 		case <-r.changed.Ready():
 		case <-r.options.Ready():
 		case <-r.kept.Updates().Ready():
@@ -92,6 +92,18 @@
 	}
 }
 
+// sweep forgets saves that did not show up, and has parts freed whose weights
+// no upstream has any more.
+func (r *router) sweep(now time.Time) {
+	r.index.Sweep(now)
+	r.table.Sweep(now)
+	for _, store := range r.table.Stores() {
+		obsolete := func(salt string) bool { return r.table.Obsolete(now, salt) }
+		epoch, keys := r.index.Obsolete(now, store.Address, obsolete)
+		r.kept.Free(store.Address, epoch, keys)
+	}
+}
+
 // drain handles all that waits. Changes and reports come before questions, so
 // that these are answered with the newest knowledge.
 func (r *router) drain() {
--- /dev/null
+++ b/keptfeed/free.go
@@ -0,0 +1,59 @@
+package keptfeed
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"waxwingtide.example/waxwingtide/keptindex"
+)
+
+const (
+	// freeParts bounds the parts of one call.
+	freeParts   = 400
+	freeTimeout = time.Second
+	// freeRing bounds the orders that wait; further ones are dropped, and given
+	// again at the next sweep.
+	freeRing = 16
+)
+
+// freeOrder names parts of a store that are of no more use.
+type freeOrder struct {
+	address string
+	epoch   uint64
+	keys    []keptindex.Key
+}
+
+// Free has parts of a store dropped if it is still in the given incarnation and
+// this process is the one that does so. It reports whether it was ordered.
+func (f *Feed) Free(address string, epoch uint64, keys []keptindex.Key) bool {
+	if len(keys) == 0 || !f.freer(address) {
+		return false
+	}
+	return f.frees.Offer(freeOrder{address: address, epoch: epoch, keys: keys[:min(len(keys), freeParts)]})
+}
+
+// runFrees is the duty that frees parts.
+func (f *Feed) runFrees(ctx context.Context) error {
+	for {
+		order, err := f.frees.Receive(ctx)
+		if err != nil {
+			return nil
+		}
+		f.free(ctx, order, "old_weights")
+	}
+}
+
+func (f *Feed) free(ctx context.Context, order freeOrder, cause string) {
+	ctx, cancel := context.WithTimeout(ctx, freeTimeout)
+	defer cancel()
+	log := f.log.WithFields(logrus.Fields{
+		"event": "parts_freed", "store": order.address, "parts": len(order.keys), "epoch": order.epoch, "cause": cause,
+	})
+	if err := f.client.Free(ctx, order.address, order.epoch, order.keys); err != nil {
+		log.WithError(err).Warn("parts were not freed")
+		return
+	}
+	log.Info("parts were freed")
+}
--- a/keptfeed/keptfeed.go
+++ b/keptfeed/keptfeed.go
@@ -112,6 +112,7 @@
 	freer func(address string) bool
 	relay *Relay
 	asker Asker
+	frees *ring.Ring[freeOrder]
 }
 
 // New returns a feed. The process frees broken saves of the stores for which
@@ -120,7 +121,7 @@
 func New(client Client, freer func(address string) bool, relay *Relay, asker Asker, log logrus.FieldLogger) *Feed {
 	return &Feed{
 		client: client, log: log, freer: freer, relay: relay, asker: asker, updates: ring.New[Update](updateRing),
-		sources: ring.New[[]Source](sourcesRing),
+		sources: ring.New[[]Source](sourcesRing), frees: ring.New[freeOrder](freeRing),
 	}
 }
 
@@ -133,6 +134,7 @@
 // Run starts and ends the duties of sources as they come and go.
 func (f *Feed) Run(ctx context.Context) error {
 	group := duty.NewGroup(ctx, f.log)
+	group.Go("cache frees", f.runFrees)
 	type followed struct {
 		source Source
 		end    context.CancelFunc
@@ -298,6 +300,5 @@
 	if len(broken) == 0 || !w.feed.freer(w.source.Address) {
 		return
 	}
-	err := w.feed.client.Free(ctx, w.source.Address, list.Epoch, broken)
-	w.feed.log.WithFields(logrus.Fields{"event": "broken_parts_freed", "store": w.source.Address, "parts": len(broken), "epoch": list.Epoch}).WithError(err).Info("parts whose writing broke off were freed")
+	w.feed.free(ctx, freeOrder{address: w.source.Address, epoch: list.Epoch, keys: broken}, "broken_off")
 }
--- a/keptindex/keptindex.go
+++ b/keptindex/keptindex.go
@@ -265,12 +265,3 @@
 	}
 	return s.epoch, keys
 }
-
-// Forget drops parts of a store that are about to be freed.
-func (x *Index) Forget(address string, keys []Key) {
-	if s := x.stores[address]; s != nil {
-		for _, key := range keys {
-			s.remove(key)
-		}
-	}
-}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -299,3 +299,22 @@
 	choice, _ = tab.Choose(later, need)
 	require.Equal(t, storeAt, choice.Fetch[0])
 }
+
+// Guards against freeing parts that a server with older weights may still fetch.
+func TestPartsAreObsoleteOnlyWhenNoUpstreamHasTheirWeights(t *testing.T) {
+	w := world(1)
+	tab := table(w)
+	old := Salt(model, 1, nil)
+	later := func(s int) time.Time { return t0.Add(time.Duration(s) * time.Second) }
+	for i := range 3 {
+		tab.Learn(t0, Report{Upstream: core.UpstreamID(fmt.Sprintf("engines-%d", i)), Model: model, Weights: 2})
+	}
+	tab.Sweep(t0)
+	require.False(t, tab.Obsolete(later(100), old), "engines-3 has the older weights")
+	tab.Learn(later(100), Report{Upstream: "engines-3", Model: model, Weights: 2})
+	tab.Sweep(later(100))
+	require.False(t, tab.Obsolete(later(101), old), "a transfer may be under way")
+	require.True(t, tab.Obsolete(later(104), old))
+	require.False(t, tab.Obsolete(later(104), Salt(model, 2, nil)))
+	require.False(t, tab.Obsolete(later(104), "of another writer"))
+}
--- a/placement/table.go
+++ b/placement/table.go
@@ -43,6 +43,9 @@
 	// other failure domains: traffic between these is scarce.
 	crossCost     = 4.0
 	crossByteCost = 0.001
+	// obsoleteAfter is how long no upstream must have had weights whose parts are
+	// freed. A transfer does not start that would wait for over two seconds.
+	obsoleteAfter = 3500 * time.Millisecond
 	// plainCost is the time that a plain service takes for a call when it is not
 	// known yet.
 	plainCost = 30.0
@@ -71,6 +74,7 @@
 	members map[core.NodeID]string
 	kept    *keptindex.Index
 	links   map[string]*storeLink
+	floors  map[core.ModelID]floor
 	stores  []catalog.KeptStore
 	// addresses are those of the servers whose cache events are followed.
 	addresses map[string]core.UpstreamID
@@ -92,7 +96,7 @@
 func New(opts Options, kept *keptindex.Index) *Table {
 	return &Table{
 		opts: opts, kept: kept, upstreams: make(map[core.UpstreamID]*upstream),
-		budgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*storeLink),
+		budgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*storeLink), floors: make(map[core.ModelID]floor),
 	}
 }
 
@@ -498,14 +502,44 @@
 	}
 }
 
-// Model returns the weights that an upstream is known to have.
-func (t *Table) Model(id core.UpstreamID, model core.ModelID) catalog.WeightNumber {
-	if u := t.upstreams[id]; u != nil {
-		return u.weights[model]
+// floor is the oldest weight version that an upstream has, with the time since
+// which none has an older one.
+type floor struct {
+	version catalog.WeightNumber
+	since   time.Time
+}
+
+// Sweep notes the oldest weights in use. It is called at intervals.
+func (t *Table) Sweep(now time.Time) {
+	lowest := make(map[core.ModelID]catalog.WeightNumber)
+	for _, u := range t.upstreams {
+		for model, version := range u.weights {
+			if old, ok := lowest[model]; !ok || version < old {
+				lowest[model] = version
+			}
+		}
+	}
+	for model, version := range lowest {
+		if t.floors[model].version != version {
+			t.floors[model] = floor{version: version, since: now}
+		}
 	}
-	return 0
 }
 
+// Obsolete reports whether parts under a salt are of no more use: no upstream
+// has had such old weights for so long that no transfer of them is under way.
+func (t *Table) Obsolete(now time.Time, salt string) bool {
+	model, version, ok := SaltWeights(salt)
+	if !ok {
+		return false
+	}
+	f, known := t.floors[model]
+	return known && version < f.version && now.Sub(f.since) >= obsoleteAfter
+}
+
+// Stores returns the configured kept-cache stores.
+func (t *Table) Stores() []catalog.KeptStore { return t.stores }
+
 // Owner returns the node that comes first for a subject in the order of
 // rendezvous hashing, or nothing without nodes.
 func Owner(nodes []core.NodeID, subject string) core.NodeID {
