--- a/clock/clock.go
+++ b/clock/clock.go
@@ -20,3 +20,30 @@
 }
 
 var started = time.Now()
+
+// suspendedFrom is the difference between the clocks that counts as a suspended
+// VM; smaller ones come from reading the clocks one after the other.
+const suspendedFrom = 200 * time.Millisecond
+
+// Watch notices that the VM was suspended: the clock that counts such times
+// moves ahead of the monotonic one.
+type Watch struct {
+	ahead time.Duration
+	set   bool
+}
+
+// Suspended returns how long the VM was suspended since the last call, given
+// both clocks. It returns zero for the first call.
+func (w *Watch) Suspended(boot, monotonic time.Duration) time.Duration {
+	ahead := boot - monotonic
+	before, set := w.ahead, w.set
+	w.ahead, w.set = ahead, true
+	if !set || ahead-before < suspendedFrom {
+		return 0
+	}
+	return ahead - before
+}
+
+// Monotonic returns the time since the process has started, without the times
+// in which the VM was suspended.
+func Monotonic() time.Duration { return time.Since(started) }
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"waxwingtide.example/waxwingtide/clock"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/fleet"
@@ -60,6 +61,7 @@
 	reports *ring.Ring[placement.Report]
 	options *ring.Ring[placement.Options]
 	log     logrus.FieldLogger
+	watch   clock.Watch
 }
 
 func newRouter(opts Options) *router {
@@ -107,6 +109,11 @@
 // drain handles all that waits. Changes and reports come before questions, so
 // that these are answered with the newest knowledge.
 func (r *router) drain() {
+	if gap := r.watch.Suspended(clock.Boot(), clock.Monotonic()); gap > 0 {
+		r.log.WithFields(logrus.Fields{"event": "suspended", "for_ms": gap.Milliseconds()}).Warn("VM was suspended; what caches hold is asked again")
+		r.index.LostAll()
+		r.table.ForgetCaches()
+	}
 	now := time.Now()
 	if opts, ok := r.options.TryReceive(); ok {
 		r.table.Configure(opts)
--- a/keptindex/keptindex.go
+++ b/keptindex/keptindex.go
@@ -129,6 +129,13 @@
 	}
 }
 
+// LostAll forgets the content of all stores, until each answers again.
+func (x *Index) LostAll() {
+	for address := range x.stores {
+		x.Lost(address)
+	}
+}
+
 func (s *store) add(since time.Time, h Held) {
 	if old, ok := s.parts[h.Key]; ok && old.since.Before(since) {
 		since = old.since
--- a/placement/caches.go
+++ b/placement/caches.go
@@ -125,6 +125,14 @@
 	return true
 }
 
+// ForgetCaches stops trusting what servers told of their caches, until each
+// tells again.
+func (t *Table) ForgetCaches() {
+	for _, u := range t.upstreams {
+		u.heardAt = time.Time{}
+	}
+}
+
 func (t *Table) capacity(u *upstream) int {
 	service := t.services[u.listed.Service]
 	if service == nil || service.Engine == nil {
