Share loads and failed connections between fronts

Cause: with 27 fronts each hears of a server's load every 4 s, and each finds out by itself that a server is dark.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -3,12 +3,14 @@
 package frontend
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +29,7 @@
 	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/settings"
+	"waxwingtide.example/waxwingtide/sharing"
 	"waxwingtide.example/waxwingtide/telemetry"
 	"waxwingtide.example/waxwingtide/transport"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
@@ -47,6 +50,9 @@
 	// stopReserve is kept of the grace time for the end of the process.
 	stopReserve = 400 * time.Millisecond
 	leaveWait   = 300 * time.Millisecond
+	// collectorSubject names the duty of collecting observations in the order of
+	// rendezvous hashing.
+	collectorSubject = "observations"
 )
 
 // process is the running daemon.
@@ -58,6 +64,8 @@
 	fleet       *fleet.Fleet
 	gateway     *gateway.Gateway
 	relay       *keptfeed.Relay
+	sharing     *sharing.Sharing
+	dialer      *transport.Dialer
 	metrics     *telemetry.Metrics
 	incarnation core.Incarnation
 	callers     *http.Server
@@ -119,18 +127,20 @@
 func (p *process) start() error {
 	s := p.settings
 	p.group.Go("log", p.lines.Run)
+	p.sharing = sharing.New(sharing.Options{Self: s.Node, Collectors: p.collectors, Share: p.share, Log: p.log})
 	p.relay = keptfeed.NewRelay(uint64(p.incarnation))
 	store := platform.NewStore(s.Store)
 	engines := platform.NewEngines()
-	dialer := transport.NewDialer(platform.Dialer(connectTimeout).DialContext, nil)
+	p.dialer = transport.NewDialer(platform.Dialer(connectTimeout).DialContext, nil)
 	p.fleet = fleet.New(fleet.Options{
 		Self:  fleet.Member{Node: s.Node, Address: s.Inner, Domain: s.FailureDomain, Incarnation: p.incarnation},
 		Store: store, Tables: platform.Tables(), Decoder: platform.Decoder{}, Seeds: s.Seeds,
-		Dial: func(ctx context.Context, address string) drpc.Conn { return dialer.Dial(ctx, address) },
+		Dial: func(ctx context.Context, address string) drpc.Conn { return p.dialer.Dial(ctx, address) },
 		Log:  p.log, Seed: uint64(p.incarnation),
 	})
 	g, err := gateway.New(gateway.Options{
-		Fleet: p.fleet, Kept: keptfeed.New(engines, p.frees, p.relay, relayAsker{dialer}, p.log), Codec: platform.Codec{},
+		Fleet: p.fleet, Kept: keptfeed.New(engines, p.frees, p.relay, relayAsker{p.dialer}, p.log), Codec: platform.Codec{},
+		Sharing:   p.sharing,
 		Client:    upstreamhttp.NewClient(platform.Dialer(connectTimeout)),
 		Placement: placementOptions(s), Log: p.log, Meter: p.metrics.Meter("gateway"), Random: rand.Float64,
 	})
@@ -146,6 +156,7 @@
 		},
 	})
 	p.group.Go("relay", p.relay.Run)
+	p.sharing.Start(p.group)
 	p.fleet.Start(p.group)
 	g.Start(p.group)
 	p.group.Go("weights", loader.Run)
@@ -168,6 +179,25 @@
 	return map[string]weights.Mode{"finish": weights.FinishRuns, "cut": weights.CutRuns, "keep": weights.KeepRuns}[name]
 }
 
+// collectors returns the addresses of the fronts in the order in which they
+// collect observations.
+func (p *process) collectors() []string {
+	members := slices.Clone(p.fleet.View().Members)
+	slices.SortFunc(members, func(a, b fleet.Member) int {
+		return cmp.Compare(placement.Score(string(b.Node), collectorSubject), placement.Score(string(a.Node), collectorSubject))
+	})
+	out := make([]string, len(members))
+	for i, m := range members {
+		out[i] = m.Address
+	}
+	return out
+}
+
+// share exchanges observations with another front.
+func (p *process) share(ctx context.Context, address string, request *wire.ShareRequest) (*wire.ShareReply, error) {
+	return wire.NewDRPCCatalogClient(p.dialer.Dial(ctx, address)).Share(ctx, request)
+}
+
 // frees reports whether this process frees what broke off in a store: one
 // member does so for each store.
 func (p *process) frees(address string) bool {
@@ -182,7 +212,7 @@
 // listen opens the listeners and serves them as duties.
 func (p *process) listen() error {
 	mux := drpcmux.New()
-	if err := wire.DRPCRegisterCatalog(mux, catalogServer{p.fleet, p.relay}); err != nil {
+	if err := wire.DRPCRegisterCatalog(mux, catalogServer{p.fleet, p.relay, p.sharing}); err != nil {
 		return errs.Wrap(err, errs.Internal, "report this as a defect", "inner protocol cannot be registered")
 	}
 	inner, err := listener(p.settings.Inner)
@@ -204,6 +234,7 @@
 type catalogServer struct {
 	*fleet.Fleet
 	*keptfeed.Relay
+	*sharing.Sharing
 }
 
 // relayAsker asks relays over the inner protocol.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"waxwingtide.example/waxwingtide/fleet"
 	"waxwingtide.example/waxwingtide/keptfeed"
 	"waxwingtide.example/waxwingtide/placement"
+	"waxwingtide.example/waxwingtide/sharing"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
 )
 
@@ -36,6 +37,7 @@
 type Options struct {
 	Fleet     *fleet.Fleet
 	Kept      *keptfeed.Feed
+	Sharing   *sharing.Sharing
 	Codec     Codec
 	Client    *upstreamhttp.Client
 	Placement placement.Options
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -14,6 +14,7 @@
 	"waxwingtide.example/waxwingtide/keptindex"
 	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/sharing"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
 )
 
@@ -54,6 +55,7 @@
 	fleet   *fleet.Fleet
 	changed *ring.Ring[struct{}]
 	kept    *keptfeed.Feed
+	sharing *sharing.Sharing
 	index   *keptindex.Index
 	table   *placement.Table
 	links   map[core.UpstreamID]*link
@@ -67,7 +69,7 @@
 func newRouter(opts Options) *router {
 	index := keptindex.New()
 	return &router{
-		fleet: opts.Fleet, changed: opts.Fleet.Subscribe(), kept: opts.Kept, index: index, table: placement.New(opts.Placement, index),
+		fleet: opts.Fleet, changed: opts.Fleet.Subscribe(), kept: opts.Kept, sharing: opts.Sharing, index: index, table: placement.New(opts.Placement, index),
 		links: make(map[core.UpstreamID]*link), asks: ring.New[ask](askRing),
 		reports: ring.New[placement.Report](reportRing), options: ring.New[placement.Options](1), log: opts.Log,
 	}
@@ -87,6 +89,7 @@
 		case <-r.changed.Ready():
 		case <-r.options.Ready():
 		case <-r.kept.Updates().Ready():
+		case <-r.sharing.Learned().Ready():
 		case <-r.reports.Ready():
 		case <-r.asks.Ready():
 		}
@@ -124,8 +127,14 @@
 	for u, ok := r.kept.Updates().TryReceive(); ok; u, ok = r.kept.Updates().TryReceive() {
 		r.takeKept(u)
 	}
+	for seen, ok := r.sharing.Learned().TryReceive(); ok; seen, ok = r.sharing.Learned().TryReceive() {
+		for _, o := range seen {
+			r.table.TakeShared(now, o)
+		}
+	}
 	for report, ok := r.reports.TryReceive(); ok; report, ok = r.reports.TryReceive() {
 		r.table.Learn(now, report)
+		r.share(now, report)
 	}
 	for a, ok := r.asks.TryReceive(); ok; a, ok = r.asks.TryReceive() {
 		choice, refusal := r.table.Choose(now, a.need)
@@ -137,6 +146,17 @@
 	}
 }
 
+// share tells other processes what a report says of an upstream.
+func (r *router) share(now time.Time, report placement.Report) {
+	unreachable := report.Ended && report.Result == placement.Unreachable
+	if !unreachable && (report.Ended || !report.HasLoad) {
+		return
+	}
+	r.sharing.Saw(sharing.Observation{
+		Upstream: report.Upstream, Load: report.Load, HasLoad: report.HasLoad && !unreachable, Unreachable: unreachable, At: now,
+	})
+}
+
 func (r *router) takeView(now time.Time) {
 	v := r.fleet.View()
 	world := placement.World{
--- a/placement/caches.go
+++ b/placement/caches.go
@@ -9,6 +9,7 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/keptfeed"
 	"waxwingtide.example/waxwingtide/keptindex"
+	"waxwingtide.example/waxwingtide/sharing"
 )
 
 const (
@@ -63,12 +64,12 @@
 func (t *Table) relays(address string, n int) []string {
 	nodes := slices.Clone(t.fronts)
 	slices.SortFunc(nodes, func(a, b core.NodeID) int {
-		return cmp.Compare(score(string(b), address), score(string(a), address))
+		return cmp.Compare(Score(string(b), address), Score(string(a), address))
 	})
 	nodes = nodes[:min(max(n, 1), len(nodes))]
 	own := address + string(t.opts.Node)
 	slices.SortFunc(nodes, func(a, b core.NodeID) int {
-		return cmp.Compare(score(string(b), own), score(string(a), own))
+		return cmp.Compare(Score(string(b), own), Score(string(a), own))
 	})
 	out := make([]string, len(nodes))
 	for i, node := range nodes {
@@ -87,10 +88,10 @@
 // succession is the place of this process in the order of rendezvous hashing for a
 // subject.
 func (t *Table) succession(subject string) int {
-	own := score(string(t.opts.Node), subject)
+	own := Score(string(t.opts.Node), subject)
 	ahead := 0
 	for _, node := range t.fronts {
-		if node != t.opts.Node && score(string(node), subject) > own {
+		if node != t.opts.Node && Score(string(node), subject) > own {
 			ahead++
 		}
 	}
@@ -125,6 +126,21 @@
 	return true
 }
 
+// TakeShared takes what another process has seen of an upstream. Own knowledge
+// that is newer stays.
+func (t *Table) TakeShared(now time.Time, o sharing.Observation) {
+	u := t.upstreams[o.Upstream]
+	if u == nil {
+		return
+	}
+	if o.HasLoad && o.At.After(u.othersAt) {
+		u.reported(o.At, o.Load)
+	}
+	if until := o.At.Add(unreachableFor); o.Unreachable && until.After(u.avoidUntil) && until.After(now) && o.At.After(u.reachedAt) {
+		u.avoidUntil = until
+	}
+}
+
 // ForgetCaches stops trusting what servers told of their caches, until each
 // tells again.
 func (t *Table) ForgetCaches() {
--- a/placement/table.go
+++ b/placement/table.go
@@ -258,7 +258,9 @@
 	return each
 }
 
-func score(a, b string) uint64 {
+// Score is the rank of a node for a subject in rendezvous hashing; the highest
+// comes first.
+func Score(a, b string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(a + "\x00" + b))
 	x := h.Sum64()
@@ -372,10 +374,10 @@
 		return 0
 	}
 	subject := string(shared[len(shared)-1].ID)
-	own := score(string(u.listed.ID), subject)
+	own := Score(string(u.listed.ID), subject)
 	place := 0.0
 	for _, other := range t.byService[u.listed.Service] {
-		if score(string(other.listed.ID), subject) > own {
+		if Score(string(other.listed.ID), subject) > own {
 			place++
 		}
 	}
@@ -457,6 +459,9 @@
 	if r.HasLoad {
 		u.reported(now, r.Load)
 	}
+	if !r.Ended {
+		u.reachedAt = now
+	}
 	if r.Weights > 0 && r.Model != "" {
 		u.learnWeights(r.Model, r.Weights)
 	}
@@ -546,7 +551,7 @@
 	var best core.NodeID
 	var bestScore uint64
 	for _, node := range nodes {
-		if s := score(string(node), subject); best == "" || s > bestScore {
+		if s := Score(string(node), subject); best == "" || s > bestScore {
 			best, bestScore = node, s
 		}
 	}
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -88,6 +88,8 @@
 	trialAt  time.Time
 	// unreachable counts failed connections in a row.
 	unreachable int
+	// reachedAt is when the upstream last answered this process.
+	reachedAt   time.Time
 	avoidUntil  time.Time
 	refuseUntil time.Time
 	coldUntil   time.Time
