--- a/placement/table.go
+++ b/placement/table.go
@@ -21,8 +21,8 @@
 	// affinityCost is added for each place in the order of rendezvous hashing,
 	// so that processes that know nothing of each other send a prompt to the
 	// same upstream.
-	affinityCost = 4.0
-	affinityMost = 40.0
+	affinityCost = 10.0
+	affinityMost = 120.0
 	// faultCost is added in proportion to an upstream's share of failures.
 	faultCost = 800.0
 	// refusalCost is added while an upstream refuses calls.
