--- a/placement/caches.go
+++ b/placement/caches.go
@@ -161,12 +161,8 @@
 // parts that the server itself has reported are fetched.
 func (t *Table) holder(now time.Time, u *upstream, key keptindex.Key, tokens int) (keptindex.Source, bool) {
 	var best *upstream
-	for _, other := range t.byService[u.listed.Service] {
-		if other == u || !other.eventsTrusted(now) || now.Before(other.avoidUntil) {
-			continue
-		}
-		c, ok := other.resident.Peek(key)
-		if !ok || !c.told || c.tokens < tokens {
+	for _, other := range t.holdersOf(now, u.listed.Service, key, tokens) {
+		if other == u {
 			continue
 		}
 		if best == nil || other.listed.Domain == u.listed.Domain && best.listed.Domain != u.listed.Domain {
@@ -180,6 +176,25 @@
 	return keptindex.Source{Address: best.listed.Address, Domain: best.listed.Domain, LinkMbps: engine.LinkMbps}, true
 }
 
+// holdersOf returns the servers of a service that have reported a part. It is
+// worked out once for each call that is placed.
+func (t *Table) holdersOf(now time.Time, service core.ServiceID, key keptindex.Key, tokens int) []*upstream {
+	if known, ok := t.holders[key]; ok {
+		return known
+	}
+	var out []*upstream
+	for _, u := range t.byService[service] {
+		if !u.eventsTrusted(now) || now.Before(u.avoidUntil) {
+			continue
+		}
+		if c, ok := u.resident.Peek(key); ok && c.told && c.tokens >= tokens {
+			out = append(out, u)
+		}
+	}
+	t.holders[key] = out
+	return out
+}
+
 // source chooses between the stores and other servers' memory for a part. Under
 // older weights only stores are used, where the time of a part is known.
 func (t *Table) source(now time.Time, engine *catalog.Engine, u *upstream, key keptindex.Key, tokens int, seenBefore time.Time) (s keptindex.Source, f transfer, ms float64, found bool) {
--- a/placement/table.go
+++ b/placement/table.go
@@ -1,8 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"hash/fnv"
-	"math"
+	"slices"
 	"time"
 
 	"waxwingtide.example/waxwingtide/catalog"
@@ -74,6 +75,8 @@
 	members map[core.NodeID]string
 	kept    *keptindex.Index
 	links   map[string]*storeLink
+	// holders are the servers that hold a part of the call that is being placed.
+	holders map[keptindex.Key][]*upstream
 	floors  map[core.ModelID]floor
 	stores  []catalog.KeptStore
 	// addresses are those of the servers whose cache events are followed.
@@ -96,7 +99,7 @@
 func New(opts Options, kept *keptindex.Index) *Table {
 	return &Table{
 		opts: opts, kept: kept, upstreams: make(map[core.UpstreamID]*upstream),
-		budgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*storeLink), floors: make(map[core.ModelID]floor),
+		budgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*storeLink), holders: make(map[keptindex.Key][]*upstream), floors: make(map[core.ModelID]floor),
 	}
 }
 
@@ -165,7 +168,9 @@
 	// cold upstreams only.
 	var best, second *candidate
 	refusal := NoUpstream
-	for _, u := range t.byService[need.Service] {
+	clear(t.holders)
+	affinities := t.affinities(need)
+	for i, u := range t.byService[need.Service] {
 		if !t.usable(now, u, need) {
 			continue
 		}
@@ -176,6 +181,9 @@
 		}
 		c := &candidate{upstream: u, plan: t.plan(now, service, u, need)}
 		c.cost = t.cost(now, service, u, need, c.plan)
+		if affinities != nil && service.Engine != nil {
+			c.cost += affinities[i]
+		}
 		rank := &best
 		if limited || t.suspect(now, u, need) {
 			rank = &second
@@ -363,25 +371,30 @@
 	if newer, old := t.named[need.Prompt.Model].Above(p.weights); old && now.Sub(newer.Since) > oldWeightsAfter {
 		ms += oldWeightsCost
 	}
-	return ms + t.affinity(u, need)
+	return ms
 }
 
-// affinity is the cost of an upstream's place in the order of rendezvous
-// hashing over the call's last shared part.
-func (t *Table) affinity(u *upstream, need Need) float64 {
+// affinities returns the cost of each upstream's place in the order of
+// rendezvous hashing over the call's last shared part. It is nil for calls
+// without one.
+func (t *Table) affinities(need Need) []float64 {
 	shared := need.Prompt.Shared()
 	if len(shared) == 0 {
-		return 0
+		return nil
 	}
 	subject := string(shared[len(shared)-1].ID)
-	own := Score(string(u.listed.ID), subject)
-	place := 0.0
-	for _, other := range t.byService[u.listed.Service] {
-		if Score(string(other.listed.ID), subject) > own {
-			place++
-		}
-	}
-	return math.Min(place*affinityCost, affinityMost)
+	upstreams := t.byService[need.Service]
+	scores := make([]uint64, len(upstreams))
+	order := make([]int, len(upstreams))
+	for i, u := range upstreams {
+		scores[i], order[i] = Score(string(u.listed.ID), subject), i
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	costs := make([]float64, len(upstreams))
+	for place, i := range order {
+		costs[i] = min(float64(place)*affinityCost, affinityMost)
+	}
+	return costs
 }
 
 func (t *Table) budget(service core.ServiceID) *retry.Budget {
