--- a/cmd/waxwing-entry/main.go
+++ b/cmd/waxwing-entry/main.go
@@ -7,11 +7,12 @@
 	"os"
 
 	"waxwingtide.example/waxwingtide/daemon"
+	"waxwingtide.example/waxwingtide/launch"
 	"waxwingtide.example/waxwingtide/settings"
 )
 
 func main() {
-	os.Exit(daemon.Main("waxwing-entry", func(ctx context.Context, file string) error {
+	os.Exit(launch.Main("waxwing-entry", "", func(ctx context.Context, file string) error {
 		s, err := settings.LoadEntry(file)
 		if err != nil {
 			return err
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -15,7 +15,7 @@
 // key was renamed, and against a new example that nothing loads.
 func TestExamplesLoad(t *testing.T) {
 	programs := map[string]string{
-		"entry-a.yaml": "waxwing-entry", "entry-b.yaml": "waxwing-entry",
+		"entry-a.yaml": "waxwing-entry", "entry-b.yaml": "waxwing-entry", "front.yaml": "waxwing-front",
 		"agent-a.yaml": "waxwing-agent", "agent-b.yaml": "waxwing-agent",
 	}
 	bundles := map[string]string{
--- /dev/null
+++ b/placement/limits.go
@@ -0,0 +1,166 @@
+package placement
+
+import (
+	"hash/fnv"
+	"time"
+
+	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/retry"
+)
+
+const (
+	// weightsShare is the share of the time for new weights after which no call
+	// is sent to an upstream with older ones.
+	weightsShare = 0.8
+	// obsoleteAfter is how long no upstream must have had weights whose parts are
+	// freed. A transfer does not start that would wait for over two seconds.
+	obsoleteAfter = 3500 * time.Millisecond
+)
+
+// usable reports whether an upstream may get the call at all.
+func (t *Table) usable(now time.Time, u *upstream, need Need) bool {
+	if u.listed.Draining || t.evacuated[u.listed.Domain] || now.Before(u.avoidUntil) {
+		return false
+	}
+	for _, id := range need.Tried {
+		if id == u.listed.ID {
+			return false
+		}
+	}
+	return !t.weightsOverdue(now, u, need.Prompt.Model)
+}
+
+// suspect reports whether an upstream has failed so often that a call avoids it.
+// Calls that may be repeated try it from time to time.
+func (t *Table) suspect(now time.Time, u *upstream, need Need) bool {
+	if u.faultShare(now) <= suspectShare {
+		return false
+	}
+	return !need.Repeatable || now.Sub(u.trialAt) < trialInterval
+}
+
+// weightsOverdue reports whether calls may no longer begin on the weights of an
+// upstream.
+func (t *Table) weightsOverdue(now time.Time, u *upstream, model core.ModelID) bool {
+	newer, old := t.named[model].Above(u.weights[model])
+	if !old || t.opts.WeightsWithin == 0 {
+		return false
+	}
+	if newer.Since.IsZero() {
+		return t.anyLoaded(u.listed.Service, model, newer.Version)
+	}
+	return float64(now.Sub(newer.Since)) > weightsShare*float64(t.opts.WeightsWithin)
+}
+
+// anyLoaded reports whether an upstream of a service has a weight version.
+func (t *Table) anyLoaded(service core.ServiceID, model core.ModelID, version catalog.WeightNumber) bool {
+	for _, u := range t.byService[service] {
+		if !u.listed.Draining && u.weights[model] >= version {
+			return true
+		}
+	}
+	return false
+}
+
+// limited reports whether this process has used its share of what a cold
+// upstream bears, and whether the upstream is known to be cold.
+func (t *Table) limited(now time.Time, service *catalog.Service, u *upstream) (limited, cold bool) {
+	if service.ColdPerSecond <= 0 {
+		return false, false
+	}
+	cold = now.Before(u.coldUntil)
+	total := service.ColdPerSecond*t.opts.ColdOver + t.opts.ColdSlack
+	return u.sentWithin(now) >= t.share(total, string(u.listed.ID)), cold
+}
+
+// share divides a whole number of calls among the processes. Where there are
+// fewer calls than processes, some processes get one and others none.
+func (t *Table) share(total float64, subject string) int {
+	n := max(len(t.fronts), 1)
+	each := int(total) / n
+	rest := int(total) % n
+	if t.succession(subject) < rest {
+		each++
+	}
+	return each
+}
+
+// Score is the rank of a node for a subject in rendezvous hashing; the highest
+// comes first.
+func Score(a, b string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(a + "\x00" + b))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
+func (t *Table) budget(service core.ServiceID) *retry.Budget {
+	b := t.budgets[service]
+	if b == nil {
+		n := float64(max(len(t.fronts), 1))
+		// The slack is split between what is saved up and what comes back within
+		// the window, so that no window holds more than the whole.
+		slack := t.opts.RetrySlack / n
+		b = retry.NewBudget(retry.BudgetOptions{
+			Share: t.opts.RetryShare * retryMargin, Burst: max(slack*retryMargin/2, 1),
+			PerSecond: slack * retryMargin / 2 / t.opts.RetryWindow.Seconds(),
+		})
+		t.budgets[service] = b
+	}
+	return b
+}
+
+// retryMargin is the share of the budget for repeated sends that is used. The
+// rest covers sends whose calls came from a time with more traffic.
+const retryMargin = 0.75
+
+// floor is the oldest weight version that an upstream has, with the time since
+// which none has an older one.
+type floor struct {
+	version catalog.WeightNumber
+	since   time.Time
+}
+
+// Sweep notes the oldest weights in use. It is called at intervals.
+func (t *Table) Sweep(now time.Time) {
+	lowest := make(map[core.ModelID]catalog.WeightNumber)
+	for _, u := range t.upstreams {
+		for model, version := range u.weights {
+			if old, ok := lowest[model]; !ok || version < old {
+				lowest[model] = version
+			}
+		}
+	}
+	for model, version := range lowest {
+		if t.floors[model].version != version {
+			t.floors[model] = floor{version: version, since: now}
+		}
+	}
+}
+
+// Obsolete reports whether parts under a salt are of no more use: no upstream
+// has had such old weights for so long that no transfer of them is under way.
+func (t *Table) Obsolete(now time.Time, salt string) bool {
+	model, version, ok := SaltWeights(salt)
+	if !ok {
+		return false
+	}
+	f, known := t.floors[model]
+	return known && version < f.version && now.Sub(f.since) >= obsoleteAfter
+}
+
+// Owner returns the node that comes first for a subject in the order of
+// rendezvous hashing, or nothing without nodes.
+func Owner(nodes []core.NodeID, subject string) core.NodeID {
+	var best core.NodeID
+	var bestScore uint64
+	for _, node := range nodes {
+		if s := Score(string(node), subject); best == "" || s > bestScore {
+			best, bestScore = node, s
+		}
+	}
+	return best
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -58,7 +58,8 @@
 // Check reads a file as the settings of the program that it is written for.
 func Check(file string) (program string, err error) {
 	var probe struct {
-		Upstream *struct{} `yaml:"upstream"`
+		Upstream  *struct{} `yaml:"upstream"`
+		Readiness string    `yaml:"readiness"`
 	}
 	body, err := read(file)
 	if err != nil {
@@ -68,6 +69,10 @@
 		_, err := LoadAgent(file)
 		return "waxwing-agent", err
 	}
+	if probe.Readiness != "" {
+		_, err := LoadFront(file)
+		return "waxwing-front", err
+	}
 	_, err = LoadEntry(file)
 	return "waxwing-entry", err
 }
