--- a/standin/engine.go
+++ b/standin/engine.go
@@ -142,6 +142,7 @@
 	seq      uint64
 	ready    chan struct{}
 	started  bool
+	ended    bool
 	cancel   context.CancelFunc
 	slowdown float64
 	cutAfter int
@@ -282,7 +283,7 @@
 		return
 	}
 	finished := false
-	defer func() { e.owner.do(func() { e.end(run, finished) }) }()
+	defer func() { e.owner.do(func() { e.close(run, finished) }) }()
 	finished = e.run(ctx, w, run)
 	if !finished {
 		panic(http.ErrAbortHandler)
@@ -353,16 +354,24 @@
 	e.sampleLoad()
 }
 
-func (e *Engine) end(run *engineRun, finished bool) {
+// close ends a run that has not ended, and counts those that were not finished.
+func (e *Engine) close(run *engineRun, finished bool) {
+	if !run.ended {
+		e.end(run)
+	}
+	if !finished {
+		e.ledger.Cancelled++
+	}
+}
+
+func (e *Engine) end(run *engineRun) {
+	run.ended = true
 	delete(e.runs, run)
 	if run.started {
 		e.running.Add(-1)
 	} else {
 		e.waiting = slices.DeleteFunc(e.waiting, func(other *engineRun) bool { return other == run })
 	}
-	if !finished {
-		e.ledger.Cancelled++
-	}
 	e.startRuns()
 }
 
@@ -394,6 +403,11 @@
 			return false
 		}
 	}
+	// The run ends before its answer does, so that whoever has read the answer
+	// finds the load without it.
+	if !e.owner.do(func() { e.end(run) }) {
+		return false
+	}
 	reason := "length"
 	usage := engine.Usage{
 		PromptTokens: tokens(len(run.req.Prompt)), CompletionTokens: run.req.MaxTokens - run.req.ResumeFrom,
