Wait for the run before the epoch change in the import test

Cause: the test takes an empty list of recent prompts as the sign that the cache duty applied the new epoch, but the list is empty too while the confirmation of the run before is still in the ring. The next lookup then finds blocks that the epoch change is about to drop.

Ruled out: the time limit of the import (prefill is taken as 100 B/s in the tests) and the store. With a delay of 10 ms between the duty's events and its lookups the test fails 20 times of 20 before and 0 of 20 after the change, which waits for the confirmed run first.

--- a/transfer/transfer_test.go
+++ b/transfer/transfer_test.go
@@ -135,6 +135,9 @@
 	imported, cached := second.run(t.Context(), handbook+prompt("belt 1", 2))
 	require.Equal(t, 6*4096, imported)
 	require.Equal(t, 6, cached)
+	// An empty list proves that the new epoch was applied only once the run is
+	// on it.
+	second.requireRecent(1)
 	second.engine.TurnCold()
 	second.transfer.Feed(engine.EventPage{CacheEpoch: 99})
 	second.requireRecent(0)
