Give each test process its own loopback address for fronts

The front now gets a loopback address that belongs to the process and a port below the kernel's range, given out once.

--- a/frontend/world_test.go
+++ b/frontend/world_test.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"io"
 	"log"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -115,12 +115,18 @@
 	})
 }
 
-func freePort(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { require.NoError(t, l.Close()) }()
-	return l.Addr().String()
+// portsFrom is the first port of the fronts. It lies below the range from which
+// the kernel takes ports of outgoing connections.
+const portsFrom = 20000
+
+var ports atomic.Int32
+
+// freeAddress returns an address that nothing else takes before the front
+// listens on it: the loopback address belongs to this process and each port is
+// given out once. Other test processes use other loopback addresses.
+func freeAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&63, pid>>8&255, pid&255, portsFrom+ports.Add(1))
 }
 
 // front starts a front and waits until it is ready.
@@ -133,7 +139,7 @@
 
 func (w *world) startFront(name string) *front {
 	w.t.Helper()
-	f := &front{callers: freePort(w.t), readiness: freePort(w.t), inner: freePort(w.t), ended: make(chan error, 1)}
+	f := &front{callers: freeAddress(), readiness: freeAddress(), inner: freeAddress(), ended: make(chan error, 1)}
 	seeds := ""
 	if len(w.seeds) > 0 {
 		seeds = `"` + strings.Join(w.seeds, `","`) + `"`
@@ -150,7 +156,7 @@
 bounds: {lease: 3000ms, weights: 10s, grace: 1s, cold_over: 1.5, cold_slack: 5, retry_share: 0.2, retry_slack: 50, retry_window: 10s}
 stop: {rotation: 100ms}
 log: {level: error}
-`, name, f.callers, f.readiness, f.inner, freePort(w.t), seeds, w.storeAt)
+`, name, f.callers, f.readiness, f.inner, freeAddress(), seeds, w.storeAt)
 	file := filepath.Join(w.t.TempDir(), "front.yaml")
 	require.NoError(w.t, os.WriteFile(file, []byte(body), 0o600))
 	ctx, cancel := context.WithCancel(context.Background())
