Keep serving while no other front is registered during a planned stop

Cause: with planned stops two seconds apart all fronts of a small deployment stop at the same time.

A front now goes on taking calls while its streams end and no other front is registered. A refused caller is told when a front is there again: at once while one is registered or has just begun to stop, otherwise when the first one that left can be back. Departures come from the table of members. The pauses of a stop end with the process's duties.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -104,7 +104,7 @@
 	Weights   map[core.ModelID]catalog.Namings
 	Rollouts  map[core.ServiceID]catalog.Rollout
 	Members   []Member
+	// Departures are when processes left that have not registered again, oldest
+	// first.
+	Departures []time.Time
 }
-
-// Fronts returns the number of processes that share limits, at least one.
-func (v *View) Fronts() int { return max(len(v.Members), 1) }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -224,9 +224,12 @@
 			} else {
 				s.invalid = append(s.invalid, err)
 			}
+		case key.table == Members && !e.since.IsZero():
+			v.Departures = append(v.Departures, e.since)
 		}
 	}
 	sort.Slice(v.Upstreams, func(i, j int) bool { return v.Upstreams[i].ID < v.Upstreams[j].ID })
+	sort.Slice(v.Departures, func(i, j int) bool { return v.Departures[i].Before(v.Departures[j]) })
 	sort.Slice(v.Members, func(i, j int) bool { return v.Members[i].Node < v.Members[j].Node })
 	return v
 }
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -49,7 +49,11 @@
 	memoryShare = 0.8
 	// stopReserve is kept of the grace time for the end of the process.
 	stopReserve = 400 * time.Millisecond
-	leaveWait   = 300 * time.Millisecond
+	// aloneReserve is kept of the grace time by a front that goes on taking calls
+	// while its streams end, since no other front is there.
+	aloneReserve  = 700 * time.Millisecond
+	aloneInterval = 100 * time.Millisecond
+	leaveWait     = 300 * time.Millisecond
 	// collectorSubject names the duty of collecting observations in the order of
 	// rendezvous hashing.
 	collectorSubject = "observations"
@@ -209,6 +213,12 @@
 	return placement.Owner(nodes, address) == p.settings.Node
 }
 
+// alone reports whether no other front is registered, so that callers have no
+// other place to go to.
+func (p *process) alone() bool {
+	return !slices.ContainsFunc(p.fleet.View().Members, func(m fleet.Member) bool { return m.Node != p.settings.Node })
+}
+
 // listen opens the listeners and serves them as duties.
 func (p *process) listen() error {
 	mux := drpcmux.New()
@@ -300,7 +310,12 @@
 	p.gateway.Stop(started, p.settings.Bounds.Grace)
 	// The balancer goes on sending connections for a while, and callers with idle
 	// connections get time to use and thereby close them.
-	time.Sleep(time.Until(started.Add(max(p.settings.Stop.Rotation, p.settings.Bounds.Grace/2))))
+	duty.Pause(p.group.Context(), time.Until(started.Add(max(p.settings.Stop.Rotation, p.settings.Bounds.Grace/2))))
+	for p.alone() && p.gateway.Streaming() && time.Since(started) < p.settings.Bounds.Grace-aloneReserve {
+		if !duty.Pause(p.group.Context(), aloneInterval) {
+			break
+		}
+	}
 	ctx, cancel = context.WithDeadline(context.Background(), started.Add(p.settings.Bounds.Grace-stopReserve))
 	defer cancel()
 	if err := p.callers.Shutdown(ctx); err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,8 @@
 	router   *router
 	metrics  *metrics
 	stopping atomic.Pointer[stop]
+	// streams counts the streams under way.
+	streams atomic.Int64
 }
 
 // New returns a gateway that has not started.
@@ -101,9 +103,16 @@
 	if g.opts.Fleet.View().Config != s.config && !s.admit() {
 		return
 	}
+	if s.route.Kind == core.Stream {
+		g.streams.Add(1)
+		defer g.streams.Add(-1)
+	}
 	s.serve()
 }
 
+// Streaming reports whether streams are under way.
+func (g *Gateway) Streaming() bool { return g.streams.Load() > 0 }
+
 // session is one call while it is served.
 type session struct {
 	gateway   *Gateway
@@ -138,8 +147,10 @@
 		s.refuse(http.StatusNotFound, "no_route", 0, nil)
 		return false
 	}
-	if !s.gateway.stopping.Load().mayBegin(s.route.Kind, time.Now()) {
-		s.refuse(http.StatusServiceUnavailable, "stopping", stopRetry, nil)
+	if stop := s.gateway.stopping.Load(); !stop.mayBegin(s.route.Kind, time.Now()) {
+		s.setDeadline()
+		wait := stop.retryAfter(time.Now(), s.route.Kind, s.gateway.opts.Placement.Node, s.gateway.opts.Fleet.View())
+		s.refuse(http.StatusServiceUnavailable, "stopping", min(wait, time.Duration(callerPatience*float64(s.left()))), nil)
 		return false
 	}
 	s.workspace = nil
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -4,18 +4,23 @@
 	"time"
 
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/fleet"
 )
 
-// Shares of the grace time of a planned stop.
 const (
-	// streamShare is the share after which no stream begins: it might not end
-	// within the grace time.
+	// streamShare is the share of a planned stop's grace time after which no
+	// stream begins: it might not end within the grace time.
 	streamShare = 0.3
 	// callShare is the share after which no other call begins.
 	callShare = 0.8
 	// stopRetry is what a caller is told whose call came too late; other fronts
 	// can serve it at once.
 	stopRetry = 20 * time.Millisecond
+	// restartTime is what a front needs from its end until it serves again.
+	restartTime = time.Second
+	// callerPatience is the share of its time for which a caller waits when it is
+	// told to come back.
+	callerPatience = 1.0 / 3
 )
 
 // stop is a planned stop under way.
@@ -26,12 +31,36 @@
 
 // mayBegin reports whether a call that comes now can end within the grace time.
 func (s *stop) mayBegin(kind core.CallKind, now time.Time) bool {
-	if s == nil {
-		return true
-	}
+	return s == nil || now.Before(s.begun.Add(s.open(kind)))
+}
+
+// open is how long calls of a kind begin at a front that stops.
+func (s *stop) open(kind core.CallKind) time.Duration {
 	share := callShare
 	if kind == core.Stream {
 		share = streamShare
 	}
-	return float64(now.Sub(s.begun)) < share*float64(s.grace)
+	return time.Duration(share * float64(s.grace))
+}
+
+// retryAfter is when a caller whose call came too late finds a front that
+// serves it: at once while others are registered or began their stop so lately
+// that they still take such calls, otherwise when the first of those that stop
+// is back.
+func (s *stop) retryAfter(now time.Time, kind core.CallKind, self core.NodeID, v *fleet.View) time.Duration {
+	for _, m := range v.Members {
+		if m.Node != self {
+			return stopRetry
+		}
+	}
+	first := s.begun.Add(s.grace + restartTime)
+	for _, left := range v.Departures {
+		if now.Before(left.Add(s.open(kind))) {
+			return stopRetry
+		}
+		if back := left.Add(s.grace + restartTime); back.After(now) && back.Before(first) {
+			first = back
+		}
+	}
+	return max(first.Sub(now), stopRetry)
 }
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/fleet"
 )
 
 // Guards against a stream that begins late in a planned stop and is cut at the
@@ -29,3 +30,31 @@
 	}
 	require.True(t, (*stop)(nil).mayBegin(core.Stream, begun), "no stop is under way")
 }
+
+// Guards against callers that are sent from one stopping front to the next
+// until their attempts are used up.
+func TestStoppingFrontSaysWhenAnotherServes(t *testing.T) {
+	begun := time.Unix(100, 0)
+	s := &stop{begun: begun, grace: 8 * time.Second}
+	now := begun.Add(3 * time.Second)
+	members := func(nodes ...core.NodeID) (out []fleet.Member) {
+		for _, node := range nodes {
+			out = append(out, fleet.Member{Node: node})
+		}
+		return out
+	}
+	cases := map[string]struct {
+		view fleet.View
+		want time.Duration
+	}{
+		"another is registered":      {fleet.View{Members: members("self", "other")}, stopRetry},
+		"own stop only":              {fleet.View{Members: members("self")}, 5*time.Second + restartTime},
+		"another began before":       {fleet.View{Departures: []time.Time{begun.Add(-2 * time.Second), begun}}, 3*time.Second + restartTime},
+		"another began just now":     {fleet.View{Departures: []time.Time{begun, now.Add(-time.Second)}}, stopRetry},
+		"one has gone long ago":      {fleet.View{Departures: []time.Time{begun.Add(-time.Hour), begun}}, 5*time.Second + restartTime},
+		"store has not told of stop": {fleet.View{}, 5*time.Second + restartTime},
+	}
+	for name, c := range cases {
+		require.Equal(t, c.want, s.retryAfter(now, core.Stream, "self", &c.view), name)
+	}
+}
