Charge an upstream for kept parts that it would read again

The estimate took a fetch for too slow at an upstream with transfers under way and then counted only the time of reading there, so busy upstreams looked cheap. The tokens that would be read again are now part of an upstream's cost, and reading a kept part again weighs 0.2 ms a token in place of 0.06, since it costs other calls their time.

What is still read again: requests for one history within its first second, parts whose event was lost, and parts of new weights while the stores are full of old ones.

--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -37,7 +37,7 @@
 	meanTokens = 2000
 	// rereadCost is added for each token of a shared part that is read although
 	// it could be had from elsewhere: it takes the engine's time from other calls.
-	rereadCost = 0.06
+	rereadCost = 0.2
 	// crossCost and crossByteCost, for each byte, are added for upstreams in
 	// other failure domains: traffic between these is scarce.
 	crossCost     = 4.0
@@ -59,6 +59,9 @@
 	ahead   float64
 	fetched int
 	read    int
+	// again is the number of tokens that are read although a store or a server
+	// holds them.
+	again int
 }
 
 func (t *Table) plan(now time.Time, service *catalog.Service, u *upstream, need Need) plan {
@@ -78,19 +81,20 @@
 	for i, part := range need.Prompt.Shared() {
 		key := keptindex.Key{Salt: p.salt, ID: part.ID}
 		source, f, ms, found := t.source(now, service.Engine, u, key, part.Tokens, seenBefore)
-		if found {
-			found = ms+u.fetching < float64(part.Tokens)*(1/t.opts.PrefillTokensPerMs+rereadCost)
-		}
-		if found {
+		quick := found && ms+u.fetching < float64(part.Tokens)*(1/t.opts.PrefillTokensPerMs+rereadCost)
+		if quick {
 			p.fetch[i] = source.Address
 		}
 		switch {
 		case u.resident.Contains(key):
-		case found:
+		case quick:
 			p.fetchMs += ms
 			p.transfers = append(p.transfers, f)
 			p.fetched += part.Tokens
 		default:
+			if found {
+				p.again = part.Tokens
+			}
 			return p.behind(u) // later parts are of no use without this one
 		}
 		p.read = max(p.read-part.Tokens, 0)
@@ -134,6 +138,7 @@
 		return ms + plainCost*(1+load/slots)
 	}
 	ms += float64(u.backlog+p.read)/t.opts.PrefillTokensPerMs + p.fetchMs + p.ahead + runCost*load
+	ms += rereadCost * float64(p.again)
 	memory := float64(u.tokens+need.Prompt.Tokens+need.Prompt.MaxOutput) + u.othersLoad(now)*meanTokens
 	if memory > float64(service.Engine.CacheTokens) {
 		ms += fullCost
