Bound the wait for a small kept part

The higher weight now holds for small parts only and adds at most 150 ms; larger parts count 0.06 ms a token again.

--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -37,7 +37,11 @@
 	meanTokens = 2000
 	// rereadCost is added for each token of a shared part that is read although
 	// it could be had from elsewhere: it takes the engine's time from other calls.
-	rereadCost = 0.2
+	// Small parts count smallRereadCost a token up to smallRereadMost, since most
+	// of the time of their transfer is a fixed delay.
+	rereadCost      = 0.06
+	smallRereadCost = 0.2
+	smallRereadMost = 150.0
 	// crossCost and crossByteCost, for each byte, are added for upstreams in
 	// other failure domains: traffic between these is scarce.
 	crossCost     = 4.0
@@ -81,7 +85,7 @@
 	for i, part := range need.Prompt.Shared() {
 		key := keptindex.Key{Salt: p.salt, ID: part.ID}
 		source, f, ms, found := t.source(now, service.Engine, u, key, part.Tokens, seenBefore)
-		quick := found && ms+u.fetching < float64(part.Tokens)*(1/t.opts.PrefillTokensPerMs+rereadCost)
+		quick := found && ms+u.fetching < float64(part.Tokens)/t.opts.PrefillTokensPerMs+rereading(part.Tokens)
 		if quick {
 			p.fetch[i] = source.Address
 		}
@@ -102,6 +106,13 @@
 	return p.behind(u)
 }
 
+// rereading is what it costs to read tokens again that could be had from
+// elsewhere, in milliseconds.
+func rereading(tokens int) float64 {
+	n := float64(tokens)
+	return max(rereadCost*n, min(smallRereadCost*n, smallRereadMost))
+}
+
 // behind adds the wait for transfers to the upstream that come first.
 func (p plan) behind(u *upstream) plan {
 	if len(p.transfers) > 0 {
@@ -138,7 +149,7 @@
 		return ms + plainCost*(1+load/slots)
 	}
 	ms += float64(u.backlog+p.read)/t.opts.PrefillTokensPerMs + p.fetchMs + p.ahead + runCost*load
-	ms += rereadCost * float64(p.again)
+	ms += rereading(p.again)
 	memory := float64(u.tokens+need.Prompt.Tokens+need.Prompt.MaxOutput) + u.othersLoad(now)*meanTokens
 	if memory > float64(service.Engine.CacheTokens) {
 		ms += fullCost
--- a/placement/table.go
+++ b/placement/table.go
@@ -235,9 +235,7 @@
 		u.noteResult(now, false)
 	case Failed, Broken:
 		u.noteResult(now, true)
-	case Rejected:
-		u.refuseUntil = now.Add(refusingFor)
-	case Misdirected:
+	case Rejected, Misdirected:
 		u.refuseUntil = now.Add(refusingFor)
 	case Unreachable:
 		wait := min(unreachableFor<<min(u.unreachable, 4), unreachableMost)
