Rank candidates for a subject in one package

Rendezvous hashing stood in five places with three hash functions (placement, keptindex, kvcache, record, gossip). Package rendezvous now has the score, the weighted score, the ranking, the owner and the place of a candidate, over xxhash.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -3,7 +3,6 @@
 package frontend
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -28,6 +27,7 @@
 	"waxwingtide.example/waxwingtide/keptfeed"
 	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/rendezvous"
 	"waxwingtide.example/waxwingtide/settings"
 	"waxwingtide.example/waxwingtide/sharing"
 	"waxwingtide.example/waxwingtide/telemetry"
@@ -186,10 +186,7 @@
 // collectors returns the addresses of the fronts in the order in which they
 // collect observations.
 func (p *process) collectors() []string {
-	members := slices.Clone(p.fleet.View().Members)
-	slices.SortFunc(members, func(a, b fleet.Member) int {
-		return cmp.Compare(placement.Score(string(b.Node), collectorSubject), placement.Score(string(a.Node), collectorSubject))
-	})
+	members := rendezvous.Rank(p.fleet.View().Members, collectorSubject, func(m fleet.Member) string { return string(m.Node) })
 	out := make([]string, len(members))
 	for i, m := range members {
 		out[i] = m.Address
@@ -210,7 +207,7 @@
 	for i, m := range members {
 		nodes[i] = m.Node
 	}
-	return placement.Owner(nodes, address) == p.settings.Node
+	return rendezvous.Owner(nodes, address) == p.settings.Node
 }
 
 // alone reports whether no other front is registered, so that callers have no
--- a/gossip/readers.go
+++ b/gossip/readers.go
@@ -1,12 +1,8 @@
 package gossip
 
 import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/rendezvous"
 )
 
 // ReadersPerDomain is how many processes of a failure domain read the table.
@@ -23,7 +19,5 @@
 			nodes = append(nodes, p.Node)
 		}
 	}
-	weight := func(n core.NodeID) uint64 { return xxhash.Sum64String(string(domain) + "/" + string(n)) }
-	slices.SortFunc(nodes, func(a, b core.NodeID) int { return cmp.Compare(weight(b), weight(a)) })
-	return slices.Contains(nodes[:min(ReadersPerDomain, len(nodes))], self)
+	return rendezvous.Place(nodes, self, string(domain)) < ReadersPerDomain
 }
--- a/keptindex/keptindex.go
+++ b/keptindex/keptindex.go
@@ -5,13 +5,13 @@
 package keptindex
 
 import (
-	"hash/fnv"
 	"math"
 	"sort"
 	"time"
 
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/rendezvous"
 )
 
 const (
@@ -219,7 +219,7 @@
 		if !s.trusted(now) || float64(s.used+blocks(tokens)) > fillShare*float64(s.spec.CapacityTokens) {
 			continue
 		}
-		if score := weightedScore(address, key, float64(s.spec.CapacityTokens)); score > bestScore {
+		if score := rendezvous.Weighted(address, key.Salt+"|"+string(key.ID), float64(s.spec.CapacityTokens)); score > bestScore {
 			best, bestScore = s, score
 		}
 	}
@@ -230,23 +230,6 @@
 	return best.spec.Address, true
 }
 
-// weightedScore is the score of weighted rendezvous hashing.
-func weightedScore(address string, key Key, weight float64) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(address + "|" + key.Salt + "|" + string(key.ID)))
-	u := (float64(mix(h.Sum64())>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(u)
-}
-
-// mix spreads the bits of a hash whose inputs are alike.
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
-
 // Sweep forgets orders to save that have not shown up in time.
 func (x *Index) Sweep(now time.Time) {
 	for _, s := range x.stores {
--- a/kvcache/link.go
+++ b/kvcache/link.go
@@ -1,13 +1,10 @@
 package kvcache
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/rendezvous"
 )
 
 const (
@@ -164,23 +161,5 @@
 // first block, so that all prefixes of a prompt share a store and the loss of a
 // store moves only its own prompts.
 func RankStores(salt string, first core.BlockKey, stores []string) []string {
-	type scored struct {
-		store string
-		score uint64
-	}
-	scores := make([]scored, len(stores))
-	for i, store := range stores {
-		hash := xxhash.New()
-		_, _ = hash.WriteString(store + "\x00" + salt + "\x00")
-		_, _ = hash.Write(first[:])
-		scores[i] = scored{store, hash.Sum64()}
-	}
-	slices.SortFunc(scores, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.store, b.store))
-	})
-	ranked := make([]string, len(scores))
-	for i, s := range scores {
-		ranked[i] = s.store
-	}
-	return ranked
+	return rendezvous.Rank(stores, salt+"\x00"+string(first[:]), func(store string) string { return store })
 }
--- a/placement/caches.go
+++ b/placement/caches.go
@@ -1,14 +1,13 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/keptfeed"
 	"waxwingtide.example/waxwingtide/keptindex"
+	"waxwingtide.example/waxwingtide/rendezvous"
 	"waxwingtide.example/waxwingtide/sharing"
 )
 
@@ -62,15 +61,9 @@
 // relays returns the addresses of the processes that follow a source, in an
 // order that spreads those that ask them.
 func (t *Table) relays(address string, n int) []string {
-	nodes := slices.Clone(t.fronts)
-	slices.SortFunc(nodes, func(a, b core.NodeID) int {
-		return cmp.Compare(Score(string(b), address), Score(string(a), address))
-	})
-	nodes = nodes[:min(max(n, 1), len(nodes))]
-	own := address + string(t.opts.Node)
-	slices.SortFunc(nodes, func(a, b core.NodeID) int {
-		return cmp.Compare(Score(string(b), own), Score(string(a), own))
-	})
+	name := func(node core.NodeID) string { return string(node) }
+	nodes := rendezvous.Rank(t.fronts, address, name)
+	nodes = rendezvous.Rank(nodes[:min(max(n, 1), len(nodes))], address+string(t.opts.Node), name)
 	out := make([]string, len(nodes))
 	for i, node := range nodes {
 		out[i] = t.members[node]
@@ -82,20 +75,7 @@
 	if readers <= 0 || len(t.fronts) <= readers-spareReaders {
 		return true
 	}
-	return t.succession(address) < readers-spareReaders
-}
-
-// succession is the place of this process in the order of rendezvous hashing for a
-// subject.
-func (t *Table) succession(subject string) int {
-	own := Score(string(t.opts.Node), subject)
-	ahead := 0
-	for _, node := range t.fronts {
-		if node != t.opts.Node && Score(string(node), subject) > own {
-			ahead++
-		}
-	}
-	return ahead
+	return rendezvous.Place(t.fronts, t.opts.Node, address) < readers-spareReaders
 }
 
 // TakeCache takes a change of a server's cache. It reports false when the
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -1,13 +1,12 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/keptindex"
+	"waxwingtide.example/waxwingtide/rendezvous"
 )
 
 // Costs of the estimate, in milliseconds.
@@ -170,12 +169,11 @@
 	}
 	subject := string(shared[len(shared)-1].ID)
 	upstreams := t.byService[need.Service]
-	scores := make([]uint64, len(upstreams))
 	order := make([]int, len(upstreams))
-	for i, u := range upstreams {
-		scores[i], order[i] = Score(string(u.listed.ID), subject), i
+	for i := range upstreams {
+		order[i] = i
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	order = rendezvous.Rank(order, subject, func(i int) string { return string(upstreams[i].listed.ID) })
 	costs := make([]float64, len(upstreams))
 	for place, i := range order {
 		costs[i] = min(float64(place)*affinityCost, affinityMost)
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -1,11 +1,11 @@
 package placement
 
 import (
-	"hash/fnv"
 	"time"
 
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/rendezvous"
 	"waxwingtide.example/waxwingtide/retry"
 )
 
@@ -80,23 +80,12 @@
 	n := max(len(t.fronts), 1)
 	each := int(total) / n
 	rest := int(total) % n
-	if t.succession(subject) < rest {
+	if rendezvous.Place(t.fronts, t.opts.Node, subject) < rest {
 		each++
 	}
 	return each
 }
 
-// Score is the rank of a node for a subject in rendezvous hashing; the highest
-// comes first.
-func Score(a, b string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(a + "\x00" + b))
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
-}
-
 func (t *Table) budget(service core.ServiceID) *retry.Budget {
 	b := t.budgets[service]
 	if b == nil {
@@ -151,16 +140,3 @@
 	f, known := t.floors[model]
 	return known && version < f.version && now.Sub(f.since) >= obsoleteAfter
 }
-
-// Owner returns the node that comes first for a subject in the order of
-// rendezvous hashing, or nothing without nodes.
-func Owner(nodes []core.NodeID, subject string) core.NodeID {
-	var best core.NodeID
-	var bestScore uint64
-	for _, node := range nodes {
-		if s := Score(string(node), subject); best == "" || s > bestScore {
-			best, bestScore = node, s
-		}
-	}
-	return best
-}
--- a/record/plan.go
+++ b/record/plan.go
@@ -1,14 +1,10 @@
 package record
 
 import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
 	"waxwingtide.example/waxwingtide/bundle"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/facts"
+	"waxwingtide.example/waxwingtide/rendezvous"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -24,23 +20,14 @@
 	if !c.AtMostOnce() {
 		subject = string(c.Attempt)
 	}
-	type ranked struct {
-		upstream *bundle.Upstream
-		score    uint64
-	}
-	var open []ranked
+	var open []*bundle.Upstream
 	for _, u := range v.Index.Instances[c.Service] {
 		if v.UpstreamOpen(u) {
-			open = append(open, ranked{u, xxhash.Sum64String(string(u.ID) + "\x00" + subject)})
+			open = append(open, u)
 		}
 	}
-	slices.SortFunc(open, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
-	open = open[:min(len(open), maxAttempts)]
-	upstreams := make([]*bundle.Upstream, len(open))
-	for i, r := range open {
-		upstreams[i] = r.upstream
-	}
-	return upstreams
+	open = rendezvous.Rank(open, subject, func(u *bundle.Upstream) string { return string(u.ID) })
+	return open[:min(len(open), maxAttempts)]
 }
 
 // tryNext reports whether the call may be sent to another upstream after a
--- /dev/null
+++ b/rendezvous/rendezvous.go
@@ -0,0 +1,68 @@
+// Package rendezvous ranks candidates for a subject by rendezvous hashing, so
+// that processes that know the same candidates agree without a message, and few
+// subjects move when a candidate comes or leaves.
+package rendezvous
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score is the rank of a candidate for a subject; the highest comes first.
+func Score(candidate, subject string) uint64 {
+	return xxhash.Sum64String(candidate + "\x00" + subject)
+}
+
+// Weighted is a score by which a candidate comes first for a part of the
+// subjects that is proportional to its weight.
+func Weighted(candidate, subject string, weight float64) float64 {
+	u := (float64(Score(candidate, subject)>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(u)
+}
+
+// Owner returns the candidate that comes first for a subject, or nothing without
+// candidates.
+func Owner[T ~string](candidates []T, subject string) T {
+	var best T
+	var bestScore uint64
+	for _, c := range candidates {
+		if s := Score(string(c), subject); best == "" || s > bestScore {
+			best, bestScore = c, s
+		}
+	}
+	return best
+}
+
+// Place is the number of candidates that come before one of them for a subject.
+func Place[T ~string](candidates []T, own T, subject string) int {
+	score := Score(string(own), subject)
+	ahead := 0
+	for _, c := range candidates {
+		if c != own && Score(string(c), subject) > score {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+// Rank returns the candidates in their order for a subject; name returns what a
+// candidate is called.
+func Rank[T any](candidates []T, subject string, name func(T) string) []T {
+	type scored struct {
+		candidate T
+		score     uint64
+	}
+	scores := make([]scored, len(candidates))
+	for i, c := range candidates {
+		scores[i] = scored{c, Score(name(c), subject)}
+	}
+	slices.SortStableFunc(scores, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	ranked := make([]T, len(scores))
+	for i, s := range scores {
+		ranked[i] = s.candidate
+	}
+	return ranked
+}
