Look at another process's lease when it can be free

It now looks when the row it read last says that the lease can be free, which also saves reads while the holder renews.

--- a/lease/timed.go
+++ b/lease/timed.go
@@ -73,6 +73,10 @@
 	return next, t.version, true
 }
 
+// FreeIn is how long after the row was asked for nobody may take the lease if
+// its holder does not renew it any more.
+func (t *Timed) FreeIn() time.Duration { return max(t.row.Until+t.cfg.Quiet-t.storeNow, 0) }
+
 // Wrote notes that the proposal took effect.
 func (t *Timed) Wrote(row TimedRow) {
 	t.row = row
--- a/weights/loader.go
+++ b/weights/loader.go
@@ -26,9 +26,8 @@
 
 	// workInterval is the time between two looks at the work while there is any.
 	workInterval = 120 * time.Millisecond
-	// contendInterval is the time between two looks at a lease that another
-	// process holds; each process waits one more turn than the one before it in
-	// the order of succession.
+	// contendInterval is how much later than the one before it in the order of
+	// succession a process looks at the lease first.
 	contendInterval = time.Second
 	// loadTime is how long a server needs for a load at least. pollInterval is the
 	// time between two looks at it after that.
@@ -207,7 +206,7 @@
 	l.lease.Read(askedAt, row, version, page.Now)
 	next, replaces, free := l.lease.Proposal()
 	if !free {
-		l.contendAt = time.Now().Add(contendInterval)
+		l.contendAt = time.Now().Add(max(l.lease.FreeIn(), workInterval))
 		return
 	}
 	value, err := proto.Marshal(&wire.LeaseRow{
