Drive rollouts to a new software version

Orders for rollouts were decoded and nothing followed: a new version got its full share of the calls as soon as its servers were listed, and the operator was told nothing.

Package canary now decides and the router applies it: 0.04 of a service's calls go to a few upstreams with the new version, given by as few fronts as can so that each judges many calls; package rollout's judge compares them with the old version route by route; after 0.85 of the order's time all calls follow, at 0.96 the operator is told that the move is complete. A version that is found worse gets no more calls from the finding front at once, from the others by the status row or through peers. Status rows are written under the condition of the row that they replace. The status table is followed only while a rollout is ordered, and its loss no longer counts as loss of the store.

Tests: shares for 1 to 100 fronts, completion in time and by another process, failures, slowness and a single bad route found, failures of both versions held against none, a new order judged anew, and a whole front with a good and a bad version.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -214,3 +214,29 @@
 	// Within is the time in which the move has to be complete.
 	Within time.Duration
 }
+
+// RolloutState is how far a rollout has come, as the operator is told.
+type RolloutState uint8
+
+// States of a rollout.
+const (
+	// Untold means that the operator has been told nothing yet.
+	Untold RolloutState = iota
+	Running
+	// Completed means that all calls go to the new version.
+	Completed
+	// RolledBack means that the new version gets no more calls.
+	RolledBack
+)
+
+// String returns the name of the state as used in logs.
+func (s RolloutState) String() string {
+	return [...]string{"untold", "running", "completed", "rolled_back"}[s]
+}
+
+// RolloutStatus is what the operator is told of a rollout.
+type RolloutStatus struct {
+	Service core.ServiceID
+	To      string
+	State   RolloutState
+}
--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -54,8 +54,10 @@
 	// subscribers are told of each change of the view.
 	subscribers []*ring.Ring[struct{}]
 	away        *ring.Ring[bool]
-	random      *rand.Rand
-	seeds       atomic.Pointer[[]string]
+	// ordered holds an element after the view has changed.
+	ordered *ring.Ring[struct{}]
+	random  *rand.Rand
+	seeds   atomic.Pointer[[]string]
 }
 
 // update tells the state duty of rows, or of the store's absence.
@@ -86,6 +88,7 @@
 		away:   ring.New[bool](1),
 		random: rand.New(rand.NewPCG(opts.Seed, 1)),
 	}
+	f.ordered = f.Subscribe()
 	f.SetSeeds(opts.Seeds)
 	return f
 }
@@ -113,21 +116,38 @@
 func (f *Fleet) Start(g *duty.Group) {
 	g.Go("fleet state", f.runState)
 	for _, table := range []Table{f.opts.Tables.Operator, f.opts.Tables.Upstreams, Members} {
-		g.Go("feed "+string(table), func(ctx context.Context) error { return f.follow(ctx, table) })
+		g.Go("feed "+string(table), func(ctx context.Context) error { return f.follow(ctx, table, always) })
 	}
+	g.Go("feed "+string(f.opts.Tables.Status), f.followStatus)
 	g.Go("peers", f.runPeers)
 	g.Go("registration", f.register)
 }
 
-// follow reads a table and then waits for its changes.
-func (f *Fleet) follow(ctx context.Context, table Table) error {
+func always() bool { return true }
+
+// followStatus follows the table of statuses while a rollout is ordered.
+func (f *Fleet) followStatus(ctx context.Context) error {
+	for {
+		for len(f.View().Moves) == 0 {
+			if _, err := f.ordered.Receive(ctx); err != nil {
+				return nil
+			}
+		}
+		if err := f.follow(ctx, f.opts.Tables.Status, func() bool { return len(f.View().Moves) > 0 }); err != nil || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// follow reads a table and then waits for its changes, as long as it is needed.
+func (f *Fleet) follow(ctx context.Context, table Table, needed func() bool) error {
 	var version uint64
 	whole, failing := true, false
 	wait, interval := feedWait, readInterval
 	if table == Members {
 		wait, interval = memberWait, memberInterval
 	}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && needed() {
 		var page Page
 		var err error
 		if whole {
@@ -220,7 +240,7 @@
 		if u.table == f.opts.Tables.Upstreams {
 			s.storeAway(now)
 		}
-		if u.table != Members {
+		if u.table == f.opts.Tables.Operator || u.table == f.opts.Tables.Upstreams {
 			f.away.Push(true)
 		}
 		return
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -78,9 +78,24 @@
 	Weights   *NamedWeights
 	// Rollout has no version when its row was removed.
 	Rollout *catalog.Rollout
+	// Status is what the operator was told of a rollout.
+	Status *catalog.RolloutStatus
 }
 
-// Decoder decodes rows of the operator's and the upstreams' tables. The error
+// Move is a rollout that the operator ordered.
+type Move struct {
+	catalog.Rollout
+	// Ordered is the revision of the order's row, Since when it was first seen;
+	// zero when the order is older than this process.
+	Ordered uint64
+	Since   time.Time
+	// Status is what the operator was told last, Revision that of its row; 0 when
+	// there is none.
+	Status   catalog.RolloutStatus
+	Revision uint64
+}
+
+// Decoder decodes rows of the operator's, the upstreams' and the status tables. The error
 // has the kind errs.Invalid for rows of unknown writers.
 type Decoder interface {
 	Decode(row Row) (Change, error)
@@ -102,7 +117,7 @@
 	Upstreams []catalog.Listed
 	Evacuated map[core.FailureDomain]bool
 	Weights   map[core.ModelID]catalog.Namings
-	Rollouts  map[core.ServiceID]catalog.Rollout
+	Moves     map[core.ServiceID]Move
 	Members   []Member
 	// Departures are when processes left that have not registered again, oldest
 	// first.
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -94,7 +94,7 @@
 	if s.known[row.Table] == 0 {
 		next.since = time.Time{} // older than this process
 	}
-	if row.Table == s.tables.Operator || row.Table == s.tables.Upstreams {
+	if row.Table == s.tables.Operator || row.Table == s.tables.Upstreams || row.Table == s.tables.Status {
 		if !row.Removed {
 			change, err := s.decoder.Decode(row)
 			if err != nil {
@@ -204,7 +204,7 @@
 	v := &View{
 		Evacuated: make(map[core.FailureDomain]bool),
 		Weights:   make(map[core.ModelID]catalog.Namings),
-		Rollouts:  make(map[core.ServiceID]catalog.Rollout),
+		Moves:     s.moves(),
 	}
 	for key, e := range s.rows {
 		switch {
@@ -216,8 +216,6 @@
 			v.Evacuated[e.change.Evacuated] = true
 		case e.change.Weights != nil:
 			v.Weights[e.change.Weights.Model] = e.namings
-		case e.change.Rollout != nil && e.change.Rollout.To != "":
-			v.Rollouts[e.change.Rollout.Service] = *e.change.Rollout
 		case key.table == Members && !e.row.Removed:
 			if m, err := decodeMember(e.row.Value); err == nil {
 				v.Members = append(v.Members, m)
@@ -234,6 +232,27 @@
 	return v
 }
 
+// moves joins the orders for rollouts with what the operator was told of them.
+func (s *state) moves() map[core.ServiceID]Move {
+	moves := make(map[core.ServiceID]Move)
+	for _, e := range s.rows {
+		if r := e.change.Rollout; r != nil && r.To != "" {
+			moves[r.Service] = Move{Rollout: *r, Ordered: e.row.Version, Since: e.since}
+		}
+	}
+	for _, e := range s.rows {
+		status := e.change.Status
+		if status == nil || e.row.Removed {
+			continue
+		}
+		if m, ok := moves[status.Service]; ok {
+			m.Status, m.Revision = *status, e.row.Version
+			moves[status.Service] = m
+		}
+	}
+	return moves
+}
+
 func decodeMember(value []byte) (Member, error) {
 	var m wire.MemberRow
 	if err := proto.Unmarshal(value, &m); err != nil || m.Node == "" {
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -18,6 +18,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
+	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
@@ -144,8 +145,9 @@
 	})
 	g, err := gateway.New(gateway.Options{
 		Fleet: p.fleet, Kept: keptfeed.New(engines, p.frees, p.relay, relayAsker{p.dialer}, p.log), Codec: platform.Codec{},
-		Sharing:   p.sharing,
-		Client:    upstreamhttp.NewClient(platform.Dialer(connectTimeout)),
+		Sharing:     p.sharing,
+		Client:      upstreamhttp.NewClient(platform.Dialer(connectTimeout)),
+		CanaryShare: s.Rollout.CanaryShare, Teller: canary.NewTeller(store, platform.Decoder{}, p.log),
 		Placement: placementOptions(s), Log: p.log, Meter: p.metrics.Meter("gateway"), Random: rand.Float64,
 	})
 	if err != nil {
--- a/frontend/world_test.go
+++ b/frontend/world_test.go
@@ -155,6 +155,7 @@
 store: %q
 bounds: {lease: 3000ms, weights: 10s, grace: 1s, cold_over: 1.5, cold_slack: 5, retry_share: 0.2, retry_slack: 50, retry_window: 10s}
 stop: {rotation: 100ms}
+rollout: {canary_share: 0.3}
 log: {level: error}
 `, name, f.callers, f.readiness, f.inner, freeAddress(), seeds, w.storeAt)
 	file := filepath.Join(w.t.TempDir(), "front.yaml")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/metric"
 
+	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
@@ -41,8 +42,12 @@
 	Codec     Codec
 	Client    *upstreamhttp.Client
 	Placement placement.Options
-	Log       logrus.FieldLogger
-	Meter     metric.Meter
+	// CanaryShare is the part of a service's calls that a new software version
+	// gets at first.
+	CanaryShare float64
+	Teller      *canary.Teller
+	Log         logrus.FieldLogger
+	Meter       metric.Meter
 	// Random returns a number from 0 to 1 for the split between targets.
 	Random func() float64
 }
@@ -69,6 +74,7 @@
 // Start runs the duties in a group.
 func (g *Gateway) Start(group *duty.Group) {
 	group.Go("router", g.router.run)
+	group.Go("rollout status", g.opts.Teller.Run)
 	group.Go("kept-cache feed", g.opts.Kept.Run)
 }
 
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/clock"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
@@ -58,6 +59,9 @@
 	sharing *sharing.Sharing
 	index   *keptindex.Index
 	table   *placement.Table
+	moves   *canary.Table
+	teller  *canary.Teller
+	random  func() float64
 	links   map[core.UpstreamID]*link
 	asks    *ring.Ring[ask]
 	reports *ring.Ring[placement.Report]
@@ -71,6 +75,7 @@
 	return &router{
 		fleet: opts.Fleet, changed: opts.Fleet.Subscribe(), kept: opts.Kept, sharing: opts.Sharing, index: index, table: placement.New(opts.Placement, index),
 		links: make(map[core.UpstreamID]*link), asks: ring.New[ask](askRing),
+		moves: canary.New(opts.Placement.Node, opts.CanaryShare), teller: opts.Teller, random: opts.Random,
 		reports: ring.New[placement.Report](reportRing), options: ring.New[placement.Options](1), log: opts.Log,
 	}
 }
@@ -102,6 +107,7 @@
 func (r *router) sweep(now time.Time) {
 	r.index.Sweep(now)
 	r.table.Sweep(now)
+	r.tell(now)
 	for _, store := range r.table.Stores() {
 		obsolete := func(salt string) bool { return r.table.Obsolete(now, salt) }
 		epoch, keys := r.index.Obsolete(now, store.Address, obsolete)
@@ -133,11 +139,12 @@
 		}
 	}
 	for report, ok := r.reports.TryReceive(); ok; report, ok = r.reports.TryReceive() {
+		r.judge(now, report)
 		r.table.Learn(now, report)
 		r.share(now, report)
 	}
 	for a, ok := r.asks.TryReceive(); ok; a, ok = r.asks.TryReceive() {
-		choice, refusal := r.table.Choose(now, a.need)
+		choice, refusal := r.choose(now, a.need)
 		answer := placed{choice: choice, refusal: refusal}
 		if refusal == placement.Placed {
 			answer.idle = r.links[choice.Upstream.ID].idle
@@ -146,6 +153,42 @@
 	}
 }
 
+// choose places a call within the limits of a rollout.
+func (r *router) choose(now time.Time, need placement.Need) (placement.Choice, placement.Refusal) {
+	need.Limit = r.moves.Choose(now, need.Service, r.random())
+	choice, refusal := r.table.Choose(now, need)
+	if refusal == placement.NoUpstream || refusal == placement.Limited {
+		if other, ok := r.moves.Otherwise(need.Service, need.Limit); ok {
+			need.Limit = other
+			return r.table.Choose(now, need)
+		}
+	}
+	return choice, refusal
+}
+
+// judge has a rollout learn of an ended attempt.
+func (r *router) judge(now time.Time, report placement.Report) {
+	sample, ok := r.table.Sample(report)
+	if !ok {
+		return
+	}
+	if found, bad := r.moves.Learn(now, sample); bad {
+		r.log.WithFields(logrus.Fields{
+			"event": "version_withdrawn", "service": found.Service, "software": found.To, "signal": found.Finding.Signal,
+			"route": found.Finding.Route, "samples": found.Finding.Samples, "evidence": found.Finding.Evidence,
+			"threshold": found.Finding.Threshold,
+		}).Warn("new version is worse and gets no more calls")
+		r.tell(now)
+	}
+}
+
+// tell has the operator told how rollouts stand.
+func (r *router) tell(now time.Time) {
+	for _, due := range r.moves.Due(now) {
+		r.teller.Tell(due)
+	}
+}
+
 // share tells other processes what a report says of an upstream.
 func (r *router) share(now time.Time, report placement.Report) {
 	unreachable := report.Ended && report.Result == placement.Unreachable
@@ -168,6 +211,7 @@
 		world.Members[m.Node] = m.Address
 	}
 	r.table.SetWorld(now, world)
+	r.moves.SetWorld(now, canary.World{Moves: v.Moves, Upstreams: v.Upstreams, Fronts: world.Fronts})
 	r.kept.SetSources(r.table.Sources())
 	links := make(map[core.UpstreamID]*link, len(v.Upstreams))
 	for _, u := range v.Upstreams {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -171,7 +171,7 @@
 // attempt sends the call to an upstream and relays what it answers.
 func (s *session) attempt(ctx context.Context, p placed) outcome {
 	sentAt := time.Now()
-	report := placement.Report{Ticket: p.choice.Ticket, Upstream: p.choice.Upstream.ID, Model: s.call.Prompt.Model}
+	report := placement.Report{Ticket: p.choice.Ticket, Upstream: p.choice.Upstream.ID, Model: s.call.Prompt.Model, Route: s.route.Name}
 	s.tried = append(s.tried, p.choice.Upstream.ID)
 	x, err := s.send(ctx, p)
 	if err != nil {
@@ -194,7 +194,7 @@
 	if a.result == placement.Broken && ctx.Err() != nil {
 		a.result = placement.Abandoned
 	}
-	report.Ended, report.Result = true, a.result
+	report.Ended, report.Result, report.First = true, a.result, first
 	s.gateway.router.report(report)
 	s.logAttempt(p, attemptTimes{sentAt: sentAt, first: first}, x.Reused, answer.Status, a)
 	return a
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -1,8 +1,10 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
+	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/rendezvous"
@@ -23,6 +25,9 @@
 	if u.listed.Draining || t.evacuated[u.listed.Domain] || now.Before(u.avoidUntil) {
 		return false
 	}
+	if !allowed(need.Limit, u) {
+		return false
+	}
 	for _, id := range need.Tried {
 		if id == u.listed.ID {
 			return false
@@ -31,6 +36,14 @@
 	return !t.weightsOverdue(now, u, need.Prompt.Model)
 }
 
+// allowed reports whether an upstream is within a rollout's limit.
+func allowed(l canary.Limit, u *upstream) bool {
+	if l.Software != "" && u.listed.Software != l.Software || l.Not != "" && u.listed.Software == l.Not {
+		return false
+	}
+	return l.Among == nil || slices.Contains(l.Among, u.listed.ID)
+}
+
 // suspect reports whether an upstream has failed so often that a call avoids it.
 // Calls that may be repeated try it from time to time.
 func (t *Table) suspect(now time.Time, u *upstream, need Need) bool {
--- a/placement/table.go
+++ b/placement/table.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/keptindex"
@@ -190,6 +191,22 @@
 	return choice
 }
 
+// Sample returns what an ended attempt shows of its upstream's software, or false
+// when it shows nothing. It is called before Learn takes the attempt back.
+func (t *Table) Sample(r Report) (canary.Sample, bool) {
+	u := t.upstreams[r.Upstream]
+	if u == nil || !r.Ended || r.Result != Completed && r.Result != Failed {
+		return canary.Sample{}, false
+	}
+	s := canary.Sample{
+		Service: u.listed.Service, Software: u.listed.Software, Route: r.Route, Failed: r.Result == Failed, Latency: r.First,
+	}
+	if a := u.attempts[r.Ticket]; a != nil {
+		s.Work = a.read
+	}
+	return s, true
+}
+
 // Learn takes what an attempt has shown.
 func (t *Table) Learn(now time.Time, r Report) {
 	u := t.upstreams[r.Upstream]
--- a/placement/types.go
+++ b/placement/types.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
 )
@@ -45,6 +46,8 @@
 	Tried []core.UpstreamID
 	// Repeat is set when the call was sent before.
 	Repeat bool
+	// Limit says which upstreams a rollout allows.
+	Limit canary.Limit
 }
 
 // Ticket names one attempt.
@@ -123,6 +126,10 @@
 	// Load is the number of calls at the upstream when HasLoad is set.
 	Load    int
 	HasLoad bool
+	// Route is the name of the call's route, First the time to the first byte; 0
+	// when none came.
+	Route   string
+	First   time.Duration
 	Model   core.ModelID
 	Weights catalog.WeightNumber
 	// Cold is how long the upstream stays cold; 0 when it did not say.
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -12,6 +12,8 @@
 // Route is a kind of call that is judged by itself. The zero Route stands for
 // all calls of the model together.
 type Route struct {
+	// Name is that of a configured route, where calls have one.
+	Name      string
 	Workspace core.WorkspaceID
 	Adapter   core.AdapterID
 	Class     core.Class
@@ -22,6 +24,9 @@
 	if r == (Route{}) {
 		return "all routes"
 	}
+	if r.Name != "" {
+		return "route " + r.Name
+	}
 	return fmt.Sprintf("workspace %s, adapter %q, %s", r.Workspace, r.Adapter, r.Class)
 }
 
--- a/settings/front.go
+++ b/settings/front.go
@@ -12,6 +12,7 @@
 	DefaultLoadShare          = 0.2
 	DefaultRotation           = 2500 * time.Millisecond
 	DefaultGCPercent          = 100
+	DefaultCanaryShare        = 0.04
 )
 
 // Front is the settings of the front daemon, which serves callers on the users'
@@ -33,6 +34,7 @@
 	Engine  FrontEngine  `yaml:"engine,omitempty"`
 	Memory  FrontMemory  `yaml:"memory,omitempty"`
 	Stop    FrontStop    `yaml:"stop,omitempty"`
+	Rollout FrontRollout `yaml:"rollout,omitempty"`
 	Log     Log          `yaml:"log,omitempty"`
 }
 
@@ -84,6 +86,13 @@
 	Rotation time.Duration `yaml:"rotation,omitempty" validate:"min=0"`
 }
 
+// FrontRollout sets how services move to another software version.
+type FrontRollout struct {
+	// CanaryShare is the part of a service's calls that the new version gets
+	// until it is judged, over all fronts; the default is 0.04.
+	CanaryShare float64 `yaml:"canary_share,omitempty" validate:"min=0,max=0.5"`
+}
+
 // LoadFront reads and checks the settings of the front daemon.
 func LoadFront(file string) (*Front, error) {
 	var s Front
@@ -95,6 +104,7 @@
 	setDefault(&s.Weights.Mode, "finish")
 	setDefault(&s.Engine.PrefillTokensPerMs, DefaultPrefillTokensPerMs)
 	setDefault(&s.Stop.Rotation, DefaultRotation)
+	setDefault(&s.Rollout.CanaryShare, DefaultCanaryShare)
 	setDefault(&s.Memory.GCPercent, DefaultGCPercent)
 	return &s, nil
 }
