Bound what one own transfer says about those of others

The estimate takes the transfers of all fronts for half their number times the own ones; at 27 fronts a single own transfer of 10 ms stood for 135 ms, more than reading most parts takes.

--- a/placement/links.go
+++ b/placement/links.go
@@ -12,6 +12,9 @@
 	linkGain = 0.25
 	// slowMost bounds what one transfer can say about a link.
 	slowMost = 8.0
+	// othersMost bounds how many times its own transfers a process takes those of
+	// all to be.
+	othersMost = 3.0
 	// fetchNoise is the time of a first byte that is not ascribed to transfers.
 	fetchNoise = 40.0
 )
@@ -59,8 +62,9 @@
 
 // queued is the time of a transfer at nominal rate: transfers of one store
 // follow one another, and other processes are taken to fetch as much as this one.
+// Where they are many, one own transfer says little about theirs.
 func (t *Table) queued(store string, nominal float64) float64 {
-	return t.link(store).busy*float64(max(len(t.fronts), 1))/2 + nominal
+	return t.link(store).busy*min(float64(max(len(t.fronts), 1))/2, othersMost) + nominal
 }
 
 // observeTransfers ascribes the time to the first byte that the rest of the
