Have two fronts of a failure domain read the store for the others

Cause: each front followed the store by itself.

Two fronts of each failure domain, by rendezvous hashing over the table of members, now follow it; the others pull from one of them every 0.2 s over the inner protocol, whose reply says whether the store serves the replier. A front whose readers do not serve follows the store itself at once and for five seconds at least. Nothing changes where a failure domain has one or two fronts.

TestFewProcessesReadTheStore fails without the change and shows that no change is missed when the readers are refused or stop.

--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -54,10 +54,13 @@
 	// subscribers are told of each change of the view.
 	subscribers []*ring.Ring[struct{}]
 	away        *ring.Ring[bool]
-	// ordered holds an element after the view has changed.
-	ordered *ring.Ring[struct{}]
-	random  *rand.Rand
-	seeds   atomic.Pointer[[]string]
+	// direct is set while the feeds follow the store; feeds are the rings that wake
+	// them.
+	direct         atomic.Bool
+	feeds          map[Table]*ring.Ring[struct{}]
+	membersChanged *ring.Ring[struct{}]
+	random         *rand.Rand
+	seeds          atomic.Pointer[[]string]
 }
 
 // update tells the state duty of rows, or of the store's absence.
@@ -79,6 +82,8 @@
 type pullResult struct {
 	rows  []Row
 	known map[Table]uint64
+	// served is set when the store serves this process.
+	served bool
 }
 
 // New returns a Fleet that has not started.
@@ -88,7 +93,12 @@
 		away:   ring.New[bool](1),
 		random: rand.New(rand.NewPCG(opts.Seed, 1)),
 	}
-	f.ordered = f.Subscribe()
+	f.direct.Store(true)
+	f.membersChanged = f.Subscribe()
+	f.feeds = make(map[Table]*ring.Ring[struct{}])
+	for _, table := range []Table{opts.Tables.Operator, opts.Tables.Upstreams, opts.Tables.Status, Members} {
+		f.feeds[table] = f.Subscribe()
+	}
 	f.SetSeeds(opts.Seeds)
 	return f
 }
@@ -115,25 +125,27 @@
 // Start runs the duties in a group.
 func (f *Fleet) Start(g *duty.Group) {
 	g.Go("fleet state", f.runState)
-	for _, table := range []Table{f.opts.Tables.Operator, f.opts.Tables.Upstreams, Members} {
-		g.Go("feed "+string(table), func(ctx context.Context) error { return f.follow(ctx, table, always) })
+	for table, wake := range f.feeds {
+		g.Go("feed "+string(table), func(ctx context.Context) error { return f.runFeed(ctx, table, wake) })
 	}
-	g.Go("feed "+string(f.opts.Tables.Status), f.followStatus)
+	g.Go("readers", f.followReaders)
 	g.Go("peers", f.runPeers)
 	g.Go("registration", f.register)
 }
 
-func always() bool { return true }
-
-// followStatus follows the table of statuses while a rollout is ordered.
-func (f *Fleet) followStatus(ctx context.Context) error {
+// runFeed follows a table while this process reads the store itself. The table
+// of statuses is followed only while a rollout is ordered.
+func (f *Fleet) runFeed(ctx context.Context, table Table, wake *ring.Ring[struct{}]) error {
+	needed := func() bool {
+		return f.direct.Load() && (table != f.opts.Tables.Status || len(f.View().Moves) > 0)
+	}
 	for {
-		for len(f.View().Moves) == 0 {
-			if _, err := f.ordered.Receive(ctx); err != nil {
+		for !needed() {
+			if _, err := wake.Receive(ctx); err != nil {
 				return nil
 			}
 		}
-		if err := f.follow(ctx, f.opts.Tables.Status, func() bool { return len(f.View().Moves) > 0 }); err != nil || ctx.Err() != nil {
+		if err := f.follow(ctx, table, needed); err != nil || ctx.Err() != nil {
 			return err
 		}
 	}
@@ -197,7 +209,8 @@
 			f.apply(s, failing, u)
 		}
 		for p, ok := f.pulls.TryReceive(); ok; p, ok = f.pulls.TryReceive() {
-			p.reply <- pullResult{rows: s.since(p.known), known: copyKnown(s.known)}
+			served := f.direct.Load() && len(failing) == 0 && s.known[f.opts.Tables.Operator] > 0 && s.known[f.opts.Tables.Upstreams] > 0
+			p.reply <- pullResult{rows: s.since(p.known), known: copyKnown(s.known), served: served}
 		}
 	}
 }
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -43,25 +43,29 @@
 }
 
 func (f *Fleet) pullOnce(ctx context.Context) {
+	request := f.question(ctx)
+	addresses := f.peerAddresses()
+	f.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	for _, address := range addresses[:min(pullPeers, len(addresses))] {
+		f.pullFrom(ctx, address, request)
+	}
+}
+
+// question says what this process knows already.
+func (f *Fleet) question(ctx context.Context) *wire.PullRequest {
+	request := &wire.PullRequest{Sender: &wire.Sender{Node: string(f.opts.Self.Node), Incarnation: uint64(f.opts.Self.Incarnation)}}
 	own := pull{reply: make(chan pullResult, 1)}
 	if err := f.pulls.Send(ctx, own); err != nil {
-		return
+		return request
 	}
-	var state pullResult
 	select {
-	case state = <-own.reply:
+	case state := <-own.reply:
+		for table, version := range state.known {
+			request.Known = append(request.Known, &wire.TableVersion{Table: string(table), Version: version})
+		}
 	case <-ctx.Done():
-		return
-	}
-	request := &wire.PullRequest{Sender: &wire.Sender{Node: string(f.opts.Self.Node), Incarnation: uint64(f.opts.Self.Incarnation)}}
-	for table, version := range state.known {
-		request.Known = append(request.Known, &wire.TableVersion{Table: string(table), Version: version})
-	}
-	addresses := f.peerAddresses()
-	f.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	for _, address := range addresses[:min(pullPeers, len(addresses))] {
-		f.pullFrom(ctx, address, request)
 	}
+	return request
 }
 
 func (f *Fleet) peerAddresses() []string {
@@ -82,13 +86,14 @@
 	return out
 }
 
-func (f *Fleet) pullFrom(ctx context.Context, address string, request *wire.PullRequest) {
+// pullFrom asks a peer and reports whether the store serves it.
+func (f *Fleet) pullFrom(ctx context.Context, address string, request *wire.PullRequest) bool {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	reply, err := wire.NewDRPCCatalogClient(f.opts.Dial(ctx, address)).Pull(ctx, request)
 	if err != nil {
 		f.opts.Log.WithFields(logrus.Fields{"event": "pull_failed", "peer": address}).WithError(err).Debug("peer gave no rows")
-		return
+		return false
 	}
 	byTable := make(map[Table][]Row)
 	for _, r := range reply.Rows {
@@ -99,9 +104,10 @@
 		table := Table(known.Table)
 		u := update{source: "peer " + address, table: table, rows: byTable[table], version: known.Version}
 		if err := f.updates.Send(ctx, u); err != nil {
-			return
+			return false
 		}
 	}
+	return reply.Served
 }
 
 // Pull implements the peer's side of the inner protocol.
@@ -122,7 +128,7 @@
 }
 
 func encodePull(state pullResult) *wire.PullReply {
-	reply := &wire.PullReply{}
+	reply := &wire.PullReply{Served: state.served}
 	for _, r := range state.rows {
 		reply.Rows = append(reply.Rows, &wire.StoredRow{
 			Table: string(r.Table), Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed,
--- /dev/null
+++ b/fleet/readers_test.go
@@ -0,0 +1,190 @@
+package fleet_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/duty"
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/fleet"
+	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/standin"
+	"waxwingtide.example/waxwingtide/transport"
+	"waxwingtide.example/waxwingtide/wire"
+)
+
+const patience = 15 * time.Second
+
+// countedStore counts the readings of one process and can refuse them.
+type countedStore struct {
+	fleet.Store
+	reads   atomic.Int64
+	refused atomic.Bool
+}
+
+func (s *countedStore) refusal() error {
+	s.reads.Add(1)
+	if s.refused.Load() {
+		return errs.New(errs.Unavailable, "", "refused")
+	}
+	return nil
+}
+
+func (s *countedStore) Rows(ctx context.Context, table fleet.Table) (fleet.Page, error) {
+	if err := s.refusal(); err != nil {
+		return fleet.Page{}, err
+	}
+	return s.Store.Rows(ctx, table)
+}
+
+func (s *countedStore) Changes(ctx context.Context, table fleet.Table, after uint64, wait time.Duration) (fleet.Page, error) {
+	if err := s.refusal(); err != nil {
+		return fleet.Page{}, err
+	}
+	return s.Store.Changes(ctx, table, after, wait)
+}
+
+// process is one fleet with its inner protocol.
+type process struct {
+	fleet *fleet.Fleet
+	store *countedStore
+	group *duty.Group
+	ended bool
+}
+
+type pullServer struct {
+	wire.DRPCCatalogUnimplementedServer
+	*fleet.Fleet
+}
+
+// Pull implements the inner protocol.
+func (s *pullServer) Pull(ctx context.Context, r *wire.PullRequest) (*wire.PullReply, error) {
+	return s.Fleet.Pull(ctx, r)
+}
+
+func (p *process) stop(t *testing.T) {
+	t.Helper()
+	if p.ended {
+		return
+	}
+	p.ended = true
+	p.group.Stop()
+	require.NoError(t, p.group.Wait())
+}
+
+func start(t *testing.T, storeAt string, n int) *process {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &process{store: &countedStore{Store: platform.NewStore(storeAt)}, group: duty.NewGroup(context.Background(), log)}
+	dialer := transport.NewDialer(nil, nil)
+	p.fleet = fleet.New(fleet.Options{
+		Self:  fleet.Member{Node: core.NodeID(fmt.Sprintf("front-%d", n)), Address: listener.Addr().String(), Domain: "z1"},
+		Store: p.store, Tables: platform.Tables(), Decoder: platform.Decoder{}, Log: log, Seed: uint64(n),
+		Dial: func(ctx context.Context, at string) drpc.Conn { return dialer.Dial(ctx, at) },
+	})
+	mux := drpcmux.New()
+	require.NoError(t, wire.DRPCRegisterCatalog(mux, &pullServer{Fleet: p.fleet}))
+	p.group.Go("inner", func(ctx context.Context) error { return transport.Serve(ctx, listener, nil, mux) })
+	p.fleet.Start(p.group)
+	t.Cleanup(func() {
+		p.stop(t)
+		require.NoError(t, dialer.Close())
+	})
+	return p
+}
+
+// Guards against a store that every process reads by itself, and against a
+// process that misses changes when the ones it learns from are refused by the
+// store or gone.
+func TestFewProcessesReadTheStore(t *testing.T) {
+	store := standin.NewPlatformStore()
+	store.Put("op", "config", map[string]any{"version": 1})
+	store.Put("servers", "i-1", map[string]any{
+		"service": "svc", "address": "127.0.0.1:9", "zone": "z1", "version": "v1", "slots": 1, "state": "ready",
+	})
+	server := httptest.NewServer(store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		store.Close()
+	})
+	const processes = 5
+	all := make([]*process, processes)
+	for i := range all {
+		all[i] = start(t, server.Listener.Addr().String(), i)
+	}
+	// reading returns the processes that have called the store since the last
+	// look; a feed calls it every two seconds.
+	reading := func() (out []*process) {
+		for _, p := range all {
+			p.store.reads.Store(0)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		for _, p := range all {
+			if p.store.reads.Load() > 0 {
+				out = append(out, p)
+			}
+		}
+		return out
+	}
+	version := 1
+	requireChange := func(among []*process) {
+		version++
+		value, err := json.Marshal(map[string]any{"version": version})
+		require.NoError(t, err)
+		store.Put("op", "config", json.RawMessage(value))
+		require.Eventually(t, func() bool {
+			for _, p := range among {
+				if c := p.fleet.View().Config; c == nil || int(c.Version) != version {
+					return false
+				}
+			}
+			return true
+		}, patience, 10*time.Millisecond, "a change is missed")
+	}
+	require.Eventually(t, func() bool {
+		for _, p := range all {
+			if len(p.fleet.View().Members) != processes {
+				return false
+			}
+		}
+		return true
+	}, patience, 10*time.Millisecond)
+	requireChange(all)
+	var readers []*process
+	require.Eventually(t, func() bool {
+		readers = reading()
+		return len(readers) == 2
+	}, 2*patience, time.Millisecond, "not two processes read the store")
+
+	for _, r := range readers {
+		r.store.refused.Store(true)
+	}
+	requireChange(all)
+	for _, r := range readers {
+		r.stop(t)
+	}
+	var left []*process
+	for _, p := range all {
+		if p != readers[0] && p != readers[1] {
+			left = append(left, p)
+		}
+	}
+	requireChange(left)
+}
