Hold the configuration's limits on heads and idle connections

The limits were decoded and constants of the front held instead: callers may reuse a connection for four fifths of the idle time, so with a limit above 75 s the front would have closed connections in use. A duty now closes connections that are idle for longer than the configuration in force allows; heads above the limit get 431. Fields of the configuration that nothing reads are gone (OtherUpstream, ColdFor, MaxConnections, HeaderTimeout); the time for a head stays a constant of the front.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -69,9 +69,6 @@
 	Engine *Engine
 	// ColdPerSecond is the rate that one cold upstream bears; 0 means no limit.
 	ColdPerSecond float64
-	// ColdFor is how long an upstream stays cold after its start.
-	ColdFor        time.Duration
-	MaxConnections int
 }
 
 // KeptStore is a store of kept KV cache. It drops nothing by itself.
@@ -99,10 +96,10 @@
 
 // Limits bound what callers may send. Zero means no limit.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
+	// IdleTimeout is how long a caller's connection may stay without a request.
+	IdleTimeout time.Duration
 }
 
 // Config is one version of the operators' configuration.
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -39,8 +39,9 @@
 )
 
 const (
+	// readHeaderTimeout and maxHeaderBytes protect the process whatever the
+	// configuration allows.
 	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 64 << 10
 	// connectTimeout bounds a connection to an upstream; the network's round
 	// trip takes a few milliseconds.
@@ -229,13 +230,13 @@
 		return err
 	}
 	p.group.Go("inner protocol", func(ctx context.Context) error { return transport.Serve(ctx, inner, nil, mux) })
-	if _, err := p.serve("metrics", p.settings.Metrics, p.metrics.Handler()); err != nil {
+	if _, err := p.serve("metrics", p.settings.Metrics, p.metrics.Handler(), defaultIdle); err != nil {
 		return err
 	}
-	if _, err := p.serve("readiness", p.settings.Readiness, p.readiness()); err != nil {
+	if _, err := p.serve("readiness", p.settings.Readiness, p.readiness(), defaultIdle); err != nil {
 		return err
 	}
-	p.callers, err = p.serve("callers", p.settings.Callers, p.gateway)
+	p.callers, err = p.serve("callers", p.settings.Callers, p.gateway, p.callersIdle)
 	return err
 }
 
@@ -259,14 +260,17 @@
 	return l, errs.Wrap(err, errs.Invalid, "choose a free address of this VM", "cannot listen on %s", address)
 }
 
-func (p *process) serve(name, address string, handler http.Handler) (*http.Server, error) {
+// serve runs a server whose connections stay idle for a limit, 0 for the default.
+func (p *process) serve(name, address string, handler http.Handler, limit func() time.Duration) (*http.Server, error) {
 	l, err := listener(address)
 	if err != nil {
 		return nil, err
 	}
+	idle := newIdleConns(limit, p.log)
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: idle.note,
 	}
+	p.group.Go(name+" idle connections", idle.run)
 	p.group.Go(name, func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
@@ -278,6 +282,16 @@
 	return server, nil
 }
 
+func defaultIdle() time.Duration { return 0 }
+
+// callersIdle is how long a caller's connection may stay without a request.
+func (p *process) callersIdle() time.Duration {
+	if c := p.fleet.View().Config; c != nil {
+		return c.Limits.IdleTimeout
+	}
+	return 0
+}
+
 // readiness answers the platform's balancer.
 func (p *process) readiness() http.Handler {
 	router := httprouter.New()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -148,6 +148,10 @@
 		s.refuse(http.StatusServiceUnavailable, "no_config", notReadyRetry, nil)
 		return false
 	}
+	if limit := s.config.Limits.HeaderBytes; limit > 0 && headerBytes(s.request) > limit {
+		s.refuse(http.StatusRequestHeaderFieldsTooLarge, "header_too_large", 0, nil)
+		return false
+	}
 	s.route = s.config.Route(s.call.Host, s.call.Path)
 	if s.route == nil {
 		s.refuse(http.StatusNotFound, "no_route", 0, nil)
@@ -171,6 +175,18 @@
 	return true
 }
 
+// headerBytes is the size of a request's head.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + separators
+		}
+	}
+	return n
+}
+
 // target draws one of the route's services by weight.
 func (s *session) target() core.ServiceID {
 	total := 0.0
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -37,13 +37,11 @@
 	// Sealed is set when the answer comes from the upstream's program.
 	Sealed bool
 	// NotRun is set when the upstream states that it did not run the call.
-	NotRun bool
-	// OtherUpstream is set when another upstream answers at the address.
-	OtherUpstream bool
-	Closing       bool
-	Weights       catalog.WeightNumber
-	Load          int
-	HasLoad       bool
+	NotRun  bool
+	Closing bool
+	Weights catalog.WeightNumber
+	Load    int
+	HasLoad bool
 	// KeepAlive is how long the upstream keeps the connection; 0 when unknown.
 	KeepAlive time.Duration
 	Cold      time.Duration
