--- a/cli/drain.go
+++ b/cli/drain.go
@@ -46,7 +46,7 @@
 			"runs in progress finish or resume elsewhere. This works while the platform's\n" +
 			"table is unavailable. The room that is left and the load that exceeds it are\n" +
 			"printed first; --dry-run prints them only.",
-		Example: "  waxwingtide " + example + ` --reason "landlord maintenance" --dry-run`,
+		Example: "  waxwingtide " + example + ` --reason "maintenance" --dry-run`,
 		Args:    cobra.ExactArgs(1),
 		RunE: o.run(func(ctx context.Context, c *admin.Client, out printer, args []string) error {
 			result, err := call(ctx, c, args[0], reason)
--- a/dev/fault.go
+++ b/dev/fault.go
@@ -175,7 +175,7 @@
 func drainDomain(ctx context.Context, r *run) error {
 	domain := r.cluster.d.FailureDomains[len(r.cluster.d.FailureDomains)-1]
 	return r.administer(ctx, func(ctx context.Context) error {
-		_, err := r.cluster.admin.DrainDomain(ctx, domain, admin.Reason{Reason: "landlord's maintenance"})
+		_, err := r.cluster.admin.DrainDomain(ctx, domain, admin.Reason{Reason: "maintenance"})
 		if err == nil {
 			r.drained.Store(&drainPeriod{domain: domain, from: time.Now()})
 		}
