Keep limits over restarts and processes that are gone

A front that restarted began with an empty cold window and a full retry budget, and each change of the number of fronts filled the budgets again; and the row of a front that was lost for good stayed, so the others kept smaller shares for ever and the table grew with each replaced VM.

While the store is away no row lapses.

--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -59,8 +59,12 @@
 	direct         atomic.Bool
 	feeds          map[Table]*ring.Ring[struct{}]
 	membersChanged *ring.Ring[struct{}]
-	random         *rand.Rand
-	seeds          atomic.Pointer[[]string]
+	// renewedAt is when the own row was renewed last, in nanoseconds of the clock
+	// that counts while the VM is suspended; leaves holds the wish to leave.
+	renewedAt atomic.Int64
+	leaves    *ring.Ring[*ring.Ring[struct{}]]
+	random    *rand.Rand
+	seeds     atomic.Pointer[[]string]
 }
 
 // update tells the state duty of rows, or of the store's absence.
@@ -90,7 +94,7 @@
 func New(opts Options) *Fleet {
 	f := &Fleet{
 		opts: opts, updates: ring.New[update](updateRing), pulls: ring.New[pull](updateRing),
-		away:   ring.New[bool](1),
+		away: ring.New[bool](1), leaves: ring.New[*ring.Ring[struct{}]](1),
 		random: rand.New(rand.NewPCG(opts.Seed, 1)),
 	}
 	f.direct.Store(true)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -119,6 +119,8 @@
 	Weights   map[core.ModelID]catalog.Namings
 	Moves     map[core.ServiceID]Move
 	Members   []Member
+	// Lapsed are rows of processes that no longer renew them.
+	Lapsed []Row
 	// Departures are when processes left that have not registered again, oldest
 	// first.
 	Departures []time.Time
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -35,6 +35,10 @@
 	// since is when the row was first seen in this version; zero for rows that
 	// are older than this process.
 	since time.Time
+	// seenAt is when this process learned of the row's version. For members it
+	// moves on while the store is away, since renewals cannot be seen.
+	seenAt time.Time
+	lapsed bool
 	// namings are the weight versions that the row has named so far.
 	namings catalog.Namings
 	// lapsedUntil is set while a removed upstream stays in use.
@@ -90,7 +94,7 @@
 	if old != nil && (row.Version < old.row.Version || row.Version == old.row.Version && row.Removed == old.row.Removed) {
 		return false
 	}
-	next := &entry{row: row, since: now}
+	next := &entry{row: row, since: now, seenAt: now}
 	if s.known[row.Table] == 0 {
 		next.since = time.Time{} // older than this process
 	}
@@ -165,10 +169,22 @@
 	}
 }
 
-// expire drops upstreams whose time after a lapse is over, and returns when the
-// next one is due.
+// expire drops upstreams whose time after a lapse is over and members that no
+// longer renew their rows, and returns when the next one is due.
 func (s *state) expire(now time.Time) (changed bool, next time.Time) {
-	for _, e := range s.rows {
+	for key, e := range s.rows {
+		if key.table == Members && !e.row.Removed && !e.lapsed {
+			if !s.awaySince.IsZero() {
+				e.seenAt = now
+			}
+			due := e.seenAt.Add(memberLapse)
+			if e.lapsed = !now.Before(due); e.lapsed {
+				changed = true
+			} else if next.IsZero() || due.Before(next) {
+				next = due
+			}
+			continue
+		}
 		if e.lapsedUntil.IsZero() {
 			continue
 		}
@@ -216,6 +232,8 @@
 			v.Evacuated[e.change.Evacuated] = true
 		case e.change.Weights != nil:
 			v.Weights[e.change.Weights.Model] = e.namings
+		case key.table == Members && e.lapsed && !e.row.Removed:
+			v.Lapsed = append(v.Lapsed, e.row)
 		case key.table == Members && !e.row.Removed:
 			if m, err := decodeMember(e.row.Value); err == nil {
 				v.Members = append(v.Members, m)
--- a/fleet/state_test.go
+++ b/fleet/state_test.go
@@ -159,3 +159,42 @@
 	require.True(t, rows[0].Removed)
 	require.Equal(t, "c", rows[1].Key)
 }
+
+// Guards against processes that are gone for good and keep their shares of
+// limits, and against ones that lose them because the store was away.
+func TestMembersLapseWithoutRenewal(t *testing.T) {
+	s := testState()
+	member := func(node core.NodeID, version uint64) Row {
+		value, err := encodeMember(Member{Node: node, Address: "10.0.0.1:1"})
+		require.NoError(t, err)
+		return Row{Table: Members, Key: string(node), Value: value, Version: version}
+	}
+	nodes := func() (out []core.NodeID) {
+		for _, m := range s.view().Members {
+			out = append(out, m.Node)
+		}
+		return out
+	}
+	s.replace(t0, Members, []Row{member("a", 1), member("b", 2)}, 2)
+	half := t0.Add(memberLapse / 2)
+	s.merge(half, Members, []Row{member("a", 3)}, 3)
+	changed, next := s.expire(half)
+	require.False(t, changed)
+	require.Equal(t, t0.Add(memberLapse), next)
+	changed, _ = s.expire(t0.Add(memberLapse))
+	require.True(t, changed)
+	require.Equal(t, []core.NodeID{"a"}, nodes())
+	require.Equal(t, "b", s.view().Lapsed[0].Key)
+
+	away := half.Add(memberLapse / 2)
+	s.storeAway(away)
+	later := away.Add(time.Hour)
+	s.expire(later)
+	require.Equal(t, []core.NodeID{"a"}, nodes(), "renewals cannot be seen")
+	s.storeBack(later)
+	s.merge(later, Members, []Row{member("b", 9)}, 9)
+	s.expire(later)
+	require.Equal(t, []core.NodeID{"a", "b"}, nodes(), "b is back")
+	require.Empty(t, s.view().Lapsed)
+	require.Less(t, ownLapse, memberLapse)
+}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -107,6 +107,7 @@
 func (r *router) sweep(now time.Time) {
 	r.index.Sweep(now)
 	r.table.Sweep(now)
+	r.table.SetLapsed(r.fleet.Lapsed())
 	r.tell(now)
 	for _, store := range r.table.Stores() {
 		obsolete := func(salt string) bool { return r.table.Obsolete(now, salt) }
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -83,6 +83,9 @@
 		return false, false
 	}
 	cold = now.Before(u.coldUntil)
+	if cold && now.Sub(t.startedAt) < coldWindow {
+		return true, true // what was sent before a restart is not known
+	}
 	total := service.ColdPerSecond*t.opts.ColdOver + t.opts.ColdSlack
 	return u.sentWithin(now) >= t.share(total, string(u.listed.ID)), cold
 }
@@ -90,6 +93,9 @@
 // share divides a whole number of calls among the processes. Where there are
 // fewer calls than processes, some processes get one and others none.
 func (t *Table) share(total float64, subject string) int {
+	if t.lapsed {
+		return 0
+	}
 	n := max(len(t.fronts), 1)
 	each := int(total) / n
 	rest := int(total) % n
@@ -99,22 +105,28 @@
 	return each
 }
 
+// budget returns the budget for repeated sends to a service. It starts empty:
+// this process may have used its part of the window before a restart.
 func (t *Table) budget(service core.ServiceID) *retry.Budget {
 	b := t.budgets[service]
 	if b == nil {
-		n := float64(max(len(t.fronts), 1))
-		// The slack is split between what is saved up and what comes back within
-		// the window, so that no window holds more than the whole.
-		slack := t.opts.RetrySlack / n
-		b = retry.NewBudget(retry.BudgetOptions{
-			Share: t.opts.RetryShare * retryMargin, Burst: max(slack*retryMargin/2, 1),
-			PerSecond: slack * retryMargin / 2 / t.opts.RetryWindow.Seconds(),
-		})
+		b = retry.NewBudget(t.budgetOptions())
+		b.Drain()
 		t.budgets[service] = b
 	}
 	return b
 }
 
+func (t *Table) budgetOptions() retry.BudgetOptions {
+	// The slack is split between what is saved up and what comes back within the
+	// window, so that no window holds more than the whole.
+	slack := t.opts.RetrySlack / float64(max(len(t.fronts), 1))
+	return retry.BudgetOptions{
+		Share: t.opts.RetryShare * retryMargin, Burst: max(slack*retryMargin/2, 1),
+		PerSecond: slack * retryMargin / 2 / t.opts.RetryWindow.Seconds(),
+	}
+}
+
 // retryMargin is the share of the budget for repeated sends that is used. The
 // rest covers sends whose calls came from a time with more traffic.
 const retryMargin = 0.75
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -130,6 +130,7 @@
 		total := 0
 		for _, node := range w.Fronts {
 			tab := New(options(node), keptindex.New())
+			tab.SetWorld(t0.Add(-time.Minute), World{Fronts: w.Fronts})
 			tab.SetWorld(t0, w)
 			for i := range 50 {
 				at := t0.Add(time.Duration(i) * 20 * time.Millisecond)
@@ -144,6 +145,40 @@
 	}
 }
 
+// Guards against limits that a process uses up twice by being restarted within
+// their window, and against a budget that is full again after each change of the
+// number of processes.
+func TestRestartGivesNoNewShare(t *testing.T) {
+	w := world(1)
+	w.Upstreams = append(w.Upstreams[:1], w.Upstreams[4:]...)
+	w.Upstreams[0].ColdFor = 3 * time.Second
+	tab := New(options(w.Fronts[0]), keptindex.New())
+	tab.SetWorld(t0, w)
+	need := Need{Service: engines, Prompt: prompt("a")}
+	_, refusal := tab.Choose(t0.Add(time.Second), need)
+	require.Equal(t, Limited, refusal)
+	_, refusal = tab.Choose(t0.Add(coldWindow), need)
+	require.Equal(t, Placed, refusal)
+
+	repeat := recordNeed()
+	repeat.Repeat = true
+	_, refusal = tab.Choose(t0, repeat)
+	require.Equal(t, NoBudget, refusal)
+	later := t0.Add(time.Minute)
+	spent := 0
+	for range 60 {
+		if _, refusal = tab.Choose(later, repeat); refusal == Placed {
+			spent++
+		}
+	}
+	require.InDelta(t, 19, spent, 1, "what is saved up in a minute")
+	more := world(2)
+	more.Upstreams = w.Upstreams
+	tab.SetWorld(later, more)
+	_, refusal = tab.Choose(later, repeat)
+	require.Equal(t, NoBudget, refusal)
+}
+
 // Guards against repeats that exceed the budget of all processes together.
 func TestRetryBudgetHoldsOverAllProcesses(t *testing.T) {
 	for _, fronts := range []int{1, 4, 27} {
--- a/placement/table.go
+++ b/placement/table.go
@@ -37,6 +37,11 @@
 	// addresses are those of the servers whose cache events are followed.
 	addresses map[string]core.UpstreamID
 	tickets   Ticket
+	// lapsed is set while others may not count this process, which then uses no
+	// share of any limit.
+	lapsed bool
+	// startedAt is when the table got its first world.
+	startedAt time.Time
 }
 
 // World is what the table takes from outside.
@@ -60,6 +65,9 @@
 
 // SetWorld takes a newer list of upstreams and configuration.
 func (t *Table) SetWorld(now time.Time, w World) {
+	if t.startedAt.IsZero() {
+		t.startedAt = now
+	}
 	next := make(map[core.UpstreamID]*upstream, len(w.Upstreams))
 	t.byService = make(map[core.ServiceID][]*upstream)
 	for _, listed := range w.Upstreams {
@@ -75,10 +83,8 @@
 	}
 	t.upstreams = next
 	t.evacuated, t.named = w.Evacuated, w.Named
-	if len(w.Fronts) != len(t.fronts) {
-		t.budgets = make(map[core.ServiceID]*retry.Budget)
-	}
 	t.fronts, t.members = w.Fronts, w.Members
+	t.retune()
 	if w.Config != nil {
 		t.services = w.Config.Services
 		t.stores = w.Config.Stores
@@ -86,10 +92,19 @@
 	}
 }
 
+// SetLapsed notes whether others may have stopped counting this process.
+func (t *Table) SetLapsed(lapsed bool) { t.lapsed = lapsed }
+
 // Configure replaces the options.
 func (t *Table) Configure(opts Options) {
 	t.opts = opts
-	t.budgets = make(map[core.ServiceID]*retry.Budget)
+	t.retune()
+}
+
+func (t *Table) retune() {
+	for _, b := range t.budgets {
+		b.Retune(t.budgetOptions())
+	}
 }
 
 // Choose places a call, or says why it cannot be placed.
@@ -105,7 +120,7 @@
 	budget := t.budget(need.Service)
 	if !need.Repeat {
 		budget.Call(now)
-	} else if !budget.Take(now) {
+	} else if t.lapsed || !budget.Take(now) {
 		return Choice{}, NoBudget
 	}
 	return t.place(now, service, need, best), Placed
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -31,6 +31,15 @@
 // NewBudget returns a full budget.
 func NewBudget(opts BudgetOptions) *Budget { return &Budget{opts: opts, tokens: opts.Burst} }
 
+// Drain empties the budget, for a process that does not know what it has used
+// before its start.
+func (b *Budget) Drain() { b.tokens = 0 }
+
+// Retune changes the options and keeps what is saved up, within the new burst.
+func (b *Budget) Retune(opts BudgetOptions) {
+	b.opts, b.tokens = opts, min(b.tokens, opts.Burst)
+}
+
 // Call adds the share of one new call.
 func (b *Budget) Call(now time.Time) {
 	b.refill(now)
