Let a front that has just started repeat a few calls

A process now starts with a tenth of its part of the slack, within the quarter that the budget leaves unused.

--- a/placement/limits.go
+++ b/placement/limits.go
@@ -105,13 +105,13 @@
 	return each
 }
 
-// budget returns the budget for repeated sends to a service. It starts empty:
-// this process may have used its part of the window before a restart.
+// budget returns the budget for repeated sends to a service. It starts nearly
+// empty: this process may have used its part of the window before a restart.
 func (t *Table) budget(service core.ServiceID) *retry.Budget {
 	b := t.budgets[service]
 	if b == nil {
 		b = retry.NewBudget(t.budgetOptions())
-		b.Drain()
+		b.Reduce(startShare * t.opts.RetrySlack / float64(max(len(t.fronts), 1)))
 		t.budgets[service] = b
 	}
 	return b
@@ -131,6 +131,10 @@
 // rest covers sends whose calls came from a time with more traffic.
 const retryMargin = 0.75
 
+// startShare is the share of its slack that a process has for repeated sends when
+// it starts. It is within what retryMargin leaves.
+const startShare = 0.1
+
 // floor is the oldest weight version that an upstream has, with the time since
 // which none has an older one.
 type floor struct {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -31,9 +31,9 @@
 // NewBudget returns a full budget.
 func NewBudget(opts BudgetOptions) *Budget { return &Budget{opts: opts, tokens: opts.Burst} }
 
-// Drain empties the budget, for a process that does not know what it has used
-// before its start.
-func (b *Budget) Drain() { b.tokens = 0 }
+// Reduce lowers what is saved up, for a process that does not know what it has
+// used before its start.
+func (b *Budget) Reduce(tokens float64) { b.tokens = min(b.tokens, tokens) }
 
 // Retune changes the options and keeps what is saved up, within the new burst.
 func (b *Budget) Retune(opts BudgetOptions) {
