--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -80,7 +80,7 @@
 // pull asks the state duty for rows on behalf of a peer.
 type pull struct {
 	known map[Table]uint64
-	reply chan pullResult
+	reply *ring.Ring[pullResult]
 }
 
 type pullResult struct {
@@ -214,7 +214,7 @@
 		}
 		for p, ok := f.pulls.TryReceive(); ok; p, ok = f.pulls.TryReceive() {
 			served := f.direct.Load() && len(failing) == 0 && s.known[f.opts.Tables.Operator] > 0 && s.known[f.opts.Tables.Upstreams] > 0
-			p.reply <- pullResult{rows: s.since(p.known), known: copyKnown(s.known), served: served}
+			p.reply.Push(pullResult{rows: s.since(p.known), known: copyKnown(s.known), served: served})
 		}
 	}
 }
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -8,6 +8,7 @@
 
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -54,16 +55,12 @@
 // question says what this process knows already.
 func (f *Fleet) question(ctx context.Context) *wire.PullRequest {
 	request := &wire.PullRequest{Sender: &wire.Sender{Node: string(f.opts.Self.Node), Incarnation: uint64(f.opts.Self.Incarnation)}}
-	own := pull{reply: make(chan pullResult, 1)}
-	if err := f.pulls.Send(ctx, own); err != nil {
-		return request
+	state, err := ring.Ask(ctx, f.pulls, func(reply *ring.Ring[pullResult]) pull { return pull{reply: reply} })
+	if err != nil {
+		return request // the process is stopping; the peer sends all that it has
 	}
-	select {
-	case state := <-own.reply:
-		for table, version := range state.known {
-			request.Known = append(request.Known, &wire.TableVersion{Table: string(table), Version: version})
-		}
-	case <-ctx.Done():
+	for table, version := range state.known {
+		request.Known = append(request.Known, &wire.TableVersion{Table: string(table), Version: version})
 	}
 	return request
 }
@@ -112,19 +109,15 @@
 
 // Pull implements the peer's side of the inner protocol.
 func (f *Fleet) Pull(ctx context.Context, request *wire.PullRequest) (*wire.PullReply, error) {
-	p := pull{known: make(map[Table]uint64), reply: make(chan pullResult, 1)}
+	known := make(map[Table]uint64, len(request.Known))
 	for _, k := range request.Known {
-		p.known[Table(k.Table)] = k.Version
+		known[Table(k.Table)] = k.Version
 	}
-	if err := f.pulls.Send(ctx, p); err != nil {
+	state, err := ring.Ask(ctx, f.pulls, func(reply *ring.Ring[pullResult]) pull { return pull{known: known, reply: reply} })
+	if err != nil {
 		return nil, errs.Wrap(err, errs.Unavailable, "ask another peer", "process is stopping")
 	}
-	select {
-	case state := <-p.reply:
-		return encodePull(state), nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return encodePull(state), nil
 }
 
 func encodePull(state pullResult) *wire.PullReply {
--- a/keptfeed/relay.go
+++ b/keptfeed/relay.go
@@ -45,7 +45,7 @@
 // question asks the relay for the changes of a store.
 type question struct {
 	request *wire.CacheRequest
-	reply   chan *wire.CacheReply
+	reply   *ring.Ring[*wire.CacheReply]
 }
 
 // Relay is the duty that tells other processes of the stores that this one
@@ -79,7 +79,7 @@
 			r.take(u)
 		}
 		for q, ok := r.questions.TryReceive(); ok; q, ok = r.questions.TryReceive() {
-			q.reply <- r.answer(time.Now(), q.request)
+			q.reply.Push(r.answer(time.Now(), q.request))
 		}
 	}
 }
@@ -176,16 +176,10 @@
 
 // CacheSince implements the inner protocol.
 func (r *Relay) CacheSince(ctx context.Context, request *wire.CacheRequest) (*wire.CacheReply, error) {
-	q := question{request: request, reply: make(chan *wire.CacheReply, 1)}
-	if !r.questions.Offer(q) {
-		return nil, errs.New(errs.Exhausted, "ask another process", "too many questions wait")
-	}
-	select {
-	case reply := <-q.reply:
-		return reply, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	reply, err := ring.TryAsk(ctx, r.questions, func(reply *ring.Ring[*wire.CacheReply]) question {
+		return question{request: request, reply: reply}
+	})
+	return reply, errs.Wrap(err, errs.Exhausted, "ask another process", "the question was not answered")
 }
 
 // Asker asks relays of other processes.
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -41,7 +41,7 @@
 
 type ask struct {
 	request *wire.ShareRequest
-	reply   chan *wire.ShareReply
+	reply   *ring.Ring[*wire.ShareReply]
 }
 
 // Sharing runs the duties.
@@ -82,7 +82,7 @@
 		}
 		now := time.Now()
 		b.take(core.NodeID(a.request.GetSender().GetNode()), decode(now, a.request.Seen))
-		a.reply <- &wire.ShareReply{Seen: encode(now, b.newest(now))}
+		a.reply.Push(&wire.ShareReply{Seen: encode(now, b.newest(now))})
 	}
 }
 
@@ -127,16 +127,10 @@
 
 // Share implements the inner protocol.
 func (s *Sharing) Share(ctx context.Context, request *wire.ShareRequest) (*wire.ShareReply, error) {
-	a := ask{request: request, reply: make(chan *wire.ShareReply, 1)}
-	if !s.asks.Offer(a) {
-		return nil, errs.New(errs.Exhausted, "ask another process", "too many exchanges wait")
-	}
-	select {
-	case reply := <-a.reply:
-		return reply, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	reply, err := ring.TryAsk(ctx, s.asks, func(reply *ring.Ring[*wire.ShareReply]) ask {
+		return ask{request: request, reply: reply}
+	})
+	return reply, errs.Wrap(err, errs.Exhausted, "ask another process", "the exchange was not answered")
 }
 
 func encode(now time.Time, seen []Observation) []*wire.Observation {
--- a/transfer/import.go
+++ b/transfer/import.go
@@ -72,12 +72,11 @@
 // ask sends a request to the transfer duty and waits for its answer. A full
 // ring refuses and gives the zero answer.
 func ask[T any](ctx context.Context, to *ring.Ring[message], request func(*ring.Ring[T]) message) T {
-	reply := ring.New[T](1)
-	if !to.Offer(request(reply)) {
+	answer, err := ring.TryAsk(ctx, to, request)
+	if err != nil {
 		var zero T
 		return zero
 	}
-	answer, _ := reply.Receive(ctx)
 	return answer
 }
 
