Add a fault soak of fronts as separate processes

tools/soak runs fronts between stand-ins and injects faults from outside: kills, planned stops and freezes by signals, links that are silent, reset, delayed or lose answers, servers that lose answers, reject or break off, drains, changes of the configuration and SIGHUP, in overlapping series drawn from a seed. While it runs it checks what callers and servers see: calls that may run once, promises that a call has not run, crossed answers, streams without gaps, processes that end by themselves, and service after the last fault.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 export PATH := $(GOBIN):$(PATH)
 
-.PHONY: test tools check unit model build generate capacity
+.PHONY: test tools check unit model build generate capacity soak
 
 test: tools check unit model
 
@@ -34,3 +34,9 @@
 
 capacity:
 	go run ./tools/capacity
+
+# Runs fronts as separate processes under random faults, one run for each seed.
+SEEDS ?= $(shell seq 1 50)
+soak: build
+	go build -o bin/ ./tools/soak
+	@for seed in $(SEEDS); do bin/soak --seed $$seed --for 15s --fronts 4 --servers 5 || exit 1; done
--- /dev/null
+++ b/tools/soak/callers.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// callTime is how long a caller waits, and answerSlack how much longer than the
+	// route allows an undisturbed answer may take.
+	callTime = 2500 * time.Millisecond
+	events   = 12
+	thinking = 30 * time.Millisecond
+)
+
+// kinds of calls with their routes.
+var kinds = []struct {
+	path, method string
+	once, stream bool
+}{
+	{"/read/x", http.MethodGet, false, false},
+	{"/log/x", http.MethodPost, true, false},
+	{"/draft/x", http.MethodPost, true, true},
+	{"/verdict/x", http.MethodPost, false, true},
+}
+
+// caller sends calls over kept connections until the context ends.
+func (w *world) caller(ctx context.Context, n int) {
+	random := rand.New(rand.NewPCG(w.o.Seed, uint64(1000+n)))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 5 * time.Second}}
+	defer client.CloseIdleConnections()
+	for i := 0; ctx.Err() == nil; i++ {
+		kind := kinds[random.IntN(len(kinds))]
+		at := w.fronts[random.IntN(len(w.fronts))].callers.address()
+		w.call(client, at, fmt.Sprintf("c%d-%d", n, i), kind.method, kind.path, kind.once, kind.stream)
+		time.Sleep(thinking/2 + time.Duration(random.Int64N(int64(thinking))))
+	}
+}
+
+func (w *world) call(client *http.Client, at, id, method, path string, once, stream bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+at+path, strings.NewReader("body of "+id))
+	if err != nil {
+		w.ledger.note(entry{id: id, broken: err.Error()})
+		return
+	}
+	req.GetBody = nil // the library must not send a call again
+	req.Host = "gates.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("X-Api-Key", apiKey)
+	req.Header.Set("Deadline-Ms", fmt.Sprint(callTime.Milliseconds()))
+	w.ledger.note(entry{id: id, once: once, tried: true})
+	resp, err := client.Do(req)
+	if err != nil {
+		return // a connection that breaks promises nothing
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if got := resp.Header.Get("Request-Id"); got != id {
+		w.ledger.note(entry{id: id, broken: "got the answer of " + got})
+		return
+	}
+	switch {
+	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
+		w.ledger.note(entry{id: id, promised: true})
+	case resp.StatusCode/100 == 4:
+		w.ledger.note(entry{id: id, broken: fmt.Sprintf("a proper call got status %d", resp.StatusCode)})
+	case resp.StatusCode != http.StatusOK:
+	case stream:
+		w.readStream(id, resp.Body)
+	default:
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return
+		}
+		if string(body) != "served "+id {
+			w.ledger.note(entry{id: id, broken: fmt.Sprintf("answer %q", body)})
+			return
+		}
+		w.ledger.note(entry{id: id, served: true})
+	}
+}
+
+// readStream checks that events come once and in order, and that a stream that
+// ends whole has all of them.
+func (w *world) readStream(id string, body io.Reader) {
+	scanner := bufio.NewScanner(body)
+	last := 0
+	for scanner.Scan() {
+		var n int
+		line := scanner.Text()
+		if _, err := fmt.Sscanf(line, "id: %d", &n); err == nil {
+			if n != last+1 {
+				w.ledger.note(entry{id: id, broken: fmt.Sprintf("event %d after %d", n, last)})
+				return
+			}
+			last = n
+			continue
+		}
+		if text, ok := strings.CutPrefix(line, "data: "); ok && text != fmt.Sprintf("%s event %d", id, last) {
+			w.ledger.note(entry{id: id, broken: fmt.Sprintf("event %d holds %q", last, text)})
+			return
+		}
+	}
+	if scanner.Err() != nil {
+		return // the stream broke off and does not look whole
+	}
+	if last != events {
+		w.ledger.note(entry{id: id, broken: fmt.Sprintf("stream ends as whole after event %d", last)})
+		return
+	}
+	w.ledger.note(entry{id: id, served: true})
+}
--- /dev/null
+++ b/tools/soak/faults.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// faultGap is the mean time between two faults; they overlap.
+	faultGap = 900 * time.Millisecond
+	// faultTime is the longest that a fault lasts, restartPause how long a process
+	// is down.
+	faultTime    = 2500 * time.Millisecond
+	restartPause = 300 * time.Millisecond
+)
+
+// fault changes something and puts it back after a time.
+type fault struct {
+	name string
+	run  func(ctx context.Context, lasts time.Duration)
+}
+
+// inject draws faults until the time is over and waits until all have ended.
+func (w *world) inject(ctx context.Context) {
+	random := rand.New(rand.NewPCG(w.o.Seed, 1))
+	begun := time.Now()
+	var running conc.WaitGroup
+	defer running.Wait()
+	busy := make([]time.Time, len(w.fronts))
+	for {
+		pause(ctx, faultGap/2+time.Duration(random.Int64N(int64(faultGap))))
+		lasts := faultTime/5 + time.Duration(random.Int64N(int64(faultTime*4/5)))
+		i, server := random.IntN(len(w.fronts)), w.servers[random.IntN(len(w.servers))]
+		kind := random.IntN(faultKinds)
+		if ctx.Err() != nil || time.Since(begun) > w.o.For-faultTime {
+			return
+		}
+		if kind < processFaults {
+			if time.Now().Before(busy[i]) {
+				continue // its process is being stopped or started
+			}
+			busy[i] = time.Now().Add(grace + lasts + 2*restartPause)
+		}
+		f := w.draw(kind, w.fronts[i], server)
+		w.faults = append(w.faults, fmt.Sprintf("%.1fs %s for %s", time.Since(begun).Seconds(), f.name, lasts.Round(time.Millisecond)))
+		running.Go(func() { f.run(ctx, lasts) })
+	}
+}
+
+// processFaults are the first kinds, which stop or start a front's process.
+const (
+	processFaults = 3
+	faultKinds    = 13
+)
+
+func (w *world) draw(kind int, f *front, s *server) fault {
+	link := func(name string, p *proxy, state linkState) fault {
+		return fault{name, func(ctx context.Context, lasts time.Duration) {
+			p.set(state)
+			pause(ctx, lasts)
+			p.set(open)
+		}}
+	}
+	failing := func(name string, how int32) fault {
+		return fault{name, func(ctx context.Context, lasts time.Duration) {
+			s.failing.Store(how)
+			pause(ctx, lasts)
+			s.failing.Store(sound)
+		}}
+	}
+	switch kind {
+	case 0:
+		return fault{"kill " + f.name, func(ctx context.Context, lasts time.Duration) { w.restart(ctx, f, syscall.SIGKILL, lasts/2) }}
+	case 1:
+		return fault{"stop " + f.name, func(ctx context.Context, _ time.Duration) { w.restart(ctx, f, syscall.SIGTERM, restartPause) }}
+	case 2:
+		return fault{"freeze " + f.name, func(ctx context.Context, lasts time.Duration) {
+			f.child.Load().signal(syscall.SIGSTOP)
+			pause(ctx, lasts)
+			f.child.Load().signal(syscall.SIGCONT)
+		}}
+	case 3:
+		return link("store silent for "+f.name, f.store, silent)
+	case 4:
+		return link("store resets "+f.name, f.store, resetting)
+	case 5:
+		return link("store's answers lost for "+f.name, f.store, answersLost)
+	case 6:
+		return link("link to "+s.id+" silent", s.link, silent)
+	case 7:
+		return link("link to "+s.id+" resets", s.link, resetting)
+	case 8:
+		return link("link to "+s.id+" delayed", s.link, delayed)
+	case 9:
+		return failing(s.id+" loses answers", losesAnswers)
+	case 10:
+		return failing(s.id+" rejects", rejects)
+	case 11:
+		return failing(s.id+" breaks off", breaksOff)
+	default:
+		return fault{"configuration and settings change, " + s.id + " drains", func(ctx context.Context, lasts time.Duration) {
+			w.configure()
+			w.list(s, "draining")
+			for _, f := range w.fronts {
+				f.child.Load().signal(syscall.SIGHUP)
+			}
+			pause(ctx, lasts)
+			w.list(s, "ready")
+		}}
+	}
+}
+
+// restart ends a front's process with a signal and starts it again. A planned
+// stop that outlasts its grace time is killed, as the platform does.
+func (w *world) restart(ctx context.Context, f *front, signal syscall.Signal, down time.Duration) {
+	c := f.child.Load()
+	c.wanted.Store(true)
+	c.signal(signal)
+	select {
+	case <-c.ended:
+	case <-time.After(grace):
+		c.end()
+	}
+	pause(ctx, down)
+	if err := w.launch(f); err != nil {
+		w.ledger.note(entry{id: f.name, broken: err.Error()})
+	}
+}
--- /dev/null
+++ b/tools/soak/ledger.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"time"
+
+	"waxwingtide.example/waxwingtide/ring"
+)
+
+// entry is something that a server or a caller has seen of one call.
+type entry struct {
+	id string
+	// ran is the server that ran the call.
+	ran string
+	// promised is set when a caller was told that the call has not run.
+	promised bool
+	once     bool
+	// broken says which promise a caller saw broken.
+	broken string
+	served bool
+	tried  bool
+	at     time.Time
+}
+
+// ledger is the duty that owns what was seen of all calls.
+type ledger struct {
+	entries *ring.Ring[entry]
+	calls   map[string]*callRecord
+	broken  []string
+	served  int
+	tried   int
+	// lateTried and lateServed count the calls after the last fault.
+	calm                  time.Time
+	lateTried, lateServed int
+}
+
+type callRecord struct {
+	ran      []string
+	promised bool
+	once     bool
+}
+
+func newLedger(calm time.Time) *ledger {
+	return &ledger{entries: ring.New[entry](4096), calls: make(map[string]*callRecord), calm: calm}
+}
+
+func (l *ledger) note(e entry) {
+	e.at = time.Now()
+	_ = l.entries.Send(context.Background(), e) // fails only when the ledger is closed, at the end of the run
+}
+
+// run takes entries until the ring is closed.
+func (l *ledger) run() {
+	for {
+		e, err := l.entries.Receive(context.Background())
+		if err != nil {
+			return
+		}
+		l.take(e)
+	}
+}
+
+func (l *ledger) take(e entry) {
+	c := l.calls[e.id]
+	if c == nil {
+		c = &callRecord{}
+		l.calls[e.id] = c
+	}
+	if e.ran != "" {
+		c.ran = append(c.ran, e.ran)
+	}
+	c.promised = c.promised || e.promised
+	c.once = c.once || e.once
+	if e.broken != "" {
+		l.broken = append(l.broken, e.id+": "+e.broken)
+	}
+	if e.tried {
+		l.tried++
+	}
+	if e.served {
+		l.served++
+	}
+	if e.at.After(l.calm) {
+		if e.tried {
+			l.lateTried++
+		}
+		if e.served {
+			l.lateServed++
+		}
+	}
+}
+
+// verdict checks what can be known at the end only.
+func (l *ledger) verdict() []string {
+	for id, c := range l.calls {
+		if c.once && len(c.ran) > 1 {
+			l.broken = append(l.broken, fmt.Sprintf("%s: a call that may run once ran at %v", id, c.ran))
+		}
+		if c.promised && len(c.ran) > 0 {
+			l.broken = append(l.broken, fmt.Sprintf("%s: ran at %v though the caller was told that it has not", id, c.ran))
+		}
+	}
+	if l.lateTried > 0 && l.lateServed*10 < l.lateTried*9 {
+		l.broken = append(l.broken, fmt.Sprintf("after the faults %d of %d calls were served", l.lateServed, l.lateTried))
+	}
+	sort.Strings(l.broken)
+	return l.broken
+}
--- /dev/null
+++ b/tools/soak/proxy.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"waxwingtide.example/waxwingtide/errs"
+)
+
+// linkState is what a proxy does to the bytes of its connections.
+type linkState int32
+
+// States of a link.
+const (
+	open linkState = iota
+	// delayed holds bytes back for linkDelay.
+	delayed
+	// resetting resets open and new connections.
+	resetting
+	// silent drops all bytes and keeps connections open.
+	silent
+	// answersLost drops the bytes towards the caller only.
+	answersLost
+)
+
+const linkDelay = 120 * time.Millisecond
+
+// proxy is a TCP link whose state can be changed while connections are open.
+type proxy struct {
+	listener net.Listener
+	target   string
+	state    atomic.Int32
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    conc.WaitGroup
+}
+
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Internal, "free some ports", "proxy cannot listen")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &proxy{listener: l, target: target, ctx: ctx, cancel: cancel}
+	p.group.Go(p.accept)
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) set(s linkState) { p.state.Store(int32(s)) }
+
+func (p *proxy) is(s linkState) bool { return linkState(p.state.Load()) == s }
+
+func (p *proxy) close() {
+	p.cancel()
+	_ = p.listener.Close() // ends accept; there is nothing to do about a failure
+	p.group.Wait()
+}
+
+func (p *proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.group.Go(func() { p.serve(conn.(*net.TCPConn)) })
+	}
+}
+
+// serve joins a connection to one to the target. A silent link accepts and does
+// not connect.
+func (p *proxy) serve(in *net.TCPConn) {
+	stop := context.AfterFunc(p.ctx, func() { _ = in.Close() })
+	defer stop()
+	defer func() { _ = in.Close() }()
+	if p.is(resetting) {
+		_ = in.SetLinger(0)
+		return
+	}
+	dialer := net.Dialer{Timeout: time.Second}
+	conn, err := dialer.DialContext(p.ctx, "tcp", p.target)
+	if err != nil {
+		_ = in.SetLinger(0)
+		return
+	}
+	out := conn.(*net.TCPConn)
+	stopOut := context.AfterFunc(p.ctx, func() { _ = out.Close() })
+	defer stopOut()
+	defer func() { _ = out.Close() }()
+	var both conc.WaitGroup
+	both.Go(func() { p.copy(out, in, false) })
+	both.Go(func() { p.copy(in, out, true) })
+	both.Wait()
+}
+
+// copy passes bytes on as the state of the link allows.
+func (p *proxy) copy(to, from *net.TCPConn, answers bool) {
+	buffer := make([]byte, 32<<10)
+	for {
+		_ = from.SetReadDeadline(time.Now().Add(50 * time.Millisecond)) // a closed connection shows at the read
+		n, err := from.Read(buffer)
+		if p.is(resetting) {
+			_, _ = to.SetLinger(0), from.SetLinger(0)
+			_, _ = to.Close(), from.Close()
+			return
+		}
+		if p.is(delayed) && n > 0 {
+			time.Sleep(linkDelay)
+		}
+		if n > 0 && !p.is(silent) && (!p.is(answersLost) || !answers) {
+			if _, werr := to.Write(buffer[:n]); werr != nil {
+				return
+			}
+		}
+		if timeout, ok := err.(net.Error); ok && timeout.Timeout() { //nolint:errorlint // the connection's own error is not wrapped
+			if p.ctx.Err() != nil {
+				return
+			}
+			continue
+		}
+		if err != nil {
+			if err == io.EOF { //nolint:errorlint // Read returns it unwrapped
+				_ = to.CloseWrite()
+			} else {
+				_ = to.SetLinger(0)
+				_ = to.Close()
+			}
+			return
+		}
+	}
+}
--- /dev/null
+++ b/tools/soak/soak_test.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// seeds are the runs of CI: one that draws many kinds of fault, and each that has
+// ever failed, with its cause.
+var seeds = []uint64{1}
+
+// Guards against promises that hold in one process with stand-ins only: calls
+// that run twice or after a refusal, crossed and cut answers, streams with gaps,
+// and fronts that do not recover.
+func TestFrontsKeepTheirPromisesUnderFaults(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "waxwing-front")
+	out, err := exec.Command("go", "build", "-o", program, "waxwingtide.example/waxwingtide/cmd/waxwing-front").CombinedOutput()
+	require.NoError(t, err, string(out))
+	for _, seed := range seeds {
+		result, err := run(t.Context(), options{
+			Front: program, Seed: seed, For: 8 * time.Second, Fronts: 3, Servers: 4, Callers: 8, Logs: t.TempDir(),
+		})
+		require.NoError(t, err)
+		require.Empty(t, result.Broken, result.String())
+		require.NotEmpty(t, result.Faults)
+		require.Positive(t, result.Served)
+	}
+}
+
+// Guards against a soak that finds nothing because its checks see nothing.
+func TestLedgerSeesBrokenPromises(t *testing.T) {
+	l := newLedger(time.Now().Add(-time.Second))
+	for _, e := range []entry{
+		{id: "twice", once: true, tried: true}, {id: "twice", ran: "i-1"}, {id: "twice", ran: "i-2"},
+		{id: "refused", promised: true}, {id: "refused", ran: "i-1"},
+		{id: "crossed", broken: "got the answer of other"},
+		{id: "fine", once: true, tried: true}, {id: "fine", ran: "i-1"},
+	} {
+		e.at = time.Now()
+		l.take(e)
+	}
+	require.Len(t, l.verdict(), 4, "the calls after the faults were not served, too")
+}
--- /dev/null
+++ b/tools/soak/world.go
@@ -0,0 +1,370 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/standin"
+)
+
+const (
+	apiKey = "key-1"
+	// recovery is how long after the last fault all is expected to work again, and
+	// calmTime how long it is watched then.
+	recovery = 5 * time.Second
+	calmTime = 3 * time.Second
+	// readyTime bounds the start of the fronts.
+	readyTime = 15 * time.Second
+	// grace is the time of a planned stop.
+	grace = 3 * time.Second
+	// firstPort lies below the range from which the kernel takes ports.
+	firstPort = 21000
+)
+
+type options struct {
+	Front   string
+	Seed    uint64
+	For     time.Duration
+	Fronts  int
+	Servers int
+	Callers int
+	Logs    string
+}
+
+// Result is what a run has shown.
+type Result struct {
+	Seed          uint64
+	Faults        []string
+	Tried, Served int
+	Broken        []string
+	Logs          string
+}
+
+// String returns a summary.
+func (r Result) String() string {
+	lines := append([]string{fmt.Sprintf("seed %d: %d calls, %d served, %d faults, %d promises broken",
+		r.Seed, r.Tried, r.Served, len(r.Faults), len(r.Broken))}, r.Broken...)
+	return strings.Join(lines, "\n")
+}
+
+// world is one run: stand-ins, links, fronts and callers.
+type world struct {
+	o       options
+	store   *standin.PlatformStore
+	storeAt string
+	servers []*server
+	fronts  []*front
+	ledger  *ledger
+	faults  []string
+	closers []func()
+	version atomic.Int32
+}
+
+// server is a stand-in server behind a link.
+type server struct {
+	id      string
+	link    *proxy
+	failing atomic.Int32
+}
+
+// Ways in which a server fails a share of its calls.
+const (
+	sound int32 = iota
+	losesAnswers
+	rejects
+	breaksOff
+)
+
+// front is a process with its links.
+type front struct {
+	name    string
+	file    string
+	callers *proxy
+	store   *proxy
+	child   atomic.Pointer[child]
+	log     *os.File
+}
+
+// child is one run of a front's program.
+type child struct {
+	process *exec.Cmd
+	// ended is closed when the process has ended; wanted is set when the soak ends
+	// it.
+	ended  chan struct{}
+	wanted atomic.Bool
+}
+
+// signal sends a signal to the process, which may have ended.
+func (c *child) signal(s os.Signal) { _ = c.process.Process.Signal(s) }
+
+// end kills the process if it still runs.
+func (c *child) end() {
+	c.wanted.Store(true)
+	c.signal(syscall.SIGCONT)
+	c.signal(syscall.SIGKILL)
+	<-c.ended
+}
+
+func run(ctx context.Context, o options) (Result, error) {
+	if o.Logs == "" {
+		dir, err := os.MkdirTemp("", "soak-")
+		if err != nil {
+			return Result{}, errs.Wrap(err, errs.Internal, "set --logs", "no directory for logs")
+		}
+		o.Logs = dir
+	}
+	w := &world{o: o, ledger: newLedger(time.Now().Add(readyTime + o.For + recovery))}
+	defer func() {
+		for _, f := range w.fronts {
+			if c := f.child.Load(); c != nil {
+				c.end()
+			}
+		}
+		for i := len(w.closers) - 1; i >= 0; i-- {
+			w.closers[i]()
+		}
+	}()
+	if err := w.start(); err != nil {
+		return Result{}, err
+	}
+	if err := w.awaitReady(ctx); err != nil {
+		return Result{}, err
+	}
+	w.ledger.calm = time.Now().Add(o.For + recovery)
+	var book, callers conc.WaitGroup
+	book.Go(w.ledger.run)
+	calling, stop := context.WithCancel(ctx)
+	for n := range o.Callers {
+		callers.Go(func() { w.caller(calling, n) })
+	}
+	w.inject(ctx)
+	pause(ctx, time.Until(w.ledger.calm)+calmTime)
+	stop()
+	callers.Wait()
+	w.ledger.entries.Close()
+	book.Wait()
+	return Result{
+		Seed: o.Seed, Faults: w.faults, Tried: w.ledger.tried, Served: w.ledger.served, Broken: w.ledger.verdict(), Logs: o.Logs,
+	}, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(max(d, 0))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (w *world) start() error {
+	w.store = standin.NewPlatformStore()
+	w.storeAt = w.serve(w.store)
+	w.closers = append(w.closers, w.store.Close)
+	for i := range w.o.Servers {
+		s := &server{id: fmt.Sprintf("i-%d", i)}
+		stand := standin.NewPlatformServer(s.id)
+		stand.Script = w.script(s, stand)
+		var err error
+		if s.link, err = newProxy(w.serve(stand)); err != nil {
+			return err
+		}
+		w.closers = append(w.closers, s.link.close)
+		w.servers = append(w.servers, s)
+		w.list(s, "ready")
+	}
+	w.configure()
+	for i := range w.o.Fronts {
+		f, err := w.newFront(i)
+		if err != nil {
+			return err
+		}
+		w.fronts = append(w.fronts, f)
+		if err := w.launch(f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve runs a handler on a loopback port and returns its address.
+func (w *world) serve(h http.Handler) string {
+	s := httptest.NewUnstartedServer(h)
+	s.Config.ErrorLog = log.New(io.Discard, "", 0)
+	s.Start()
+	w.closers = append(w.closers, func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s.Listener.Addr().String()
+}
+
+// script runs a call at a server and tells the ledger before it answers.
+func (w *world) script(s *server, stand *standin.PlatformServer) func(http.ResponseWriter, *http.Request, []byte) {
+	return func(rw http.ResponseWriter, r *http.Request, body []byte) {
+		id := r.Header.Get("Request-Id")
+		failing := s.failing.Load()
+		fails := failing != sound && rand.IntN(3) == 0
+		if fails && failing == rejects {
+			stand.Reject(rw)
+			return
+		}
+		if string(body) != "body of "+id {
+			w.ledger.note(entry{id: id, broken: fmt.Sprintf("server got the body %q", body)})
+		}
+		w.ledger.note(entry{id: id, ran: s.id})
+		if fails && failing == losesAnswers {
+			stand.Break()
+		}
+		if !strings.HasPrefix(r.URL.Path, "/draft") && !strings.HasPrefix(r.URL.Path, "/verdict") {
+			stand.Answer(rw, http.StatusOK, "served "+id)
+			return
+		}
+		last := 0
+		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last) // absent at the beginning of a stream
+		rw.Header().Set("Response-Seal", "seal-"+s.id)
+		rw.Header().Set("Content-Type", "text/event-stream")
+		rw.WriteHeader(http.StatusOK)
+		for n := last + 1; n <= events; n++ {
+			if fails && n == events/2 {
+				_, _ = fmt.Fprintf(rw, "id: %d\nda", n)
+				_ = http.NewResponseController(rw).Flush()
+				stand.Break()
+			}
+			if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s event %d\n\n", n, id, n); err != nil {
+				return
+			}
+			_ = http.NewResponseController(rw).Flush() // a caller that left shows at the next write
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+func (w *world) list(s *server, state string) {
+	w.store.Put("servers", s.id, map[string]any{
+		"service": "svc", "address": s.link.address(), "zone": "z1", "version": "v1", "slots": 16, "state": state, "born": 1,
+	})
+}
+
+// configure writes the next version of the configuration; all versions allow
+// what the callers send.
+func (w *world) configure() {
+	version := w.version.Add(1)
+	route := func(name, kind string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "gates.example", "prefix": "/" + name + "/", "kind": kind, "service": "svc",
+			"timeout-ms": callTime.Milliseconds(), "target-latency-ms": 800, "priority": 1, "max-attempts": attempts, "resumable": resumable,
+		}
+	}
+	w.store.Put("op", "config", map[string]any{
+		"version": version,
+		"routes": []any{
+			route("read", "safe", 2, false), route("log", "unsafe", 1, false), route("draft", "streaming", 1, false),
+			route("verdict", "streaming", 2, true), route(fmt.Sprintf("new-%d", version), "safe", 1, false),
+		},
+		"services": []any{map[string]any{"name": "svc"}},
+		"limits":   map[string]any{"max-body-bytes": 1 << 20, "idle-timeout-ms": 15000},
+		"tenants":  []any{map[string]any{"name": "crew", "api-keys": []string{apiKey, fmt.Sprintf("key-v%d", version)}}},
+	})
+}
+
+// address is a loopback address that belongs to this process.
+func address(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&63, pid>>8&255, pid&255, firstPort+n)
+}
+
+func (w *world) newFront(i int) (*front, error) {
+	f := &front{name: fmt.Sprintf("front-%d", i)}
+	var err error
+	if f.store, err = newProxy(w.storeAt); err != nil {
+		return nil, err
+	}
+	w.closers = append(w.closers, f.store.close)
+	if f.callers, err = newProxy(address(4 * i)); err != nil {
+		return nil, err
+	}
+	w.closers = append(w.closers, f.callers.close)
+	var seeds []string
+	for n := range w.o.Fronts {
+		seeds = append(seeds, fmt.Sprintf("%q", address(4*n+2)))
+	}
+	body := fmt.Sprintf(`
+node: %s
+failure_domain: z1
+callers: %q
+readiness: %q
+inner: %q
+metrics: %q
+seeds: [%s]
+store: %q
+bounds: {lease: 3000ms, weights: 10s, grace: %s, cold_over: 1.5, cold_slack: 5, retry_share: 0.2, retry_slack: 100, retry_window: 10s}
+stop: {rotation: 500ms}
+`, f.name, address(4*i), address(4*i+1), address(4*i+2), address(4*i+3), strings.Join(seeds, ", "), f.store.address(), grace)
+	f.file = filepath.Join(w.o.Logs, f.name+".yaml")
+	if err := os.WriteFile(f.file, []byte(body), 0o600); err != nil {
+		return nil, errs.Wrap(err, errs.Internal, "choose another --logs", "settings cannot be written")
+	}
+	if f.log, err = os.Create(filepath.Join(w.o.Logs, f.name+".log")); err != nil {
+		return nil, errs.Wrap(err, errs.Internal, "choose another --logs", "log cannot be written")
+	}
+	w.closers = append(w.closers, func() { _ = f.log.Close() })
+	return f, nil
+}
+
+// launch starts a front's process. One that ends by itself breaks a promise.
+func (w *world) launch(f *front) error {
+	program, err := filepath.Abs(w.o.Front)
+	if err != nil {
+		return errs.Wrap(err, errs.Invalid, "name waxwing-front with --front", "no such program")
+	}
+	c := &child{process: exec.Command(program, f.file), ended: make(chan struct{})} //nolint:gosec // the program is the user's choice
+	c.process.Stdout, c.process.Stderr = f.log, f.log
+	if err := c.process.Start(); err != nil {
+		return errs.Wrap(err, errs.Invalid, "build waxwing-front and name it with --front", "front cannot be started")
+	}
+	f.child.Store(c)
+	go func() {
+		err := c.process.Wait()
+		if !c.wanted.Load() {
+			w.ledger.note(entry{id: f.name, broken: fmt.Sprintf("process ended by itself: %v", err)})
+		}
+		close(c.ended)
+	}()
+	return nil
+}
+
+func (w *world) awaitReady(ctx context.Context) error {
+	until := time.Now().Add(readyTime)
+	for i, f := range w.fronts {
+		for {
+			resp, err := http.Get("http://" + address(4*i+1) + "/-/readiness")
+			if err == nil {
+				_ = resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(until) || ctx.Err() != nil {
+				return errs.New(errs.Unavailable, "read its log", "%s is not ready", f.name)
+			}
+			pause(ctx, 50*time.Millisecond)
+		}
+	}
+	return nil
+}
