--- a/cli/bundle.go
+++ b/cli/bundle.go
@@ -165,13 +165,15 @@
 }
 
 func permission(out printer, p admin.Permission) error {
-	return out.value(p, func(r *rows) {
-		r.line("epoch %d is in force", p.Epoch)
-		r.line("bundle %s", p.BundleDigest)
-		for _, plan := range p.Plans {
-			printPlan(r, plan)
-		}
-	})
+	return out.value(p, func(r *rows) { permissionRows(r, p) })
+}
+
+func permissionRows(r *rows, p admin.Permission) {
+	r.line("epoch %d is in force", p.Epoch)
+	r.line("bundle %s", p.BundleDigest)
+	for _, plan := range p.Plans {
+		printPlan(r, plan)
+	}
 }
 
 func newRoll(o *options) *cobra.Command {
@@ -214,11 +216,7 @@
 	return out.value(rolled{p, signed}, func(r *rows) {
 		changes(r, p.Changes)
 		warnings(r, p.Warnings)
-		r.line("epoch %d is in force", signed.Epoch)
-		r.line("bundle %s", signed.BundleDigest)
-		for _, plan := range signed.Plans {
-			printPlan(r, plan)
-		}
+		permissionRows(r, signed)
 	})
 }
 
@@ -267,22 +265,8 @@
 }
 
 func newHistory(o *options) *cobra.Command {
-	var limit int
-	cmd := &cobra.Command{
-		Use:     "history",
-		Short:   "List the last sign-offs, oldest first",
-		Example: "  waxwingtide bundle history --limit 5",
-		Args:    cobra.NoArgs,
-		RunE: o.run(func(ctx context.Context, c *admin.Client, out printer, _ []string) error {
-			entries, err := lastEntries(ctx, c.History, limit)
-			if err != nil {
-				return err
-			}
-			return out.value(entries, func(r *rows) { auditTable(r, entries) })
-		}),
-	}
-	limitFlag(cmd, &limit)
-	return cmd
+	return newListing(o, "history", "List the last sign-offs, oldest first", "  waxwingtide bundle history --limit 5",
+		func(c *admin.Client) pageFunc { return c.History })
 }
 
 func newShow(o *options) *cobra.Command {
--- a/cli/status.go
+++ b/cli/status.go
@@ -51,28 +51,28 @@
 }
 
 func newAudit(o *options) *cobra.Command {
+	return newListing(o, "audit", "List the last changes, oldest first", "  waxwingtide audit --limit 20",
+		func(c *admin.Client) pageFunc { return c.Audit })
+}
+
+// newListing returns a command that prints the last entries of a list of the
+// audit trail.
+func newListing(o *options, use, short, example string, list func(c *admin.Client) pageFunc) *cobra.Command {
 	var limit int
 	cmd := &cobra.Command{
-		Use:     "audit",
-		Short:   "List the last changes, oldest first",
-		Example: "  waxwingtide audit --limit 20",
-		Args:    cobra.NoArgs,
+		Use: use, Short: short, Example: example, Args: cobra.NoArgs,
 		RunE: o.run(func(ctx context.Context, c *admin.Client, out printer, _ []string) error {
-			entries, err := lastEntries(ctx, c.Audit, limit)
+			entries, err := lastEntries(ctx, list(c), limit)
 			if err != nil {
 				return err
 			}
 			return out.value(entries, func(r *rows) { auditTable(r, entries) })
 		}),
 	}
-	limitFlag(cmd, &limit)
+	cmd.Flags().IntVar(&limit, "limit", 50, "number of entries")
 	return cmd
 }
 
-func limitFlag(cmd *cobra.Command, limit *int) {
-	cmd.Flags().IntVar(limit, "limit", 50, "number of entries")
-}
-
 // auditPage is the number of entries read with one request.
 const auditPage = 1000
 
