Ignore SIGHUP until a daemon listens for it

A reload asked for between the start of the program and the settings duty ended the process. The test ends with the signal before the change.

--- a/launch/launch.go
+++ b/launch/launch.go
@@ -25,6 +25,9 @@
 // for any other failure. SIGTERM and SIGINT are planned stops. Without an
 // argument, the environment variable names the file, if the daemon has one.
 func Main(name, variable string, run func(ctx context.Context, settingsFile string) error) int {
+	// SIGHUP asks for a reload; before the daemon listens for it, it must not end
+	// the process.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	status := 0
--- /dev/null
+++ b/launch/launch_test.go
@@ -0,0 +1,31 @@
+package launch_test
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/launch"
+)
+
+// Guards against a reload that is asked for while a daemon starts and ends it.
+func TestHangupDoesNotEndAStartingDaemon(t *testing.T) {
+	args := os.Args
+	t.Cleanup(func() {
+		os.Args = args
+		signal.Reset(syscall.SIGHUP)
+	})
+	os.Args = []string{"daemon", "settings.yaml"}
+	status := launch.Main("daemon", "", func(_ context.Context, file string) error {
+		require.Equal(t, "settings.yaml", file)
+		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		time.Sleep(50 * time.Millisecond)
+		return nil
+	})
+	require.Zero(t, status)
+}
