Begin a call at a stopping front only if it ends in time

Found by reading: since a stopping front keeps its listener while no other front is registered, calls without streams could begin until 0.8 of the grace time, 6.4 s of 8 s, whatever their route allows. With a route's timeout of 2.5 s and a slow server such a call would be cut at the end of the grace time. A call now begins if it is given up before the end less a reserve, or as early as a stream may begin.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -157,9 +157,9 @@
 		s.refuse(http.StatusNotFound, "no_route", 0, nil)
 		return false
 	}
-	if stop := s.gateway.stopping.Load(); !stop.mayBegin(s.route.Kind, time.Now()) {
-		s.setDeadline()
-		wait := stop.retryAfter(time.Now(), s.route.Kind, s.gateway.opts.Placement.Node, s.gateway.opts.Fleet.View())
+	s.setDeadline()
+	if stop := s.gateway.stopping.Load(); !stop.mayBegin(s.route.Kind, time.Now(), s.left()) {
+		wait := stop.retryAfter(time.Now(), s.route.Kind, s.left(), s.gateway.opts.Placement.Node, s.gateway.opts.Fleet.View())
 		s.refuse(http.StatusServiceUnavailable, "stopping", min(wait, time.Duration(callerPatience*float64(s.left()))), nil)
 		return false
 	}
@@ -171,7 +171,6 @@
 		}
 	}
 	s.service = s.target()
-	s.setDeadline()
 	return true
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -11,8 +11,9 @@
 	// streamShare is the share of a planned stop's grace time after which no
 	// stream begins: it might not end within the grace time.
 	streamShare = 0.3
-	// callShare is the share after which no other call begins.
-	callShare = 0.8
+	// endReserve is kept of the grace time by other calls: one that begins ends
+	// before it, at its deadline at the latest.
+	endReserve = 600 * time.Millisecond
 	// stopRetry is what a caller is told whose call came too late; other fronts
 	// can serve it at once.
 	stopRetry = 20 * time.Millisecond
@@ -29,25 +30,27 @@
 	grace time.Duration
 }
 
-// mayBegin reports whether a call that comes now can end within the grace time.
-func (s *stop) mayBegin(kind core.CallKind, now time.Time) bool {
-	return s == nil || now.Before(s.begun.Add(s.open(kind)))
+// mayBegin reports whether a call that comes now and is given up after a time
+// can end within the grace time.
+func (s *stop) mayBegin(kind core.CallKind, now time.Time, left time.Duration) bool {
+	return s == nil || now.Before(s.begun.Add(s.open(kind, left)))
 }
 
-// open is how long calls of a kind begin at a front that stops.
-func (s *stop) open(kind core.CallKind) time.Duration {
-	share := callShare
+// open is how long calls of a kind begin at a front that stops. Those that come
+// early enough for a stream may always begin.
+func (s *stop) open(kind core.CallKind, left time.Duration) time.Duration {
+	early := time.Duration(streamShare * float64(s.grace))
 	if kind == core.Stream {
-		share = streamShare
+		return early
 	}
-	return time.Duration(share * float64(s.grace))
+	return max(early, s.grace-endReserve-left)
 }
 
 // retryAfter is when a caller whose call came too late finds a front that
 // serves it: at once while others are registered or began their stop so lately
 // that they still take such calls, otherwise when the first of those that stop
 // is back.
-func (s *stop) retryAfter(now time.Time, kind core.CallKind, self core.NodeID, v *fleet.View) time.Duration {
+func (s *stop) retryAfter(now time.Time, kind core.CallKind, callLeft time.Duration, self core.NodeID, v *fleet.View) time.Duration {
 	for _, m := range v.Members {
 		if m.Node != self {
 			return stopRetry
@@ -55,7 +58,7 @@
 	}
 	first := s.begun.Add(s.grace + restartTime)
 	for _, left := range v.Departures {
-		if now.Before(left.Add(s.open(kind))) {
+		if now.Before(left.Add(s.open(kind, callLeft))) {
 			return stopRetry
 		}
 		if back := left.Add(s.grace + restartTime); back.After(now) && back.Before(first) {
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -18,17 +18,21 @@
 	cases := []struct {
 		kind  core.CallKind
 		after time.Duration
+		left  time.Duration
 		want  bool
 	}{
-		{core.Stream, time.Second, true},
-		{core.Stream, 3 * time.Second, false},
-		{core.NonIdempotent, 3 * time.Second, true},
-		{core.Idempotent, 7 * time.Second, false},
+		{core.Stream, time.Second, 15 * time.Second, true},
+		{core.Stream, 3 * time.Second, time.Second, false},
+		{core.NonIdempotent, 3 * time.Second, 1200 * time.Millisecond, true},
+		{core.Idempotent, 7 * time.Second, 1200 * time.Millisecond, false},
+		{core.NonIdempotent, 6 * time.Second, 2500 * time.Millisecond, false},
+		{core.Idempotent, 6 * time.Second, time.Second, true},
+		{core.Idempotent, time.Second, time.Minute, true},
 	}
 	for _, c := range cases {
-		require.Equal(t, c.want, s.mayBegin(c.kind, begun.Add(c.after)), "%s after %s", c.kind, c.after)
+		require.Equal(t, c.want, s.mayBegin(c.kind, begun.Add(c.after), c.left), "%s after %s with %s left", c.kind, c.after, c.left)
 	}
-	require.True(t, (*stop)(nil).mayBegin(core.Stream, begun), "no stop is under way")
+	require.True(t, (*stop)(nil).mayBegin(core.Stream, begun, time.Minute), "no stop is under way")
 }
 
 // Guards against callers that are sent from one stopping front to the next
@@ -55,6 +59,6 @@
 		"store has not told of stop": {fleet.View{}, 5*time.Second + restartTime},
 	}
 	for name, c := range cases {
-		require.Equal(t, c.want, s.retryAfter(now, core.Stream, "self", &c.view), name)
+		require.Equal(t, c.want, s.retryAfter(now, core.Stream, time.Second, "self", &c.view), name)
 	}
 }
