--- a/frontend/path_test.go
+++ b/frontend/path_test.go
@@ -300,3 +300,24 @@
 	require.NoError(t, got.err)
 	require.Equal(t, http.StatusGatewayTimeout, got.status)
 }
+
+// Guards against a server's failure that is replaced by one of the system's own
+// when the budget for repeats is used up.
+func TestServersFailureIsPassedOnWithoutBudget(t *testing.T) {
+	w := newWorld(t)
+	failing := func(s *standin.PlatformServer) func(http.ResponseWriter, *http.Request, []byte) {
+		return func(rw http.ResponseWriter, _ *http.Request, _ []byte) {
+			s.Answer(rw, http.StatusInternalServerError, "failed at "+s.ID)
+		}
+	}
+	one, two := w.server("i-1", "svc", failing), w.server("i-2", "svc", failing)
+	f := w.front("front-1")
+	const calls = 40
+	for i := range calls {
+		got := f.call(http.MethodGet, "/read/x", fmt.Sprintf("r-%d", i), nil)
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusInternalServerError, got.status)
+		require.NotEmpty(t, got.header.Get("Response-Seal"))
+	}
+	require.Less(t, len(one.Seen())+len(two.Seen()), 2*calls, "the budget was never used up")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,6 +134,9 @@
 	// tried are the upstreams that got the call, ran how many may have run it.
 	tried []core.UpstreamID
 	ran   int
+	// failure is the whole failed answer of the last attempt; nil when there is
+	// none.
+	failure *buffered
 	// started is set when the head of the answer has gone to the caller.
 	started bool
 	// lastEvent is the id of the last event that the caller has.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -48,6 +48,7 @@
 			return
 		}
 		a := s.attempt(ctx, p)
+		s.failure = a.failure
 		s.gateway.metrics.attempted(string(s.service), a.result)
 		if a.answered {
 			s.gateway.metrics.answered(s.route.Name, time.Since(s.call.Arrived))
@@ -90,6 +91,9 @@
 	switch {
 	case s.started:
 		s.cut(reason)
+	case s.failure != nil:
+		s.pass(s.failure)
+		s.logAnswer("failure_passed")
 	case s.ran > 0:
 		s.refuse(http.StatusBadGateway, reason, 0, err)
 	default:
