--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"waxwingtide.example/waxwingtide/standin"
 )
 
 const (
@@ -46,23 +48,20 @@
 func (w *world) call(client *http.Client, at, id, method, path string, once, stream bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+at+path, strings.NewReader("body of "+id))
+	req, err := standin.PlatformCall{
+		ID: id, Method: method, Address: at, Host: host, Path: path, Key: apiKey, Wait: callTime, Body: strings.NewReader("body of " + id),
+	}.Request(ctx)
 	if err != nil {
 		w.ledger.note(entry{id: id, broken: err.Error()})
 		return
 	}
-	req.GetBody = nil // the library must not send a call again
-	req.Host = "gates.example"
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("X-Api-Key", apiKey)
-	req.Header.Set("Deadline-Ms", fmt.Sprint(callTime.Milliseconds()))
 	w.ledger.note(entry{id: id, once: once, tried: true})
 	resp, err := client.Do(req)
 	if err != nil {
 		return // a connection that breaks promises nothing
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if got := resp.Header.Get("Request-Id"); got != id {
+	if got := standin.PlatformID(resp.Header); got != id {
 		w.ledger.note(entry{id: id, broken: "got the answer of " + got})
 		return
 	}
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -105,12 +105,12 @@
 	default:
 		return fault{"configuration and settings change, " + s.id + " drains", func(ctx context.Context, lasts time.Duration) {
 			w.configure()
-			w.list(s, "draining")
+			w.list(s, true)
 			for _, f := range w.fronts {
 				f.child.Load().signal(syscall.SIGHUP)
 			}
 			pause(ctx, lasts)
-			w.list(s, "ready")
+			w.list(s, false)
 		}}
 	}
 }
--- a/tools/soak/world.go
+++ b/tools/soak/world.go
@@ -23,7 +23,12 @@
 )
 
 const (
-	apiKey = "key-1"
+	apiKey  = "key-1"
+	host    = "gates.example"
+	service = "svc"
+	zone    = "z1"
+	// eventPause is the time between two events of a stream.
+	eventPause = 20 * time.Millisecond
 	// recovery is how long after the last fault all is expected to work again, and
 	// calmTime how long it is watched then.
 	recovery = 5 * time.Second
@@ -186,7 +191,7 @@
 		}
 		w.closers = append(w.closers, s.link.close)
 		w.servers = append(w.servers, s)
-		w.list(s, "ready")
+		w.list(s, false)
 	}
 	w.configure()
 	for i := range w.o.Fronts {
@@ -217,7 +222,7 @@
 // script runs a call at a server and tells the ledger before it answers.
 func (w *world) script(s *server, stand *standin.PlatformServer) func(http.ResponseWriter, *http.Request, []byte) {
 	return func(rw http.ResponseWriter, r *http.Request, body []byte) {
-		id := r.Header.Get("Request-Id")
+		id := standin.PlatformID(r.Header)
 		failing := s.failing.Load()
 		fails := failing != sound && rand.IntN(3) == 0
 		if fails && failing == rejects {
@@ -235,52 +240,37 @@
 			stand.Answer(rw, http.StatusOK, "served "+id)
 			return
 		}
-		last := 0
-		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last) // absent at the beginning of a stream
-		rw.Header().Set("Response-Seal", "seal-"+s.id)
-		rw.Header().Set("Content-Type", "text/event-stream")
-		rw.WriteHeader(http.StatusOK)
-		for n := last + 1; n <= events; n++ {
+		stand.BeginStream(rw)
+		for n := standin.LastEvent(r) + 1; n <= events; n++ {
 			if fails && n == events/2 {
-				_, _ = fmt.Fprintf(rw, "id: %d\nda", n)
-				_ = http.NewResponseController(rw).Flush()
+				_ = stand.SendHalfEvent(rw, n) // the stream breaks off either way
 				stand.Break()
 			}
-			if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s event %d\n\n", n, id, n); err != nil {
+			if err := stand.SendEvent(rw, n, fmt.Sprintf("%s event %d", id, n)); err != nil {
 				return
 			}
-			_ = http.NewResponseController(rw).Flush() // a caller that left shows at the next write
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(eventPause)
 		}
 	}
 }
 
-func (w *world) list(s *server, state string) {
-	w.store.Put("servers", s.id, map[string]any{
-		"service": "svc", "address": s.link.address(), "zone": "z1", "version": "v1", "slots": 16, "state": state, "born": 1,
-	})
+func (w *world) list(s *server, draining bool) {
+	w.store.PutServer(s.id, service, s.link.address(), zone, draining)
 }
 
 // configure writes the next version of the configuration; all versions allow
 // what the callers send.
 func (w *world) configure() {
-	version := w.version.Add(1)
-	route := func(name, kind string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": "gates.example", "prefix": "/" + name + "/", "kind": kind, "service": "svc",
-			"timeout-ms": callTime.Milliseconds(), "target-latency-ms": 800, "priority": 1, "max-attempts": attempts, "resumable": resumable,
+	version := int(w.version.Add(1))
+	route := func(name, kind string, attempts int) standin.PlatformRoute {
+		return standin.PlatformRoute{
+			Name: name, Kind: kind, Attempts: attempts, Resumable: name == "verdict", Timeout: callTime, Aim: callTime / 3,
 		}
 	}
-	w.store.Put("op", "config", map[string]any{
-		"version": version,
-		"routes": []any{
-			route("read", "safe", 2, false), route("log", "unsafe", 1, false), route("draft", "streaming", 1, false),
-			route("verdict", "streaming", 2, true), route(fmt.Sprintf("new-%d", version), "safe", 1, false),
-		},
-		"services": []any{map[string]any{"name": "svc"}},
-		"limits":   map[string]any{"max-body-bytes": 1 << 20, "idle-timeout-ms": 15000},
-		"tenants":  []any{map[string]any{"name": "crew", "api-keys": []string{apiKey, fmt.Sprintf("key-v%d", version)}}},
-	})
+	w.store.PutConfig(version, host, service, []standin.PlatformRoute{
+		route("read", "safe", 2), route("log", "unsafe", 1), route("draft", "streaming", 1), route("verdict", "streaming", 2),
+		route(fmt.Sprintf("new-%d", version), "safe", 1),
+	}, []string{apiKey, fmt.Sprintf("key-v%d", version)})
 }
 
 // address is a loopback address that belongs to this process.
@@ -306,7 +296,7 @@
 	}
 	body := fmt.Sprintf(`
 node: %s
-failure_domain: z1
+failure_domain: %s
 callers: %q
 readiness: %q
 inner: %q
@@ -315,7 +305,7 @@
 store: %q
 bounds: {lease: 3000ms, weights: 10s, grace: %s, cold_over: 1.5, cold_slack: 5, retry_share: 0.2, retry_slack: 100, retry_window: 10s}
 stop: {rotation: 500ms}
-`, f.name, address(4*i), address(4*i+1), address(4*i+2), address(4*i+3), strings.Join(seeds, ", "), f.store.address(), grace)
+`, f.name, zone, address(4*i), address(4*i+1), address(4*i+2), address(4*i+3), strings.Join(seeds, ", "), f.store.address(), grace)
 	f.file = filepath.Join(w.o.Logs, f.name+".yaml")
 	if err := os.WriteFile(f.file, []byte(body), 0o600); err != nil {
 		return nil, errs.Wrap(err, errs.Internal, "choose another --logs", "settings cannot be written")
