Use the project's pause and one loopback address in the soak

Found in the last read-through: tools/soak had its own copy of duty.Pause, and of the loopback address of the whole-front tests, which standin now holds for both; a comment named a constant that does not exist; and the ledger's time was set twice. No check changes. The front's program is unchanged: none of these packages is linked into it.

--- a/frontend/world_test.go
+++ b/frontend/world_test.go
@@ -124,10 +124,7 @@
 // freeAddress returns an address that nothing else takes before the front
 // listens on it: the loopback address belongs to this process and each port is
 // given out once. Other test processes use other loopback addresses.
-func freeAddress() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&63, pid>>8&255, pid&255, portsFrom+ports.Add(1))
-}
+func freeAddress() string { return standin.LoopbackAddress(portsFrom + int(ports.Add(1))) }
 
 // front starts a front and waits until it is ready.
 func (w *world) front(name string) *front {
--- a/standin/platformcalls.go
+++ b/standin/platformcalls.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 )
@@ -113,3 +114,11 @@
 		"service": service, "address": address, "zone": zone, "version": "v1", "slots": 16, "state": state, "born": 1,
 	})
 }
+
+// LoopbackAddress returns a loopback address that belongs to this process, so
+// that no other process takes its ports. Ports are best below the range from which
+// the kernel takes those of outgoing connections.
+func LoopbackAddress(port int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&63, pid>>8&255, pid&255, port)
+}
--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	// callTime is how long a caller waits, and answerSlack how much longer than the
-	// route allows an undisturbed answer may take.
+	// callTime is how long a caller waits, which is also what the routes allow.
 	callTime = 2500 * time.Millisecond
-	events   = 12
+	// events is the number of events of a stream.
+	events = 12
+	// thinking is the mean pause between two calls of one caller.
 	thinking = 30 * time.Millisecond
 )
 
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"waxwingtide.example/waxwingtide/duty"
 )
 
 const (
@@ -33,7 +35,7 @@
 	defer running.Wait()
 	busy := make([]time.Time, len(w.fronts))
 	for {
-		pause(ctx, faultGap/2+time.Duration(random.Int64N(int64(faultGap))))
+		duty.Pause(ctx, faultGap/2+time.Duration(random.Int64N(int64(faultGap))))
 		lasts := faultTime/5 + time.Duration(random.Int64N(int64(faultTime*4/5)))
 		i, server := random.IntN(len(w.fronts)), w.servers[random.IntN(len(w.servers))]
 		kind := random.IntN(faultKinds)
@@ -62,14 +64,14 @@
 	link := func(name string, p *proxy, state linkState) fault {
 		return fault{name, func(ctx context.Context, lasts time.Duration) {
 			p.set(state)
-			pause(ctx, lasts)
+			duty.Pause(ctx, lasts)
 			p.set(open)
 		}}
 	}
 	failing := func(name string, how int32) fault {
 		return fault{name, func(ctx context.Context, lasts time.Duration) {
 			s.failing.Store(how)
-			pause(ctx, lasts)
+			duty.Pause(ctx, lasts)
 			s.failing.Store(sound)
 		}}
 	}
@@ -81,7 +83,7 @@
 	case 2:
 		return fault{"freeze " + f.name, func(ctx context.Context, lasts time.Duration) {
 			f.child.Load().signal(syscall.SIGSTOP)
-			pause(ctx, lasts)
+			duty.Pause(ctx, lasts)
 			f.child.Load().signal(syscall.SIGCONT)
 		}}
 	case 3:
@@ -109,7 +111,7 @@
 			for _, f := range w.fronts {
 				f.child.Load().signal(syscall.SIGHUP)
 			}
-			pause(ctx, lasts)
+			duty.Pause(ctx, lasts)
 			w.list(s, false)
 		}}
 	}
@@ -126,7 +128,7 @@
 	case <-time.After(grace):
 		c.end()
 	}
-	pause(ctx, down)
+	duty.Pause(ctx, down)
 	if err := w.launch(f); err != nil {
 		w.ledger.note(entry{id: f.name, broken: err.Error()})
 	}
--- a/tools/soak/ledger.go
+++ b/tools/soak/ledger.go
@@ -31,7 +31,8 @@
 	broken  []string
 	served  int
 	tried   int
-	// lateTried and lateServed count the calls after the last fault.
+	// calm is when all is expected to work again after the last fault; lateTried and
+	// lateServed count the calls from then on. It is set before run.
 	calm                  time.Time
 	lateTried, lateServed int
 }
@@ -42,8 +43,8 @@
 	once     bool
 }
 
-func newLedger(calm time.Time) *ledger {
-	return &ledger{entries: ring.New[entry](4096), calls: make(map[string]*callRecord), calm: calm}
+func newLedger() *ledger {
+	return &ledger{entries: ring.New[entry](4096), calls: make(map[string]*callRecord)}
 }
 
 func (l *ledger) note(e entry) {
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -33,7 +33,8 @@
 
 // Guards against a soak that finds nothing because its checks see nothing.
 func TestLedgerSeesBrokenPromises(t *testing.T) {
-	l := newLedger(time.Now().Add(-time.Second))
+	l := newLedger()
+	l.calm = time.Now().Add(-time.Second)
 	for _, e := range []entry{
 		{id: "twice", once: true, tried: true}, {id: "twice", ran: "i-1"}, {id: "twice", ran: "i-2"},
 		{id: "refused", promised: true}, {id: "refused", ran: "i-1"},
--- a/tools/soak/world.go
+++ b/tools/soak/world.go
@@ -18,6 +18,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/standin"
 )
@@ -133,7 +134,7 @@
 		}
 		o.Logs = dir
 	}
-	w := &world{o: o, ledger: newLedger(time.Now().Add(readyTime + o.For + recovery))}
+	w := &world{o: o, ledger: newLedger()}
 	defer func() {
 		for _, f := range w.fronts {
 			if c := f.child.Load(); c != nil {
@@ -158,7 +159,7 @@
 		callers.Go(func() { w.caller(calling, n) })
 	}
 	w.inject(ctx)
-	pause(ctx, time.Until(w.ledger.calm)+calmTime)
+	duty.Pause(ctx, time.Until(w.ledger.calm)+calmTime)
 	stop()
 	callers.Wait()
 	w.ledger.entries.Close()
@@ -168,15 +169,6 @@
 	}, nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(max(d, 0))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (w *world) start() error {
 	w.store = standin.NewPlatformStore()
 	w.storeAt = w.serve(w.store)
@@ -273,11 +265,8 @@
 	}, []string{apiKey, fmt.Sprintf("key-v%d", version)})
 }
 
-// address is a loopback address that belongs to this process.
-func address(n int) string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&63, pid>>8&255, pid&255, firstPort+n)
-}
+// address is one of the fronts' addresses.
+func address(n int) string { return standin.LoopbackAddress(firstPort + n) }
 
 func (w *world) newFront(i int) (*front, error) {
 	f := &front{name: fmt.Sprintf("front-%d", i)}
@@ -353,7 +342,7 @@
 			if time.Now().After(until) || ctx.Err() != nil {
 				return errs.New(errs.Unavailable, "read its log", "%s is not ready", f.name)
 			}
-			pause(ctx, 50*time.Millisecond)
+			duty.Pause(ctx, 50*time.Millisecond)
 		}
 	}
 	return nil
