--- /dev/null
+++ b/attempts/attempts_test.go
@@ -0,0 +1,147 @@
+package attempts_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/attempts"
+	"waxwingtide.example/waxwingtide/core"
+)
+
+const (
+	never    = core.NeverDispatched
+	rejected = core.Rejected
+	started  = core.Started
+	finished = core.Finished
+	unknown  = core.Unknown
+)
+
+// Guards against "not run" said of a call of which one attempt may have run.
+func TestCombine(t *testing.T) {
+	cases := []struct {
+		attempts []core.Outcome
+		want     core.Outcome
+	}{
+		{nil, never},
+		{[]core.Outcome{never}, never},
+		{[]core.Outcome{rejected, never}, rejected},
+		{[]core.Outcome{rejected, rejected}, rejected},
+		{[]core.Outcome{unknown, rejected}, unknown},
+		{[]core.Outcome{rejected, unknown, never}, unknown},
+		{[]core.Outcome{unknown, started}, started},
+		{[]core.Outcome{started, finished}, finished},
+		{[]core.Outcome{finished, unknown, rejected}, finished},
+		{[]core.Outcome{rejected, 99}, 99},
+	}
+	for _, c := range cases {
+		got := attempts.Combine(c.attempts)
+		require.Equal(t, c.want, got, "%v", c.attempts)
+		proved := true
+		for _, o := range c.attempts {
+			proved = proved && o.NotRun()
+		}
+		require.Equal(t, proved, got.NotRun(), "%v", c.attempts)
+	}
+}
+
+// script is a path whose attempts come to given outcomes.
+type script struct {
+	outcomes []core.Outcome
+	// finalAt is the number of the attempt whose answer is final, 0 for none.
+	finalAt int
+	// onSend is called with the number of each attempt.
+	onSend func(n int)
+	sent   int
+}
+
+var errNoUpstream = errors.New("no upstream")
+
+func (s *script) Place(_ context.Context, before int) error {
+	if before == len(s.outcomes) {
+		return errNoUpstream
+	}
+	return nil
+}
+
+func (s *script) Send(context.Context) attempts.Result {
+	s.sent++
+	if s.onSend != nil {
+		s.onSend(s.sent)
+	}
+	return attempts.Result{Outcome: s.outcomes[s.sent-1], Final: s.sent == s.finalAt}
+}
+
+// Guards against a second run of a call that may run once only, against more
+// attempts than the rules allow, and against an ending that says less or more
+// than the attempts prove.
+func TestRun(t *testing.T) {
+	const once, repeatable = false, true
+	cases := map[string]struct {
+		repeatable bool
+		maxRuns    int
+		outcomes   []core.Outcome
+		finalAt    int
+		sent       int
+		cause      attempts.Cause
+		denial     attempts.Denial
+		outcome    core.Outcome
+	}{
+		"answered":                     {once, 1, []core.Outcome{finished, finished}, 0, 1, attempts.Answered, attempts.DeniedFinal, finished},
+		"once rejected, then answered": {once, 1, []core.Outcome{rejected, never, finished}, 0, 3, attempts.Answered, attempts.DeniedFinal, finished},
+		"once, may have run":           {once, 3, []core.Outcome{unknown, finished}, 0, 1, attempts.Failed, attempts.DeniedRan, unknown},
+		"once, started":                {once, 3, []core.Outcome{started, finished}, 0, 1, attempts.Failed, attempts.DeniedRan, started},
+		"once, an unknown outcome":     {once, 3, []core.Outcome{99, finished}, 0, 1, attempts.Failed, attempts.DeniedRan, 99},
+		"once rejected, then run":      {once, 3, []core.Outcome{rejected, unknown, finished}, 0, 2, attempts.Failed, attempts.DeniedRan, unknown},
+		"repeatable goes on":           {repeatable, 2, []core.Outcome{unknown, finished}, 0, 2, attempts.Answered, attempts.DeniedFinal, finished},
+		"repeatable, runs used":        {repeatable, 2, []core.Outcome{unknown, unknown, finished}, 0, 2, attempts.Failed, attempts.DeniedAttempts, unknown},
+		"repeatable, rejected between": {repeatable, 2, []core.Outcome{unknown, rejected, finished}, 0, 3, attempts.Answered, attempts.DeniedFinal, finished},
+		"sends used":                   {repeatable, 9, []core.Outcome{rejected, rejected, rejected, rejected, finished}, 0, 4, attempts.NotRun, attempts.DeniedAttempts, rejected},
+		"final":                        {repeatable, 9, []core.Outcome{rejected, finished}, 1, 1, attempts.NotRun, attempts.DeniedFinal, rejected},
+		"no upstream at all":           {once, 1, nil, 0, 0, attempts.NotRun, attempts.DeniedPlace, never},
+		"no upstream after a run":      {repeatable, 3, []core.Outcome{unknown}, 0, 1, attempts.Failed, attempts.DeniedPlace, unknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := &script{outcomes: c.outcomes, finalAt: c.finalAt}
+			got := attempts.Run(t.Context(), attempts.Rules{Repeatable: c.repeatable, MaxRuns: c.maxRuns, MaxSends: 4}, s)
+			require.Equal(t, c.sent, s.sent)
+			require.Equal(t, c.cause, got.Cause)
+			require.Equal(t, c.denial.String(), got.Denial.String())
+			require.Equal(t, c.outcome, got.Outcome)
+			if c.denial == attempts.DeniedPlace {
+				require.ErrorIs(t, got.Err, errNoUpstream)
+			}
+		})
+	}
+}
+
+// Guards against attempts for a caller that has left or whose time is over, and
+// against a deadline that hides that the call has not run.
+func TestRunEndsWithItsContext(t *testing.T) {
+	rules := attempts.Rules{Repeatable: true, MaxRuns: 9, MaxSends: 9}
+	left, leave := context.WithCancel(t.Context())
+	s := &script{outcomes: []core.Outcome{unknown, finished}, onSend: func(int) { leave() }}
+	got := attempts.Run(left, rules, s)
+	require.Equal(t, attempts.CallerLeft, got.Cause)
+	require.Equal(t, attempts.DeniedDeadline, got.Denial)
+	require.Equal(t, 1, s.sent)
+
+	for outcome, cause := range map[core.Outcome]attempts.Cause{unknown: attempts.Late, rejected: attempts.NotRun} {
+		late, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		s = &script{outcomes: []core.Outcome{outcome, finished}, onSend: func(int) { <-late.Done() }}
+		got = attempts.Run(late, rules, s)
+		cancel()
+		require.Equal(t, cause, got.Cause)
+		require.Equal(t, 1, s.sent)
+	}
+
+	rules.Deadline, rules.MinLeft = time.Now().Add(time.Minute), time.Hour
+	s = &script{outcomes: []core.Outcome{rejected, finished}}
+	got = attempts.Run(t.Context(), rules, s)
+	require.Equal(t, attempts.DeniedDeadline, got.Denial, "an attempt needs more time than is left")
+	require.Equal(t, 1, s.sent)
+}
--- a/core/call.go
+++ b/core/call.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // CallKind says how often a call may run.
 type CallKind uint8
@@ -36,6 +39,9 @@
 	// Tokens is the length of the prompt, MaxOutput the largest answer.
 	Tokens    int
 	MaxOutput int
+	// Text is the prompt itself where the interface carries it as text. Its parts
+	// are then the blocks of the text, whose ids depend on the weight version.
+	Text string
 	// Parts are in prompt order. The last one belongs to this call alone.
 	Parts []Part
 }
@@ -48,7 +54,7 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
-// Call is one request of a caller. The body and the headers are opaque.
+// Call is one request of a caller on any interface. The body and the headers are opaque.
 type Call struct {
 	// ID is chosen by the caller and differs between its retries.
 	ID      string
@@ -69,3 +75,17 @@
 	Header map[string][]string
 	Body   []byte
 }
+
+// Query returns the query part of the request target.
+func (c *Call) Query() string {
+	_, query, _ := strings.Cut(c.URI, "?")
+	return query
+}
+
+// ContentType returns the media type that the caller states for the body.
+func (c *Call) ContentType() string {
+	if values := c.Header["Content-Type"]; len(values) > 0 {
+		return values[0]
+	}
+	return ""
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -43,13 +43,13 @@
 		Upstream:         string(a.choice.Upstream),
 		AgentIncarnation: uint64(a.choice.Incarnation),
 		Workspace:        string(c.identity.Workspace),
-		Model:            string(c.model),
+		Model:            string(c.Prompt.Model),
 		Adapter:          string(c.adapter),
 		Version:          string(c.version),
-		Prompt:           c.text,
-		MaxTokens:        uint32(c.maxTokens),
+		Prompt:           c.Prompt.Text,
+		MaxTokens:        uint32(c.Prompt.MaxOutput),
 		Deferrable:       c.class == core.Deferrable,
-		DeadlineMs:       uint32(max(0, c.deadline.Sub(c.opts.Now()).Milliseconds())),
+		DeadlineMs:       uint32(max(0, c.Deadline.Sub(c.opts.Now()).Milliseconds())),
 		ResumeFrom:       resume,
 		Weight:           uint32(c.weight),
 	}
@@ -121,7 +121,7 @@
 	}}
 	if outcome == core.Finished {
 		l.run.Held = int(c.end.GetPrefixBlocks())
-		l.run.Cached = cachedBlocks(c.end, len(c.text))
+		l.run.Cached = cachedBlocks(c.end, len(c.Prompt.Text))
 		// Imported blocks were no longer at the upstream. Counting them as found
 		// would make every former holder look as good as the one that holds them.
 		if c.end.GetImportedBytes() > 0 {
--- a/entry/call.go
+++ b/entry/call.go
@@ -2,45 +2,43 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"waxwingtide.example/waxwingtide/attempts"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/engine"
 	"waxwingtide.example/waxwingtide/errs"
-	"waxwingtide.example/waxwingtide/retry"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/rollout"
-	"waxwingtide.example/waxwingtide/route"
 	"waxwingtide.example/waxwingtide/stream"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
+// maxAttempts bounds the upstreams that one prompt is sent to.
+const maxAttempts = 4
+
 // call is one prompt on its way through attempts. It lives on the goroutine of
 // its HTTP handler.
 type call struct {
 	*Entry
 	*prompt
-	ctx      context.Context
-	id       core.AttemptID
-	arrived  time.Time
-	deadline time.Time
-	version  core.WeightVersion
-	blocks   []core.BlockKey
-	tries    *retry.Call
-	answer   *stream.Answer
-	out      answerWriter
-	tried    []core.UpstreamID
-	// placed is when the last attempt was given an upstream.
-	placed time.Time
-	choice route.Choice
-	first  time.Time
-	last   time.Time
-	end    *wire.End
+	ctx     context.Context
+	id      core.AttemptID
+	version core.WeightVersion
+	blocks  []core.BlockKey
+	answer  *stream.Answer
+	out     answerWriter
+	tried   []core.UpstreamID
+	// assigned is where the next attempt goes, placed when that was decided.
+	assigned assignment
+	placed   time.Time
+	first    time.Time
+	last     time.Time
+	end      *wire.End
 	// reason and ending say how the last attempt ended.
 	reason string
 	ending rollout.Ending
@@ -48,12 +46,12 @@
 
 // completions serves POST /v1/completions.
 func (e *Entry) completions(w http.ResponseWriter, r *http.Request) {
-	p, refused := parsePrompt(r, e.opts.Control.View(), e.opts.Limits.BodyBytes, e.opts.Limits.Timeout)
+	p, refused := parsePrompt(r, e.opts.Now(), e.opts.Control.View(), e.opts.Limits.BodyBytes, e.opts.Limits.Timeout)
 	if refused != nil {
 		refused.write(w)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), p.timeout)
+	ctx, cancel := context.WithTimeout(r.Context(), p.Deadline.Sub(p.Arrived))
 	defer cancel()
 	c, err := e.newCall(ctx, p)
 	if err != nil {
@@ -62,28 +60,22 @@
 	}
 	defer c.close()
 	c.out = c.writer(w)
-	if refused := c.serve(); refused != nil {
-		c.out.refuse(refused)
+	ended := attempts.Run(ctx, attempts.Rules{
+		Repeatable: true, MaxRuns: maxAttempts, MaxSends: maxAttempts, Deadline: p.Deadline,
+	}, c)
+	if ended.Cause != attempts.Answered {
+		c.out.refuse(c.refusal(ended))
 	}
-	c.record()
+	c.record(ended.Outcome)
 }
 
 func (e *Entry) newCall(ctx context.Context, p *prompt) (*call, error) {
-	reply := ring.New[core.AttemptID](1)
-	if err := e.dispatch.reports.Send(ctx, identify{reply}); err != nil {
-		return nil, err
-	}
-	id, err := reply.Receive(ctx)
+	id, err := ring.Ask(ctx, e.dispatch.reports, func(reply *ring.Ring[core.AttemptID]) report { return identify{reply} })
 	if err != nil {
 		return nil, err
 	}
-	now := e.opts.Now()
-	deadline := now.Add(p.timeout)
-	return &call{
-		Entry: e, prompt: p, ctx: ctx, id: id, arrived: now, deadline: deadline,
-		tries:  retry.NewCall(retry.Prompt, p.class, deadline, retry.Defaults()),
-		answer: stream.NewAnswer(),
-	}, nil
+	p.ID = string(id)
+	return &call{Entry: e, prompt: p, ctx: ctx, id: id, answer: stream.NewAnswer()}, nil
 }
 
 func (c *call) writer(w http.ResponseWriter) answerWriter {
@@ -99,33 +91,39 @@
 	_ = c.dispatch.reports.Send(context.Background(), ended{c.id})
 }
 
-// serve runs attempts until the answer is whole or no further one is allowed.
-func (c *call) serve() *refusal {
-	for {
-		refused, done := c.attempt()
-		if done {
-			return refused
-		}
-		permission, err := c.mayRetry()
-		if err != nil || permission.denial != retry.Allowed {
-			return c.giveUp(permission.denial)
-		}
-		if !duty.Pause(c.ctx, permission.delay) {
-			return c.giveUp(retry.DeniedDeadline)
+// Place implements attempts.Path. A further attempt spends from the retry budget
+// and waits for its delay.
+func (c *call) Place(ctx context.Context, before int) error {
+	if before > 0 {
+		if err := c.awaitRetry(ctx, before); err != nil {
+			return err
 		}
 	}
+	a, err := c.place()
+	c.assigned, c.placed = a, c.opts.Now()
+	return err
 }
 
-// attempt places and runs one attempt. It reports whether the call is over.
-func (c *call) attempt() (refused *refusal, done bool) {
-	a, refused := c.place()
-	if refused != nil {
-		return refused, true
-	}
-	c.placed, c.choice = c.opts.Now(), a.choice
-	c.tries.Begin(c.placed, a.attempt)
+// awaitRetry returns when the call may be sent again.
+func (c *call) awaitRetry(ctx context.Context, before int) error {
+	granted, err := ring.Ask(ctx, c.dispatch.reports, func(reply *ring.Ring[permission]) report {
+		return again{before: before, deadline: c.Deadline, reply: reply}
+	})
+	switch {
+	case err != nil:
+		return errs.Wrap(err, errs.Unavailable, "retry later", "last attempt: %s", c.reason)
+	case granted.denied != nil:
+		return errs.Wrap(granted.denied, errs.Unavailable, "retry later", "last attempt: %s", c.reason)
+	case !duty.Pause(ctx, granted.delay):
+		return errs.New(errs.Unavailable, "allow more time or retry later", "last attempt: %s; the deadline came before a further one", c.reason)
+	}
+	return nil
+}
+
+// Send implements attempts.Path.
+func (c *call) Send(context.Context) attempts.Result {
+	a := c.assigned
 	outcome := c.run(a)
-	c.tries.End(a.attempt, outcome)
 	c.metrics.attempt(outcome.String())
 	c.learn(a, outcome)
 	c.judge(a, outcome)
@@ -133,26 +131,16 @@
 		c.tried = append(c.tried, a.choice.Upstream)
 		c.logAttempt(a, outcome)
 	}
-	return nil, outcome == core.Finished || c.ctx.Err() != nil && c.clientGone()
-}
-
-func (c *call) clientGone() bool { return errors.Is(c.ctx.Err(), context.Canceled) }
-
-// refuse builds the refusal that the attempts so far prove.
-func (c *call) refuse(kind errs.Kind, message string) *refusal {
-	return refuseOutcome(c.tries.Outcome(), kind, message, time.Second)
-}
-
-func (c *call) giveUp(denial retry.Denial) *refusal {
-	return c.refuse(errs.Unavailable, "last attempt: "+c.reason+" (no further one: "+denial.String()+"); retry later")
+	return attempts.Result{Outcome: outcome}
 }
 
-func (c *call) mayRetry() (permission, error) {
-	reply := ring.New[permission](1)
-	if err := c.dispatch.reports.Send(c.ctx, again{c.tries, reply}); err != nil {
-		return permission{denial: retry.DeniedDeadline}, err
+// refusal is what the caller of a call without an answer is told.
+func (c *call) refusal(ended attempts.Ending) *refusal {
+	err := ended.Err
+	if err == nil {
+		err = errs.New(errs.Unavailable, "retry later", "last attempt: %s (no further one: %s)", c.reason, ended.Denial)
 	}
-	return reply.Receive(c.ctx)
+	return refuseOutcome(ended.Outcome, errs.KindOf(err), err.Error(), time.Second)
 }
 
 // deliver writes the next token to the caller.
@@ -168,7 +156,7 @@
 
 // setModel names the weight version that answers in the caller's answer.
 func (c *call) setModel() {
-	name := engine.ModelName(c.model, c.version, c.adapter)
+	name := engine.ModelName(c.Prompt.Model, c.version, c.adapter)
 	switch out := c.out.(type) {
 	case *streamWriter:
 		out.model = name
@@ -178,8 +166,7 @@
 }
 
 // record completes the answer and counts the prompt.
-func (c *call) record() {
-	outcome := c.tries.Outcome()
+func (c *call) record(outcome core.Outcome) {
 	c.metrics.prompt(c.class, outcome)
 	if outcome != core.Finished {
 		return
@@ -190,11 +177,11 @@
 	if err := c.out.end(c.end.GetFinishReason(), usageOf(c.end)); err != nil || c.first.IsZero() {
 		return
 	}
-	c.metrics.times(c.class, c.first.Sub(c.arrived), c.perToken())
+	c.metrics.times(c.class, c.first.Sub(c.Arrived), c.perToken())
 	c.opts.Log.WithFields(logrus.Fields{
 		"event": "prompt", "id": c.id, "class": c.class.String(), "attempts": len(c.tried) + 1,
-		"upstream": c.choice.Upstream, "source": c.choice.Source.String(), "hinted": c.choice.Hinted, "hint_age": c.choice.HintAge,
-		"first_token": c.first.Sub(c.arrived), "waited": c.placed.Sub(c.arrived),
+		"upstream": c.assigned.choice.Upstream, "source": c.assigned.choice.Source.String(), "hinted": c.assigned.choice.Hinted, "hint_age": c.assigned.choice.HintAge,
+		"first_token": c.first.Sub(c.Arrived), "waited": c.placed.Sub(c.Arrived),
 		"agent_queue_ms": c.end.GetQueueMs(), "prefill_ms": c.end.GetPrefillMs(),
 		"imported_bytes": c.end.GetImportedBytes(), "prompt_tokens": c.end.GetPromptTokens(), "cached_tokens": c.end.GetCachedTokens(),
 	}).Debug("prompt finished")
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -36,23 +36,19 @@
 
 // prompt is a checked request of an authenticated caller.
 type prompt struct {
-	identity  bundle.Identity
-	model     core.ModelID
-	adapter   core.AdapterID
-	class     core.Class
-	text      string
-	maxTokens int
-	stream    bool
-	weight    int
-	limit     int
-	timeout   time.Duration
+	core.Call
+	identity bundle.Identity
+	adapter  core.AdapterID
+	class    core.Class
+	stream   bool
+	weight   int
+	limit    int
 }
 
 // authenticate finds the owner of the request's API key.
 func authenticate(r *http.Request, view *facts.View) (bundle.Identity, *refusal) {
-	scheme, key, ok := strings.Cut(r.Header.Get("Authorization"), " ")
-	if ok && strings.EqualFold(scheme, "Bearer") {
-		if id, found := view.Index.Authenticate(security.HashSecret(key)); found {
+	if hash, ok := security.BearerHash(r.Header.Get("Authorization")); ok {
+		if id, found := view.Index.Authenticate(hash); found {
 			return id, nil
 		}
 	}
@@ -63,7 +59,7 @@
 }
 
 // parsePrompt reads and checks the body of a completion.
-func parsePrompt(r *http.Request, view *facts.View, maxBody int64, timeout time.Duration) (*prompt, *refusal) {
+func parsePrompt(r *http.Request, now time.Time, view *facts.View, maxBody int64, timeout time.Duration) (*prompt, *refusal) {
 	id, refused := authenticate(r, view)
 	if refused != nil {
 		return nil, refused
@@ -80,7 +76,13 @@
 	if err := json.Unmarshal(body, &req); err != nil {
 		return nil, invalid("body", "request body is not a JSON completion request: "+err.Error()+"; see the completions protocol")
 	}
-	p := &prompt{identity: id, text: req.Prompt, maxTokens: req.MaxTokens, stream: req.Stream}
+	p := &prompt{
+		Call: core.Call{
+			Arrived: now, Method: r.Method, Host: r.Host, URI: r.RequestURI, Path: r.URL.Path,
+			Prompt: core.Prompt{Text: req.Prompt, MaxOutput: req.MaxTokens}, Header: r.Header, Body: body,
+		},
+		identity: id, stream: req.Stream,
+	}
 	workspace := view.Index.Workspaces[id.Workspace]
 	p.weight = max(workspace.Weight, 1)
 	p.limit = workspace.MaxInFlight
@@ -99,9 +101,9 @@
 
 func (p *prompt) setModel(name string, w *bundle.Workspace, x *bundle.Index) *refusal {
 	model, adapter, _ := strings.Cut(name, "+")
-	p.model, p.adapter = core.ModelID(model), core.AdapterID(adapter)
-	m := x.Models[p.model]
-	if m == nil || !slices.Contains(w.Models, p.model) {
+	p.Prompt.Model, p.adapter = core.ModelID(model), core.AdapterID(adapter)
+	m := x.Models[p.Prompt.Model]
+	if m == nil || !slices.Contains(w.Models, p.Prompt.Model) {
 		return invalid("model", "model "+strconv.Quote(name)+" is not served to this workspace; name one of the bundle's models for it")
 	}
 	if !w.MayUse(m, p.adapter) {
@@ -111,13 +113,13 @@
 }
 
 func (p *prompt) setTokens() *refusal {
-	if p.text == "" {
+	if p.Prompt.Text == "" {
 		return invalid("prompt", "prompt is empty; send a prompt as one string")
 	}
-	if p.maxTokens == 0 {
-		p.maxTokens = defaultMaxTokens
+	if p.Prompt.MaxOutput == 0 {
+		p.Prompt.MaxOutput = defaultMaxTokens
 	}
-	if p.maxTokens < 0 || p.maxTokens > maxMaxTokens {
+	if p.Prompt.MaxOutput < 0 || p.Prompt.MaxOutput > maxMaxTokens {
 		return invalid("max_tokens", "max_tokens is out of range; use 1 to "+strconv.Itoa(maxMaxTokens))
 	}
 	return nil
@@ -138,7 +140,7 @@
 }
 
 func (p *prompt) setTimeout(header string, timeout time.Duration) *refusal {
-	p.timeout = timeout
+	p.Deadline = p.Arrived.Add(timeout)
 	if header == "" {
 		return nil
 	}
@@ -146,6 +148,6 @@
 	if err != nil || ms < 1 || int64(ms) > maxTimeout.Milliseconds() {
 		return invalid("timeout", headerTimeout+" is out of range; use 1 to "+strconv.FormatInt(maxTimeout.Milliseconds(), 10)+" milliseconds")
 	}
-	p.timeout = time.Duration(ms) * time.Millisecond
+	p.Deadline = p.Arrived.Add(time.Duration(ms) * time.Millisecond)
 	return nil
 }
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -12,6 +12,7 @@
 	"waxwingtide.example/waxwingtide/admin"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/dispatch"
+	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
 	"waxwingtide.example/waxwingtide/retry"
 	"waxwingtide.example/waxwingtide/ring"
@@ -28,6 +29,13 @@
 	reportRing    = 2048
 )
 
+// retryDelay is the mean delay before a call's second attempt; it doubles for
+// each further one up to maxRetryDelay.
+const (
+	retryDelay    = 10 * time.Millisecond
+	maxRetryDelay = time.Second
+)
+
 // blockTransferBytes is the size of one block's kept cache that the cost model
 // assumes until engines report theirs.
 const blockTransferBytes = 16 << 10
@@ -62,16 +70,18 @@
 // budget.
 type identify struct{ reply *ring.Ring[core.AttemptID] }
 
-// again asks whether a call may be sent again.
+// again asks whether a call may be sent again after a number of attempts.
 type again struct {
-	call  *retry.Call
-	reply *ring.Ring[permission]
+	before   int
+	deadline time.Time
+	reply    *ring.Ring[permission]
 }
 
-// permission is the answer to again.
+// permission is the answer to again. A call that is not denied waits for the
+// delay first.
 type permission struct {
 	delay  time.Duration
-	denial retry.Denial
+	denied error
 }
 
 // learned reports the end of an attempt.
@@ -106,6 +116,7 @@
 	table      *route.Table
 	queue      *dispatch.Queue[*placement]
 	budget     *retry.Budget
+	backoff    retry.Backoff
 	random     *rand.Rand
 	ids        *stream.IDs
 	view       *facts.View
@@ -135,6 +146,7 @@
 		changes:    o.Control.Subscribe(),
 		table:      route.New(options, random),
 		budget:     retry.NewBudget(retry.DefaultBudget()),
+		backoff:    retry.Backoff{First: retryDelay, Most: maxRetryDelay},
 		random:     random,
 		ids:        stream.NewIDs(o.Node, o.Incarnation),
 		published:  make(map[core.UpstreamID]admin.UpstreamLoad),
@@ -235,12 +247,15 @@
 	choice, refusal := d.table.Choose(now, &p.route)
 	switch {
 	case refusal == route.Chosen:
-		p.reply.Offer(assignment{
+		taken := p.reply.Offer(assignment{
 			attempt: d.ids.Next(),
 			choice:  choice,
 			address: d.members[choice.Upstream].address,
 			epoch:   d.view.Head.Epoch,
 		})
+		if !taken {
+			d.table.Return(choice) // the call has ended
+		}
 		return true
 	case refusal == route.NoMember || p.canary:
 		p.reply.Offer(assignment{unserved: true})
@@ -329,8 +344,15 @@
 }
 
 func (r again) apply(d *dispatcher, now time.Time) {
-	delay, denial := r.call.Retry(now, d.budget, d.random)
-	r.reply.Offer(permission{delay, denial})
+	delay := d.backoff.Delay(r.before, d.random)
+	switch {
+	case !now.Add(delay).Before(r.deadline):
+		r.reply.Offer(permission{denied: errs.New(errs.Unavailable, "allow more time", "no time is left for a further one")})
+	case !d.budget.Take(now):
+		r.reply.Offer(permission{denied: errs.New(errs.Exhausted, "retry later", "the entry's retry budget is empty")})
+	default:
+		r.reply.Offer(permission{delay: delay})
+	}
 }
 
 func (r learned) apply(d *dispatcher, now time.Time) {
--- a/entry/fuzz_test.go
+++ b/entry/fuzz_test.go
@@ -42,18 +42,19 @@
 		r := httptest.NewRequest(http.MethodPost, "/v1/completions", bytes.NewReader(body))
 		r.Header.Set("Authorization", "Bearer key")
 		r.Header.Set(headerTimeout, timeout)
-		p, refused := parsePrompt(r, view, maxBody, time.Second)
+		p, refused := parsePrompt(r, time.Unix(0, 0), view, maxBody, time.Second)
 		if refused != nil {
 			require.Nil(t, p)
 			require.Contains(t, []int{http.StatusBadRequest, http.StatusRequestEntityTooLarge}, refused.Status)
 			return
 		}
 		require.LessOrEqual(t, len(body), maxBody)
-		require.NotEmpty(t, p.text)
-		require.Equal(t, core.ModelID("gate"), p.model)
+		require.NotEmpty(t, p.Prompt.Text)
+		require.Equal(t, core.ModelID("gate"), p.Prompt.Model)
 		require.Contains(t, []core.AdapterID{"", "bajio"}, p.adapter)
-		require.True(t, p.maxTokens >= 1 && p.maxTokens <= maxMaxTokens)
-		require.True(t, p.timeout >= time.Millisecond && p.timeout <= maxTimeout)
+		require.True(t, p.Prompt.MaxOutput >= 1 && p.Prompt.MaxOutput <= maxMaxTokens)
+		timeLeft := p.Deadline.Sub(p.Arrived)
+		require.True(t, timeLeft >= time.Millisecond && timeLeft <= maxTimeout)
 	})
 }
 
--- a/entry/judging.go
+++ b/entry/judging.go
@@ -54,7 +54,7 @@
 		return
 	}
 	s := Sample{
-		Model: c.model, Version: c.version, Workspace: c.identity.Workspace, Upstream: a.choice.Upstream,
+		Model: c.Prompt.Model, Version: c.version, Workspace: c.identity.Workspace, Upstream: a.choice.Upstream,
 		Class: c.class, Failed: failed, At: c.opts.Now(),
 	}
 	if outcome == core.Finished {
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"errors"
+
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/dispatch"
 	"waxwingtide.example/waxwingtide/errs"
@@ -11,18 +13,18 @@
 
 // place asks dispatch for an upstream. While the canary has no free credit the
 // stable version serves the call.
-func (c *call) place() (assignment, *refusal) {
+func (c *call) place() (assignment, error) {
 	view := c.opts.Control.View()
 	canary := c.chooseVersion(view, true)
-	a, refused := c.ask(canary)
-	if refused == nil && a.unserved && c.canChangeVersion() {
+	a, err := c.ask(canary)
+	if err == nil && a.unserved && c.canChangeVersion() {
 		c.chooseVersion(view, false)
-		a, refused = c.ask(false)
+		a, err = c.ask(false)
 	}
-	if refused == nil && a.unserved {
-		return a, c.refuse(errs.Unavailable, "no upstream serves model "+string(c.model)+" now; retry later")
+	if err == nil && a.unserved {
+		return a, errs.New(errs.Unavailable, "retry later", "no upstream serves model %s now", c.Prompt.Model)
 	}
-	return a, refused
+	return a, err
 }
 
 // canChangeVersion reports whether no token was sent yet. An answer must come
@@ -35,11 +37,11 @@
 	if !c.canChangeVersion() {
 		return false
 	}
-	split := splitFor(view, c.model, canary)
+	split := splitFor(view, c.Prompt.Model, canary)
 	version := split.Version(c.id)
 	if version != c.version {
 		c.version = version
-		c.blocks = core.BlockKeys(c.scope().Salt(), c.text)
+		c.blocks = core.BlockKeys(c.scope().Salt(), c.Prompt.Text)
 	}
 	return version == split.Canary
 }
@@ -67,40 +69,43 @@
 }
 
 func (c *call) scope() core.Scope {
-	return core.Scope{Workspace: c.identity.Workspace, Model: c.model, Adapter: c.adapter, Version: c.version}
+	return core.Scope{Workspace: c.identity.Workspace, Model: c.Prompt.Model, Adapter: c.adapter, Version: c.version}
 }
 
-func (c *call) ask(canary bool) (assignment, *refusal) {
-	p := &placement{
-		canary: canary,
-		route: route.Request{
-			Scope: c.scope(), Class: c.class, Blocks: c.blocks, PromptBytes: len(c.text), Tried: c.tried,
-		},
-		reply: ring.New[assignment](1),
-	}
-	p.call = dispatch.Call[*placement]{
-		ID: c.id, Workspace: c.identity.Workspace, Weight: c.weight, MaxInFlight: c.limit, Class: c.class,
-		Deadline: c.deadline, Pool: dispatch.Pool{Model: c.model, Version: c.version}, Value: p,
-	}
-	if !c.dispatch.placements.Offer(p) {
-		return assignment{}, c.refuse(errs.Exhausted, "this entry has too many calls waiting; retry later")
-	}
-	a, err := p.reply.Receive(c.ctx)
-	if err != nil {
-		return assignment{}, c.refuse(errs.Unavailable, "no upstream was free before the deadline; allow more time or retry later")
+func (c *call) ask(canary bool) (assignment, error) {
+	a, err := ring.TryAsk(c.ctx, c.dispatch.placements, func(reply *ring.Ring[assignment]) *placement {
+		p := &placement{
+			canary: canary,
+			route: route.Request{
+				Scope: c.scope(), Class: c.class, Blocks: c.blocks, PromptBytes: len(c.Prompt.Text), Tried: c.tried,
+			},
+			reply: reply,
+		}
+		p.call = dispatch.Call[*placement]{
+			ID: c.id, Workspace: c.identity.Workspace, Weight: c.weight, MaxInFlight: c.limit, Class: c.class,
+			Deadline: c.Deadline, Pool: dispatch.Pool{Model: c.Prompt.Model, Version: c.version}, Value: p,
+		}
+		return p
+	})
+	switch {
+	case errors.Is(err, ring.ErrFull):
+		return a, errs.New(errs.Exhausted, "retry later", "this entry has too many calls waiting")
+	case err != nil:
+		return a, refusalOf(dispatch.ReasonDeadline)
 	}
-	return a, c.refusePlacement(a.refused)
+	return a, refusalOf(a.refused)
 }
 
-func (c *call) refusePlacement(reason dispatch.Reason) *refusal {
+// refusalOf is the error of a call that dispatch refused.
+func refusalOf(reason dispatch.Reason) error {
 	switch reason {
 	case dispatch.ReasonNone:
 		return nil
 	case dispatch.ReasonWorkspaceLimit:
-		return c.refuse(errs.Exhausted, "workspace has as many calls under way as its limit allows; retry later")
+		return errs.New(errs.Exhausted, "retry later", "workspace has as many calls under way as its limit allows")
 	case dispatch.ReasonDeadline:
-		return c.refuse(errs.Unavailable, "no upstream was free before the deadline; allow more time or retry later")
+		return errs.New(errs.Unavailable, "allow more time or retry later", "no upstream was free before the deadline")
 	default:
-		return c.refuse(errs.Unavailable, "too many calls wait for an upstream ("+reason.String()+"); retry later")
+		return errs.New(errs.Unavailable, "retry later", "too many calls wait for an upstream (%s)", reason)
 	}
 }
--- a/frontend/path_test.go
+++ b/frontend/path_test.go
@@ -119,21 +119,35 @@
 			s.Answer(w, http.StatusInternalServerError, "failed")
 		}
 	}
+	thenRejecting := func(first script) script {
+		sent := new(atomic.Int32)
+		return func(s *standin.PlatformServer) func(http.ResponseWriter, *http.Request, []byte) {
+			return func(w http.ResponseWriter, r *http.Request, body []byte) {
+				if sent.Add(1) == 1 {
+					first(s)(w, r, body)
+					return
+				}
+				s.Reject(w)
+			}
+		}
+	}
 	cases := map[string]struct {
 		path   string
 		first  script
 		sends  int
 		status int
 	}{
-		"record without answer":       {"/log/x", lost, 1, http.StatusBadGateway},
-		"record with half an answer":  {"/log/x", short, 1, http.StatusBadGateway},
-		"record that was rejected":    {"/log/x", rejecting, 2, http.StatusServiceUnavailable},
-		"record that failed":          {"/log/x", failing, 1, http.StatusInternalServerError},
-		"reading without answer":      {"/read/x", lost, 2, http.StatusBadGateway},
-		"reading with half an answer": {"/read/x", short, 2, http.StatusBadGateway},
-		"reading that failed":         {"/read/x", failing, 2, http.StatusInternalServerError},
-		"draft without answer":        {"/draft/x", lost, 1, http.StatusBadGateway},
-		"verdict without answer":      {"/verdict/x", lost, 2, http.StatusBadGateway},
+		"reading that failed and is then rejected":     {"/read/x", thenRejecting(failing), 2, http.StatusInternalServerError},
+		"reading without answer that is then rejected": {"/read/x", thenRejecting(lost), 2, http.StatusBadGateway},
+		"record without answer":                        {"/log/x", lost, 1, http.StatusBadGateway},
+		"record with half an answer":                   {"/log/x", short, 1, http.StatusBadGateway},
+		"record that was rejected":                     {"/log/x", rejecting, 2, http.StatusServiceUnavailable},
+		"record that failed":                           {"/log/x", failing, 1, http.StatusInternalServerError},
+		"reading without answer":                       {"/read/x", lost, 2, http.StatusBadGateway},
+		"reading with half an answer":                  {"/read/x", short, 2, http.StatusBadGateway},
+		"reading that failed":                          {"/read/x", failing, 2, http.StatusInternalServerError},
+		"draft without answer":                         {"/draft/x", lost, 1, http.StatusBadGateway},
+		"verdict without answer":                       {"/verdict/x", lost, 2, http.StatusBadGateway},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -131,10 +130,13 @@
 	service   core.ServiceID
 
 	deadline time.Time
-	// tried are the upstreams that got the call, ran how many may have run it.
+	// tried are the upstreams that got the call.
 	tried []core.UpstreamID
-	ran   int
-	// failure is the whole failed answer of the last attempt; nil when there is
+	// placed is where the next attempt goes, last what the attempt before it came
+	// to.
+	placed placed
+	last   outcome
+	// failure is the last whole failed answer of an upstream; nil when there is
 	// none.
 	failure *buffered
 	// started is set when the head of the answer has gone to the caller.
@@ -163,7 +165,7 @@
 	s.setDeadline()
 	if stop := s.gateway.stopping.Load(); !stop.mayBegin(s.route.Kind, time.Now(), s.left()) {
 		wait := stop.retryAfter(time.Now(), s.route.Kind, s.left(), s.gateway.opts.Placement.Node, s.gateway.opts.Fleet.View())
-		s.refuse(http.StatusServiceUnavailable, "stopping", min(wait, time.Duration(callerPatience*float64(s.left()))), nil)
+		s.refuse(http.StatusServiceUnavailable, "stopping", s.patient(wait), nil)
 		return false
 	}
 	s.workspace = nil
@@ -275,9 +277,9 @@
 // left is the time until the call is given up.
 func (s *session) left() time.Duration { return time.Until(s.deadline) }
 
-// callerLeft reports whether the caller closed its connection.
-func (s *session) callerLeft() bool {
-	return errors.Is(s.request.Context().Err(), context.Canceled)
+// patient bounds the time after which the caller is told to come back.
+func (s *session) patient(wait time.Duration) time.Duration {
+	return max(min(wait, time.Duration(callerPatience*float64(s.left()))), 0)
 }
 
 // need describes the call to the router.
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -34,7 +35,7 @@
 // ask is a handler's question where a call goes.
 type ask struct {
 	need  placement.Need
-	reply chan placed
+	reply *ring.Ring[placed]
 }
 
 // placed is the router's answer.
@@ -150,7 +151,12 @@
 		if refusal == placement.Placed {
 			answer.idle = r.links[choice.Upstream.ID].idle
 		}
-		a.reply <- answer
+		if !a.reply.Offer(answer) && refusal == placement.Placed {
+			// The call ended before it was placed.
+			r.table.Learn(now, placement.Report{
+				Ticket: choice.Ticket, Upstream: choice.Upstream.ID, Ended: true, Result: placement.Abandoned,
+			})
+		}
 	}
 }
 
@@ -244,28 +250,11 @@
 
 // ask places a call. A full ring is a refusal: the process is overloaded.
 func (r *router) ask(ctx context.Context, need placement.Need) (placed, error) {
-	a := ask{need: need, reply: make(chan placed, 1)}
-	if !r.asks.Offer(a) {
+	p, err := ring.TryAsk(ctx, r.asks, func(reply *ring.Ring[placed]) ask { return ask{need: need, reply: reply} })
+	if errors.Is(err, ring.ErrFull) {
 		return placed{refusal: placement.Limited}, nil
 	}
-	select {
-	case p := <-a.reply:
-		return p, nil
-	case <-ctx.Done():
-		// The router may still book the attempt; the report takes it back.
-		go r.takeBack(a)
-		return placed{}, errs.Wrap(ctx.Err(), errs.Unavailable, "retry", "call ended before it was placed")
-	}
-}
-
-// takeBack reports an attempt that was placed after its call had ended.
-func (r *router) takeBack(a ask) {
-	p := <-a.reply
-	if p.refusal == placement.Placed {
-		r.report(placement.Report{
-			Ticket: p.choice.Ticket, Upstream: p.choice.Upstream.ID, Ended: true, Result: placement.Abandoned,
-		})
-	}
+	return p, errs.Wrap(err, errs.Unavailable, "retry", "call ended before it was placed")
 }
 
 // report hands a report to the router and waits for room.
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -19,9 +19,6 @@
 	stopRetry = 20 * time.Millisecond
 	// restartTime is what a front needs from its end until it serves again.
 	restartTime = time.Second
-	// callerPatience is the share of its time for which a caller waits when it is
-	// told to come back.
-	callerPatience = 1.0 / 3
 )
 
 // stop is a planned stop under way.
--- a/record/call.go
+++ b/record/call.go
@@ -14,34 +14,31 @@
 	"waxwingtide.example/waxwingtide/wire"
 )
 
-// Call is one attempt at a call to a plain service.
+// Call is one attempt at a call to a plain service. Its path is the one at the
+// service.
 type Call struct {
-	Attempt     core.AttemptID
-	Workspace   core.WorkspaceID
-	Caller      core.CallerID
-	Service     core.ServiceID
-	Method      string
-	Path        string
-	Query       string
-	ContentType string
-	Body        []byte
-	// Key is the idempotency key; it is set if the call may run at most once.
-	Key string
+	core.Call
+	Attempt   core.AttemptID
+	Workspace core.WorkspaceID
+	Caller    core.CallerID
+	Service   core.ServiceID
+	// OnceKey is the idempotency key; it is set if the call may run at most once.
+	OnceKey string
 }
 
 // AtMostOnce reports whether the call needs a claim.
-func (c *Call) AtMostOnce() bool { return c.Key != "" }
+func (c *Call) AtMostOnce() bool { return c.OnceKey != "" }
 
 // RowKey returns the key of the call's claim. It does not depend on the
 // upstream, so that agents of two upstreams compete for the same row.
 func (c *Call) RowKey() stores.Key {
-	sum := digest([]string{string(c.Workspace), string(c.Service), c.Key}, nil)
+	sum := digest([]string{string(c.Workspace), string(c.Service), c.OnceKey}, nil)
 	return stores.Key{Partition: "claim/" + hex.EncodeToString(sum[:16]), Sort: "call"}
 }
 
 // Digest identifies the content of the request.
 func (c *Call) Digest() claim.RequestDigest {
-	return digest([]string{c.Method, c.Path, c.Query}, c.Body)
+	return digest([]string{c.Method, c.Path, c.Query()}, c.Body)
 }
 
 // digest hashes fields and a body. A JSON array keeps the field borders apart.
--- a/record/convert.go
+++ b/record/convert.go
@@ -12,18 +12,26 @@
 )
 
 func callFromWire(r *wire.CallRequest) *Call {
+	call := core.Call{Method: r.GetMethod(), Path: r.GetPath(), URI: target(r.GetPath(), r.GetQuery()), Body: r.GetBody()}
+	if r.GetContentType() != "" {
+		call.Header = http.Header{"Content-Type": {r.GetContentType()}}
+	}
 	return &Call{
-		Attempt:     core.AttemptID(r.GetAttempt()),
-		Workspace:   core.WorkspaceID(r.GetWorkspace()),
-		Caller:      core.CallerID(r.GetCaller()),
-		Service:     core.ServiceID(r.GetService()),
-		Method:      r.GetMethod(),
-		Path:        r.GetPath(),
-		Query:       r.GetQuery(),
-		ContentType: r.GetContentType(),
-		Body:        r.GetBody(),
-		Key:         r.GetIdempotencyKey(),
+		Call:      call,
+		Attempt:   core.AttemptID(r.GetAttempt()),
+		Workspace: core.WorkspaceID(r.GetWorkspace()),
+		Caller:    core.CallerID(r.GetCaller()),
+		Service:   core.ServiceID(r.GetService()),
+		OnceKey:   r.GetIdempotencyKey(),
+	}
+}
+
+// target joins the path and the query of a request.
+func target(path, query string) string {
+	if query == "" {
+		return path
 	}
+	return path + "?" + query
 }
 
 func callToWire(c *Call) *wire.CallRequest {
@@ -34,10 +42,10 @@
 		Service:        string(c.Service),
 		Method:         c.Method,
 		Path:           c.Path,
-		Query:          c.Query,
-		ContentType:    c.ContentType,
+		Query:          c.Query(),
+		ContentType:    c.ContentType(),
 		Body:           c.Body,
-		IdempotencyKey: c.Key,
+		IdempotencyKey: c.OnceKey,
 	}
 }
 
--- a/record/executor.go
+++ b/record/executor.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -77,15 +78,9 @@
 			return func() {}, wire.RejectReason_REJECT_NONE
 		}
 	}
-	if o.MaxLive <= 0 {
-		o.MaxLive = defaultMaxLive
-	}
-	if o.RunTimeout <= 0 {
-		o.RunTimeout = defaultRunTimeout
-	}
-	if o.CommitInterval <= 0 {
-		o.CommitInterval = defaultCommitInterval
-	}
+	o.MaxLive = cmp.Or(max(o.MaxLive, 0), defaultMaxLive)
+	o.RunTimeout = cmp.Or(max(o.RunTimeout, 0), defaultRunTimeout)
+	o.CommitInterval = cmp.Or(max(o.CommitInterval, 0), defaultCommitInterval)
 	recent, err := lru.New[stores.Key, recentAnswer](recentAnswers)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Internal, "report this as a defect", "cache of recent answers")
--- a/record/handler.go
+++ b/record/handler.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"io"
 	"net/http"
 	"path"
@@ -15,10 +13,12 @@
 	"github.com/julienschmidt/httprouter"
 	"go.opentelemetry.io/otel/metric"
 
+	"waxwingtide.example/waxwingtide/attempts"
 	"waxwingtide.example/waxwingtide/bundle"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
+	"waxwingtide.example/waxwingtide/security"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -125,36 +125,38 @@
 	defer leave()
 	ctx, cancel := context.WithTimeout(r.Context(), deadline)
 	defer cancel()
-	began := time.Now()
-	reply := h.dispatch(ctx, view, call)
-	h.metrics.record(ctx, call, reply, began)
+	reply := h.deliver(ctx, view, call)
+	h.metrics.record(ctx, call, reply)
 	writeReply(w, reply)
 }
 
 // read checks a request and turns it into a call.
 func (h *Handler) read(view *facts.View, w http.ResponseWriter, r *http.Request, params httprouter.Params) (*Call, *refusal) {
-	identity, ok := authenticate(view.Index, r)
-	if !ok {
+	hash, ok := security.BearerHash(r.Header.Get("Authorization"))
+	identity, known := view.Index.Authenticate(hash)
+	if !ok || !known {
 		return nil, &refusal{http.StatusUnauthorized, "unauthenticated", "api_key", "send a valid API key as Authorization: Bearer KEY"}
 	}
 	service, refused := serviceOf(view.Index, identity.Workspace, core.ServiceID(params.ByName("service")))
 	if refused != nil {
 		return nil, refused
 	}
-	target := params.ByName("path")
-	if !canonical(target) {
+	at := params.ByName("path")
+	if !canonical(at) {
 		return nil, &refusal{http.StatusBadRequest, typeInvalid, "path", "send the path without empty, \".\" and \"..\" segments"}
 	}
-	call := &Call{
-		Attempt: h.options.NewAttempt(), Workspace: identity.Workspace, Caller: identity.Caller,
-		Service: service.ID, Method: r.Method, Path: target, Query: r.URL.RawQuery,
-		ContentType: r.Header.Get("Content-Type"),
-	}
-	key, refused := keyOf(service, r, target)
+	key, refused := keyOf(service, r, at)
 	if refused != nil {
 		return nil, refused
 	}
-	call.Key = key
+	call := &Call{
+		Call: core.Call{
+			Arrived: time.Now(), Method: r.Method, Host: r.Host, URI: target(at, r.URL.RawQuery), Path: at, Header: r.Header,
+		},
+		Attempt: h.options.NewAttempt(), Workspace: identity.Workspace, Caller: identity.Caller,
+		Service: service.ID, OnceKey: key,
+	}
+	call.ID = string(call.Attempt)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		return nil, &refusal{http.StatusRequestEntityTooLarge, typeInvalid, "body", "send a complete body of at most 4 MiB"}
@@ -163,15 +165,6 @@
 	return call, nil
 }
 
-func authenticate(x *bundle.Index, r *http.Request) (bundle.Identity, bool) {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok || key == "" {
-		return bundle.Identity{}, false
-	}
-	sum := sha256.Sum256([]byte(key))
-	return x.Authenticate(hex.EncodeToString(sum[:]))
-}
-
 func serviceOf(x *bundle.Index, workspace core.WorkspaceID, id core.ServiceID) (*bundle.Service, *refusal) {
 	for _, allowed := range x.Workspaces[workspace].Services {
 		if service := x.Services[id]; allowed == id && service != nil {
@@ -213,19 +206,39 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
-// dispatch sends a call to its candidates in turn until one reply is final.
-func (h *Handler) dispatch(ctx context.Context, view *facts.View, c *Call) Reply {
-	upstreams := candidates(view, c)
-	last := Reply{Outcome: core.NeverDispatched, Detail: "no upstream of the service takes new work"}
-	mayHaveRun := false
-	for i, u := range upstreams {
-		last = h.send(ctx, u, c, len(upstreams)-i)
-		mayHaveRun = mayHaveRun || !last.Outcome.NotRun()
-		if !tryNext(c, last) || ctx.Err() != nil {
-			break
-		}
+// delivery sends one call to its candidates in turn.
+type delivery struct {
+	*Handler
+	call       *Call
+	candidates []*bundle.Upstream
+	last       Reply
+}
+
+// deliver sends a call until one reply is final.
+func (h *Handler) deliver(ctx context.Context, view *facts.View, c *Call) Reply {
+	d := &delivery{Handler: h, call: c, candidates: candidates(view, c)}
+	d.last = Reply{Outcome: core.NeverDispatched, Detail: "no upstream of the service takes new work"}
+	ended := attempts.Run(ctx, attempts.Rules{Repeatable: !c.AtMostOnce(), MaxRuns: maxAttempts, MaxSends: maxAttempts}, d)
+	if d.last.Outcome.NotRun() && !ended.Outcome.NotRun() {
+		// A call of which an attempt may have run is never said to be not run.
+		return unknown(d.last.Detail)
 	}
-	return summary(last, mayHaveRun)
+	return d.last
+}
+
+// Place implements attempts.Path.
+func (d *delivery) Place(context.Context, int) error {
+	if len(d.candidates) == 0 {
+		return errs.New(errs.Unavailable, "retry later", "no further upstream of service %s takes new work", d.call.Service)
+	}
+	return nil
+}
+
+// Send implements attempts.Path.
+func (d *delivery) Send(ctx context.Context) attempts.Result {
+	d.last = d.send(ctx, d.candidates[0], d.call, len(d.candidates))
+	d.candidates = d.candidates[1:]
+	return attempts.Result{Outcome: d.last.Outcome, Final: final(d.call, d.last)}
 }
 
 // send makes one attempt. An idempotent call keeps time for the attempts that
--- a/record/metrics.go
+++ b/record/metrics.go
@@ -45,14 +45,14 @@
 	return &handlerMetrics{calls, seconds}, nil
 }
 
-func (m *handlerMetrics) record(ctx context.Context, c *Call, r Reply, began time.Time) {
+func (m *handlerMetrics) record(ctx context.Context, c *Call, r Reply) {
 	labels := metric.WithAttributes(
 		attribute.String("service", string(c.Service)),
 		attribute.String("outcome", r.Outcome.String()),
 		attribute.Bool("at_most_once", c.AtMostOnce()),
 	)
 	m.calls.Add(ctx, 1, labels)
-	m.seconds.Record(ctx, time.Since(began).Seconds(), labels)
+	m.seconds.Record(ctx, time.Since(c.Arrived).Seconds(), labels)
 }
 
 func newClaimMetrics(meter metric.Meter) (*claimMetrics, error) {
--- a/record/plan.go
+++ b/record/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"waxwingtide.example/waxwingtide/bundle"
-	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/facts"
 	"waxwingtide.example/waxwingtide/rendezvous"
 	"waxwingtide.example/waxwingtide/wire"
@@ -16,7 +15,7 @@
 // over the bundle's list: by the idempotency key, so that attempts with one key
 // meet at one agent, or else by the attempt, which spreads the load.
 func candidates(v *facts.View, c *Call) []*bundle.Upstream {
-	subject := string(c.Workspace) + "\x00" + string(c.Service) + "\x00" + c.Key
+	subject := string(c.Workspace) + "\x00" + string(c.Service) + "\x00" + c.OnceKey
 	if !c.AtMostOnce() {
 		subject = string(c.Attempt)
 	}
@@ -30,24 +29,10 @@
 	return open[:min(len(open), maxAttempts)]
 }
 
-// tryNext reports whether the call may be sent to another upstream after a
-// reply. A call that may run at most once goes on only when this attempt left
-// no claim behind; the next agent would find one as an earlier attempt.
-func tryNext(c *Call, r Reply) bool {
-	if r.KeyReused || r.Reason == wire.RejectReason_REJECT_DEADLINE {
-		return false
-	}
-	if !c.AtMostOnce() {
-		return r.Outcome != core.Finished
-	}
-	return r.Outcome.NotRun() && r.Reason != wire.RejectReason_REJECT_TABLE_UNAVAILABLE
-}
-
-// summary gives the reply to the caller from the last reply and those before
-// it. A call of which an attempt may have run is never said to be not run.
-func summary(last Reply, mayHaveRun bool) Reply {
-	if mayHaveRun && last.Outcome.NotRun() {
-		return unknown(last.Detail)
-	}
-	return last
+// final reports whether a reply rules out another upstream. A call that may run
+// at most once goes on only when the attempt left no claim behind; the next
+// agent would find one as an earlier attempt.
+func final(c *Call, r Reply) bool {
+	return r.KeyReused || r.Reason == wire.RejectReason_REJECT_DEADLINE ||
+		c.AtMostOnce() && r.Reason == wire.RejectReason_REJECT_TABLE_UNAVAILABLE
 }
--- a/record/service.go
+++ b/record/service.go
@@ -111,16 +111,16 @@
 	target := *s.base
 	target.Path = strings.TrimSuffix(target.Path, "/") + c.Path
 	target.RawPath = ""
-	target.RawQuery = c.Query
+	target.RawQuery = c.Query()
 	req, err := http.NewRequestWithContext(ctx, c.Method, target.String(), bytes.NewReader(c.Body))
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Invalid, "check the method and path", "request to the service")
 	}
-	if c.ContentType != "" {
-		req.Header.Set("Content-Type", c.ContentType)
+	if kind := c.ContentType(); kind != "" {
+		req.Header.Set("Content-Type", kind)
 	}
-	if c.Key != "" {
-		req.Header.Set(headerKey, c.Key)
+	if c.OnceKey != "" {
+		req.Header.Set(headerKey, c.OnceKey)
 	}
 	req.Header.Set(headerWorkspace, string(c.Workspace))
 	req.Header.Set(headerCaller, string(c.Caller))
--- a/record/service_test.go
+++ b/record/service_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/record"
 	"waxwingtide.example/waxwingtide/standin"
@@ -36,13 +37,13 @@
 			require.NoError(t, err)
 			// A first call leaves an idle connection, on which net/http would send
 			// a request with an idempotency key again.
-			_, err = client.Do(t.Context(), &record.Call{Method: "GET", Path: "/lots", Workspace: "w"})
+			_, err = client.Do(t.Context(), &record.Call{Call: core.Call{Method: "GET", Path: "/lots"}, Workspace: "w"})
 			require.NoError(t, err)
-			_, err = client.Do(t.Context(), &record.Call{Method: "POST", Path: "/lots", Workspace: "w", Key: "other"})
+			_, err = client.Do(t.Context(), &record.Call{Call: core.Call{Method: "POST", Path: "/lots"}, Workspace: "w", OnceKey: "other"})
 			require.NoError(t, err)
 			service.Set(c.fault)
 			_, err = client.Do(t.Context(), &record.Call{
-				Method: "POST", Path: "/lots", Workspace: "w", Key: "k", Attempt: "a", Body: []byte(c.body),
+				Call: core.Call{Method: "POST", Path: "/lots", Body: []byte(c.body)}, Workspace: "w", OnceKey: "k", Attempt: "a",
 			})
 			if c.want == 0 {
 				require.NoError(t, err)
@@ -60,8 +61,8 @@
 	server.Close()
 	client, err := record.NewServiceClient(server.URL)
 	require.NoError(t, err)
-	_, err = client.Do(t.Context(), &record.Call{Method: "POST", Path: "/lots", Key: "k"})
+	_, err = client.Do(t.Context(), &record.Call{Call: core.Call{Method: "POST", Path: "/lots"}, OnceKey: "k"})
 	require.Equal(t, errs.Unavailable, errs.KindOf(err))
-	_, err = client.Do(t.Context(), &record.Call{Method: "P OST", Path: "/lots", Key: "k"})
+	_, err = client.Do(t.Context(), &record.Call{Call: core.Call{Method: "P OST", Path: "/lots"}, OnceKey: "k"})
 	require.Equal(t, errs.Invalid, errs.KindOf(err))
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,12 +1,10 @@
-// Package retry decides when a call may be sent again or hedged, and what the
-// outcomes of its attempts say about the call.
 package retry
 
 import "time"
 
 // BudgetOptions bound the retries of one entry.
 type BudgetOptions struct {
-	// Share is how many retries and hedges each call adds to the budget.
+	// Share is how many retries each call adds to the budget.
 	Share float64
 	// PerSecond is added regardless of calls, so that an entry with little
 	// traffic can retry at all.
--- a/ring/ask_test.go
+++ b/ring/ask_test.go
@@ -47,3 +47,25 @@
 	_, err = ring.Ask(over, asks, ask(1))
 	require.ErrorIs(t, err, context.Canceled)
 }
+
+// Guards against an answer that nobody takes and that its sender thinks was
+// taken, and against one that came in time and is lost.
+func TestLateAnswerIsRefused(t *testing.T) {
+	asks := ring.New[question](1)
+	ask := func(reply *ring.Ring[int]) question { return question{reply: reply} }
+	over, stop := context.WithCancel(t.Context())
+	stop()
+	_, err := ring.TryAsk(over, asks, ask)
+	require.ErrorIs(t, err, context.Canceled)
+	late, ok := asks.TryReceive()
+	require.True(t, ok)
+	require.False(t, late.reply.Offer(1), "the asker has given up")
+
+	answered := func(reply *ring.Ring[int]) question {
+		require.True(t, reply.Offer(7))
+		return question{reply: reply}
+	}
+	got, err := ring.TryAsk(over, asks, answered)
+	require.NoError(t, err, "the answer came before the asker gave up")
+	require.Equal(t, 7, got)
+}
--- a/security/security.go
+++ b/security/security.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 
 	"github.com/fsnotify/fsnotify"
@@ -25,6 +26,16 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// BearerHash returns the hash of the key in an Authorization header, and whether
+// the header holds a key.
+func BearerHash(authorization string) (string, bool) {
+	scheme, key, ok := strings.Cut(authorization, " ")
+	if !ok || key == "" || !strings.EqualFold(scheme, "Bearer") {
+		return "", false
+	}
+	return HashSecret(key), true
+}
+
 // SameHash compares two hashes in constant time.
 func SameHash(a, b string) bool {
 	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
--- a/stores/retry.go
+++ b/stores/retry.go
@@ -1,6 +1,7 @@
 package stores
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync/atomic"
@@ -8,13 +9,14 @@
 
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/retry"
 )
 
 // Defaults of RetryOptions.
 const (
 	defaultAttempts       = 4
-	defaultFirstDelay     = 25 * time.Millisecond
-	defaultMaxDelay       = 400 * time.Millisecond
+	defaultFirstDelay     = 20 * time.Millisecond
+	defaultMaxDelay       = 300 * time.Millisecond
 	defaultRequestTimeout = 2 * time.Second
 )
 
@@ -23,9 +25,8 @@
 type RetryOptions struct {
 	// Attempts is the largest number of requests for one operation; default 4.
 	Attempts int
-	// FirstDelay is the upper bound of the wait before the second attempt. It
-	// doubles for each further attempt up to MaxDelay. The wait is drawn
-	// uniformly between half the bound and the bound. Defaults 25 ms and 400 ms.
+	// FirstDelay is the mean wait before the second attempt. It doubles for each
+	// further attempt up to MaxDelay. Defaults 20 ms and 300 ms.
 	FirstDelay time.Duration
 	MaxDelay   time.Duration
 	// RequestTimeout bounds one request; default 2 s.
@@ -43,18 +44,10 @@
 }
 
 func newRetrier(o RetryOptions) *retrier {
-	if o.Attempts <= 0 {
-		o.Attempts = defaultAttempts
-	}
-	if o.FirstDelay <= 0 {
-		o.FirstDelay = defaultFirstDelay
-	}
-	if o.MaxDelay <= 0 {
-		o.MaxDelay = defaultMaxDelay
-	}
-	if o.RequestTimeout <= 0 {
-		o.RequestTimeout = defaultRequestTimeout
-	}
+	o.Attempts = cmp.Or(max(o.Attempts, 0), defaultAttempts)
+	o.FirstDelay = cmp.Or(max(o.FirstDelay, 0), defaultFirstDelay)
+	o.MaxDelay = cmp.Or(max(o.MaxDelay, 0), defaultMaxDelay)
+	o.RequestTimeout = cmp.Or(max(o.RequestTimeout, 0), defaultRequestTimeout)
 	return &retrier{options: o}
 }
 
@@ -62,16 +55,15 @@
 // Unavailable or Unknown, or the attempts or the context end.
 func (r *retrier) run(ctx context.Context, operation func(ctx context.Context) error) error {
 	source := rand.New(rand.NewPCG(r.options.Seed, r.operations.Add(1)))
-	bound := r.options.FirstDelay
+	backoff := retry.Backoff{First: r.options.FirstDelay, Most: r.options.MaxDelay}
 	for attempt := 1; ; attempt++ {
 		err := r.once(ctx, operation)
 		if !retryable(err) || attempt >= r.options.Attempts {
 			return err
 		}
-		if !duty.Pause(ctx, jitter(source, bound)) {
+		if !duty.Pause(ctx, backoff.Delay(attempt, source)) {
 			return err
 		}
-		bound = min(2*bound, r.options.MaxDelay)
 	}
 }
 
@@ -84,8 +76,3 @@
 func retryable(err error) bool {
 	return errs.Is(err, errs.Unavailable) || errs.Is(err, errs.Unknown)
 }
-
-func jitter(source *rand.Rand, bound time.Duration) time.Duration {
-	half := bound / 2
-	return half + time.Duration(source.Int64N(int64(bound-half)+1))
-}
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -3,6 +3,7 @@
 package transfer
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync/atomic"
@@ -106,18 +107,10 @@
 
 // New returns the duties, not yet started.
 func New(o Options) *Transfer {
-	if o.LinkRate <= 0 {
-		o.LinkRate = defaultRate
-	}
-	if o.PrefillRate <= 0 {
-		o.PrefillRate = defaultRate
-	}
-	if o.LookupLimit <= 0 {
-		o.LookupLimit = defaultLookupLimit
-	}
-	if o.StoreRetry <= 0 {
-		o.StoreRetry = defaultStoreRetry
-	}
+	o.LinkRate = cmp.Or(max(o.LinkRate, 0), defaultRate)
+	o.PrefillRate = cmp.Or(max(o.PrefillRate, 0), defaultRate)
+	o.LookupLimit = cmp.Or(max(o.LookupLimit, 0), defaultLookupLimit)
+	o.StoreRetry = cmp.Or(max(o.StoreRetry, 0), defaultStoreRetry)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
