Share observations as deltas per failure domain, and hear newer epochs

A front whose feed of the store falls silent alone learnt of a new configuration only when the silence was noticed, though others knew of it.

Change: the board numbers observations by arrival and gives each front only what is new to it and not its own. One front of each failure domain collects for its domain and exchanges with one of these for all; failures keep their reporter. Messages between fronts carry the epoch of the newest row that the sender knows, and the configuration's version is an epoch too; a front that is behind for 0.3 s asks the one that is ahead.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -9,9 +9,6 @@
 	"waxwingtide.example/waxwingtide/core"
 )
 
-// ConfigVersion orders configurations; a larger one replaces a smaller one.
-type ConfigVersion uint64
-
 // WeightNumber orders the weight versions of one model.
 type WeightNumber uint64
 
@@ -104,7 +101,8 @@
 
 // Config is one version of the operators' configuration.
 type Config struct {
-	Version    ConfigVersion
+	// Epoch orders configurations; a larger one replaces a smaller one.
+	Epoch      core.Epoch
 	Routes     []Route
 	Services   map[core.ServiceID]*Service
 	Stores     []KeptStore
--- a/core/core.go
+++ b/core/core.go
@@ -32,7 +32,8 @@
 // ServiceID names a plain service.
 type ServiceID string
 
-// Epoch counts permissions. Epoch 0 means that no bundle is known.
+// Epoch orders what operators permit: bundles, configurations and the rows of
+// the platform's store. Epoch 0 means that none is known.
 type Epoch uint64
 
 // Fence is a fencing number. A larger fence supersedes a smaller one.
--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -54,6 +54,7 @@
 	// subscribers are told of each change of the view.
 	subscribers []*ring.Ring[struct{}]
 	away        *ring.Ring[bool]
+	heard       *ring.Ring[heard]
 	// direct is set while the feeds follow the store; feeds are the rings that wake
 	// them.
 	direct         atomic.Bool
@@ -94,7 +95,7 @@
 func New(opts Options) *Fleet {
 	f := &Fleet{
 		opts: opts, updates: ring.New[update](updateRing), pulls: ring.New[pull](updateRing),
-		away: ring.New[bool](1), leaves: ring.New[*ring.Ring[struct{}]](1),
+		away: ring.New[bool](1), heard: ring.New[heard](heardRing), leaves: ring.New[*ring.Ring[struct{}]](1),
 		random: rand.New(rand.NewPCG(opts.Seed, 1)),
 	}
 	f.direct.Store(true)
@@ -134,6 +135,7 @@
 	}
 	g.Go("readers", f.followReaders)
 	g.Go("peers", f.runPeers)
+	g.Go("epochs", f.followEpochs)
 	g.Go("registration", f.register)
 }
 
@@ -290,9 +292,9 @@
 		f.opts.Log.WithField("event", "row_ignored").WithError(err).Warn("a row was ignored")
 	}
 	s.invalid = nil
-	if v.Config != nil && (old.Config == nil || old.Config.Version != v.Config.Version) {
+	if v.Config != nil && (old.Config == nil || old.Config.Epoch != v.Config.Epoch) {
 		f.opts.Log.WithFields(logrus.Fields{
-			"event": "config_in_force", "version": v.Config.Version, "routes": len(v.Config.Routes),
+			"event": "config_in_force", "version": v.Config.Epoch, "routes": len(v.Config.Routes),
 		}).Info("configuration is in force")
 	}
 	f.logUpstreams(old, v)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -111,6 +111,9 @@
 
 // View is an immutable snapshot of what the process knows.
 type View struct {
+	// Epoch is the revision of the newest row of the operators' and the upstreams'
+	// tables, 0 when none is known. Processes tell it to one another.
+	Epoch core.Epoch
 	// Config is nil until a configuration is known.
 	Config *catalog.Config
 	// Upstreams are in the order of their ids.
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -54,7 +54,7 @@
 
 // question says what this process knows already.
 func (f *Fleet) question(ctx context.Context) *wire.PullRequest {
-	request := &wire.PullRequest{Sender: &wire.Sender{Node: string(f.opts.Self.Node), Incarnation: uint64(f.opts.Self.Incarnation)}}
+	request := &wire.PullRequest{Sender: f.Identity()}
 	state, err := ring.Ask(ctx, f.pulls, func(reply *ring.Ring[pullResult]) pull { return pull{reply: reply} })
 	if err != nil {
 		return request // the process is stopping; the peer sends all that it has
--- a/fleet/readers_test.go
+++ b/fleet/readers_test.go
@@ -33,6 +33,8 @@
 	fleet.Store
 	reads   atomic.Int64
 	refused atomic.Bool
+	// silent is set when calls get no answer.
+	silent atomic.Bool
 }
 
 func (s *countedStore) refusal() error {
@@ -54,7 +56,12 @@
 	if err := s.refusal(); err != nil {
 		return fleet.Page{}, err
 	}
-	return s.Store.Changes(ctx, table, after, wait)
+	page, err := s.Store.Changes(ctx, table, after, wait)
+	if s.silent.Load() {
+		<-ctx.Done()
+		return fleet.Page{}, ctx.Err()
+	}
+	return page, err
 }
 
 // process is one fleet with its inner protocol.
@@ -151,7 +158,7 @@
 		store.Put("op", "config", json.RawMessage(value))
 		require.Eventually(t, func() bool {
 			for _, p := range among {
-				if c := p.fleet.View().Config; c == nil || int(c.Version) != version {
+				if c := p.fleet.View().Config; c == nil || int(c.Epoch) != version {
 					return false
 				}
 			}
@@ -188,3 +195,34 @@
 	}
 	requireChange(left)
 }
+
+// Guards against a process that keeps an old configuration because the store has
+// fallen silent for it alone, though another process has told it of a newer one.
+func TestNewerEpochIsAskedFor(t *testing.T) {
+	store := standin.NewPlatformStore()
+	store.Put("op", "config", map[string]any{"version": 1})
+	server := httptest.NewServer(store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		store.Close()
+	})
+	one, two := start(t, server.Listener.Addr().String(), 1), start(t, server.Listener.Addr().String(), 2)
+	knows := func(p *process, version core.Epoch) func() bool {
+		return func() bool {
+			v := p.fleet.View()
+			return len(v.Members) == 2 && v.Config != nil && v.Config.Epoch == version
+		}
+	}
+	require.Eventually(t, func() bool { return knows(one, 1)() && knows(two, 1)() }, patience, 10*time.Millisecond)
+	require.Equal(t, one.fleet.View().Epoch, two.fleet.View().Epoch)
+	two.store.silent.Store(true)
+	time.Sleep(3 * time.Second) // the calls under way have ended
+	store.Put("op", "config", map[string]any{"version": 2})
+	require.Eventually(t, knows(one, 2), patience, 10*time.Millisecond)
+	require.Never(t, knows(two, 2), time.Second, 50*time.Millisecond, "nobody has told it")
+	require.Less(t, two.fleet.View().Epoch, one.fleet.View().Epoch)
+	two.fleet.Heard(one.fleet.Identity())
+	require.Eventually(t, knows(two, 2), 2*time.Second, 10*time.Millisecond)
+	require.Equal(t, one.fleet.View().Epoch, two.fleet.View().Epoch)
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -136,7 +136,7 @@
 	if old == nil || old.change.Config == nil {
 		return true
 	}
-	return next.change.Config != nil && next.change.Config.Version >= old.change.Config.Version
+	return next.change.Config != nil && next.change.Config.Epoch >= old.change.Config.Epoch
 }
 
 // keepLapsed keeps an upstream in use whose row went while the store was away.
@@ -223,6 +223,10 @@
 		Moves:     s.moves(),
 	}
 	for key, e := range s.rows {
+		// Removed rows don't count: processes see a removal at different versions.
+		if !e.row.Removed && (key.table == s.tables.Operator || key.table == s.tables.Upstreams) {
+			v.Epoch = max(v.Epoch, core.Epoch(e.row.Version))
+		}
 		switch {
 		case e.change.Config != nil:
 			v.Config = e.change.Config
--- a/fleet/state_test.go
+++ b/fleet/state_test.go
@@ -26,7 +26,7 @@
 	word, number, _ := strings.Cut(string(row.Value), " ")
 	switch word {
 	case "config":
-		return Change{Config: &catalog.Config{Version: catalog.ConfigVersion(number[0] - '0')}}, nil
+		return Change{Config: &catalog.Config{Epoch: core.Epoch(number[0] - '0')}}, nil
 	case "ready", "draining":
 		return Change{Upstream: &catalog.Upstream{ID: core.UpstreamID(row.Key), Service: "s", Draining: word == "draining"}}, nil
 	case "weights":
@@ -60,7 +60,7 @@
 func TestMergeNeverReverts(t *testing.T) {
 	cases := map[string]struct {
 		rows       []Row
-		config     catalog.ConfigVersion
+		config     core.Epoch
 		upstreams  []string
 		unreadable int
 	}{
@@ -97,7 +97,7 @@
 			require.Len(t, s.invalid, c.unreadable)
 			v := s.view()
 			if c.config > 0 {
-				require.Equal(t, c.config, v.Config.Version)
+				require.Equal(t, c.config, v.Config.Epoch)
 			}
 			require.Equal(t, c.upstreams, ids(v))
 		})
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -133,7 +133,6 @@
 func (p *process) start() error {
 	s := p.settings
 	p.group.Go("log", p.lines.Run)
-	p.sharing = sharing.New(sharing.Options{Self: s.Node, Collectors: p.collectors, Share: p.share, Log: p.log})
 	p.relay = keptfeed.NewRelay(uint64(p.incarnation))
 	store := platform.NewStore(s.Store)
 	engines := platform.NewEngines()
@@ -144,6 +143,9 @@
 		Dial: func(ctx context.Context, address string) drpc.Conn { return p.dialer.Dial(ctx, address) },
 		Log:  p.log, Seed: uint64(p.incarnation),
 	})
+	p.sharing = sharing.New(sharing.Options{
+		Self: s.Node, Peers: p.peers, Share: p.share, Identity: p.fleet.Identity, Heard: p.fleet.Heard, Log: p.log,
+	})
 	g, err := gateway.New(gateway.Options{
 		Fleet: p.fleet, Kept: keptfeed.New(engines, p.frees, p.relay, relayAsker{p.dialer}, p.log), Codec: platform.Codec{},
 		Sharing:     p.sharing,
@@ -186,13 +188,15 @@
 	return map[string]weights.Mode{"finish": weights.FinishRuns, "cut": weights.CutRuns, "keep": weights.KeepRuns}[name]
 }
 
-// collectors returns the addresses of the fronts in the order in which they
-// collect observations.
-func (p *process) collectors() []string {
+// peers returns the fronts in the order in which they collect observations.
+func (p *process) peers() sharing.Peers {
 	members := rendezvous.Rank(p.fleet.View().Members, collectorSubject, func(m fleet.Member) string { return string(m.Node) })
-	out := make([]string, len(members))
-	for i, m := range members {
-		out[i] = m.Address
+	out := sharing.Peers{Self: p.settings.Inner}
+	for _, m := range members {
+		out.All = append(out.All, m.Address)
+		if m.Domain == p.settings.FailureDomain {
+			out.Domain = append(out.Domain, m.Address)
+		}
 	}
 	return out
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -266,7 +266,7 @@
 func (s *session) log(event string) logrus.FieldLogger {
 	fields := logrus.Fields{"event": event, "request": s.call.ID, "elapsed_ms": time.Since(s.call.Arrived).Milliseconds()}
 	if s.config != nil {
-		fields["config"] = s.config.Version
+		fields["config"] = s.config.Epoch
 	}
 	if s.route != nil {
 		fields["route"] = s.route.Name
--- a/sharing/board.go
+++ b/sharing/board.go
@@ -1,6 +1,3 @@
-// Package sharing spreads what each process sees of upstreams. One process
-// collects the observations of all and hands each the newest ones, so that the
-// number of messages grows with the number of processes, not with its square.
 package sharing
 
 import (
@@ -23,65 +20,107 @@
 	// Load is the number of calls at the upstream when HasLoad is set.
 	Load    int
 	HasLoad bool
-	// Unreachable is set when no connection could be made.
+	// Unreachable is set when no connection could be made, Reporter then to the
+	// process that tried; it is empty where several did.
 	Unreachable bool
+	Reporter    core.NodeID
 	At          time.Time
 }
 
-// board holds the newest observations of all processes. It performs no I/O.
+// entry is an observation with its origin and its place in the order of arrival.
+type entry struct {
+	Observation
+	// via is the process that handed it in, which needs it no more.
+	via    core.NodeID
+	number uint64
+}
+
+// board holds the newest observations of many processes, numbered by arrival,
+// so that each process gets only what it has not had. It performs no I/O.
 type board struct {
-	loads map[core.UpstreamID]Observation
+	loads map[core.UpstreamID]entry
 	// failures holds when each process last failed to connect.
-	failures map[core.UpstreamID]map[core.NodeID]time.Time
+	failures map[core.UpstreamID]map[core.NodeID]entry
+	number   uint64
 }
 
 func newBoard() *board {
 	return &board{
-		loads: make(map[core.UpstreamID]Observation), failures: make(map[core.UpstreamID]map[core.NodeID]time.Time),
+		loads: make(map[core.UpstreamID]entry), failures: make(map[core.UpstreamID]map[core.NodeID]entry),
 	}
 }
 
-// take adds what a process has seen.
-func (b *board) take(from core.NodeID, seen []Observation) {
+// take adds what a process hands in.
+func (b *board) take(via core.NodeID, seen []Observation) {
 	for _, o := range seen {
 		if o.HasLoad && o.At.After(b.loads[o.Upstream].At) {
-			b.loads[o.Upstream] = Observation{Upstream: o.Upstream, Load: o.Load, HasLoad: true, At: o.At}
+			b.loads[o.Upstream] = b.entry(via, Observation{Upstream: o.Upstream, Load: o.Load, HasLoad: true, At: o.At})
 		}
 		if !o.Unreachable {
 			continue
 		}
-		if b.failures[o.Upstream] == nil {
-			b.failures[o.Upstream] = make(map[core.NodeID]time.Time)
+		if o.Reporter == "" {
+			o.Reporter = via
+		}
+		reporters := b.failures[o.Upstream]
+		if reporters == nil {
+			reporters = make(map[core.NodeID]entry)
+			b.failures[o.Upstream] = reporters
+		}
+		if o.At.After(reporters[o.Reporter].At) {
+			reporters[o.Reporter] = b.entry(via, Observation{Upstream: o.Upstream, Unreachable: true, Reporter: o.Reporter, At: o.At})
 		}
-		b.failures[o.Upstream][from] = o.At
 	}
 }
 
-// newest returns what is known of each upstream, and forgets what is too old.
-func (b *board) newest(now time.Time) []Observation {
+func (b *board) entry(via core.NodeID, o Observation) entry {
+	b.number++
+	return entry{Observation: o, via: via, number: b.number}
+}
+
+// since returns what arrived after a number and did not come from the asker.
+// Failures are told once enough processes have reported them; a process that
+// collects for others gets each of them with its reporter.
+func (b *board) since(now time.Time, asker core.NodeID, after uint64, collector bool) []Observation {
+	b.forget(now)
 	var out []Observation
-	for id, o := range b.loads {
-		if now.Sub(o.At) > keepFor {
+	for _, e := range b.loads {
+		if e.number > after && e.via != asker {
+			out = append(out, e.Observation)
+		}
+	}
+	for id, reporters := range b.failures {
+		var last entry
+		for _, e := range reporters {
+			if collector && e.number > after && e.via != asker {
+				out = append(out, e.Observation)
+			}
+			if e.number > last.number {
+				last = e
+			}
+		}
+		if !collector && len(reporters) >= minReporters && last.number > after {
+			out = append(out, Observation{Upstream: id, Unreachable: true, At: last.At})
+		}
+	}
+	return out
+}
+
+// forget drops what is too old.
+func (b *board) forget(now time.Time) {
+	for id, e := range b.loads {
+		if now.Sub(e.At) > keepFor {
 			delete(b.loads, id)
-			continue
 		}
-		out = append(out, o)
 	}
 	for id, reporters := range b.failures {
-		var last time.Time
-		for node, at := range reporters {
-			if now.Sub(at) > keepFor {
+		for node, e := range reporters {
+			if now.Sub(e.At) > keepFor {
 				delete(reporters, node)
-			} else if at.After(last) {
-				last = at
 			}
 		}
 		if len(reporters) == 0 {
 			delete(b.failures, id)
 		}
-		if len(reporters) >= minReporters {
-			out = append(out, Observation{Upstream: id, Unreachable: true, At: last})
-		}
 	}
-	return out
 }
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -1,3 +1,8 @@
+// Package sharing spreads what each process sees of upstreams. One process of
+// each failure domain collects for its domain, and one of these for all, so that
+// the number of messages grows with the number of processes, and what passes
+// between failure domains only with their number. Each process gets only what is
+// new to it.
 package sharing
 
 import (
@@ -14,7 +19,7 @@
 )
 
 const (
-	// interval is the time between two exchanges with the collecting process.
+	// interval is the time between two exchanges with a collecting process.
 	interval = 200 * time.Millisecond
 	timeout  = 300 * time.Millisecond
 	// seenRing bounds own observations that wait for an exchange; the oldest are
@@ -22,26 +27,45 @@
 	seenRing = 1024
 	// learnedRing bounds the groups of others' observations that wait for the
 	// router; the oldest are dropped.
-	learnedRing = 4
+	learnedRing = 16
 	askRing     = 256
-	// candidates is how many processes are tried for the collecting one, so that
-	// a process that does not answer is passed over.
-	candidates = 4
+	// above names the collector for all in a domain collector's own board.
+	above core.NodeID = "\x00above"
 )
 
+// Peers are the addresses of the processes that may collect. All processes give
+// the same order; the first one that answers collects.
+type Peers struct {
+	// Self is the own address, Domain those of the own failure domain, All those
+	// of all processes. Both contain Self.
+	Self   string
+	Domain []string
+	All    []string
+}
+
 // Options are what a Sharing needs.
 type Options struct {
-	Self core.NodeID
-	// Collectors returns the addresses of the processes that may collect, the one
-	// to ask first before others. All processes give the same order.
-	Collectors func() []string
-	Share      func(ctx context.Context, address string, request *wire.ShareRequest) (*wire.ShareReply, error)
-	Log        logrus.FieldLogger
+	Self  core.NodeID
+	Peers func() Peers
+	Share func(ctx context.Context, address string, request *wire.ShareRequest) (*wire.ShareReply, error)
+	// Identity returns the sender that messages carry, Heard takes that of others'.
+	Identity func() *wire.Sender
+	Heard    func(sender *wire.Sender)
+	Log      logrus.FieldLogger
 }
 
+// ask hands observations to the board and asks for what is new.
 type ask struct {
-	request *wire.ShareRequest
-	reply   *ring.Ring[*wire.ShareReply]
+	via       core.NodeID
+	seen      []Observation
+	after     uint64
+	collector bool
+	reply     *ring.Ring[answer]
+}
+
+type answer struct {
+	seen  []Observation
+	after uint64
 }
 
 // Sharing runs the duties.
@@ -80,77 +104,31 @@
 		if err != nil {
 			return nil
 		}
-		now := time.Now()
-		b.take(core.NodeID(a.request.GetSender().GetNode()), decode(now, a.request.Seen))
-		a.reply.Push(&wire.ShareReply{Seen: encode(now, b.newest(now))})
-	}
-}
-
-// runExchange is the duty that tells the collecting process what was seen here.
-func (s *Sharing) runExchange(ctx context.Context) error {
-	turn, failing := 0, false
-	for duty.Pause(ctx, interval) {
-		collectors := s.opts.Collectors()
-		if len(collectors) < 2 {
-			continue // nobody else is known
-		}
-		var own []Observation
-		for o, ok := s.seen.TryReceive(); ok; o, ok = s.seen.TryReceive() {
-			own = append(own, o)
-		}
-		now := time.Now()
-		request := &wire.ShareRequest{Sender: &wire.Sender{Node: string(s.opts.Self)}, Seen: encode(now, own)}
-		address := collectors[turn%min(len(collectors), candidates)]
-		reply, err := s.exchange(ctx, address, request)
-		if err != nil {
-			if !failing {
-				s.opts.Log.WithFields(logrus.Fields{"event": "collector_lost", "collector": address}).WithError(err).Warn("process that collects observations does not answer")
-			}
-			turn++
-			failing = true
-			continue
-		}
-		if failing {
-			s.opts.Log.WithFields(logrus.Fields{"event": "collector_regained", "collector": address}).Info("observations are shared again")
-		}
-		failing = false
-		s.learned.Push(decode(now, reply.Seen))
+		b.take(a.via, a.seen)
+		a.reply.Push(answer{seen: b.since(time.Now(), a.via, a.after, a.collector), after: b.number})
 	}
-	return nil
 }
 
-func (s *Sharing) exchange(ctx context.Context, address string, request *wire.ShareRequest) (*wire.ShareReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return s.opts.Share(ctx, address, request)
+// board asks the own board.
+func (s *Sharing) board(ctx context.Context, a ask) (answer, error) {
+	got, err := ring.TryAsk(ctx, s.asks, func(reply *ring.Ring[answer]) ask {
+		a.reply = reply
+		return a
+	})
+	return got, errs.Wrap(err, errs.Exhausted, "ask another process", "the exchange was not answered")
 }
 
 // Share implements the inner protocol.
 func (s *Sharing) Share(ctx context.Context, request *wire.ShareRequest) (*wire.ShareReply, error) {
-	reply, err := ring.TryAsk(ctx, s.asks, func(reply *ring.Ring[*wire.ShareReply]) ask {
-		return ask{request: request, reply: reply}
-	})
-	return reply, errs.Wrap(err, errs.Exhausted, "ask another process", "the exchange was not answered")
-}
-
-func encode(now time.Time, seen []Observation) []*wire.Observation {
-	out := make([]*wire.Observation, len(seen))
-	for i, o := range seen {
-		out[i] = &wire.Observation{
-			Upstream: string(o.Upstream), HasLoad: o.HasLoad, Load: uint32(max(o.Load, 0)), //nolint:gosec // loads are small
-			Unreachable: o.Unreachable, AgeMs: uint32(max(now.Sub(o.At).Milliseconds(), 0)), //nolint:gosec // ages are below a minute
-		}
+	s.opts.Heard(request.GetSender())
+	self := s.opts.Identity()
+	a := ask{via: core.NodeID(request.GetSender().GetNode()), seen: decode(time.Now(), request.Seen), collector: request.Collector}
+	if request.Board == self.Incarnation {
+		a.after = request.After
 	}
-	return out
-}
-
-func decode(now time.Time, seen []*wire.Observation) []Observation {
-	out := make([]Observation, len(seen))
-	for i, o := range seen {
-		out[i] = Observation{
-			Upstream: core.UpstreamID(o.Upstream), HasLoad: o.HasLoad, Load: int(o.Load), Unreachable: o.Unreachable,
-			At: now.Add(-time.Duration(o.AgeMs) * time.Millisecond),
-		}
+	got, err := s.board(ctx, a)
+	if err != nil {
+		return nil, err
 	}
-	return out
+	return &wire.ShareReply{Seen: encode(time.Now(), got.seen), Board: self.Incarnation, After: got.after, Sender: self}, nil
 }
