Use one gate to upstreams in agents and fronts

Cause: the front had its own copy of what bounds a cold upstream (cold time, calls within a span, shares of processes), beside the agent's in admit. In the front the times of calls were dropped only where a service has a limit for cold upstreams; for other services each call left 24 bytes behind for ever.

Change: admit.Cold, admit.Share and admit.Gate; the agent's window and credits use the first two, placement all three. A gate forgets old calls with each send.

--- a/admit/credits.go
+++ b/admit/credits.go
@@ -43,12 +43,8 @@
 	}
 	c.outstanding -= h.count
 	n := len(c.order)
-	share := total / n
 	turn := int(now.UnixNano() / int64(max(life, 1)) % int64(n))
-	if (h.rank+turn)%n < total%n {
-		share++
-	}
-	h.count = min(share, max(0, total-c.outstanding))
+	h.count = min(Share(total, n, (h.rank+turn)%n), max(0, total-c.outstanding))
 	h.expires = now.Add(life)
 	c.renewals.MoveToBack(h.element)
 	c.outstanding += h.count
--- a/admit/types.go
+++ b/admit/types.go
@@ -1,6 +1,8 @@
 // Package admit decides which calls an upstream runs. It holds the admission
-// window, the queues of waiting calls and the credits given to entries. Every
-// method takes the current time; nothing blocks and nothing is sent.
+// window, the queues of waiting calls and the credits given to entries, for an
+// agent beside the upstream, and the gate of processes that send to an upstream
+// without an agent. Every method takes the current time; nothing blocks and
+// nothing is sent.
 package admit
 
 import (
--- a/admit/window.go
+++ b/admit/window.go
@@ -73,7 +73,7 @@
 	if w.since.IsZero() {
 		w.since = now
 	}
-	if now.Before(w.since.Add(w.warmUp)) {
+	if cold := (Cold{until: w.since.Add(w.warmUp)}); cold.Holds(now) {
 		return min(w.limit, max(w.coldLimit, w.start()))
 	}
 	return w.limit
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"waxwingtide.example/waxwingtide/admit"
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
@@ -82,27 +83,17 @@
 	if service.ColdPerSecond <= 0 {
 		return false, false
 	}
-	cold = now.Before(u.coldUntil)
-	if cold && now.Sub(t.startedAt) < coldWindow {
-		return true, true // what was sent before a restart is not known
-	}
 	total := service.ColdPerSecond*t.opts.ColdOver + t.opts.ColdSlack
-	return u.sentWithin(now) >= t.share(total, string(u.listed.ID)), cold
+	return u.gate.Full(now, t.share(total, string(u.listed.ID)))
 }
 
-// share divides a whole number of calls among the processes. Where there are
-// fewer calls than processes, some processes get one and others none.
+// share is this process's part of a whole number of calls. Where there are fewer
+// calls than processes, some processes get one and others none.
 func (t *Table) share(total float64, subject string) int {
 	if t.lapsed {
 		return 0
 	}
-	n := max(len(t.fronts), 1)
-	each := int(total) / n
-	rest := int(total) % n
-	if rendezvous.Place(t.fronts, t.opts.Node, subject) < rest {
-		each++
-	}
-	return each
+	return admit.Share(int(total), len(t.fronts), rendezvous.Place(t.fronts, t.opts.Node, subject))
 }
 
 // budget returns the budget for repeated sends to a service. It starts nearly
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -157,7 +157,7 @@
 	need := Need{Service: engines, Prompt: prompt("a")}
 	_, refusal := tab.Choose(t0.Add(time.Second), need)
 	require.Equal(t, Limited, refusal)
-	_, refusal = tab.Choose(t0.Add(coldWindow), need)
+	_, refusal = tab.Choose(t0.Add(1100*time.Millisecond), need)
 	require.Equal(t, Placed, refusal)
 
 	repeat := recordNeed()
--- a/placement/table.go
+++ b/placement/table.go
@@ -74,7 +74,7 @@
 		u := t.upstreams[listed.ID]
 		switch {
 		case u == nil:
-			u = newUpstream(now, listed)
+			u = newUpstream(now, t.startedAt, listed)
 		case u.listed.Revision != listed.Revision:
 			u.relist(now, listed)
 		}
@@ -188,7 +188,7 @@
 	u.attempts[choice.Ticket] = a
 	u.backlog += a.read
 	u.tokens += a.tokens
-	u.sends = append(u.sends, now)
+	u.gate.Sent(now)
 	if u.faultShare(now) > suspectShare {
 		u.trialAt = now
 	}
@@ -237,8 +237,8 @@
 	if r.Weights > 0 && r.Model != "" {
 		u.learnWeights(r.Model, r.Weights)
 	}
-	if until := now.Add(r.Cold); r.Cold > 0 && until.After(u.coldUntil) {
-		u.coldUntil = until
+	if r.Cold > 0 {
+		u.gate.Extend(now.Add(r.Cold))
 	}
 	a := u.attempts[r.Ticket]
 	if a == nil {
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -6,6 +6,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"waxwingtide.example/waxwingtide/admit"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/keptindex"
@@ -31,9 +32,6 @@
 	unreachableMost = 1600 * time.Millisecond
 	// refusingFor is how long an upstream is avoided after it refused a call.
 	refusingFor = 150 * time.Millisecond
-	// coldWindow is the span in which a cold upstream's calls are counted. It is
-	// a little over a second since calls take uneven times to arrive.
-	coldWindow = 1100 * time.Millisecond
 	// residentShare is the share of an engine's cache that is assumed to hold
 	// the parts last read there.
 	residentShare = 0.5
@@ -92,8 +90,7 @@
 	reachedAt   time.Time
 	avoidUntil  time.Time
 	refuseUntil time.Time
-	coldUntil   time.Time
-	sends       []time.Time
+	gate        admit.Gate
 	weights     map[core.ModelID]catalog.WeightNumber
 	resident    *simplelru.LRU[keptindex.Key, cached]
 	// heardAt is when the upstream last told of its cache; zero when it does not.
@@ -104,9 +101,11 @@
 	lateAt time.Time
 }
 
-func newUpstream(now time.Time, listed catalog.Listed) *upstream {
+// newUpstream returns an upstream that a process learns of which has been counting
+// its calls since a time.
+func newUpstream(now, counting time.Time, listed catalog.Listed) *upstream {
 	u := &upstream{
-		listed: listed, seenAt: now, attempts: make(map[Ticket]*attempt),
+		gate: admit.NewGate(counting), listed: listed, seenAt: now, attempts: make(map[Ticket]*attempt),
 		weights: make(map[core.ModelID]catalog.WeightNumber),
 	}
 	u.resident, _ = simplelru.NewLRU[keptindex.Key, cached](residentEntries, nil) // fails only for sizes below 1
@@ -118,8 +117,8 @@
 func (u *upstream) relist(now time.Time, listed catalog.Listed) {
 	reborn := listed.Born != u.listed.Born
 	u.listed = listed
-	if until := now.Add(listed.ColdFor); listed.ColdFor > 0 && until.After(u.coldUntil) {
-		u.coldUntil = until
+	if listed.ColdFor > 0 {
+		u.gate.Extend(now.Add(listed.ColdFor))
 	}
 	if reborn {
 		u.forgetCache()
@@ -197,19 +196,6 @@
 	return float64(worst.Milliseconds())
 }
 
-// sentWithin counts the calls sent in the span that cold limits count.
-func (u *upstream) sentWithin(now time.Time) int {
-	keep := 0
-	for _, at := range u.sends {
-		if now.Sub(at) < coldWindow {
-			u.sends[keep] = at
-			keep++
-		}
-	}
-	u.sends = u.sends[:keep]
-	return keep
-}
-
 func (u *upstream) eventsTrusted(now time.Time) bool {
 	return !u.heardAt.IsZero() && now.Sub(u.heardAt) < cacheTrust
 }
