Check drains and keys in the fault soak

Cause: the soak checked what callers see of single calls, but not whether drains and changes of keys take effect in time.

Change: a timeline holds the operator's changes and the faults. A server that is drained gets no call later than 2 s after from a front that no fault has touched for 3 s; a key is known within 2 s and refused 5 s after its removal. Drains last longer than their bound, and each run begins with a change of the configuration.

Tests: TestTimelineSeesLateChanges.

--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -40,23 +40,58 @@
 	defer client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
 		kind := kinds[random.IntN(len(kinds))]
-		at := w.fronts[random.IntN(len(w.fronts))].callers.address()
-		w.call(client, at, fmt.Sprintf("c%d-%d", n, i), kind.method, kind.path, kind.once, kind.stream)
+		f := w.fronts[random.IntN(len(w.fronts))]
+		w.call(client, f, fmt.Sprintf("c%d-%d", n, i), kind.method, kind.path, kind.once, kind.stream)
 		time.Sleep(thinking/2 + time.Duration(random.Int64N(int64(thinking))))
 	}
 }
 
-func (w *world) call(client *http.Client, at, id, method, path string, once, stream bool) {
+// keyHolder sends calls with the key of the configuration in force or of the
+// version before, until the context ends.
+func (w *world) keyHolder(ctx context.Context) {
+	random := rand.New(rand.NewPCG(w.o.Seed, 2))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 5 * time.Second}}
+	defer client.CloseIdleConnections()
+	for i := 0; ctx.Err() == nil; i++ {
+		f := w.fronts[random.IntN(len(w.fronts))]
+		w.tryKey(ctx, client, f, fmt.Sprintf("k-%d", i), max(int(w.version.Load())-random.IntN(2), 1))
+		time.Sleep(thinking/2 + time.Duration(random.Int64N(int64(thinking))))
+	}
+}
+
+func (w *world) tryKey(ctx context.Context, client *http.Client, f *front, id string, version int) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	req, err := standin.PlatformCall{
+		ID: id, Method: http.MethodGet, Address: f.callers.address(), Host: host, Path: "/read/x", Key: keyOf(version),
+		Wait: callTime, Body: strings.NewReader("body of " + id),
+	}.Request(ctx)
+	if err != nil {
+		w.ledger.note(entry{id: id, broken: err.Error()})
+		return
+	}
+	sent := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return // a connection that breaks promises nothing
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusUnauthorized {
+		w.ledger.note(entry{id: id, front: f.name, keyed: true, version: version, accepted: resp.StatusCode == http.StatusOK, sent: sent})
+	}
+}
+
+func (w *world) call(client *http.Client, f *front, id, method, path string, once, stream bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
 	req, err := standin.PlatformCall{
-		ID: id, Method: method, Address: at, Host: host, Path: path, Key: apiKey, Wait: callTime, Body: strings.NewReader("body of " + id),
+		ID: id, Method: method, Address: f.callers.address(), Host: host, Path: path, Key: apiKey, Wait: callTime, Body: strings.NewReader("body of " + id),
 	}.Request(ctx)
 	if err != nil {
 		w.ledger.note(entry{id: id, broken: err.Error()})
 		return
 	}
-	w.ledger.note(entry{id: id, once: once, tried: true})
+	w.ledger.note(entry{id: id, front: f.name, once: once, tried: true})
 	resp, err := client.Do(req)
 	if err != nil {
 		return // a connection that breaks promises nothing
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -25,6 +25,8 @@
 type fault struct {
 	name string
 	run  func(ctx context.Context, lasts time.Duration)
+	// touches is the front or the server's link that the fault touches.
+	touches string
 }
 
 // inject draws faults until the time is over and waits until all have ended.
@@ -34,6 +36,8 @@
 	var running conc.WaitGroup
 	defer running.Wait()
 	busy := make([]time.Time, len(w.fronts))
+	drained := make(map[*server]time.Time)
+	w.configure() // each run has a key that was removed
 	for {
 		duty.Pause(ctx, faultGap/2+time.Duration(random.Int64N(int64(faultGap))))
 		lasts := faultTime/5 + time.Duration(random.Int64N(int64(faultTime*4/5)))
@@ -48,28 +52,40 @@
 			}
 			busy[i] = time.Now().Add(grace + lasts + 2*restartPause)
 		}
+		if kind >= drains {
+			if time.Now().Before(drained[server]) {
+				continue
+			}
+			drained[server] = time.Now().Add(drainBound + lasts + restartPause)
+		}
 		f := w.draw(kind, w.fronts[i], server)
 		w.faults = append(w.faults, fmt.Sprintf("%.1fs %s for %s", time.Since(begun).Seconds(), f.name, lasts.Round(time.Millisecond)))
-		running.Go(func() { f.run(ctx, lasts) })
+		running.Go(func() {
+			w.ledger.note(entry{change: func(t *timeline, at time.Time) { begin(t.touched, f.touches, at) }})
+			f.run(ctx, lasts)
+			w.ledger.note(entry{change: func(t *timeline, at time.Time) { end(t.touched, f.touches, at) }})
+		})
 	}
 }
 
-// processFaults are the first kinds, which stop or start a front's process.
+// processFaults are the first kinds, which stop or start a front's process; from
+// drains on a server is drained.
 const (
 	processFaults = 3
-	faultKinds    = 13
+	drains        = 12
+	faultKinds    = 14
 )
 
 func (w *world) draw(kind int, f *front, s *server) fault {
-	link := func(name string, p *proxy, state linkState) fault {
-		return fault{name, func(ctx context.Context, lasts time.Duration) {
+	link := func(name string, p *proxy, state linkState, touches string) fault {
+		return fault{name: name, touches: touches, run: func(ctx context.Context, lasts time.Duration) {
 			p.set(state)
 			duty.Pause(ctx, lasts)
 			p.set(open)
 		}}
 	}
 	failing := func(name string, how int32) fault {
-		return fault{name, func(ctx context.Context, lasts time.Duration) {
+		return fault{name: name, run: func(ctx context.Context, lasts time.Duration) {
 			s.failing.Store(how)
 			duty.Pause(ctx, lasts)
 			s.failing.Store(sound)
@@ -77,46 +93,57 @@
 	}
 	switch kind {
 	case 0:
-		return fault{"kill " + f.name, func(ctx context.Context, lasts time.Duration) { w.restart(ctx, f, syscall.SIGKILL, lasts/2) }}
+		return fault{name: "kill " + f.name, touches: f.name, run: func(ctx context.Context, lasts time.Duration) { w.restart(ctx, f, syscall.SIGKILL, lasts/2) }}
 	case 1:
-		return fault{"stop " + f.name, func(ctx context.Context, _ time.Duration) { w.restart(ctx, f, syscall.SIGTERM, restartPause) }}
+		return fault{name: "stop " + f.name, touches: f.name, run: func(ctx context.Context, _ time.Duration) { w.restart(ctx, f, syscall.SIGTERM, restartPause) }}
 	case 2:
-		return fault{"freeze " + f.name, func(ctx context.Context, lasts time.Duration) {
+		return fault{name: "freeze " + f.name, touches: f.name, run: func(ctx context.Context, lasts time.Duration) {
 			f.child.Load().signal(syscall.SIGSTOP)
 			duty.Pause(ctx, lasts)
 			f.child.Load().signal(syscall.SIGCONT)
 		}}
 	case 3:
-		return link("store silent for "+f.name, f.store, silent)
+		return link("store silent for "+f.name, f.store, silent, f.name)
 	case 4:
-		return link("store resets "+f.name, f.store, resetting)
+		return link("store resets "+f.name, f.store, resetting, f.name)
 	case 5:
-		return link("store's answers lost for "+f.name, f.store, answersLost)
+		return link("store's answers lost for "+f.name, f.store, answersLost, f.name)
 	case 6:
-		return link("link to "+s.id+" silent", s.link, silent)
+		return link("link to "+s.id+" silent", s.link, silent, s.id)
 	case 7:
-		return link("link to "+s.id+" resets", s.link, resetting)
+		return link("link to "+s.id+" resets", s.link, resetting, s.id)
 	case 8:
-		return link("link to "+s.id+" delayed", s.link, delayed)
+		return link("link to "+s.id+" delayed", s.link, delayed, s.id)
 	case 9:
 		return failing(s.id+" loses answers", losesAnswers)
 	case 10:
 		return failing(s.id+" rejects", rejects)
 	case 11:
 		return failing(s.id+" breaks off", breaksOff)
-	default:
-		return fault{"configuration and settings change, " + s.id + " drains", func(ctx context.Context, lasts time.Duration) {
+	case 12:
+		return fault{name: "configuration and settings change, " + s.id + " drains", run: func(ctx context.Context, lasts time.Duration) {
 			w.configure()
-			w.list(s, true)
 			for _, f := range w.fronts {
 				f.child.Load().signal(syscall.SIGHUP)
 			}
-			duty.Pause(ctx, lasts)
-			w.list(s, false)
+			w.drain(ctx, s, lasts)
+		}}
+	default:
+		return fault{name: s.id + " drains for long", run: func(ctx context.Context, lasts time.Duration) {
+			w.drain(ctx, s, drainBound+lasts)
 		}}
 	}
 }
 
+// drain drains a server for a time.
+func (w *world) drain(ctx context.Context, s *server, lasts time.Duration) {
+	w.list(s, true)
+	w.ledger.note(entry{change: func(t *timeline, at time.Time) { begin(t.drained, s.id, at) }})
+	duty.Pause(ctx, lasts)
+	w.ledger.note(entry{change: func(t *timeline, at time.Time) { end(t.drained, s.id, at) }})
+	w.list(s, false)
+}
+
 // restart ends a front's process with a signal and starts it again. A planned
 // stop that outlasts its grace time is killed, as the platform does.
 func (w *world) restart(ctx context.Context, f *front, signal syscall.Signal, down time.Duration) {
--- a/tools/soak/ledger.go
+++ b/tools/soak/ledger.go
@@ -22,12 +22,24 @@
 	served bool
 	tried  bool
 	at     time.Time
+	// front is where the call was sent.
+	front string
+	// keyed is set when a call with the key of a version was accepted or refused;
+	// sent is when it was sent.
+	keyed    bool
+	version  int
+	accepted bool
+	sent     time.Time
+	// change notes something in the timeline, as of at.
+	change func(t *timeline, at time.Time)
 }
 
 // ledger is the duty that owns what was seen of all calls.
 type ledger struct {
 	entries *ring.Ring[entry]
 	calls   map[string]*callRecord
+	times   *timeline
+	keyed   []entry
 	broken  []string
 	served  int
 	tried   int
@@ -39,12 +51,14 @@
 
 type callRecord struct {
 	ran      []string
+	ranAt    []time.Time
+	front    string
 	promised bool
 	once     bool
 }
 
 func newLedger() *ledger {
-	return &ledger{entries: ring.New[entry](4096), calls: make(map[string]*callRecord)}
+	return &ledger{entries: ring.New[entry](4096), calls: make(map[string]*callRecord), times: newTimeline()}
 }
 
 func (l *ledger) note(e entry) {
@@ -64,6 +78,14 @@
 }
 
 func (l *ledger) take(e entry) {
+	if e.change != nil {
+		e.change(l.times, e.at)
+		return
+	}
+	if e.keyed {
+		l.keyed = append(l.keyed, e)
+		return
+	}
 	c := l.calls[e.id]
 	if c == nil {
 		c = &callRecord{}
@@ -71,6 +93,10 @@
 	}
 	if e.ran != "" {
 		c.ran = append(c.ran, e.ran)
+		c.ranAt = append(c.ranAt, e.at)
+	}
+	if e.front != "" {
+		c.front = e.front
 	}
 	c.promised = c.promised || e.promised
 	c.once = c.once || e.once
@@ -102,6 +128,16 @@
 		if c.promised && len(c.ran) > 0 {
 			l.broken = append(l.broken, fmt.Sprintf("%s: ran at %v though the caller was told that it has not", id, c.ran))
 		}
+		for i, server := range c.ran {
+			if missed := l.times.drainMissed(c.front, server, c.ranAt[i]); missed != "" {
+				l.broken = append(l.broken, id+": "+missed)
+			}
+		}
+	}
+	for _, e := range l.keyed {
+		if missed := l.times.keyMissed(e.front, e.version, e.accepted, e.sent, e.at); missed != "" {
+			l.broken = append(l.broken, e.id+": "+missed)
+		}
 	}
 	if l.lateTried > 0 && l.lateServed*10 < l.lateTried*9 {
 		l.broken = append(l.broken, fmt.Sprintf("after the faults %d of %d calls were served", l.lateServed, l.lateTried))
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -46,3 +46,35 @@
 	}
 	require.Len(t, l.verdict(), 4, "the calls after the faults were not served, too")
 }
+
+// Guards against a soak that takes a late drain or a late change of keys for a
+// kept promise, and against one that blames fronts which a fault has touched.
+func TestTimelineSeesLateChanges(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return t0.Add(time.Duration(seconds * float64(time.Second))) }
+	l := newTimeline()
+	begin(l.drained, "i-1", at(10))
+	end(l.drained, "i-1", at(20))
+	require.Empty(t, l.drainMissed("f", "i-1", at(11.9)))
+	require.NotEmpty(t, l.drainMissed("f", "i-1", at(12.1)))
+	require.Empty(t, l.drainMissed("f", "i-2", at(12.1)))
+	require.Empty(t, l.drainMissed("f", "i-1", at(20.1)), "the server takes calls again")
+
+	l.configured(1, at(0))
+	l.configured(2, at(10))
+	const taken, refused = true, false
+	require.NotEmpty(t, l.keyMissed("f", 1, taken, at(15.1), at(15.2)))
+	require.Empty(t, l.keyMissed("f", 1, taken, at(14.9), at(15.2)))
+	require.Empty(t, l.keyMissed("f", 1, refused, at(10.1), at(10.2)))
+	require.NotEmpty(t, l.keyMissed("f", 1, refused, at(9), at(9.1)))
+	require.Empty(t, l.keyMissed("f", 1, refused, at(9.9), at(10.1)), "the key was removed meanwhile")
+	require.Empty(t, l.keyMissed("f", 2, refused, at(11.9), at(12)))
+	require.NotEmpty(t, l.keyMissed("f", 2, refused, at(12.1), at(12.2)))
+
+	begin(l.touched, "f", at(11))
+	require.Empty(t, l.drainMissed("f", "i-1", at(12.1)))
+	require.NotEmpty(t, l.drainMissed("g", "i-1", at(12.1)))
+	end(l.touched, "f", at(12))
+	require.Empty(t, l.keyMissed("f", 2, refused, at(14.9), at(15)))
+	require.NotEmpty(t, l.keyMissed("f", 2, refused, at(15.1), at(15.2)))
+}
--- a/tools/soak/world.go
+++ b/tools/soak/world.go
@@ -158,6 +158,7 @@
 	for n := range o.Callers {
 		callers.Go(func() { w.caller(calling, n) })
 	}
+	callers.Go(func() { w.keyHolder(calling) })
 	w.inject(ctx)
 	duty.Pause(ctx, time.Until(w.ledger.calm)+calmTime)
 	stop()
@@ -259,12 +260,16 @@
 			Name: name, Kind: kind, Attempts: attempts, Resumable: name == "verdict", Timeout: callTime, Aim: callTime / 3,
 		}
 	}
+	w.ledger.note(entry{change: func(t *timeline, at time.Time) { t.configured(version, at) }})
 	w.store.PutConfig(version, host, service, []standin.PlatformRoute{
 		route("read", "safe", 2), route("log", "unsafe", 1), route("draft", "streaming", 1), route("verdict", "streaming", 2),
 		route(fmt.Sprintf("new-%d", version), "safe", 1),
-	}, []string{apiKey, fmt.Sprintf("key-v%d", version)})
+	}, []string{apiKey, keyOf(version)})
 }
 
+// keyOf is the key that one version of the configuration allows beside apiKey.
+func keyOf(version int) string { return fmt.Sprintf("key-v%d", version) }
+
 // address is one of the fronts' addresses.
 func address(n int) string { return standin.LoopbackAddress(firstPort + n) }
 
