--- a/weights/loader.go
+++ b/weights/loader.go
@@ -75,6 +75,8 @@
 	permit atomic.Pointer[permit]
 	// workSince is when the work under way was first seen.
 	workSince time.Time
+	// unread is set while the lease cannot be read.
+	unread    bool
 	contendAt time.Time
 }
 
@@ -197,10 +199,17 @@
 	askedAt := clock.Boot()
 	page, err := l.opts.Store.Rows(ctx, leaseTable)
 	if err != nil {
-		l.opts.Log.WithFields(logrus.Fields{"event": "lease_unread", "lease": leaseKey}).WithError(err).Warn("lease could not be read")
+		if !l.unread {
+			l.opts.Log.WithFields(logrus.Fields{"event": "lease_unread", "lease": leaseKey}).WithError(err).Warn("lease could not be read")
+		}
+		l.unread = true
 		l.contendAt = time.Now().Add(workInterval)
 		return
 	}
+	if l.unread {
+		l.opts.Log.WithFields(logrus.Fields{"event": "lease_read", "lease": leaseKey}).Info("lease can be read again")
+	}
+	l.unread = false
 	row, version := decodeLease(page)
 	before, wasHeld := l.lease.Held(askedAt)
 	l.lease.Read(askedAt, row, version, page.Now)
