Take the time for a request's head from the configuration

Cause: a request's head had 5 s whatever the configuration allows: callers within a longer limit were cut off, and a shorter limit did not hold.

Change: connections note the first byte of a request. One duty closes those whose head takes longer than the configuration allows, as it does with idle ones. The server's own bound of a minute remains as protection.

Test: TestTimeForHeadsFollowsTheConfiguration: a head of 6 s within a limit of a minute, which failed before, and one that exceeds a limit of 1 s.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -95,8 +95,10 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
-	// IdleTimeout is how long a caller's connection may stay without a request.
-	IdleTimeout time.Duration
+	// HeaderTimeout is how long the head of a request may take from its first byte
+	// on, IdleTimeout how long a caller's connection may stay without a request.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Config is one version of the operators' configuration.
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -41,7 +41,7 @@
 const (
 	// readHeaderTimeout and maxHeaderBytes protect the process whatever the
 	// configuration allows.
-	readHeaderTimeout = 5 * time.Second
+	readHeaderTimeout = time.Minute
 	maxHeaderBytes    = 64 << 10
 	// connectTimeout bounds a connection to an upstream; the network's round
 	// trip takes a few milliseconds.
@@ -234,13 +234,13 @@
 		return err
 	}
 	p.group.Go("inner protocol", func(ctx context.Context) error { return transport.Serve(ctx, inner, nil, mux) })
-	if _, err := p.serve("metrics", p.settings.Metrics, p.metrics.Handler(), defaultIdle); err != nil {
+	if _, err := p.serve("metrics", p.settings.Metrics, p.metrics.Handler(), defaultLimits); err != nil {
 		return err
 	}
-	if _, err := p.serve("readiness", p.settings.Readiness, p.readiness(), defaultIdle); err != nil {
+	if _, err := p.serve("readiness", p.settings.Readiness, p.readiness(), defaultLimits); err != nil {
 		return err
 	}
-	p.callers, err = p.serve("callers", p.settings.Callers, p.gateway, p.callersIdle)
+	p.callers, err = p.serve("callers", p.settings.Callers, p.gateway, p.callersLimits)
 	return err
 }
 
@@ -259,26 +259,29 @@
 	return wire.NewDRPCCatalogClient(a.dialer.Dial(ctx, relay)).CacheSince(ctx, request)
 }
 
-func listener(address string) (net.Listener, error) {
+func listener(address string) (*net.TCPListener, error) {
 	l, err := net.Listen("tcp", address)
-	return l, errs.Wrap(err, errs.Invalid, "choose a free address of this VM", "cannot listen on %s", address)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Invalid, "choose a free address of this VM", "cannot listen on %s", address)
+	}
+	return l.(*net.TCPListener), nil // the network is tcp
 }
 
-// serve runs a server whose connections stay idle for a limit, 0 for the default.
-func (p *process) serve(name, address string, handler http.Handler, limit func() time.Duration) (*http.Server, error) {
+// serve runs a server whose connections wait for callers within limits.
+func (p *process) serve(name, address string, handler http.Handler, limits func() connLimits) (*http.Server, error) {
 	l, err := listener(address)
 	if err != nil {
 		return nil, err
 	}
-	idle := newIdleConns(limit, p.log)
+	waiting := newWaitingConns(limits, p.log)
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: idle.note,
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: waiting.note,
 	}
-	p.group.Go(name+" idle connections", idle.run)
+	p.group.Go(name+" waiting connections", waiting.run)
 	p.group.Go(name, func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(callerListener{l, waiting}); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -286,14 +289,14 @@
 	return server, nil
 }
 
-func defaultIdle() time.Duration { return 0 }
+func defaultLimits() connLimits { return connLimits{} }
 
-// callersIdle is how long a caller's connection may stay without a request.
-func (p *process) callersIdle() time.Duration {
+// callersLimits are those of the configuration in force.
+func (p *process) callersLimits() connLimits {
 	if c := p.fleet.View().Config; c != nil {
-		return c.Limits.IdleTimeout
+		return connLimits{head: c.Limits.HeaderTimeout, idle: c.Limits.IdleTimeout}
 	}
-	return 0
+	return connLimits{}
 }
 
 // readiness answers the platform's balancer.
--- a/frontend/limits_test.go
+++ b/frontend/limits_test.go
@@ -20,7 +20,7 @@
 	w := newWorld(t)
 	w.server("i-1", "svc", nil)
 	w.configure(func(c map[string]any) {
-		c["limits"] = map[string]any{"max-body-bytes": 1 << 20, "max-header-bytes": 2000, "idle-timeout-ms": idle.Milliseconds()}
+		c["limits"] = map[string]any{"max-body-bytes": 1 << 20, "max-header-bytes": 2000, "idle-timeout-ms": idle.Milliseconds(), "header-timeout-ms": 60_000}
 	})
 	f := w.front("front-1")
 
@@ -50,3 +50,42 @@
 	_, err = reader.ReadByte()
 	require.ErrorContains(t, err, "EOF", "an idle connection stays open")
 }
+
+// Guards against heads that take longer than the configuration allows, and
+// against callers within a long limit whose connections are closed.
+func TestTimeForHeadsFollowsTheConfiguration(t *testing.T) {
+	w := newWorld(t)
+	w.server("i-1", "svc", nil)
+	limit := func(d time.Duration) {
+		w.configure(func(c map[string]any) {
+			c["limits"] = map[string]any{"header-timeout-ms": d.Milliseconds(), "idle-timeout-ms": 60_000}
+		})
+	}
+	limit(time.Minute)
+	f := w.front("front-1")
+	open := func() (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", f.callers)
+		require.NoError(t, err)
+		_, err = fmt.Fprint(conn, "GET /read/x HTTP/1.1\r\nHost: gates.example\r\nRequest-Id: k\r\n")
+		require.NoError(t, err)
+		return conn, bufio.NewReader(conn)
+	}
+	slow, reader := open()
+	defer func() { require.NoError(t, slow.Close()) }()
+	time.Sleep(6 * time.Second)
+	_, err := fmt.Fprint(slow, "X-Api-Key: key-1\r\n\r\n")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err, "a head within the limit is cut off")
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.NoError(t, resp.Body.Close())
+
+	limit(time.Second)
+	late, reader := open()
+	defer func() { require.NoError(t, late.Close()) }()
+	require.NoError(t, late.SetReadDeadline(time.Now().Add(patience)))
+	begun := time.Now()
+	_, err = reader.ReadByte()
+	require.ErrorContains(t, err, "EOF", "a head may take for ever")
+	require.Greater(t, time.Since(begun), 900*time.Millisecond)
+}
