Ask a reader again that was passed over

Cause: TestFewProcessesReadTheStore failed once beside load. A front that gets no answer from a reader of its failure domain in time leaves it out for 5 s. If it then ranks among the first two itself, it became a reader and waited for a change of the members only, which may not come for a minute: it read the store for ever though the others served.

Change: a front that reads in place of one that it has left out looks again when that one may be asked.

--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -34,9 +34,14 @@
 		readers, self := f.readers(time.Now(), failed)
 		if self {
 			f.setDirect(true, "reader")
-			if _, err := f.membersChanged.Receive(ctx); err != nil {
+			if !f.awaitMembers(ctx, len(failed) > 0) {
 				return nil
 			}
+			for node, at := range failed {
+				if time.Since(at) >= readerPause {
+					delete(failed, node)
+				}
+			}
 			continue
 		}
 		served := false
@@ -61,6 +66,19 @@
 	return nil
 }
 
+// awaitMembers waits until the view has changed, or until a reader that did not
+// serve may be asked again. It reports whether the duty goes on.
+func (f *Fleet) awaitMembers(ctx context.Context, leftOut bool) bool {
+	wait := ctx
+	if leftOut {
+		var cancel context.CancelFunc
+		wait, cancel = context.WithTimeout(ctx, readerPause)
+		defer cancel()
+	}
+	_, err := f.membersChanged.Receive(wait)
+	return err == nil || ctx.Err() == nil && wait.Err() != nil
+}
+
 // readers returns the processes of the own failure domain that are to follow the
 // store, and whether this process is one of them. A process that is not listed
 // follows the store.
--- a/fleet/readers_test.go
+++ b/fleet/readers_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+
 	"net"
 	"net/http/httptest"
 	"sync/atomic"
@@ -70,6 +71,10 @@
 	store *countedStore
 	group *duty.Group
 	ended bool
+	// address is that of the inner protocol, cutTo one that the process does not
+	// reach.
+	address string
+	cutTo   atomic.Value
 }
 
 type pullServer struct {
@@ -98,12 +103,17 @@
 	log.SetOutput(io.Discard)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	p := &process{store: &countedStore{Store: platform.NewStore(storeAt)}, group: duty.NewGroup(context.Background(), log)}
+	p := &process{address: listener.Addr().String(), store: &countedStore{Store: platform.NewStore(storeAt)}, group: duty.NewGroup(context.Background(), log)}
 	dialer := transport.NewDialer(nil, nil)
 	p.fleet = fleet.New(fleet.Options{
 		Self:  fleet.Member{Node: core.NodeID(fmt.Sprintf("front-%d", n)), Address: listener.Addr().String(), Domain: "z1"},
 		Store: p.store, Tables: platform.Tables(), Decoder: platform.Decoder{}, Log: log, Seed: uint64(n),
-		Dial: func(ctx context.Context, at string) drpc.Conn { return dialer.Dial(ctx, at) },
+		Dial: func(ctx context.Context, at string) drpc.Conn {
+			if at == p.cutTo.Load() {
+				at = "127.0.0.1:1" // refuses connections
+			}
+			return dialer.Dial(ctx, at)
+		},
 	})
 	mux := drpcmux.New()
 	require.NoError(t, wire.DRPCRegisterCatalog(mux, &pullServer{Fleet: p.fleet}))
@@ -116,6 +126,68 @@
 	return p
 }
 
+// reading returns the processes that call the store within the time in which each
+// feed calls it at least once.
+func reading(all []*process) (out []*process) {
+	for _, p := range all {
+		p.store.reads.Store(0)
+	}
+	time.Sleep(2500 * time.Millisecond)
+	for _, p := range all {
+		if p.store.reads.Load() > 0 {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Guards against a process that goes on reading the store itself after it has
+// passed over a reader once, which did not answer in time.
+func TestPassedOverReaderIsAskedAgain(t *testing.T) {
+	store := standin.NewPlatformStore()
+	store.Put("op", "config", map[string]any{"version": 1})
+	store.Put("servers", "i-1", map[string]any{
+		"service": "svc", "address": "127.0.0.1:9", "zone": "z1", "version": "v1", "slots": 1, "state": "ready",
+	})
+	server := httptest.NewServer(store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		store.Close()
+	})
+	all := make([]*process, 4)
+	for i := range all {
+		all[i] = start(t, server.Listener.Addr().String(), i)
+	}
+	var readers []*process
+	require.Eventually(t, func() bool {
+		readers = reading(all)
+		return len(readers) == 2
+	}, 2*patience, time.Millisecond, "not two processes read the store")
+	// One of the others takes the duty over when it does not reach the reader that
+	// it asks; which one follows from the names.
+	takesOver := func() *process {
+		for _, p := range all {
+			for _, r := range readers {
+				if p == readers[0] || p == readers[1] {
+					continue
+				}
+				p.cutTo.Store(r.address)
+				if len(reading(all)) == 3 {
+					return p
+				}
+				p.cutTo.Store("")
+				time.Sleep(6 * time.Second) // the reader is asked again
+			}
+		}
+		return nil
+	}
+	p := takesOver()
+	require.NotNil(t, p, "no process takes the duty over")
+	p.cutTo.Store("")
+	require.Eventually(t, func() bool { return len(reading(all)) == 2 }, 2*patience, time.Millisecond, "a process reads the store for ever")
+}
+
 // Guards against a store that every process reads by itself, and against a
 // process that misses changes when the ones it learns from are refused by the
 // store or gone.
@@ -136,20 +208,6 @@
 	for i := range all {
 		all[i] = start(t, server.Listener.Addr().String(), i)
 	}
-	// reading returns the processes that have called the store since the last
-	// look; a feed calls it every two seconds.
-	reading := func() (out []*process) {
-		for _, p := range all {
-			p.store.reads.Store(0)
-		}
-		time.Sleep(2500 * time.Millisecond)
-		for _, p := range all {
-			if p.store.reads.Load() > 0 {
-				out = append(out, p)
-			}
-		}
-		return out
-	}
 	version := 1
 	requireChange := func(among []*process) {
 		version++
@@ -176,7 +234,7 @@
 	requireChange(all)
 	var readers []*process
 	require.Eventually(t, func() bool {
-		readers = reading()
+		readers = reading(all)
 		return len(readers) == 2
 	}, 2*patience, time.Millisecond, "not two processes read the store")
 
