Accept the connections of callers before serving readiness checks

Callers saw refused connections at a front that had just reported ready: the readiness listener was opened before the listener for callers, so on a busy machine a start was ready for a moment without accepting calls.

--- a/frontend/change_test.go
+++ b/frontend/change_test.go
@@ -1,12 +1,14 @@
 package frontend_test
 
 import (
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"waxwingtide.example/waxwingtide/frontend"
 	"waxwingtide.example/waxwingtide/standin"
 )
 
@@ -99,3 +101,17 @@
 	require.NoError(t, got.err)
 	require.Contains(t, got.body, "token 3")
 }
+
+// Guards against a front that reports ready before it accepts the connections of
+// callers, so that the load balancer sends it calls that are refused.
+func TestReadinessIsServedAfterCallers(t *testing.T) {
+	d := newDeployment(t)
+	f := newFront()
+	occupied, err := net.Listen("tcp", f.callerAddress)
+	require.NoError(t, err)
+	defer func() { _ = occupied.Close() }()
+	require.Error(t, frontend.Run(t.Context(), d.writeSettings("front-1", f)))
+	unused, err := net.Listen("tcp", f.readinessAddress)
+	require.NoError(t, err, "readiness was served without a listener for callers")
+	require.NoError(t, unused.Close())
+}
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -245,10 +245,11 @@
 	if _, err := p.serve("metrics", p.settings.Metrics, p.metrics.Handler(), defaultTimeouts); err != nil {
 		return err
 	}
-	if _, err := p.serve("readiness", p.settings.Readiness, p.readinessHandler(), defaultTimeouts); err != nil {
+	if p.callerServer, err = p.serve("callers", p.settings.Callers, p.gateway, p.callerTimeouts); err != nil {
 		return err
 	}
-	p.callerServer, err = p.serve("callers", p.settings.Callers, p.gateway, p.callerTimeouts)
+	// The load balancer sends connections as soon as a readiness check succeeds.
+	_, err = p.serve("readiness", p.settings.Readiness, p.readinessHandler(), defaultTimeouts)
 	return err
 }
 
--- a/frontend/world_test.go
+++ b/frontend/world_test.go
@@ -137,7 +137,32 @@
 
 func (d *deployment) startFront(name string) *front {
 	d.t.Helper()
-	f := &front{callerAddress: freeAddress(), readinessAddress: freeAddress(), innerAddress: freeAddress(), exited: make(chan error, 1)}
+	f := newFront()
+	file := d.writeSettings(name, f)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	go func() { f.exited <- frontend.Run(ctx, file) }()
+	d.seeds = append(d.seeds, f.innerAddress)
+	d.t.Cleanup(func() {
+		cancel()
+		select {
+		case err := <-f.exited:
+			require.NoError(d.t, err)
+		case <-time.After(testTimeout):
+			d.t.Error("front did not stop")
+		}
+	})
+	return f
+}
+
+// newFront returns a front that has not started.
+func newFront() *front {
+	return &front{callerAddress: freeAddress(), readinessAddress: freeAddress(), innerAddress: freeAddress(), exited: make(chan error, 1)}
+}
+
+// writeSettings writes the settings file of a front and returns its path.
+func (d *deployment) writeSettings(name string, f *front) string {
+	d.t.Helper()
 	seeds := ""
 	if len(d.seeds) > 0 {
 		seeds = `"` + strings.Join(d.seeds, `","`) + `"`
@@ -158,20 +183,7 @@
 `, name, f.callerAddress, f.readinessAddress, f.innerAddress, freeAddress(), seeds, d.storeAddress)
 	file := filepath.Join(d.t.TempDir(), "front.yaml")
 	require.NoError(d.t, os.WriteFile(file, []byte(body), 0o600))
-	ctx, cancel := context.WithCancel(context.Background())
-	f.stop = cancel
-	go func() { f.exited <- frontend.Run(ctx, file) }()
-	d.seeds = append(d.seeds, f.innerAddress)
-	d.t.Cleanup(func() {
-		cancel()
-		select {
-		case err := <-f.exited:
-			require.NoError(d.t, err)
-		case <-time.After(testTimeout):
-			d.t.Error("front did not stop")
-		}
-	})
-	return f
+	return file
 }
 
 func (f *front) ready() bool {
