--- a/core/call.go
+++ b/core/call.go
@@ -59,6 +59,15 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
+// PartIDs returns the IDs of all parts, separated by commas.
+func (p Prompt) PartIDs() string {
+	ids := make([]string, len(p.Parts))
+	for i, part := range p.Parts {
+		ids[i] = string(part.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // Call is one client request of any API. Its body and headers are forwarded unchanged.
 type Call struct {
 	// ID is chosen by the caller. A caller that sends a request again uses a new ID.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -240,6 +240,9 @@
 	if o.err != nil {
 		entry = entry.WithError(o.err)
 	}
+	if o.result == placement.Incomplete {
+		entry = entry.WithField("parts", s.call.Prompt.PartIDs())
+	}
 	entry.Info("attempt finished")
 }
 
