Quarantine parts of prompts that crash upstreams

Cause: an input that fails wherever it runs was treated as a fault of the server and repeated elsewhere, by each front on its own.

Change: the fronts exchange which prompts had no answer when a server crashed, and quarantine a part that several crashes have in common and no answer has (package quarantine). Calls with it are refused at once, with the time of the next trial as Retry-After. A trial that is answered releases it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,7 @@
 // Start starts the duties in a group.
 func (g *Gateway) Start(group *duty.Group) {
 	group.Go("router", g.router.run)
+	group.Go("crash checks", g.router.crashChecker.run)
 	group.Go("rollout status", g.opts.StatusWriter.Run)
 	group.Go("kept-cache feed", g.opts.CacheFeed.Run)
 }
@@ -306,7 +307,7 @@
 // ReportWeights reports to the router the weight version of a model that another duty
 // has observed at an upstream.
 func (g *Gateway) ReportWeights(id core.UpstreamID, model core.ModelID, version catalog.WeightNumber) {
-	g.router.report(placement.Report{Upstream: id, Model: model, Weights: version})
+	g.router.report(attemptReport{Report: placement.Report{Upstream: id, Model: model, Weights: version}})
 }
 
 // SetPlacementOptions replaces the options of the placement.
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -15,6 +15,7 @@
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/fleet"
 	"waxwingtide.example/waxwingtide/placement"
+	"waxwingtide.example/waxwingtide/quarantine"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/sharing"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
@@ -41,9 +42,11 @@
 
 // placementResult is the router's response to a placeRequest.
 type placementResult struct {
-	choice    placement.Choice
-	refusal   placement.Refusal
-	idleConns upstreamhttp.IdlePool
+	choice  placement.Choice
+	refusal placement.Refusal
+	// retryAfter is the time after which a call in quarantine may be placed.
+	retryAfter time.Duration
+	idleConns  upstreamhttp.IdlePool
 }
 
 // connections holds the idle connections to one incarnation of an upstream.
@@ -67,7 +70,9 @@
 	random          func() float64
 	connections     map[core.UpstreamID]*connections
 	placeRequests   *ring.Ring[placeRequest]
-	reports         *ring.Ring[placement.Report]
+	reports         *ring.Ring[attemptReport]
+	quarantine      *quarantine.Tracker
+	crashChecker    *crashChecker
 	options         *ring.Ring[placement.Options]
 	log             logrus.FieldLogger
 	suspensionWatch clock.SuspensionDetector
@@ -79,7 +84,8 @@
 		fleet: opts.Fleet, viewChanged: opts.Fleet.Subscribe(), cacheFeed: opts.CacheFeed, observations: opts.Observations, cacheIndex: index, placer: placement.New(opts.Placement, index),
 		connections: make(map[core.UpstreamID]*connections), placeRequests: ring.New[placeRequest](placeRingSize),
 		rollouts: canary.New(opts.Placement.Node, opts.CanaryShare), statusWriter: opts.StatusWriter, random: opts.Random,
-		reports: ring.New[placement.Report](reportRingSize), options: ring.New[placement.Options](1), log: opts.Log,
+		reports:    ring.New[attemptReport](reportRingSize),
+		quarantine: quarantine.New(opts.Placement.Node, time.Now()), crashChecker: newCrashChecker(opts.Client.Refuses), options: ring.New[placement.Options](1), log: opts.Log,
 	}
 }
 
@@ -98,6 +104,8 @@
 		case <-r.options.Ready():
 		case <-r.cacheFeed.Updates().Ready():
 		case <-r.observations.RemoteObservations().Ready():
+		case <-r.observations.RemoteEvidence().Ready():
+		case <-r.crashChecker.results.Ready():
 		case <-r.reports.Ready():
 		case <-r.placeRequests.Ready():
 		}
@@ -105,7 +113,7 @@
 	}
 }
 
-// sweep does the periodic work: it removes the pending saves of prompt parts that no
+// sweep does the periodic work. It removes the pending saves of prompt parts that no
 // kept-cache store has confirmed in time, updates the oldest weight
 // versions in use, checks the registration of this process, queues the statuses of
 // rollouts, and frees stored parts whose weight version is no longer loaded at any
@@ -115,6 +123,7 @@
 	r.placer.UpdateOldestWeights(now)
 	r.placer.SetRegistrationExpired(r.fleet.RegistrationExpired())
 	r.queueRolloutStatuses(now)
+	r.quarantine.Sweep(now)
 	for _, store := range r.placer.CacheStores() {
 		obsolete := func(salt string) bool { return r.placer.Obsolete(now, salt) }
 		incarnation, keys := r.cacheIndex.ObsoleteParts(now, store.Address, obsolete)
@@ -146,13 +155,15 @@
 		}
 	}
 	for report, ok := r.reports.TryReceive(); ok; report, ok = r.reports.TryReceive() {
-		r.recordSample(now, report)
-		r.placer.RecordReport(now, report)
-		r.publishObservation(now, report)
+		r.recordSample(now, report.Report)
+		r.placer.RecordReport(now, report.Report)
+		r.publishObservation(now, report.Report)
+		r.recordEnd(now, report)
 	}
+	r.updateQuarantine(now)
 	for pending, ok := r.placeRequests.TryReceive(); ok; pending, ok = r.placeRequests.TryReceive() {
-		choice, refusal := r.choose(now, pending.req)
-		result := placementResult{choice: choice, refusal: refusal}
+		result := r.choose(now, pending.req)
+		choice, refusal := result.choice, result.refusal
 		if refusal == placement.NotRefused {
 			result.idleConns = r.connections[choice.Upstream.ID].idle
 		}
@@ -165,9 +176,18 @@
 	}
 }
 
-// choose places a call at the upstreams that a rollout allows. If no upstream of the
-// new version can take the call, it tries the old version.
-func (r *router) choose(now time.Time, request placement.Request) (placement.Choice, placement.Refusal) {
+// choose places a call unless a part of its prompt is in quarantine.
+func (r *router) choose(now time.Time, request placement.Request) placementResult {
+	if wait, refused := r.checkQuarantine(now, request); refused {
+		return placementResult{refusal: placement.Quarantined, retryAfter: wait}
+	}
+	choice, refusal := r.chooseVersion(now, request)
+	return placementResult{choice: choice, refusal: refusal}
+}
+
+// chooseVersion places a call at the upstreams that a rollout allows. If no upstream of
+// the new version can take the call, it tries the old version.
+func (r *router) chooseVersion(now time.Time, request placement.Request) (placement.Choice, placement.Refusal) {
 	request.RolloutFilter = r.rollouts.FilterFor(now, request.Service, r.random())
 	choice, refusal := r.placer.Choose(now, request)
 	if refusal == placement.NoUpstream || refusal == placement.Limited {
@@ -227,6 +247,7 @@
 		inputs.FrontAddresses[m.Node] = m.Address
 	}
 	r.placer.SetInputs(now, inputs)
+	r.quarantine.SetFronts(inputs.Fronts)
 	r.rollouts.SetInputs(now, canary.Inputs{Rollouts: v.Rollouts, Upstreams: v.Upstreams, Fronts: inputs.Fronts})
 	r.cacheFeed.SetSources(r.placer.EventSources())
 	updated := make(map[core.UpstreamID]*connections, len(v.Upstreams))
@@ -271,7 +292,7 @@
 }
 
 // report sends a report to the router. It blocks while the ring is full.
-func (r *router) report(report placement.Report) {
+func (r *router) report(report attemptReport) {
 	if err := r.reports.Send(context.Background(), report); err != nil {
 		r.log.WithField("event", "report_lost").WithError(err).Warn("report of an attempt was not delivered to the router")
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -60,9 +61,10 @@
 			s.nextPlacement = p
 			return nil
 		}
-		retry := err == nil && p.refusal != placement.NoRetryBudget && !s.headerSent && time.Now().Add(placeRetryInterval).Before(retryUntil)
+		mayChange := p.refusal == placement.NoUpstream || p.refusal == placement.Limited
+		retry := err == nil && mayChange && !s.headerSent && time.Now().Add(placeRetryInterval).Before(retryUntil)
 		if !retry || !duty.Pause(ctx, placeRetryInterval) {
-			return &placementError{refusal: p.refusal, cause: err}
+			return &placementError{refusal: p.refusal, retryAfter: p.retryAfter, cause: err}
 		}
 	}
 }
@@ -70,6 +72,8 @@
 // placementError is the error of a call that could not be placed.
 type placementError struct {
 	refusal placement.Refusal
+	// retryAfter is set when it is known when the call may be placed.
+	retryAfter time.Duration
 	// cause is set when the call ended before it was placed.
 	cause error
 }
@@ -97,9 +101,12 @@
 // connection.
 func (s *callState) finish(result attempts.CallResult) {
 	reason, err := s.lastOutcome.result.String(), s.lastOutcome.err
+	retryAfter := s.limitRetryAfter(notRunRetryAfter)
 	var placementErr *placementError
 	if errors.As(result.Err, &placementErr) {
 		reason, err = placementErr.reason(), placementErr.cause
+		// A known time is not limited: an earlier retry would be refused as well.
+		retryAfter = cmp.Or(placementErr.retryAfter, retryAfter)
 	}
 	switch {
 	case result.Cause == attempts.Responded:
@@ -112,7 +119,7 @@
 		s.writeResponse(s.failedResponse)
 		s.logResponse("failure_passed")
 	case result.Cause == attempts.NotRun:
-		s.respondWithError(http.StatusServiceUnavailable, reason, s.limitRetryAfter(notRunRetryAfter), err)
+		s.respondWithError(http.StatusServiceUnavailable, reason, retryAfter, err)
 	case result.Cause == attempts.DeadlineExceeded:
 		s.respondWithError(http.StatusGatewayTimeout, reasonDeadline, 0, err)
 	default:
@@ -160,7 +167,7 @@
 // attempt sends the call to an upstream and relays its response.
 func (s *callState) attempt(ctx context.Context, p placementResult) attemptOutcome {
 	sentAt := time.Now()
-	report := placement.Report{AttemptID: p.choice.AttemptID, Upstream: p.choice.Upstream.ID, Model: s.call.Prompt.Model, Route: s.route.Name}
+	report := s.newReport(p)
 	s.attemptedUpstreams = append(s.attemptedUpstreams, p.choice.Upstream.ID)
 	x, err := s.sendToUpstream(ctx, p)
 	if err != nil {
@@ -181,11 +188,19 @@
 		o.result = placement.Abandoned
 	}
 	report.Final, report.Result, report.FirstByte = true, o.result, firstByte
+	report.AnswerAge = time.Since(sentAt) - firstByte
 	s.gateway.router.report(report)
 	s.logAttempt(p, attemptTimes{sentAt: sentAt, firstByte: firstByte}, x.Reused, response.Status, o)
 	return o
 }
 
+func (s *callState) newReport(p placementResult) attemptReport {
+	return attemptReport{
+		Report:      placement.Report{AttemptID: p.choice.AttemptID, Upstream: p.choice.Upstream.ID, Model: s.call.Prompt.Model, Route: s.route.Name},
+		StartedAtMs: p.choice.Upstream.StartedAtMs, Address: p.choice.Upstream.Address, Prompt: s.call.Prompt,
+	}
+}
+
 func (s *callState) sendToUpstream(ctx context.Context, p placementResult) (*upstreamhttp.Exchange, error) {
 	resumeAfter := s.call.LastEventID
 	if s.lastEventID != "" {
@@ -209,7 +224,7 @@
 }
 
 // handleNoResponse reports an attempt that received no response.
-func (s *callState) handleNoResponse(ctx context.Context, p placementResult, report placement.Report, sentAt time.Time, err error) attemptOutcome {
+func (s *callState) handleNoResponse(ctx context.Context, p placementResult, report attemptReport, sentAt time.Time, err error) attemptOutcome {
 	o := attemptOutcome{result: placement.Incomplete, err: err}
 	if errs.Is(err, errs.Unavailable) {
 		o.result, o.notRun = placement.Unreachable, true
--- a/placement/types.go
+++ b/placement/types.go
@@ -88,11 +88,14 @@
 	Limited
 	// NoRetryBudget means that the retry budget is exhausted.
 	NoRetryBudget
+	// Quarantined means that upstreams crash on a part of the prompt; see package
+	// quarantine.
+	Quarantined
 )
 
 // String returns the name of the refusal as used in metrics and logs.
 func (r Refusal) String() string {
-	return [...]string{"placed", "no_upstream", "limited", "retry_budget"}[r]
+	return [...]string{"placed", "no_upstream", "limited", "retry_budget", "quarantined"}[r]
 }
 
 // UpstreamResult is the result of an attempt as an indication of its upstream's
--- a/sharing/board.go
+++ b/sharing/board.go
@@ -48,12 +48,14 @@
 	loads map[core.UpstreamID]numberedObservation
 	// failures contains the last failed connection to each upstream by reporter.
 	failures     map[core.UpstreamID]map[core.NodeID]numberedObservation
+	evidence     evidenceBoard
 	newestNumber uint64
 }
 
 func newBoard() *board {
 	return &board{
 		loads: make(map[core.UpstreamID]numberedObservation), failures: make(map[core.UpstreamID]map[core.NodeID]numberedObservation),
+		evidence: newEvidenceBoard(),
 	}
 }
 
--- a/sharing/exchange.go
+++ b/sharing/exchange.go
@@ -6,8 +6,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
+	"waxwingtide.example/waxwingtide/quarantine"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -63,26 +63,68 @@
 		if len(candidates.AllAddresses) < 2 || len(candidates.DomainAddresses) == 0 {
 			continue // no other process, or none of the local failure domain, is listed
 		}
-		var local []Observation
-		for o, ok := e.local.TryReceive(); ok; o, ok = e.local.TryReceive() {
-			local = append(local, o)
+		x.exchangeInDomain(ctx, candidates, e.takeLocal())
+	}
+	return nil
+}
+
+// exchangeInDomain sends the local batch to the domain collector, or to the next
+// candidate if that one does not respond.
+func (x *exchangeDuty) exchangeInDomain(ctx context.Context, candidates CollectorCandidates, local batch) {
+	for range min(len(candidates.DomainAddresses), 2) {
+		if x.domainLink.selectCollector(candidates.DomainAddresses) == candidates.LocalAddress {
+			x.collect(ctx, candidates, local)
+			return
 		}
-		if address := x.domainLink.selectCollector(candidates.DomainAddresses); address != candidates.LocalAddress {
-			if reply := x.exchange(ctx, &x.domainLink, local, false); reply != nil {
-				e.remote.Push(decodeObservations(time.Now(), reply.Seen))
-			}
-			continue
+		if reply := x.exchange(ctx, &x.domainLink, local, false); reply != nil {
+			x.deliver(decodeBatch(time.Now(), reply.Seen, reply.Parts))
+			return
 		}
-		x.collect(ctx, candidates, local)
 	}
-	return nil
+	if !local.evidence.Empty() {
+		x.localEvidence.Push(local.evidence)
+	}
+}
+
+// batch is what is sent in one direction of an exchange.
+type batch struct {
+	observations []Observation
+	evidence     quarantine.Evidence
+}
+
+func decodeBatch(now time.Time, seen []*wire.Observation, parts *wire.PartEvidence) batch {
+	return batch{observations: decodeObservations(now, seen), evidence: decodeEvidence(now, parts)}
+}
+
+// takeLocal returns what this process has recorded since the last exchange.
+func (e *Exchanger) takeLocal() batch {
+	var local batch
+	for o, ok := e.local.TryReceive(); ok; o, ok = e.local.TryReceive() {
+		local.observations = append(local.observations, o)
+	}
+	for more, ok := e.localEvidence.TryReceive(); ok; more, ok = e.localEvidence.TryReceive() {
+		local.evidence.Crashes = append(local.evidence.Crashes, more.Crashes...)
+		local.evidence.Answers = append(local.evidence.Answers, more.Answers...)
+		local.evidence.States = append(local.evidence.States, more.States...)
+	}
+	return local
+}
+
+// deliver forwards what other processes have sent.
+func (e *Exchanger) deliver(received batch) {
+	if len(received.observations) > 0 {
+		e.remote.Push(received.observations)
+	}
+	if !received.evidence.Empty() {
+		e.remoteEvidence.Push(received.evidence)
+	}
 }
 
 // collect runs one exchange as the domain collector. It adds the local observations
 // to the local board, exchanges the domain's observations with the global collector
 // and forwards the new observations of the board to the ring of remote observations.
-func (x *exchangeDuty) collect(ctx context.Context, candidates CollectorCandidates, local []Observation) {
-	if _, err := x.exchangeWithBoard(ctx, boardRequest{sender: x.opts.Self, observations: local, afterNumber: x.forwardedNumber}); err != nil {
+func (x *exchangeDuty) collect(ctx context.Context, candidates CollectorCandidates, local batch) {
+	if _, err := x.exchangeWithBoard(ctx, boardRequest{sender: x.opts.Self, batch: local, afterNumber: x.forwardedNumber}); err != nil {
 		return // too many requests wait for the board, or the process is stopping
 	}
 	if x.globalLink.selectCollector(candidates.AllAddresses) != candidates.LocalAddress {
@@ -90,25 +132,28 @@
 		if err != nil {
 			return
 		}
-		if reply := x.exchange(ctx, &x.globalLink, outgoing.observations, true); reply != nil {
+		if reply := x.exchange(ctx, &x.globalLink, outgoing.batch, true); reply != nil {
 			x.globalLink.sentNumber = outgoing.newestNumber
-			if _, err := x.exchangeWithBoard(ctx, boardRequest{sender: globalCollectorAlias, observations: decodeObservations(time.Now(), reply.Seen), afterNumber: outgoing.newestNumber}); err != nil {
+			received := decodeBatch(time.Now(), reply.Seen, reply.Parts)
+			if _, err := x.exchangeWithBoard(ctx, boardRequest{sender: globalCollectorAlias, batch: received, afterNumber: outgoing.newestNumber}); err != nil {
 				return
 			}
 		}
 	}
 	if reply, err := x.exchangeWithBoard(ctx, boardRequest{sender: x.opts.Self, afterNumber: x.forwardedNumber}); err == nil {
 		x.forwardedNumber = reply.newestNumber
-		x.remote.Push(reply.observations)
+		x.deliver(reply.batch)
 	}
 }
 
-// exchange sends observations to a collector and returns its reply. It returns nil
-// on failure, and the next exchange uses the next candidate. asDomainCollector is set
-// when the observations are those of the failure domain.
-func (x *exchangeDuty) exchange(ctx context.Context, l *collectorLink, observations []Observation, asDomainCollector bool) *wire.ShareReply {
+// exchange sends a batch to a collector and returns its reply. It returns nil on
+// failure, and the next exchange uses the next candidate. asDomainCollector is set
+// when the batch is that of the failure domain.
+func (x *exchangeDuty) exchange(ctx context.Context, l *collectorLink, outgoing batch, asDomainCollector bool) *wire.ShareReply {
+	now := time.Now()
 	request := &wire.ShareRequest{
-		Sender: x.opts.Sender(), Seen: encodeObservations(time.Now(), observations), Board: l.boardID, After: l.afterNumber, Collector: asDomainCollector,
+		Sender: x.opts.Sender(), Seen: encodeObservations(now, outgoing.observations), Parts: encodeEvidence(now, outgoing.evidence),
+		Board: l.boardID, After: l.afterNumber, Collector: asDomainCollector,
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -129,26 +174,3 @@
 	x.opts.ObserveEpoch(reply.GetSender())
 	return reply
 }
-
-func encodeObservations(now time.Time, observations []Observation) []*wire.Observation {
-	out := make([]*wire.Observation, len(observations))
-	for i, o := range observations {
-		out[i] = &wire.Observation{
-			Upstream: string(o.Upstream), HasLoad: o.HasLoad, Load: uint32(max(o.Load, 0)), //nolint:gosec // loads are small
-			Unreachable: o.Unreachable, Reporter: string(o.Reporter),
-			AgeMs: uint32(max(now.Sub(o.ObservedAt).Milliseconds(), 0)), //nolint:gosec // ages are below a minute
-		}
-	}
-	return out
-}
-
-func decodeObservations(now time.Time, observations []*wire.Observation) []Observation {
-	out := make([]Observation, len(observations))
-	for i, o := range observations {
-		out[i] = Observation{
-			Upstream: core.UpstreamID(o.Upstream), HasLoad: o.HasLoad, Load: int(o.Load), Unreachable: o.Unreachable,
-			Reporter: core.NodeID(o.Reporter), ObservedAt: now.Add(-time.Duration(o.AgeMs) * time.Millisecond),
-		}
-	}
-	return out
-}
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -1,9 +1,9 @@
-// Package sharing exchanges observations of upstreams among the fronts. One process
-// of each failure domain, the domain collector, collects the observations of its
-// domain. One process, the global collector, collects those of all domain
-// collectors. The number of messages therefore grows linearly with the number of
-// processes, and the traffic between failure domains grows only with the number of
-// domains. Each process receives only observations that are new to it.
+// Package sharing exchanges observations of upstreams, and evidence on parts of prompts
+// that crash them, among the fronts. One process of each failure domain, the domain
+// collector, collects what its domain has observed. One process, the global collector,
+// collects from all domain collectors. The number of messages therefore grows linearly
+// with the number of processes, and the traffic between failure domains grows only with
+// the number of domains. Each process receives only what is new to it.
 package sharing
 
 import (
@@ -15,6 +15,7 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/quarantine"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/wire"
 )
@@ -30,6 +31,9 @@
 	// remoteCapacity is the number of groups of remote observations that may wait in
 	// the ring of RemoteObservations. The oldest ones are dropped.
 	remoteCapacity = 16
+	// evidenceCapacity is the number of elements of evidence that may wait for an
+	// exchange or in the ring of RemoteEvidence. The oldest ones are dropped.
+	evidenceCapacity = 64
 	// requestCapacity is the number of requests that may wait for the board.
 	requestCapacity = 256
 	// globalCollectorAlias stands for the global collector, whichever process it is,
@@ -62,11 +66,11 @@
 	Log          logrus.FieldLogger
 }
 
-// boardRequest adds observations to the local board and requests the observations
-// that are new to the sender.
+// boardRequest adds a batch to the local board and requests what is new to the
+// sender.
 type boardRequest struct {
-	sender       core.NodeID
-	observations []Observation
+	sender core.NodeID
+	batch
 	// afterNumber is the number of the newest observation that the sender has
 	// received.
 	afterNumber uint64
@@ -77,23 +81,26 @@
 }
 
 type boardReply struct {
-	observations []Observation
+	batch
 	// newestNumber is the number of the newest observation on the board.
 	newestNumber uint64
 }
 
 // Exchanger runs the two duties that exchange and collect observations.
 type Exchanger struct {
-	opts          Options
-	local         *ring.Ring[Observation]
-	remote        *ring.Ring[[]Observation]
-	boardRequests *ring.Ring[boardRequest]
+	opts           Options
+	local          *ring.Ring[Observation]
+	remote         *ring.Ring[[]Observation]
+	localEvidence  *ring.Ring[quarantine.Evidence]
+	remoteEvidence *ring.Ring[quarantine.Evidence]
+	boardRequests  *ring.Ring[boardRequest]
 }
 
 // New returns an Exchanger whose duties have not started.
 func New(opts Options) *Exchanger {
 	return &Exchanger{
 		opts: opts, local: ring.New[Observation](localCapacity), remote: ring.New[[]Observation](remoteCapacity),
+		localEvidence: ring.New[quarantine.Evidence](evidenceCapacity), remoteEvidence: ring.New[quarantine.Evidence](evidenceCapacity),
 		boardRequests: ring.New[boardRequest](requestCapacity),
 	}
 }
@@ -107,6 +114,13 @@
 // Record queues a local observation for the next exchange. It never blocks.
 func (e *Exchanger) Record(o Observation) { e.local.Push(o) }
 
+// RecordEvidence queues local evidence on parts of prompts for the next exchange. It
+// never blocks.
+func (e *Exchanger) RecordEvidence(evidence quarantine.Evidence) { e.localEvidence.Push(evidence) }
+
+// RemoteEvidence returns the ring of the other processes' evidence on parts of prompts.
+func (e *Exchanger) RemoteEvidence() *ring.Ring[quarantine.Evidence] { return e.remoteEvidence }
+
 // RemoteObservations returns the ring of the other processes' observations.
 func (e *Exchanger) RemoteObservations() *ring.Ring[[]Observation] { return e.remote }
 
@@ -119,8 +133,16 @@
 		if err != nil {
 			return nil
 		}
+		now := time.Now()
 		b.add(request.sender, request.observations)
-		request.reply.Push(boardReply{observations: b.newObservations(time.Now(), request.sender, request.afterNumber, request.forCollector), newestNumber: b.newestNumber})
+		b.addEvidence(now, request.sender, request.evidence)
+		request.reply.Push(boardReply{
+			batch: batch{
+				observations: b.newObservations(now, request.sender, request.afterNumber, request.forCollector),
+				evidence:     b.newEvidence(now, request.sender, request.afterNumber),
+			},
+			newestNumber: b.newestNumber,
+		})
 	}
 }
 
@@ -137,7 +159,9 @@
 func (e *Exchanger) Share(ctx context.Context, request *wire.ShareRequest) (*wire.ShareReply, error) {
 	e.opts.ObserveEpoch(request.GetSender())
 	self := e.opts.Sender()
-	query := boardRequest{sender: core.NodeID(request.GetSender().GetNode()), observations: decodeObservations(time.Now(), request.Seen), forCollector: request.Collector}
+	query := boardRequest{
+		sender: core.NodeID(request.GetSender().GetNode()), batch: decodeBatch(time.Now(), request.Seen, request.Parts), forCollector: request.Collector,
+	}
 	if request.Board == self.Incarnation {
 		query.afterNumber = request.After
 	}
@@ -145,5 +169,6 @@
 	if err != nil {
 		return nil, err
 	}
-	return &wire.ShareReply{Seen: encodeObservations(time.Now(), reply.observations), Board: self.Incarnation, After: reply.newestNumber, Sender: self}, nil
+	now := time.Now()
+	return &wire.ShareReply{Seen: encodeObservations(now, reply.observations), Parts: encodeEvidence(now, reply.evidence), Board: self.Incarnation, After: reply.newestNumber, Sender: self}, nil
 }
--- a/upstreamhttp/upstreamhttp.go
+++ b/upstreamhttp/upstreamhttp.go
@@ -116,6 +116,17 @@
 	return x, nil
 }
 
+// Refuses reports whether a new connection to an address is refused, which means that
+// the process there has ended. It returns false if the attempt has no result.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 func (c *Client) connect(ctx context.Context, pool IdlePool, address string) (conn *Conn, reused bool, err error) {
 	for {
 		pooled, ok := pool.TryReceive()
