Return to the first collector after it was replaced

Cause: a process keeps its replacement collector for as long as that one responds, but a first candidate that restarts selects itself. It then collects for itself only. Loads and failed connections were lost in the same way.

Change: processes that use another candidate return to the first one after two seconds.

Result: TestReturningCollectorReceivesObservations failed before, in a domain and for the global collector, and passes.

--- a/sharing/exchange.go
+++ b/sharing/exchange.go
@@ -15,6 +15,11 @@
 // after the other, when a collector does not respond.
 const maxCandidates = 4
 
+// failbackInterval is the interval at which a process that uses another candidate
+// returns to the first one. Without it, a first candidate that restarts would collect
+// for itself only, since it selects itself.
+const failbackInterval = 2 * time.Second
+
 // collectorLink is the state of the exchange with a collector.
 type collectorLink struct {
 	// candidateIndex is the index of the collector in the list of candidates, modulo
@@ -23,6 +28,8 @@
 	address        string
 	// failing is set when the last exchange failed.
 	failing bool
+	// failedAt is the time of the last failed exchange.
+	failedAt time.Time
 	// boardID is the field Board of the last reply, which identifies the collector's
 	// board.
 	boardID uint64
@@ -36,10 +43,13 @@
 
 // selectCollector returns the address of the collector. It resets the state of the
 // exchange if the collector has changed, since the new one has received nothing.
-func (l *collectorLink) selectCollector(addresses []string) string {
+func (l *collectorLink) selectCollector(now time.Time, addresses []string) string {
+	if l.candidateIndex > 0 && now.Sub(l.failedAt) >= failbackInterval {
+		l.candidateIndex = 0
+	}
 	address := addresses[l.candidateIndex%min(len(addresses), maxCandidates)]
 	if address != l.address {
-		*l = collectorLink{candidateIndex: l.candidateIndex, address: address, failing: l.failing}
+		*l = collectorLink{candidateIndex: l.candidateIndex, address: address, failing: l.failing, failedAt: l.failedAt}
 	}
 	return address
 }
@@ -72,7 +82,7 @@
 // candidate if that one does not respond.
 func (x *exchangeDuty) exchangeInDomain(ctx context.Context, candidates CollectorCandidates, local batch) {
 	for range min(len(candidates.DomainAddresses), 2) {
-		if x.domainLink.selectCollector(candidates.DomainAddresses) == candidates.LocalAddress {
+		if x.domainLink.selectCollector(time.Now(), candidates.DomainAddresses) == candidates.LocalAddress {
 			x.collect(ctx, candidates, local)
 			return
 		}
@@ -127,7 +137,7 @@
 	if _, err := x.exchangeWithBoard(ctx, boardRequest{sender: x.opts.Self, batch: local, afterNumber: x.forwardedNumber}); err != nil {
 		return // too many requests wait for the board, or the process is stopping
 	}
-	if x.globalLink.selectCollector(candidates.AllAddresses) != candidates.LocalAddress {
+	if x.globalLink.selectCollector(time.Now(), candidates.AllAddresses) != candidates.LocalAddress {
 		outgoing, err := x.exchangeWithBoard(ctx, boardRequest{sender: globalCollectorAlias, afterNumber: x.globalLink.sentNumber, forCollector: true})
 		if err != nil {
 			return
@@ -164,7 +174,7 @@
 			log.WithField("event", "collector_lost").WithError(err).Warn("exchange of observations with the collector failed")
 		}
 		l.candidateIndex++
-		l.failing = true
+		l.failing, l.failedAt = true, time.Now()
 		return nil
 	}
 	if l.failing {
--- a/sharing/sharing_test.go
+++ b/sharing/sharing_test.go
@@ -158,6 +158,26 @@
 	}
 }
 
+// Guards against a collector that selects itself after it was unreachable while the
+// others continue to use its replacement, so that it receives nothing.
+func TestReturningCollectorReceivesObservations(t *testing.T) {
+	for _, isolated := range []string{"west-1", "east-1"} {
+		t.Run(isolated, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, processNames...)
+				time.Sleep(time.Second)
+				c.isolated[isolated].Store(true)
+				time.Sleep(2 * time.Second)
+				c.isolated[isolated].Store(false)
+				time.Sleep(3 * time.Second)
+				c.processes["west-2"].Record(sharing.Observation{Upstream: "u", HasLoad: true, Load: 3, ObservedAt: time.Now()})
+				want := slices.DeleteFunc(slices.Clone(processNames), func(name string) bool { return name == "west-2" })
+				require.Equal(t, want, c.receivers(time.Second, "u", hasLoad))
+			})
+		})
+	}
+}
+
 // Guards against an upstream that is reported as unreachable after the failure of
 // a single process, and against two failures that are not combined because their
 // reporters are in different failure domains.
