Hand quarantines over when fronts restart one after the other

Cause: a front that stops is no longer listed, and a front that is the only listed one did not exchange at all. A restarted global collector was taken for one that has received the earlier evidence. Quarantines were repeated only every two seconds.

Change: a stopping front sends to any listed one, a lone front collects, everything is sent again to a restarted collector, and quarantines are repeated as soon as a new board answers.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -53,6 +53,9 @@
 	for evidence, ok := r.observations.RemoteEvidence().TryReceive(); ok; evidence, ok = r.observations.RemoteEvidence().TryReceive() {
 		r.quarantine.Merge(now, evidence)
 	}
+	if _, ok := r.observations.NewBoards().TryReceive(); ok {
+		r.quarantine.RepeatQuarantines()
+	}
 	for _, state := range r.quarantine.Evaluate(now) {
 		r.logQuarantine(state.Part, state.Until.Sub(now)).WithField("version", state.Version).
 			Warn("part of prompts is in quarantine because upstreams crash on it")
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -105,6 +105,7 @@
 		case <-r.cacheFeed.Updates().Ready():
 		case <-r.observations.RemoteObservations().Ready():
 		case <-r.observations.RemoteEvidence().Ready():
+		case <-r.observations.NewBoards().Ready():
 		case <-r.crashChecker.results.Ready():
 		case <-r.reports.Ready():
 		case <-r.placeRequests.Ready():
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -370,14 +370,14 @@
 	}
 	if now.Sub(t.repeatedAt) >= repeatInterval {
 		t.repeatedAt = now
-		t.repeatQuarantines()
+		t.RepeatQuarantines()
 	}
 	t.changed = true
 }
 
-// repeatQuarantines reports quarantines again. The order of the map makes each of them
+// RepeatQuarantines reports quarantines again, up to maxRepeated. The order of the map makes each of them
 // part of a later selection.
-func (t *Tracker) repeatQuarantines() {
+func (t *Tracker) RepeatQuarantines() {
 	repeated := 0
 	for _, s := range t.states {
 		if repeated == maxRepeated {
--- a/sharing/exchange.go
+++ b/sharing/exchange.go
@@ -70,14 +70,25 @@
 	x := &exchangeDuty{Exchanger: e}
 	for duty.Pause(ctx, exchangeInterval) {
 		candidates := e.opts.Candidates()
-		if len(candidates.AllAddresses) < 2 || len(candidates.DomainAddresses) == 0 {
-			continue // no other process, or none of the local failure domain, is listed
+		if !candidates.normalize() {
+			continue // no other process is listed
 		}
 		x.exchangeInDomain(ctx, candidates, e.takeLocal())
 	}
 	return nil
 }
 
+// normalize prepares the lists. A process that is not listed itself, since it stops,
+// uses the processes of other failure domains if none of its own is listed. A process
+// that is the only listed one collects what such processes send. normalize returns
+// false if no process is listed.
+func (c *CollectorCandidates) normalize() bool {
+	if len(c.DomainAddresses) == 0 {
+		c.DomainAddresses = c.AllAddresses
+	}
+	return len(c.AllAddresses) > 0
+}
+
 // exchangeInDomain sends the local batch to the domain collector, or to the next
 // candidate if that one does not respond.
 func (x *exchangeDuty) exchangeInDomain(ctx context.Context, candidates CollectorCandidates, local batch) {
@@ -142,8 +153,12 @@
 		if err != nil {
 			return
 		}
+		knownBoard := x.globalLink.boardID
 		if reply := x.exchange(ctx, &x.globalLink, outgoing.batch, true); reply != nil {
 			x.globalLink.sentNumber = outgoing.newestNumber
+			if knownBoard != 0 && knownBoard != reply.Board {
+				x.globalLink.sentNumber = 0 // the collector has restarted and lacks the rest
+			}
 			received := decodeBatch(time.Now(), reply.Seen, reply.Parts)
 			if _, err := x.exchangeWithBoard(ctx, boardRequest{sender: globalCollectorAlias, batch: received, afterNumber: outgoing.newestNumber}); err != nil {
 				return
@@ -180,6 +195,9 @@
 	if l.failing {
 		log.WithField("event", "collector_regained").Info("exchange of observations with a collector works again")
 	}
+	if reply.Board != l.boardID {
+		x.newBoards.Push(struct{}{})
+	}
 	l.failing, l.boardID, l.afterNumber = false, reply.Board, reply.After
 	x.opts.ObserveEpoch(reply.GetSender())
 	return reply
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -93,6 +93,7 @@
 	remote         *ring.Ring[[]Observation]
 	localEvidence  *ring.Ring[quarantine.Evidence]
 	remoteEvidence *ring.Ring[quarantine.Evidence]
+	newBoards      *ring.Ring[struct{}]
 	boardRequests  *ring.Ring[boardRequest]
 }
 
@@ -101,6 +102,7 @@
 	return &Exchanger{
 		opts: opts, local: ring.New[Observation](localCapacity), remote: ring.New[[]Observation](remoteCapacity),
 		localEvidence: ring.New[quarantine.Evidence](evidenceCapacity), remoteEvidence: ring.New[quarantine.Evidence](evidenceCapacity),
+		newBoards:     ring.New[struct{}](1),
 		boardRequests: ring.New[boardRequest](requestCapacity),
 	}
 }
@@ -121,6 +123,10 @@
 // RemoteEvidence returns the ring of the other processes' evidence on parts of prompts.
 func (e *Exchanger) RemoteEvidence() *ring.Ring[quarantine.Evidence] { return e.remoteEvidence }
 
+// NewBoards returns the ring that has an element after the first exchange with a board,
+// which lacks what was sent to others.
+func (e *Exchanger) NewBoards() *ring.Ring[struct{}] { return e.newBoards }
+
 // RemoteObservations returns the ring of the other processes' observations.
 func (e *Exchanger) RemoteObservations() *ring.Ring[[]Observation] { return e.remote }
 
--- a/sharing/sharing_test.go
+++ b/sharing/sharing_test.go
@@ -16,6 +16,7 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/quarantine"
 	"waxwingtide.example/waxwingtide/sharing"
 	"waxwingtide.example/waxwingtide/wire"
 )
@@ -23,7 +24,11 @@
 // cluster is a set of processes in memory. Their names have the form
 // DOMAIN-NUMBER.
 type cluster struct {
-	names     []string
+	names []string
+	// unlisted processes are not among the candidates.
+	unlisted  map[string]*atomic.Bool
+	group     *duty.Group
+	log       logrus.FieldLogger
 	processes map[string]*sharing.Exchanger
 	isolated  map[string]*atomic.Bool
 	// messages counts the exchanges, crossDomainMessages those between processes of
@@ -39,43 +44,63 @@
 func newCluster(t *testing.T, names ...string) *cluster {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	c := &cluster{names: names, processes: make(map[string]*sharing.Exchanger), isolated: make(map[string]*atomic.Bool)}
-	group := duty.NewGroup(context.Background(), log)
+	c := &cluster{
+		names: names, processes: make(map[string]*sharing.Exchanger), isolated: make(map[string]*atomic.Bool), unlisted: make(map[string]*atomic.Bool),
+		group: duty.NewGroup(context.Background(), log), log: log,
+	}
 	for _, name := range names {
-		c.isolated[name] = new(atomic.Bool)
-		candidates := sharing.CollectorCandidates{LocalAddress: name, AllAddresses: names}
-		for _, other := range names {
-			if domain(other) == domain(name) {
-				candidates.DomainAddresses = append(candidates.DomainAddresses, other)
-			}
-		}
-		c.processes[name] = sharing.New(sharing.Options{
-			Self: core.NodeID(name), Candidates: func() sharing.CollectorCandidates { return candidates }, ObserveEpoch: func(*wire.Sender) {}, Log: log,
-			Sender: func() *wire.Sender { return &wire.Sender{Node: name, Incarnation: 1} },
-			Exchange: func(ctx context.Context, address string, request *wire.ShareRequest) (*wire.ShareReply, error) {
-				if c.isolated[name].Load() || c.isolated[address].Load() {
-					return nil, errs.New(errs.Unavailable, "retry with another process", "%s is isolated", address)
-				}
-				reply, err := c.processes[address].Share(ctx, request)
-				c.messages.Add(1)
-				if domain(name) != domain(address) {
-					c.crossDomainMessages.Add(1)
-					c.crossDomainObservations.Add(int64(len(request.Seen) + len(reply.GetSeen())))
-				}
-				return reply, err
-			},
-		})
+		c.isolated[name], c.unlisted[name] = new(atomic.Bool), new(atomic.Bool)
+		c.processes[name] = c.newProcess(name, 1)
 	}
 	for _, p := range c.processes {
-		p.Start(group)
+		p.Start(c.group)
 	}
 	t.Cleanup(func() {
-		group.Stop()
-		require.NoError(t, group.Wait())
+		c.group.Stop()
+		require.NoError(t, c.group.Wait())
 	})
 	return c
 }
 
+func (c *cluster) newProcess(name string, incarnation uint64) *sharing.Exchanger {
+	return sharing.New(sharing.Options{
+		Self: core.NodeID(name), Candidates: func() sharing.CollectorCandidates { return c.candidates(name) }, ObserveEpoch: func(*wire.Sender) {}, Log: c.log,
+		Sender: func() *wire.Sender { return &wire.Sender{Node: name, Incarnation: incarnation} },
+		Exchange: func(ctx context.Context, address string, request *wire.ShareRequest) (*wire.ShareReply, error) {
+			if c.isolated[name].Load() || c.isolated[address].Load() {
+				return nil, errs.New(errs.Unavailable, "retry with another process", "%s is isolated", address)
+			}
+			reply, err := c.processes[address].Share(ctx, request)
+			c.messages.Add(1)
+			if domain(name) != domain(address) {
+				c.crossDomainMessages.Add(1)
+				c.crossDomainObservations.Add(int64(len(request.Seen) + len(reply.GetSeen())))
+			}
+			return reply, err
+		},
+	})
+}
+
+func (c *cluster) candidates(name string) sharing.CollectorCandidates {
+	candidates := sharing.CollectorCandidates{LocalAddress: name}
+	for _, other := range c.names {
+		if c.unlisted[other].Load() {
+			continue
+		}
+		candidates.AllAddresses = append(candidates.AllAddresses, other)
+		if domain(other) == domain(name) {
+			candidates.DomainAddresses = append(candidates.DomainAddresses, other)
+		}
+	}
+	return candidates
+}
+
+// restart replaces a process by one without state.
+func (c *cluster) restart(name string) {
+	c.processes[name] = c.newProcess(name, 2)
+	c.processes[name].Start(c.group)
+}
+
 // receivers polls for a time and returns the names of the processes that received
 // a matching observation of an upstream.
 func (c *cluster) receivers(duration time.Duration, id core.UpstreamID, matches func(sharing.Observation) bool) (out []string) {
@@ -191,3 +216,38 @@
 		require.Equal(t, processNames, c.receivers(800*time.Millisecond, "u", isUnreachable))
 	})
 }
+
+// Guards against evidence that is lost when processes are restarted one after the
+// other: a process that stops and is no longer listed still has it, but sends it to
+// nobody, or a restarted collector is taken for one that has received it.
+func TestEvidenceOutlivesRestarts(t *testing.T) {
+	for _, restarted := range []string{"east-1", "west-1", "west-2"} {
+		t.Run(restarted, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				names := []string{"east-1", "west-1", "west-2"}
+				c := newCluster(t, names...)
+				time.Sleep(time.Second)
+				c.restart(restarted)
+				for _, name := range names {
+					if name != restarted {
+						c.unlisted[name].Store(true)
+					}
+				}
+				// The others repeat what they know as soon as they reach a new board.
+				state := quarantine.State{Part: quarantine.Part{Model: "m", ID: "bad"}, Version: 1, Until: time.Now().Add(time.Minute)}
+				for received := false; !received; {
+					for _, name := range names {
+						if _, ok := c.processes[name].NewBoards().TryReceive(); ok && name != restarted {
+							c.processes[name].RecordEvidence(quarantine.Evidence{States: []quarantine.State{state}})
+						}
+					}
+					time.Sleep(100 * time.Millisecond)
+					require.Positive(t, time.Until(state.Until), "no evidence was received")
+					evidence, ok := c.processes[restarted].RemoteEvidence().TryReceive()
+					received = ok && len(evidence.States) == 1
+				}
+				require.Greater(t, time.Until(state.Until), 55*time.Second, "evidence was received late")
+			})
+		})
+	}
+}
