Give a stopped process's share of cold limits to the others later

Cause: a front that stops has deregistered and still used its share of the cold limit, and the others used that share at once, while the calls that the stopping front had sent were still within the second.

Change: a front that is not listed has no share, and one that is no longer listed counts for the others for 1.2 s more.

--- a/placement/limits.go
+++ b/placement/limits.go
@@ -89,20 +89,22 @@
 		return false, false
 	}
 	total := service.ColdCallsPerSecond*pl.opts.ColdFactor + pl.opts.ColdSlack
-	return u.gate.Full(now, pl.localLimit(total, u))
+	return u.gate.Full(now, pl.localLimit(now, total, u))
 }
 
 // localLimit returns the number of calls that this process may send out of a total
 // for all processes. When there are fewer calls than processes, some processes may
-// send one call and others none.
-func (pl *Placer) localLimit(total float64, u *upstream) int {
-	if pl.registrationExpired {
+// send one call and others none. A process that the others do not count, since it stops
+// or has not been registered, has no share.
+func (pl *Placer) localLimit(now time.Time, total float64, u *upstream) int {
+	if pl.registrationExpired || !pl.members.includesSelf {
 		return 0
 	}
-	if u.rankGeneration != pl.generation {
-		u.rank, u.rankGeneration = rendezvous.Position(pl.fronts, pl.opts.Node, string(u.row.ID)), pl.generation
+	pl.members.expire(now)
+	if u.rankGeneration != pl.members.generation {
+		u.rank, u.rankGeneration = rendezvous.Position(pl.members.nodes, pl.opts.Node, string(u.row.ID)), pl.members.generation
 	}
-	return admit.SplitEvenly(int(total), len(pl.fronts), u.rank)
+	return admit.SplitEvenly(int(total), len(pl.members.nodes), u.rank)
 }
 
 // retryBudget returns the budget for retries to a service. It is initially almost
--- a/placement/table.go
+++ b/placement/table.go
@@ -26,10 +26,9 @@
 	evacuated     map[core.FailureDomain]bool
 	weightHistory map[core.ModelID]catalog.WeightHistory
 	retryBudgets  map[core.ServiceID]*retry.Budget
-	// fronts are the processes over which limits are divided, including this one.
-	// generation counts the changes of fronts, starting with 1.
-	fronts     []core.NodeID
-	generation uint64
+	// fronts are the listed processes.
+	fronts  []core.NodeID
+	members limitMembers
 	// frontAddresses are the addresses at which the fronts accept the inner protocol,
 	// which connects the processes of the system.
 	frontAddresses map[core.NodeID]string
@@ -96,9 +95,7 @@
 	}
 	pl.upstreams = next
 	pl.evacuated, pl.weightHistory = in.Evacuated, in.WeightHistory
-	if pl.generation == 0 || !slices.Equal(pl.fronts, in.Fronts) {
-		pl.generation++
-	}
+	pl.members.set(now, pl.opts.Node, in.Fronts)
 	pl.fronts, pl.frontAddresses = in.Fronts, in.FrontAddresses
 	pl.updateRetryBudgets()
 	if in.Config != nil {
