Keep the rate that an upstream announces over all fronts together

Cause: the header was not read, and no limit that an upstream states at run time was part of what the fronts share.

Change: the rate is decoded in platform, spread with the exchange of loads and divided over the fronts, which pace their calls. It ends with a response without a rate, a restart, or ten seconds without any response. Since a rate counts calls, not work, larger prompts are sent to such upstreams first.

--- a/core/call.go
+++ b/core/call.go
@@ -104,3 +104,11 @@
 	}
 	return ""
 }
+
+// RateLimit is the rate of calls that an upstream accepts from all processes together,
+// as it announces it in its responses. The zero value means that it announces none.
+type RateLimit struct {
+	Limited bool
+	// PerSecond is the number of calls per second.
+	PerSecond float64
+}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -161,6 +161,7 @@
 		r.publishObservation(now, report.Report)
 		r.recordEnd(now, report)
 	}
+	r.logRateChanges()
 	r.updateQuarantine(now)
 	for pending, ok := r.placeRequests.TryReceive(); ok; pending, ok = r.placeRequests.TryReceive() {
 		result := r.choose(now, pending.req)
@@ -224,16 +225,30 @@
 	}
 }
 
-// publishObservation sends the other processes the load of an upstream, or that it is
-// unreachable, if the report contains it.
+// publishObservation sends the other processes the load of an upstream, the rate that
+// it announces, or that it is unreachable, if the report contains it.
 func (r *router) publishObservation(now time.Time, report placement.Report) {
-	unreachable := report.Final && report.Result == placement.Unreachable
-	if !unreachable && (report.Final || !report.HasLoad) {
-		return
+	o := sharing.Observation{Upstream: report.Upstream, Load: report.Load, ObservedAt: now}
+	if report.Final {
+		o.Unreachable = report.Result == placement.Unreachable
+	} else {
+		o.HasLoad = report.HasLoad
+		if limit, repeat := r.placer.RateLimit(now, report.Upstream); report.HasRateLimit && repeat {
+			o.HasRateLimit, o.RateLimit = true, limit
+		}
+	}
+	if o.Unreachable || o.HasLoad || o.HasRateLimit {
+		r.observations.Record(o)
+	}
+}
+
+// logRateChanges logs the changes of announced rates.
+func (r *router) logRateChanges() {
+	for _, change := range r.placer.TakeRateChanges() {
+		r.log.WithFields(logrus.Fields{
+			"event": "upstream_rate", "upstream": change.Upstream, "limited": change.Limited, "per_second": change.PerSecond, "age_ms": change.Age.Milliseconds(),
+		}).Info("upstream announces another rate of calls")
 	}
-	r.observations.Record(sharing.Observation{
-		Upstream: report.Upstream, Load: report.Load, HasLoad: report.HasLoad && !unreachable, Unreachable: unreachable, ObservedAt: now,
-	})
 }
 
 func (r *router) applyView(now time.Time) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -175,6 +175,7 @@
 	}
 	response := s.gateway.opts.Codec.DecodeResponse(x.Response.StatusCode, x.Response.Header)
 	report.Load, report.HasLoad, report.Weights, report.ColdRemaining = response.Load, response.HasLoad, response.Weights, response.ColdRemaining
+	report.RateLimit, report.HasRateLimit = response.RateLimit, response.fromUpstreamItself()
 	s.gateway.router.report(report)
 	firstByte := time.Since(sentAt)
 	s.gateway.metrics.firstByteReceived(string(s.service), firstByte)
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -49,6 +49,8 @@
 	Weights catalog.WeightNumber
 	Load    int
 	HasLoad bool
+	// RateLimit is the rate of calls that the upstream announces.
+	RateLimit core.RateLimit
 	// KeepAlive is the time for which the upstream keeps the idle connection open; 0
 	// when it is unknown.
 	KeepAlive time.Duration
@@ -60,6 +62,12 @@
 // Success reports whether the upstream served the call.
 func (r UpstreamResponse) Success() bool { return r.Status >= 200 && r.Status < 300 }
 
+// fromUpstreamItself reports whether the response was produced by the upstream to which
+// the call was sent, and not by another server at its address.
+func (r UpstreamResponse) fromUpstreamItself() bool {
+	return r.Status != http.StatusMisdirectedRequest && (r.FromUpstream || r.NotRun)
+}
+
 // Codec encodes and decodes calls and responses in HTTP.
 type Codec interface {
 	// DecodeCall decodes the call from a request, without its body.
--- a/placement/caches.go
+++ b/placement/caches.go
@@ -121,6 +121,9 @@
 	if o.HasLoad && o.ObservedAt.After(u.otherCallsAt) {
 		u.setReportedLoad(o.ObservedAt, o.Load)
 	}
+	if o.HasRateLimit {
+		pl.updateRate(now, o.ObservedAt, u, o.RateLimit)
+	}
 	if avoidUntil := o.ObservedAt.Add(unreachableDelay); o.Unreachable && avoidUntil.After(u.excludedUntil) && avoidUntil.After(now) && o.ObservedAt.After(u.lastResponseAt) {
 		u.excludedUntil = avoidUntil
 	}
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -97,14 +97,24 @@
 // send one call and others none. A process that the others do not count, since it stops
 // or has not been registered, has no share.
 func (pl *Placer) localLimit(now time.Time, total float64, u *upstream) int {
-	if pl.registrationExpired || !pl.members.includesSelf {
+	rank, n, ok := pl.limitRank(now, u)
+	if !ok {
 		return 0
 	}
+	return admit.SplitEvenly(int(total), n, rank)
+}
+
+// limitRank returns this process's rank among the n processes over which an upstream's
+// limits are divided, or false if it has no share.
+func (pl *Placer) limitRank(now time.Time, u *upstream) (rank, n int, ok bool) {
+	if pl.registrationExpired || !pl.members.includesSelf {
+		return 0, 0, false
+	}
 	pl.members.expire(now)
 	if u.rankGeneration != pl.members.generation {
 		u.rank, u.rankGeneration = rendezvous.Position(pl.members.nodes, pl.opts.Node, string(u.row.ID)), pl.members.generation
 	}
-	return admit.SplitEvenly(int(total), len(pl.members.nodes), u.rank)
+	return u.rank, len(pl.members.nodes), true
 }
 
 // retryBudget returns the budget for retries to a service. It is initially almost
--- a/placement/table.go
+++ b/placement/table.go
@@ -48,6 +48,10 @@
 	// serverByAddress contains all model servers by address.
 	serverByAddress map[string]core.UpstreamID
 	lastAttemptID   AttemptID
+	// meanPromptTokens is the mean size of the prompts sent to each service.
+	meanPromptTokens map[core.ServiceID]float64
+	// rateChanges are the changes of announced rates since TakeRateChanges.
+	rateChanges []RateChange
 	// registrationExpired is set while other processes may have stopped counting this
 	// process as a member. The process then uses no share of any limit.
 	registrationExpired bool
@@ -72,6 +76,7 @@
 	return &Placer{
 		opts: opts, cacheIndex: index, upstreams: make(map[core.UpstreamID]*upstream),
 		retryBudgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*sourceLink), partServers: make(map[cacheindex.Key][]*upstream), oldestVersions: make(map[core.ModelID]oldestVersion),
+		meanPromptTokens: make(map[core.ServiceID]float64),
 	}
 }
 
@@ -149,7 +154,7 @@
 
 func (pl *Placer) pick(now time.Time, service *catalog.Service, req Request) (*candidate, Refusal) {
 	// The fallback is used if there is no other candidate. It is an upstream that the
-	// call should avoid, or one that is not recorded as cold but has already received
+	// call should avoid or leave to larger calls, or one that is not recorded as cold but has already received
 	// this process's share of the calls that a cold upstream can sustain. The limit
 	// excludes only upstreams that are recorded as cold.
 	var best, fallback *candidate
@@ -166,6 +171,11 @@
 			refusal = Limited
 			continue
 		}
+		allowed, reserved := pl.checkRate(now, u, req)
+		if !allowed {
+			refusal = Limited
+			continue
+		}
 		c := pl.freeCandidate(best, fallback)
 		c.upstream, c.plan = u, pl.makePlan(now, service, u, req, c.plan)
 		c.cost = pl.estimateCost(now, service, u, req, c.plan)
@@ -173,7 +183,10 @@
 			c.cost += affinities[i]
 		}
 		target := &best
-		if limited || pl.shouldAvoid(now, u, req) {
+		if reserved {
+			c.cost += reservedRateCost
+		}
+		if limited || reserved || pl.shouldAvoid(now, u, req) {
 			target = &fallback
 		}
 		if *target == nil || c.cost < (*target).cost {
@@ -217,6 +230,10 @@
 	u.unreadTokens += a.readTokens
 	u.memoryTokens += a.memoryTokens
 	u.gate.RecordSend(now)
+	if u.rate.pacer != nil {
+		u.rate.pacer.RecordSend(now)
+	}
+	pl.observePromptSize(req)
 	if u.currentFailureShare(now) > suspectShare {
 		u.lastTrialAt = now
 	}
@@ -263,6 +280,10 @@
 	if !r.Final {
 		u.lastResponseAt = now
 	}
+	// The final report repeats what the head of the response said, perhaps long before.
+	if r.HasRateLimit && !r.Final {
+		pl.updateRate(now, now, u, r.RateLimit)
+	}
 	if r.Weights > 0 && r.Model != "" {
 		u.updateWeights(r.Model, r.Weights)
 	}
--- a/placement/types.go
+++ b/placement/types.go
@@ -137,6 +137,10 @@
 	// Load is the number of calls at the upstream when HasLoad is set.
 	Load    int
 	HasLoad bool
+	// RateLimit is the announced rate when HasRateLimit is set. A response without one
+	// ends an earlier limit.
+	RateLimit    core.RateLimit
+	HasRateLimit bool
 	// Route is the name of the call's route. FirstByte is the time to the first byte,
 	// or 0 when no byte was received.
 	Route     string
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -97,6 +97,7 @@
 	excludedUntil      time.Time
 	rejectionCostUntil time.Time
 	gate               admit.Gate
+	rate               announcedRate
 	// rank is this process's rank among the fronts over which the upstream's limits
 	// are divided, computed for the generation rankGeneration of the fronts.
 	rank           int
@@ -132,6 +133,7 @@
 		u.gate.MarkColdUntil(now.Add(row.ColdRemaining))
 	}
 	if restarted {
+		u.rate = announcedRate{observedAt: now}
 		u.clearCache()
 		u.failureShare, u.latenessMs, u.failedConnects, u.excludedUntil = 0, 0, 0, time.Time{}
 	}
--- a/sharing/board.go
+++ b/sharing/board.go
@@ -9,19 +9,27 @@
 const (
 	// observationTTL is the maximum age of an observation on the board.
 	observationTTL = 2 * time.Second
+	// rateTTL is the maximum age of an announced rate on the board, which is confirmed
+	// every rateConfirmInterval while the upstream announces it.
+	rateTTL             = 10 * time.Second
+	rateConfirmInterval = time.Second
 	// minReporters is the number of processes that must have failed to connect to
 	// an upstream before it is reported as unreachable. If only one process failed,
 	// the process may be disconnected from the network instead of the upstream.
 	minReporters = 2
 )
 
-// Observation is the load or the unreachability of an upstream, as observed by a
-// process.
+// Observation is the load, the announced rate or the unreachability of an upstream, as
+// observed by a process.
 type Observation struct {
 	Upstream core.UpstreamID
 	// Load is the number of calls at the upstream. It is valid if HasLoad is set.
 	Load    int
 	HasLoad bool
+	// RateLimit is the rate that the upstream announces. It is valid if HasRateLimit
+	// is set.
+	RateLimit    core.RateLimit
+	HasRateLimit bool
 	// Unreachable is set when a connection to the upstream failed.
 	Unreachable bool
 	// Reporter is the process whose connection failed. It is empty if the
@@ -46,6 +54,7 @@
 // performs no I/O.
 type board struct {
 	loads map[core.UpstreamID]numberedObservation
+	rates map[core.UpstreamID]numberedObservation
 	// failures contains the last failed connection to each upstream by reporter.
 	failures     map[core.UpstreamID]map[core.NodeID]numberedObservation
 	evidence     evidenceBoard
@@ -54,7 +63,7 @@
 
 func newBoard() *board {
 	return &board{
-		loads: make(map[core.UpstreamID]numberedObservation), failures: make(map[core.UpstreamID]map[core.NodeID]numberedObservation),
+		loads: make(map[core.UpstreamID]numberedObservation), rates: make(map[core.UpstreamID]numberedObservation), failures: make(map[core.UpstreamID]map[core.NodeID]numberedObservation),
 		evidence: newEvidenceBoard(),
 	}
 }
@@ -66,6 +75,9 @@
 		if o.HasLoad && o.ObservedAt.After(b.loads[o.Upstream].ObservedAt) {
 			b.loads[o.Upstream] = b.assignNumber(sender, Observation{Upstream: o.Upstream, Load: o.Load, HasLoad: true, ObservedAt: o.ObservedAt})
 		}
+		if o.HasRateLimit && b.isNewRate(o) {
+			b.rates[o.Upstream] = b.assignNumber(sender, Observation{Upstream: o.Upstream, RateLimit: o.RateLimit, HasRateLimit: true, ObservedAt: o.ObservedAt})
+		}
 		if !o.Unreachable {
 			continue
 		}
@@ -83,6 +95,14 @@
 	}
 }
 
+// isNewRate reports whether an announced rate is newer and either differs from the one
+// on the board or confirms it after rateConfirmInterval.
+func (b *board) isNewRate(o Observation) bool {
+	known, ok := b.rates[o.Upstream]
+	age := o.ObservedAt.Sub(known.ObservedAt)
+	return !ok || age > 0 && (known.RateLimit != o.RateLimit || age >= rateConfirmInterval)
+}
+
 // assignNumber returns an observation with the next number.
 func (b *board) assignNumber(sender core.NodeID, o Observation) numberedObservation {
 	b.newestNumber++
@@ -102,6 +122,11 @@
 			out = append(out, o.Observation)
 		}
 	}
+	for _, o := range b.rates {
+		if o.number > afterNumber && (o.sender != requester || afterNumber == 0) {
+			out = append(out, o.Observation)
+		}
+	}
 	for id, reporters := range b.failures {
 		var newest numberedObservation
 		for _, o := range reporters {
@@ -126,6 +151,11 @@
 			delete(b.loads, id)
 		}
 	}
+	for id, o := range b.rates {
+		if now.Sub(o.ObservedAt) > rateTTL {
+			delete(b.rates, id)
+		}
+	}
 	for id, reporters := range b.failures {
 		for node, o := range reporters {
 			if now.Sub(o.ObservedAt) > observationTTL {
--- a/sharing/board_test.go
+++ b/sharing/board_test.go
@@ -66,3 +66,22 @@
 	globalBoard.add("x", failures)
 	require.Equal(t, core.NodeID("x"), globalBoard.newObservations(t0, "domain", 0, true)[0].Reporter)
 }
+
+// Guards against announced rates that are lost before other processes receive them, or
+// that are sent again with each response of the upstream.
+func TestBoardForwardsChangedRates(t *testing.T) {
+	rate := func(perSecond float64, at time.Time) []Observation {
+		return []Observation{{Upstream: "u", HasRateLimit: true, RateLimit: core.RateLimit{Limited: perSecond > 0, PerSecond: perSecond}, ObservedAt: at}}
+	}
+	b := newBoard()
+	b.add("a", rate(3, t0))
+	require.Equal(t, rate(3, t0), b.newObservations(t0, "b", 0, false))
+	known := b.newestNumber
+	b.add("a", rate(3, t0.Add(100*time.Millisecond)))
+	require.Empty(t, b.newObservations(t0, "b", known, false))
+	b.add("c", rate(0, t0.Add(-time.Second)))
+	require.Empty(t, b.newObservations(t0, "b", known, false), "an older response replaces a newer one")
+	b.add("c", rate(0, t0.Add(time.Second)))
+	require.Equal(t, rate(0, t0.Add(time.Second)), b.newObservations(t0.Add(time.Second), "b", known, false))
+	require.Empty(t, b.newObservations(t0.Add(time.Minute), "b", 0, false))
+}
