Ignore the load in the final report of an attempt

Calls were sent to loaded upstreams, or kept away from free ones: the end of a stream set the load of its upstream to the figure from the head of the stream, seconds before.

Change: only the first report of an attempt sets the load.

Result: TestFinalReportDoesNotRepeatTheLoad failed before (40 in place of 3).

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -410,3 +410,12 @@
 	require.False(t, placer.Obsolete(later(104), Salt(model, 2, nil)))
 	require.False(t, placer.Obsolete(later(104), "of another writer"))
 }
+
+// Guards against the end of a long stream that replaces the load of its upstream by the
+// one that the head of the stream stated, perhaps seconds before.
+func TestFinalReportDoesNotRepeatTheLoad(t *testing.T) {
+	pl := newPlacer(newInputs(1))
+	pl.RecordReport(t0, Report{Upstream: "engines-0", HasLoad: true, Load: 3})
+	pl.RecordReport(t0, Report{Upstream: "engines-0", HasLoad: true, Load: 40, Final: true, Result: Completed})
+	require.InDelta(t, 3, pl.upstreams["engines-0"].load(t0), 0.01)
+}
--- a/placement/table.go
+++ b/placement/table.go
@@ -274,16 +274,16 @@
 	if u == nil {
 		return
 	}
-	if r.HasLoad {
+	// The final report repeats what the head of the response said, perhaps long before.
+	if r.HasLoad && !r.Final {
 		u.setReportedLoad(now, r.Load)
 	}
-	if !r.Final {
-		u.lastResponseAt = now
-	}
-	// The final report repeats what the head of the response said, perhaps long before.
 	if r.HasRateLimit && !r.Final {
 		pl.updateRate(now, now, u, r.RateLimit)
 	}
+	if !r.Final {
+		u.lastResponseAt = now
+	}
 	if r.Weights > 0 && r.Model != "" {
 		u.updateWeights(r.Model, r.Weights)
 	}
