--- a/frontend/rollout_test.go
+++ b/frontend/rollout_test.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -76,6 +78,45 @@
 	}
 }
 
+// Guards against a version whose answers are several times slower and that is completed
+// because its streams do not end before all calls are switched to it.
+func TestSlowVersionIsRolledBack(t *testing.T) {
+	const callInterval = 20 * time.Millisecond
+	streaming := func(events int, pause time.Duration) handlerFactory {
+		return func(s *standin.PlatformServer) func(http.ResponseWriter, *http.Request, []byte) {
+			return func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+				time.Sleep(pause)
+				s.Events(w, 1, events, pause)
+			}
+		}
+	}
+	d := newDeployment(t)
+	d.startServer("i-1", "svc", streaming(20, 5*time.Millisecond))
+	newServer := d.startServer("i-2", "svc", streaming(60, 60*time.Millisecond))
+	d.setSoftwareVersion("i-2", "v2")
+	f := d.startReadyFront("front-1")
+	d.store.Put("op", "rollout/svc", map[string]any{"service": "svc", "to": "v2", "duration-s": 5})
+	var calls sync.WaitGroup
+	final := func() bool { return d.rolloutState("svc") == "rolled_back" || d.rolloutState("svc") == "completed" }
+	send := func(id string) {
+		calls.Go(func() {
+			f.call(http.MethodPost, "/draft/x", id, func(r *http.Request) { r.Header.Set("Deadline-Ms", "4000") })
+		})
+		time.Sleep(callInterval)
+	}
+	for i := 0; !final(); i++ {
+		send(fmt.Sprint("r-", i))
+	}
+	require.Equal(t, "rolled_back", d.rolloutState("svc"))
+	calls.Wait()
+	newServer.Seen() // discards the requests before the finding
+	for i := range 20 {
+		send(fmt.Sprint("after-", i))
+	}
+	calls.Wait()
+	require.Empty(t, newServer.Seen())
+}
+
 // setSoftwareVersion changes the software version in a server's row.
 func (d *deployment) setSoftwareVersion(id, software string) {
 	value, ok := d.store.Row("servers", id)
