Judge the latencies of a new version when they occur

Cause: a latency was judged when its attempt ended. On the slow version that was after the cutover, or never for attempts that the deadline ended. The tests also needed more slow samples than a canary gets, and the cutover depended on time alone.

Change: latencies are judged at the first byte and at the eighth event. A further test compares each call on the new version with a block of calls on the old one. The first 30 calls come early.

TestNewVersionGetsCanaryShareBeforeCutover now counts after the first calls, whose number TestFirstCallsAreBounded bounds.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -35,6 +35,14 @@
 	completionFraction = 0.96
 	// defaultTime is the duration of a rollout that does not state one.
 	defaultTime = 30 * time.Second
+	// firstCalls is the number of calls that the new version receives at firstShare of
+	// the participating processes' calls, over all of them. With fewer samples, a
+	// version that is slow for half of its calls is not found before the cutover.
+	firstCalls = 30
+	firstShare = 0.6
+	// minCanaryFraction is the fraction of the rollout's time for which the new version
+	// must have had upstreams before the cutover.
+	minCanaryFraction = 0.2
 	// staggerDelay is the delay between the times at which two processes with
 	// consecutive ranks report a completed rollout.
 	staggerDelay = time.Second
@@ -51,15 +59,20 @@
 	Upstreams []core.UpstreamID
 }
 
-// Sample is a finished attempt.
+// Sample is what an attempt shows about a version: its outcome, or one of its latencies
+// before the outcome is known.
 type Sample struct {
 	Service core.ServiceID
 	Version string
 	Route   string
 	Failed  bool
-	// Latency is the time to the first byte. PrefillTokens is the number of prompt
-	// tokens that the upstream computed.
+	// LatencyOnly is set when the sample is not the outcome of the attempt.
+	LatencyOnly bool
+	// Latency is the time to the first byte, or the time between events if Pace is
+	// set; 0 when the sample has none. PrefillTokens is the number of prompt tokens
+	// that the upstream computed.
 	Latency       time.Duration
+	Pace          bool
 	PrefillTokens int
 }
 
@@ -94,19 +107,6 @@
 	rollouts map[core.ServiceID]*trackedRollout
 }
 
-// trackedRollout is a requested rollout with its state in this process.
-type trackedRollout struct {
-	fleet.ActiveRollout
-	startedAt time.Time
-	judge     *rollout.Judge
-	bad       bool
-	// canaries are the upstreams that serve the new version before the cutover.
-	canaries []core.UpstreamID
-	// hasUpstreams is set while at least one upstream runs the new version and is
-	// not draining.
-	hasUpstreams bool
-}
-
 // New returns a Controller without rollouts. share is the share of a service's
 // calls that a new version receives before the cutover.
 func New(self core.NodeID, share float64) *Controller {
@@ -131,6 +131,9 @@
 		r.ActiveRollout = requested
 		r.bad = r.bad || r.hasStatus(catalog.RolloutRolledBack)
 		r.setCanaries(in.Upstreams, c.share)
+		if r.hasUpstreams && r.firstListedAt.IsZero() {
+			r.firstListedAt = now
+		}
 		next[service] = r
 	}
 	c.rollouts = next
@@ -143,34 +146,6 @@
 	newVersion core.WeightVersion = "new"
 )
 
-// hasStatus reports whether the operator's status row contains the state for this
-// rollout.
-func (r *trackedRollout) hasStatus(state catalog.RolloutState) bool {
-	return r.Status.Version == r.Version && r.Status.State == state
-}
-
-// setCanaries selects the upstreams that serve the canary share of the calls. It
-// selects the same share of the new version's upstreams, rounded up, so that each
-// of them receives its full load: some faults appear only then.
-func (r *trackedRollout) setCanaries(upstreams []catalog.UpstreamRow, share float64) {
-	var candidates []core.UpstreamID
-	for _, u := range upstreams {
-		if u.Service == r.Service && u.Software == r.Version && !u.Draining {
-			candidates = append(candidates, u.ID)
-		}
-	}
-	r.hasUpstreams = len(candidates) > 0
-	candidates = rendezvous.Ranked(candidates, string(r.Service), func(id core.UpstreamID) string { return string(id) })
-	r.canaries = candidates[:min(len(candidates), max(int(math.Ceil(share*float64(len(candidates)))), 1))]
-}
-
-func (r *trackedRollout) duration() time.Duration { return cmp.Or(max(r.MaxDuration, 0), defaultTime) }
-
-// elapsed reports whether a fraction of the rollout's time has passed.
-func (r *trackedRollout) elapsed(now time.Time, fraction float64) bool {
-	return now.Sub(r.startedAt) >= time.Duration(fraction*float64(r.duration()))
-}
-
 // FilterFor returns the filter for a call to a service. random is a random number
 // from 0 to 1.
 func (c *Controller) FilterFor(now time.Time, service core.ServiceID, random float64) Filter {
@@ -180,9 +155,9 @@
 		return Filter{}
 	case r.bad:
 		return Filter{ExcludedVersion: r.Version}
-	case r.hasStatus(catalog.RolloutCompleted) || r.hasUpstreams && r.elapsed(now, cutoverFraction):
+	case r.hasStatus(catalog.RolloutCompleted) || r.isCutOver(now):
 		return Filter{RequiredVersion: r.Version}
-	case random < c.localShare(service):
+	case r.hasUpstreams && random < c.localShare(r):
 		return Filter{RequiredVersion: r.Version, Upstreams: r.canaries}
 	}
 	return Filter{ExcludedVersion: r.Version}
@@ -202,16 +177,27 @@
 // localShare returns the share of this process's calls that the new version
 // receives before the cutover. Only as many processes as the total share requires
 // send calls to the new version, so that each of them judges many calls.
-func (c *Controller) localShare(service core.ServiceID) float64 {
+func (c *Controller) localShare(r *trackedRollout) float64 {
 	n := max(len(c.fronts), 1)
 	participants := max(int(math.Ceil(c.share*float64(n))), 1)
-	if rendezvous.Position(c.fronts, c.self, string(service)) >= participants {
+	if rendezvous.Position(c.fronts, c.self, string(r.Service)) >= participants {
 		return 0
 	}
-	return c.share * float64(n) / float64(participants)
+	share := c.share * float64(n) / float64(participants)
+	if r.placed*participants < firstCalls {
+		return max(share, firstShare)
+	}
+	return share
+}
+
+// RecordPlaced records that this process has sent a call to an upstream.
+func (c *Controller) RecordPlaced(upstream catalog.UpstreamRow) {
+	if r := c.rollouts[upstream.Service]; r != nil && upstream.Software == r.Version {
+		r.placed++
+	}
 }
 
-// Observe records a finished attempt. It returns the failed rollout and true if
+// Observe records a sample of an attempt. It returns the failed rollout and true if
 // the sample completes the evidence that the new version is worse.
 func (c *Controller) Observe(now time.Time, s Sample) (FailedRollout, bool) {
 	r := c.rollouts[s.Service]
@@ -223,7 +209,8 @@
 		version = newVersion
 	}
 	finding := r.judge.Add(rollout.Sample{
-		Version: version, Group: rollout.CallGroup{RouteName: s.Route}, FinishedAt: now, Failed: s.Failed, Latency: s.Latency, PrefillTokens: s.PrefillTokens,
+		Version: version, Group: rollout.CallGroup{RouteName: s.Route, Pace: s.Pace}, FinishedAt: now, Failed: s.Failed, LatencyOnly: s.LatencyOnly,
+		Latency: s.Latency, PrefillTokens: s.PrefillTokens,
 	})
 	if finding == nil {
 		return FailedRollout{}, false
@@ -245,7 +232,7 @@
 			continue
 		case r.bad:
 			state = catalog.RolloutRolledBack
-		case r.hasUpstreams && r.elapsed(now.Add(-time.Duration(rank)*staggerDelay), completionFraction):
+		case r.isCutOver(now) && r.elapsed(now.Add(-time.Duration(rank)*staggerDelay), completionFraction):
 			state = catalog.RolloutCompleted
 		case r.hasStatus(catalog.RolloutRunning) || rank > 0:
 			continue
--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -19,8 +19,13 @@
 	duration = 20 * time.Second
 )
 
+// firstCalls is the number of calls that a new version gets at a larger share.
+const firstCalls = 30
+
 var start = time.Unix(1_800_000_000, 0)
 
+var newUpstream = catalog.UpstreamRow{Upstream: &catalog.Upstream{Service: service, Software: "v2"}}
+
 // testInputs returns inputs with a rollout to v2 that starts at start, and the
 // given number of upstreams on v1 and on v2 each.
 func testInputs(fronts, upstreams int) canary.Inputs {
@@ -64,6 +69,9 @@
 		const samples = 1000
 		calls := 0
 		for _, controller := range newControllers(in) {
+			for range firstCalls { // afterwards, the new version has had its first calls
+				controller.RecordPlaced(newUpstream)
+			}
 			for i := range samples {
 				filter := controller.FilterFor(timeAt(0.5), service, float64(i)/samples)
 				if filter.RequiredVersion == "" {
@@ -79,6 +87,99 @@
 	}
 }
 
+// Guards against a slow start of the judging, and against more first calls on an
+// unjudged version than intended when there are many fronts.
+func TestFirstCallsAreBounded(t *testing.T) {
+	const aboveCanaryShare = 0.59 // for all these numbers of fronts
+	for _, fronts := range []int{1, 3, 4, 10, 27} {
+		in := testInputs(fronts, 50)
+		first, participants := 0, 0
+		for _, controller := range newControllers(in) {
+			before := first
+			for range 200 {
+				if filter := controller.FilterFor(timeAt(0.1), service, aboveCanaryShare); filter.RequiredVersion != "" {
+					controller.RecordPlaced(newUpstream)
+					first++
+				}
+			}
+			if first > before {
+				participants++
+			}
+		}
+		require.GreaterOrEqual(t, first, firstCalls-participants, "%d fronts", fronts)
+		require.LessOrEqual(t, first, firstCalls+participants, "%d fronts", fronts)
+	}
+}
+
+// feed adds paired samples of both versions, of which a part of the new ones is slow.
+func feed(c *canary.Controller, from time.Time, samples int, slowEvery int) {
+	for i := range samples {
+		for j := range 4 {
+			at := from.Add(time.Duration(4*i+j) * 10 * time.Millisecond)
+			s := canary.Sample{Service: service, Version: "v1", Route: "r", LatencyOnly: true, Latency: 30 * time.Millisecond}
+			if j == 3 {
+				s.Version = "v2"
+				if i%slowEvery == 0 {
+					s.Latency = 300 * time.Millisecond
+				}
+			}
+			c.Observe(at, s)
+		}
+	}
+}
+
+// Guards against a cutover while the evidence against the new version is strong but not
+// conclusive, by the process that has it or by one that has judged nothing, and against
+// a version that is completed or left undecided at the end of its time.
+func TestDoubtHoldsTheCutover(t *testing.T) {
+	in := testInputs(2, 3)
+	controllers := newControllers(in)
+	judging, other := controllers[0], controllers[1]
+	feed(judging, timeAt(0.8), 10, 1)
+	verdicts := judging.Verdicts()
+	require.Equal(t, []canary.Verdict{{Service: service, Version: "v2", RequestRowVersion: 7}}, verdicts)
+	cutover := canary.Filter{RequiredVersion: "v2"}
+	require.NotEqual(t, cutover, judging.FilterFor(timeAt(0.9), service, 0.99))
+	require.Equal(t, cutover, other.FilterFor(timeAt(0.9), service, 0.99))
+	require.False(t, other.ApplyVerdict(timeAt(0.9), verdicts[0]))
+	require.NotEqual(t, cutover, other.FilterFor(timeAt(0.9), service, 0.99))
+	require.Equal(t, cutover, other.FilterFor(timeAt(0.9).Add(10*time.Second), service, 0.99), "a doubt that is not repeated ends")
+
+	require.Empty(t, judging.WithdrawDoubted(timeAt(0.9)))
+	require.Len(t, judging.WithdrawDoubted(timeAt(0.97)), 1)
+	require.True(t, judging.Verdicts()[0].Withdrawn)
+	require.True(t, other.ApplyVerdict(timeAt(0.98), judging.Verdicts()[0]))
+	require.Equal(t, canary.Filter{ExcludedVersion: "v2"}, other.FilterFor(timeAt(2), service, 0))
+	for _, update := range append(judging.PendingUpdates(timeAt(0.99)), other.PendingUpdates(timeAt(0.99))...) {
+		require.Equal(t, catalog.RolloutRolledBack, update.State)
+	}
+	stale := verdicts[0]
+	stale.RequestRowVersion = 6
+	require.False(t, controllers[1].ApplyVerdict(timeAt(1), stale))
+}
+
+// Guards against a good version that a few slow samples hold back.
+func TestGoodVersionIsNotDoubted(t *testing.T) {
+	in := testInputs(1, 3)
+	c := newControllers(in)[0]
+	feed(c, timeAt(0.1), 300, 10)
+	require.Empty(t, c.Verdicts())
+	require.Equal(t, canary.Filter{RequiredVersion: "v2"}, c.FilterFor(timeAt(0.9), service, 0.99))
+}
+
+// Guards against a cutover to upstreams that were listed only just before it, so that
+// the new version was not judged.
+func TestCutoverWaitsForUpstreams(t *testing.T) {
+	in := testInputs(1, 3)
+	c := canary.New("front-0", share)
+	late := in
+	late.Upstreams = nil
+	c.SetInputs(start, late)
+	c.SetInputs(timeAt(0.84), in)
+	require.NotEqual(t, canary.Filter{RequiredVersion: "v2"}, c.FilterFor(timeAt(0.9), service, 0.99))
+	require.Equal(t, canary.Filter{RequiredVersion: "v2"}, c.FilterFor(timeAt(1.05), service, 0.99))
+}
+
 // Guards against a good version that is not completed before the deadline, a
 // completion that is reported before all calls use the new version, and filters
 // for services without a rollout.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
@@ -61,12 +62,17 @@
 }
 
 // relayStream forwards events as they are received. It forwards complete events only,
-// so that the stream can be resumed at another upstream.
-func (s *callState) relayStream(x *upstreamhttp.Exchange, response UpstreamResponse) attemptOutcome {
+// so that the stream can be resumed at another upstream. reportPace is called once with
+// the mean time between the first events.
+func (s *callState) relayStream(x *upstreamhttp.Exchange, response UpstreamResponse, reportPace func(time.Duration)) attemptOutcome {
 	events := newEventReader(bufio.NewReader(x.Response.Body))
 	control := http.NewResponseController(s.writer)
+	pace := paceMeter{report: reportPace}
 	for {
 		event, err := events.next()
+		if err == nil {
+			pace.recordEvent(time.Now())
+		}
 		if err == nil || errors.Is(err, io.EOF) {
 			if writeErr := s.writeEvent(control, x.Response, event, events.hasBuffered()); writeErr != nil {
 				x.Finish(false, 0)
@@ -85,6 +91,26 @@
 	}
 }
 
+// paceEvents is the number of events after which the pace of a stream is reported.
+const paceEvents = 8
+
+// paceMeter measures the mean time between the first events of a stream.
+type paceMeter struct {
+	report  func(time.Duration)
+	events  int
+	firstAt time.Time
+}
+
+func (m *paceMeter) recordEvent(now time.Time) {
+	m.events++
+	switch m.events {
+	case 1:
+		m.firstAt = now
+	case paceEvents:
+		m.report(now.Sub(m.firstAt) / (paceEvents - 1))
+	}
+}
+
 // writeEvent sends an event to the caller. Status and headers are sent with the
 // first one. The writer is flushed unless more bytes are buffered.
 func (s *callState) writeEvent(control *http.ResponseController, resp *http.Response, e event, moreBuffered bool) error {
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -106,6 +106,7 @@
 		case <-r.observations.RemoteObservations().Ready():
 		case <-r.observations.RemoteEvidence().Ready():
 		case <-r.observations.NewBoards().Ready():
+		case <-r.observations.RemoteVerdicts().Ready():
 		case <-r.crashChecker.results.Ready():
 		case <-r.reports.Ready():
 		case <-r.placeRequests.Ready():
@@ -123,7 +124,7 @@
 	r.cacheIndex.RemoveExpiredSaves(now)
 	r.placer.UpdateOldestWeights(now)
 	r.placer.SetRegistrationExpired(r.fleet.RegistrationExpired())
-	r.queueRolloutStatuses(now)
+	r.sweepRollouts(now)
 	r.quarantine.Sweep(now)
 	for _, store := range r.placer.CacheStores() {
 		obsolete := func(salt string) bool { return r.placer.Obsolete(now, salt) }
@@ -162,6 +163,7 @@
 		r.recordEnd(now, report)
 	}
 	r.logRateChanges()
+	r.applyVerdicts(now)
 	r.updateQuarantine(now)
 	for pending, ok := r.placeRequests.TryReceive(); ok; pending, ok = r.placeRequests.TryReceive() {
 		result := r.choose(now, pending.req)
@@ -184,6 +186,9 @@
 		return placementResult{refusal: placement.Quarantined, retryAfter: wait}
 	}
 	choice, refusal := r.chooseVersion(now, request)
+	if refusal == placement.NotRefused {
+		r.rollouts.RecordPlaced(choice.Upstream)
+	}
 	return placementResult{choice: choice, refusal: refusal}
 }
 
@@ -201,30 +206,6 @@
 	return choice, refusal
 }
 
-// recordSample updates the evidence on a rollout with a finished attempt.
-func (r *router) recordSample(now time.Time, report placement.Report) {
-	sample, ok := r.placer.Sample(report)
-	if !ok {
-		return
-	}
-	if failed, worse := r.rollouts.Observe(now, sample); worse {
-		r.log.WithFields(logrus.Fields{
-			"event": "version_withdrawn", "service": failed.Service, "software": failed.Version, "signal": failed.Finding.Signal,
-			"route": failed.Finding.Group, "samples": failed.Finding.Samples, "evidence": failed.Finding.Evidence,
-			"threshold": failed.Finding.Threshold,
-		}).Warn("new version is worse than the old one and gets no further calls")
-		r.queueRolloutStatuses(now)
-	}
-}
-
-// queueRolloutStatuses queues the rollout statuses that have to be written for the
-// operator.
-func (r *router) queueRolloutStatuses(now time.Time) {
-	for _, update := range r.rollouts.PendingUpdates(now) {
-		r.statusWriter.Enqueue(update)
-	}
-}
-
 // publishObservation sends the other processes the load of an upstream, the rate that
 // it announces, or that it is unreachable, if the report contains it.
 func (r *router) publishObservation(now time.Time, report placement.Report) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -176,19 +176,26 @@
 	response := s.gateway.opts.Codec.DecodeResponse(x.Response.StatusCode, x.Response.Header)
 	report.Load, report.HasLoad, report.Weights, report.ColdRemaining = response.Load, response.HasLoad, response.Weights, response.ColdRemaining
 	report.RateLimit, report.HasRateLimit = response.RateLimit, response.fromUpstreamItself()
-	s.gateway.router.report(report)
 	firstByte := time.Since(sentAt)
+	if response.Success() && response.FromUpstream {
+		report.FirstByte = firstByte
+	}
+	s.gateway.router.report(report)
 	s.gateway.metrics.firstByteReceived(string(s.service), firstByte)
 	var o attemptOutcome
 	if s.route.Kind == core.KindStream && response.Success() && response.FromUpstream {
-		o = s.relayStream(x, response)
+		o = s.relayStream(x, response, func(pace time.Duration) {
+			paced := s.newReport(p)
+			paced.Pace = pace
+			s.gateway.router.report(paced)
+		})
 	} else {
 		o = s.relayBuffered(x, response)
 	}
 	if o.result == placement.Incomplete && ctx.Err() != nil {
 		o.result = placement.Abandoned
 	}
-	report.Final, report.Result, report.FirstByte = true, o.result, firstByte
+	report.Final, report.Result = true, o.result
 	report.AnswerAge = time.Since(sentAt) - firstByte
 	s.gateway.router.report(report)
 	s.logAttempt(p, attemptTimes{sentAt: sentAt, firstByte: firstByte}, x.Reused, response.Status, o)
--- a/placement/table.go
+++ b/placement/table.go
@@ -251,21 +251,32 @@
 	return choice
 }
 
-// Sample returns a finished attempt as a sample of its upstream's software version,
-// or false when the attempt does not indicate anything about the software. It must
-// be called before RecordReport, which removes the attempt.
-func (pl *Placer) Sample(r Report) (canary.Sample, bool) {
+// Sample returns a report as a sample of its upstream's software version, or false when
+// the report does not indicate anything about the software. It must be called before
+// RecordReport, which removes finished attempts.
+func (pl *Placer) Sample(now time.Time, r Report) (canary.Sample, bool) {
 	u := pl.upstreams[r.Upstream]
-	if u == nil || !r.Final || r.Result != Completed && r.Result != Failed {
+	if u == nil {
 		return canary.Sample{}, false
 	}
-	s := canary.Sample{
-		Service: u.row.Service, Version: u.row.Software, Route: r.Route, Failed: r.Result == Failed, Latency: r.FirstByte,
-	}
-	if a := u.attempts[r.AttemptID]; a != nil {
+	s := canary.Sample{Service: u.row.Service, Version: u.row.Software, Route: r.Route, LatencyOnly: true}
+	a := u.attempts[r.AttemptID]
+	if a != nil {
 		s.PrefillTokens = a.readTokens
 	}
-	return s, true
+	switch {
+	case !r.Final && r.Pace > 0:
+		s.Latency, s.Pace = r.Pace, true
+	case !r.Final:
+		s.Latency = r.FirstByte
+	case r.Result == Completed || r.Result == Failed:
+		s.LatencyOnly, s.Failed = false, r.Result == Failed
+	case r.Result == Abandoned && a != nil && !a.hasReport:
+		// The first byte would have come later. Both versions lose such attempts after
+		// the same times, so that their shares remain comparable.
+		s.Latency = now.Sub(a.sentAt)
+	}
+	return s, !s.LatencyOnly || s.Latency > 0
 }
 
 // RecordReport updates the upstream's state with the report of an attempt.
--- a/placement/types.go
+++ b/placement/types.go
@@ -141,10 +141,12 @@
 	// ends an earlier limit.
 	RateLimit    core.RateLimit
 	HasRateLimit bool
-	// Route is the name of the call's route. FirstByte is the time to the first byte,
-	// or 0 when no byte was received.
+	// Route is the name of the call's route. FirstByte is the time to the first byte of
+	// a success, or 0 when there was none. Pace is the mean time between the first
+	// events of a stream. Each of them is set in one report that is not final.
 	Route     string
 	FirstByte time.Duration
+	Pace      time.Duration
 	Model     core.ModelID
 	Weights   catalog.WeightNumber
 	// ColdRemaining is the time for which the upstream remains cold, or 0 when it did
--- a/rollout/hard.go
+++ b/rollout/hard.go
@@ -7,9 +7,9 @@
 
 const (
 	// hardAlarmShare is the share of the false alarm rate that the test for hard
-	// failures may use. It raises the thresholds of the other tests by the factor
-	// 1/(1-hardAlarmShare), which delays their findings by less than one failed
-	// attempt when all attempts fail.
+	// failures may use. Together with slowAlarmShare it doubles the thresholds of the
+	// other tests, which delays their findings by about one failed attempt when all
+	// attempts fail.
 	hardAlarmShare = 0.25
 	// hardFailureRate is the failure rate that is tested against the accepted one.
 	hardFailureRate = 0.9
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -17,6 +17,9 @@
 	Workspace core.WorkspaceID
 	Adapter   core.AdapterID
 	Class     core.Class
+	// Pace is set for the time between events. The other figures of a call are judged
+	// apart from it.
+	Pace bool
 }
 
 // String returns the group as shown to operators.
@@ -24,6 +27,9 @@
 	if r == (CallGroup{}) {
 		return "all routes"
 	}
+	if r.Pace {
+		return "route " + r.RouteName + ", time between events"
+	}
 	if r.RouteName != "" {
 		return "route " + r.RouteName
 	}
@@ -45,6 +51,9 @@
 	// first token or byte, or the time per token. It is ignored when it is zero or
 	// the attempt failed.
 	Latency time.Duration
+	// LatencyOnly is set when the outcome of the attempt is not known yet, or is the
+	// subject of another sample.
+	LatencyOnly bool
 	// PrefillTokens is the number of prompt tokens that were computed, not read
 	// from a cache. Latencies are compared only between attempts with similar
 	// numbers. It is zero where latencies do not depend on it.
@@ -147,6 +156,7 @@
 	limits                 Limits
 	groups                 map[CallGroup]*groupTest
 	hardFailures           hardFailureTest
+	hardSlowness           hardSlownessTest
 	samples                uint64
 	finding                *Finding
 }
@@ -164,6 +174,17 @@
 // Finding returns the first finding, or nil if there is none so far.
 func (j *Judge) Finding() *Finding { return j.finding }
 
+// Doubt returns the strongest evidence against the new version: for a version that is no
+// worse, the probability that it ever reaches 1/a is at most a. A finding has the value
+// 1/FalseAlarmRate.
+func (j *Judge) Doubt() float64 {
+	doubt := max(slowAlarmShare*j.hardSlowness.value(), hardAlarmShare*j.hardFailures.stake)
+	for _, r := range j.groups {
+		doubt = max(doubt, r.value()/(r.threshold*j.limits.FalseAlarmRate))
+	}
+	return doubt
+}
+
 // Add adds one sample and returns the first finding, or nil if there is none so
 // far. Samples of other versions are ignored.
 func (j *Judge) Add(s Sample) *Finding {
@@ -183,14 +204,27 @@
 	}
 	// An attempt on the old version may complete the block of an attempt on the new
 	// one.
-	j.hardFailures.addOld(s.Failed, s.FinishedAt, j.limits)
-	if threshold := 1 / (hardAlarmShare * j.limits.FalseAlarmRate); j.hardFailures.stake >= threshold && j.finding == nil {
-		j.finding = &Finding{Signal: SignalErrors, Samples: j.samples, Evidence: j.hardFailures.stake, Threshold: threshold}
+	j.hardSlowness.addOld(s, j.limits)
+	j.checkHard(SignalLatency, j.hardSlowness.value(), slowAlarmShare)
+	if !s.LatencyOnly {
+		j.hardFailures.addOld(s.Failed, s.FinishedAt, j.limits)
+		j.checkHard(SignalErrors, j.hardFailures.stake, hardAlarmShare)
+	}
+}
+
+// checkHard reports a finding if the value of a test over all groups is large enough for
+// its share of the false alarm rate.
+func (j *Judge) checkHard(signal Signal, value, alarmShare float64) {
+	if threshold := 1 / (alarmShare * j.limits.FalseAlarmRate); value >= threshold && j.finding == nil {
+		j.finding = &Finding{Signal: signal, Samples: j.samples, Evidence: value, Threshold: threshold}
 	}
 }
 
 func (j *Judge) addNew(s Sample) {
-	j.hardFailures.addNew(s.Failed, s.FinishedAt, j.limits)
+	j.hardSlowness.addNew(s, j.limits)
+	if !s.LatencyOnly {
+		j.hardFailures.addNew(s.Failed, s.FinishedAt, j.limits)
+	}
 	for _, r := range j.groupTestsFor(s.Group) {
 		finding := r.addNew(s, j.limits)
 		if finding != nil && j.finding == nil {
@@ -220,12 +254,12 @@
 		return nil
 	}
 	// The k-th group may use 1/(k(k+1)) of the false alarm rate that remains
-	// beside the test for hard failures. These fractions add up to at most one for
+	// beside the tests for hard failures and hard slowness. These fractions add up to at most one for
 	// any number of groups.
 	k := float64(len(j.groups) + 1)
 	r := &groupTest{
 		group:     group,
-		threshold: testsPerGroup * k * (k + 1) / ((1 - hardAlarmShare) * j.limits.FalseAlarmRate),
+		threshold: testsPerGroup * k * (k + 1) / ((1 - hardAlarmShare - slowAlarmShare) * j.limits.FalseAlarmRate),
 		latencies: make(map[int]*oldLatencies),
 	}
 	j.groups[group] = r
@@ -265,20 +299,30 @@
 	nextIndex     int
 }
 
+// paceBucket is the bucket of times between events.
+const paceBucket = -1
+
+// latencyBucket returns the bucket of a sample. Latencies are compared only within a
+// bucket.
+func latencyBucket(s Sample) int {
+	if s.Group.Pace {
+		return paceBucket
+	}
+	return prefillBucket(s.PrefillTokens)
+}
+
 // prefillBucket groups attempts whose numbers of prefill tokens differ by less than
 // a factor of two.
 func prefillBucket(tokens int) int { return bits.Len(uint(max(tokens, 0))) }
 
 func (r *groupTest) addOld(s Sample) {
-	r.oldAttempts++
-	if s.Failed {
-		r.oldErrors++
+	if !s.LatencyOnly {
+		r.addOldOutcome(s)
 	}
-	r.oldOutcomes.push(s.Failed, s.FinishedAt)
 	if s.Failed || s.Latency <= 0 {
 		return
 	}
-	bucket := prefillBucket(s.PrefillTokens)
+	bucket := latencyBucket(s)
 	l := r.latencies[bucket]
 	if l == nil {
 		l = new(oldLatencies)
@@ -289,9 +333,19 @@
 	l.count++
 }
 
+func (r *groupTest) addOldOutcome(s Sample) {
+	r.oldAttempts++
+	if s.Failed {
+		r.oldErrors++
+	}
+	r.oldOutcomes.push(s.Failed, s.FinishedAt)
+}
+
 func (r *groupTest) addNew(s Sample, limits Limits) *Finding {
 	r.samples++
-	r.addOutcome(s, limits)
+	if !s.LatencyOnly {
+		r.addOutcome(s, limits)
+	}
 	if !s.Failed && s.Latency > 0 {
 		r.addLatency(s, limits)
 	}
@@ -331,7 +385,7 @@
 }
 
 func (r *groupTest) addLatency(s Sample, limits Limits) {
-	l := r.latencies[prefillBucket(s.PrefillTokens)]
+	l := r.latencies[latencyBucket(s)]
 	if l == nil {
 		return
 	}
@@ -347,12 +401,18 @@
 	r.latency.add(s.Latency > limit, maxSlowerProbability)
 }
 
-func (r *groupTest) finding() *Finding {
-	// A finding in pairs needs both: more errors than the old version and more
-	// errors than the floor.
+// errorEvidence returns the evidence on errors. A finding in pairs needs both: more
+// errors than the old version and more errors than the floor.
+func (r *groupTest) errorEvidence() float64 {
 	pairedEvidence := min(r.pairedErrors.value(), r.errorsAboveFloor.value())
-	errorEvidence := max(pairedEvidence, r.unpairedErrors.value())
-	if errorEvidence >= r.threshold {
+	return max(pairedEvidence, r.unpairedErrors.value())
+}
+
+// value returns the strongest evidence of the group.
+func (r *groupTest) value() float64 { return max(r.errorEvidence(), r.latency.value()) }
+
+func (r *groupTest) finding() *Finding {
+	if errorEvidence := r.errorEvidence(); errorEvidence >= r.threshold {
 		return r.newFinding(SignalErrors, errorEvidence)
 	}
 	if latencyEvidence := r.latency.value(); latencyEvidence >= r.threshold {
--- a/sharing/board.go
+++ b/sharing/board.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/core"
 )
 
@@ -58,13 +59,14 @@
 	// failures contains the last failed connection to each upstream by reporter.
 	failures     map[core.UpstreamID]map[core.NodeID]numberedObservation
 	evidence     evidenceBoard
+	verdicts     evidenceStore[verdictKey, canary.Verdict]
 	newestNumber uint64
 }
 
 func newBoard() *board {
 	return &board{
 		loads: make(map[core.UpstreamID]numberedObservation), rates: make(map[core.UpstreamID]numberedObservation), failures: make(map[core.UpstreamID]map[core.NodeID]numberedObservation),
-		evidence: newEvidenceBoard(),
+		evidence: newEvidenceBoard(), verdicts: make(evidenceStore[verdictKey, canary.Verdict]),
 	}
 }
 
--- a/sharing/encode.go
+++ b/sharing/encode.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/quarantine"
 	"waxwingtide.example/waxwingtide/wire"
@@ -111,3 +112,19 @@
 func decodePart(model, id string) quarantine.Part {
 	return quarantine.Part{Model: core.ModelID(model), ID: core.PartID(id)}
 }
+
+func encodeVerdicts(verdicts []canary.Verdict) []*wire.VersionVerdict {
+	var out []*wire.VersionVerdict
+	for _, v := range verdicts {
+		out = append(out, &wire.VersionVerdict{Service: string(v.Service), Version: v.Version, Request: v.RequestRowVersion, Withdrawn: v.Withdrawn})
+	}
+	return out
+}
+
+func decodeVerdicts(verdicts []*wire.VersionVerdict) []canary.Verdict {
+	var out []canary.Verdict
+	for _, v := range verdicts {
+		out = append(out, canary.Verdict{Service: core.ServiceID(v.Service), Version: v.Version, RequestRowVersion: v.Request, Withdrawn: v.Withdrawn})
+	}
+	return out
+}
--- a/sharing/evidence.go
+++ b/sharing/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/quarantine"
 )
@@ -13,6 +14,8 @@
 	// maxEvidence is the number of crashes, of answers and of states that the board
 	// stores. The oldest are removed.
 	maxEvidence = 512
+	// verdictInterval is the minimum interval at which a doubt is forwarded again.
+	verdictInterval = 500 * time.Millisecond
 )
 
 // crashKey identifies the observation of a crash by one process.
@@ -100,6 +103,25 @@
 	}
 }
 
+// verdictKey identifies the rollout that a verdict restricts.
+type verdictKey struct {
+	service core.ServiceID
+	request uint64
+}
+
+// addVerdicts stores the verdicts that a process has sent. A repeated doubt is new again
+// after verdictInterval, since receivers hold the cutover only for a limited time.
+func (b *board) addVerdicts(now time.Time, sender core.NodeID, verdicts []canary.Verdict) {
+	for _, v := range verdicts {
+		key := verdictKey{v.Service, v.RequestRowVersion}
+		known, ok := b.verdicts[key]
+		repeated := now.Sub(known.addedAt) >= verdictInterval
+		if !ok || v.Withdrawn && !known.value.Withdrawn || !known.value.Withdrawn && repeated {
+			b.verdicts.put(key, numberEvidence(b, now, sender, v))
+		}
+	}
+}
+
 // numberEvidence returns a value with the next number.
 func numberEvidence[V any](b *board, now time.Time, sender core.NodeID, value V) numberedEvidence[V] {
 	b.newestNumber++
--- a/sharing/exchange.go
+++ b/sharing/exchange.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/quarantine"
 	"waxwingtide.example/waxwingtide/wire"
@@ -98,7 +99,7 @@
 			return
 		}
 		if reply := x.exchange(ctx, &x.domainLink, local, false); reply != nil {
-			x.deliver(decodeBatch(time.Now(), reply.Seen, reply.Parts))
+			x.deliver(decodeBatch(time.Now(), reply))
 			return
 		}
 	}
@@ -111,10 +112,20 @@
 type batch struct {
 	observations []Observation
 	evidence     quarantine.Evidence
+	verdicts     []canary.Verdict
 }
 
-func decodeBatch(now time.Time, seen []*wire.Observation, parts *wire.PartEvidence) batch {
-	return batch{observations: decodeObservations(now, seen), evidence: decodeEvidence(now, parts)}
+// message is a request or a reply of an exchange.
+type message interface {
+	GetSeen() []*wire.Observation
+	GetParts() *wire.PartEvidence
+	GetVerdicts() []*wire.VersionVerdict
+}
+
+func decodeBatch(now time.Time, m message) batch {
+	return batch{
+		observations: decodeObservations(now, m.GetSeen()), evidence: decodeEvidence(now, m.GetParts()), verdicts: decodeVerdicts(m.GetVerdicts()),
+	}
 }
 
 // takeLocal returns what this process has recorded since the last exchange.
@@ -128,6 +139,9 @@
 		local.evidence.Answers = append(local.evidence.Answers, more.Answers...)
 		local.evidence.States = append(local.evidence.States, more.States...)
 	}
+	for v, ok := e.localVerdicts.TryReceive(); ok; v, ok = e.localVerdicts.TryReceive() {
+		local.verdicts = append(local.verdicts, v)
+	}
 	return local
 }
 
@@ -139,6 +153,9 @@
 	if !received.evidence.Empty() {
 		e.remoteEvidence.Push(received.evidence)
 	}
+	if len(received.verdicts) > 0 {
+		e.remoteVerdicts.Push(received.verdicts)
+	}
 }
 
 // collect runs one exchange as the domain collector. It adds the local observations
@@ -159,7 +176,7 @@
 			if knownBoard != 0 && knownBoard != reply.Board {
 				x.globalLink.sentNumber = 0 // the collector has restarted and lacks the rest
 			}
-			received := decodeBatch(time.Now(), reply.Seen, reply.Parts)
+			received := decodeBatch(time.Now(), reply)
 			if _, err := x.exchangeWithBoard(ctx, boardRequest{sender: globalCollectorAlias, batch: received, afterNumber: outgoing.newestNumber}); err != nil {
 				return
 			}
@@ -178,7 +195,8 @@
 	now := time.Now()
 	request := &wire.ShareRequest{
 		Sender: x.opts.Sender(), Seen: encodeObservations(now, outgoing.observations), Parts: encodeEvidence(now, outgoing.evidence),
-		Board: l.boardID, After: l.afterNumber, Collector: asDomainCollector,
+		Verdicts: encodeVerdicts(outgoing.verdicts),
+		Board:    l.boardID, After: l.afterNumber, Collector: asDomainCollector,
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -1,5 +1,5 @@
-// Package sharing exchanges observations of upstreams, and evidence on parts of prompts
-// that crash them, among the fronts. One process of each failure domain, the domain
+// Package sharing exchanges observations of upstreams, evidence on parts of prompts that
+// crash them and verdicts on versions among the fronts. One process of each failure domain, the domain
 // collector, collects what its domain has observed. One process, the global collector,
 // collects from all domain collectors. The number of messages therefore grows linearly
 // with the number of processes, and the traffic between failure domains grows only with
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
@@ -34,6 +35,9 @@
 	// evidenceCapacity is the number of elements of evidence that may wait for an
 	// exchange or in the ring of RemoteEvidence. The oldest ones are dropped.
 	evidenceCapacity = 64
+	// verdictCapacity is the number of local verdicts that may wait for an exchange. The
+	// oldest ones are dropped and recorded again while they apply.
+	verdictCapacity = 32
 	// requestCapacity is the number of requests that may wait for the board.
 	requestCapacity = 256
 	// globalCollectorAlias stands for the global collector, whichever process it is,
@@ -93,6 +97,8 @@
 	remote         *ring.Ring[[]Observation]
 	localEvidence  *ring.Ring[quarantine.Evidence]
 	remoteEvidence *ring.Ring[quarantine.Evidence]
+	localVerdicts  *ring.Ring[canary.Verdict]
+	remoteVerdicts *ring.Ring[[]canary.Verdict]
 	newBoards      *ring.Ring[struct{}]
 	boardRequests  *ring.Ring[boardRequest]
 }
@@ -102,6 +108,7 @@
 	return &Exchanger{
 		opts: opts, local: ring.New[Observation](localCapacity), remote: ring.New[[]Observation](remoteCapacity),
 		localEvidence: ring.New[quarantine.Evidence](evidenceCapacity), remoteEvidence: ring.New[quarantine.Evidence](evidenceCapacity),
+		localVerdicts: ring.New[canary.Verdict](verdictCapacity), remoteVerdicts: ring.New[[]canary.Verdict](remoteCapacity),
 		newBoards:     ring.New[struct{}](1),
 		boardRequests: ring.New[boardRequest](requestCapacity),
 	}
@@ -123,6 +130,13 @@
 // RemoteEvidence returns the ring of the other processes' evidence on parts of prompts.
 func (e *Exchanger) RemoteEvidence() *ring.Ring[quarantine.Evidence] { return e.remoteEvidence }
 
+// RecordVerdict queues a local verdict on a version for the next exchange. It never
+// blocks.
+func (e *Exchanger) RecordVerdict(v canary.Verdict) { e.localVerdicts.Push(v) }
+
+// RemoteVerdicts returns the ring of the other processes' verdicts on versions.
+func (e *Exchanger) RemoteVerdicts() *ring.Ring[[]canary.Verdict] { return e.remoteVerdicts }
+
 // NewBoards returns the ring that has an element after the first exchange with a board,
 // which lacks what was sent to others.
 func (e *Exchanger) NewBoards() *ring.Ring[struct{}] { return e.newBoards }
@@ -142,10 +156,12 @@
 		now := time.Now()
 		b.add(request.sender, request.observations)
 		b.addEvidence(now, request.sender, request.evidence)
+		b.addVerdicts(now, request.sender, request.verdicts)
 		request.reply.Push(boardReply{
 			batch: batch{
 				observations: b.newObservations(now, request.sender, request.afterNumber, request.forCollector),
 				evidence:     b.newEvidence(now, request.sender, request.afterNumber),
+				verdicts:     b.verdicts.newFor(now, request.sender, request.afterNumber),
 			},
 			newestNumber: b.newestNumber,
 		})
@@ -166,7 +182,7 @@
 	e.opts.ObserveEpoch(request.GetSender())
 	self := e.opts.Sender()
 	query := boardRequest{
-		sender: core.NodeID(request.GetSender().GetNode()), batch: decodeBatch(time.Now(), request.Seen, request.Parts), forCollector: request.Collector,
+		sender: core.NodeID(request.GetSender().GetNode()), batch: decodeBatch(time.Now(), request), forCollector: request.Collector,
 	}
 	if request.Board == self.Incarnation {
 		query.afterNumber = request.After
@@ -176,5 +192,5 @@
 		return nil, err
 	}
 	now := time.Now()
-	return &wire.ShareReply{Seen: encodeObservations(now, reply.observations), Parts: encodeEvidence(now, reply.evidence), Board: self.Incarnation, After: reply.newestNumber, Sender: self}, nil
+	return &wire.ShareReply{Seen: encodeObservations(now, reply.observations), Parts: encodeEvidence(now, reply.evidence), Verdicts: encodeVerdicts(reply.verdicts), Board: self.Incarnation, After: reply.newestNumber, Sender: self}, nil
 }
