Bound the heads and bodies of responses

Callers got a truncated body as a complete answer, and a server that sends bytes without end could use up the memory of a front, while the call waited for its deadline.

Cause: net/http does not limit the head of a response that is read from a connection directly. A body was cut at 32 MiB without an error. The rest of a skipped response was parsed as the next head.

Change: a head has at most 256 KiB, a buffered body 8 MiB, all buffered bodies above 64 KiB together 24 MiB. Beyond that the attempt ends without an answer and its connection is closed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,7 @@
 	plannedStop atomic.Pointer[plannedStop]
 	// streams is the number of active streams.
 	streams atomic.Int64
+	bodies  bodyBudget
 }
 
 // New returns a gateway that has not started.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,15 +6,56 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
+	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
 )
 
-// maxResponseBytes is the maximum number of bytes of a response body that are buffered
-// and forwarded.
-const maxResponseBytes = 32 << 20
+const (
+	// maxResponseBytes is the maximum size of a response body that is buffered.
+	maxResponseBytes = 8 << 20
+	// smallResponseBytes is the size up to which a body does not count within
+	// maxBufferedBytes, which bounds the buffered bodies of all calls together.
+	smallResponseBytes = 64 << 10
+	maxBufferedBytes   = 24 << 20
+)
+
+// bodyBudget bounds the memory of buffered bodies.
+type bodyBudget struct{ used atomic.Int64 }
+
+// read reads a body. release must be called when the body is no longer needed.
+func (b *bodyBudget) read(body io.Reader) (data []byte, release func(), err error) {
+	limited := &budgetReader{source: body, budget: b}
+	data, err = io.ReadAll(limited)
+	return data, func() { b.used.Add(-limited.charged) }, err
+}
+
+// budgetReader charges what it reads to a budget.
+type budgetReader struct {
+	source  io.Reader
+	budget  *bodyBudget
+	size    int64
+	charged int64
+}
+
+// Read implements io.Reader.
+func (r *budgetReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	r.size += int64(n)
+	if r.size > maxResponseBytes {
+		return n, errs.New(errs.Corrupt, "report this as a defect of the upstream", "body exceeds %d bytes", maxResponseBytes)
+	}
+	if r.size > smallResponseBytes {
+		r.charged += int64(n)
+		if r.budget.used.Add(int64(n)) > maxBufferedBytes {
+			return n, errs.New(errs.Exhausted, "retry later", "bodies of all responses exceed %d bytes", maxBufferedBytes)
+		}
+	}
+	return n, err
+}
 
 // bufferedResponse is a response whose body has been buffered.
 type bufferedResponse struct {
@@ -23,11 +64,11 @@
 	body   []byte
 }
 
-// relayBuffered reads the response before it forwards it. It truncates a body of more
-// than maxResponseBytes without an error: the caller receives the truncated body as a
-// complete one.
+// relayBuffered reads the response before it forwards it. A body that is too large is an
+// incomplete response.
 func (s *callState) relayBuffered(x *upstreamhttp.Exchange, response UpstreamResponse) attemptOutcome {
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxResponseBytes))
+	body, release, err := s.gateway.bodies.read(x.Response.Body)
+	defer release()
 	x.Finish(err == nil && !response.Close, response.KeepAlive)
 	switch {
 	case err != nil:
--- a/upstreamhttp/upstreamhttp.go
+++ b/upstreamhttp/upstreamhttp.go
@@ -36,6 +36,9 @@
 	// the same size, for the headers.
 	maxInlineBodyBytes = 4 << 10
 	readBufferBytes    = 8 << 10
+	// maxHeadBytes is the maximum size of status and headers of a response, including
+	// the interim responses before it.
+	maxHeadBytes = 256 << 10
 	// maxStaleBodyBytes is the maximum number of bytes that are read from the body of
 	// a skipped response.
 	maxStaleBodyBytes = 1 << 20
@@ -55,6 +58,23 @@
 	// writtenBytes is the number of bytes of the current request that the kernel has
 	// accepted.
 	writtenBytes int64
+	// readingHead is set while a head is read. headBytes is then the number of bytes
+	// that may still be read.
+	readingHead bool
+	headBytes   int
+}
+
+// Read implements net.Conn. It limits the size of heads, which net/http does not.
+func (c *Conn) Read(b []byte) (int, error) {
+	if !c.readingHead {
+		return c.Conn.Read(b)
+	}
+	if c.headBytes <= 0 {
+		return 0, errs.New(errs.Corrupt, "report this as a defect of the upstream", "head of a response exceeds %d bytes", maxHeadBytes)
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.headBytes)])
+	c.headBytes -= n
+	return n, err
 }
 
 // Write implements net.Conn. It counts the written bytes.
@@ -143,7 +163,7 @@
 		return nil, false, err
 	}
 	conn = &Conn{Conn: raw}
-	conn.reader = bufio.NewReaderSize(raw, readBufferBytes)
+	conn.reader = bufio.NewReaderSize(conn, readBufferBytes)
 	return conn, false, nil
 }
 
@@ -205,7 +225,7 @@
 // request.
 func (x *Exchange) readResponse(r Request) (*http.Response, error) {
 	for range maxStaleResponses + 1 {
-		resp, err := http.ReadResponse(x.conn.reader, r.HTTPRequest)
+		resp, err := x.conn.readHead(r.HTTPRequest)
 		if err != nil {
 			return nil, err
 		}
@@ -215,13 +235,24 @@
 		if r.Matches(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBodyBytes)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBodyBytes+1))
+		if err != nil {
 			return nil, err
 		}
+		if n > maxStaleBodyBytes {
+			return nil, errs.New(errs.Corrupt, "report this as a defect of the upstream", "body of a response to another request exceeds %d bytes", maxStaleBodyBytes)
+		}
 	}
 	return nil, errors.New("none of the first responses on the connection belongs to the request")
 }
 
+// readHead reads status and headers of the next response.
+func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
+	c.readingHead, c.headBytes = true, maxHeadBytes
+	defer func() { c.readingHead = false }()
+	return http.ReadResponse(c.reader, req)
+}
+
 // fail closes the connection and classifies the error.
 func (x *Exchange) fail(err error) error {
 	x.cancelClose()
