--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -25,11 +25,11 @@
 // crashRecord is a crash as observed by all processes.
 type crashRecord struct {
 	reports map[core.NodeID]Crash
-	// observedAt is the first observation, knownAt the time at which this process
+	// observedAt is the first observation, receivedAt the time at which this process
 	// received it.
 	observedAt time.Time
-	knownAt    time.Time
-	// answersBefore is the number of local answers before knownAt.
+	receivedAt time.Time
+	// answersBefore is the number of local answers before receivedAt.
 	answersBefore uint64
 	// explained is set when one of the suspects has a part in quarantine.
 	explained bool
@@ -50,7 +50,7 @@
 func (l *crashLog) add(now time.Time, c Crash, answers uint64) bool {
 	record := l.records[c.Incarnation]
 	if record == nil {
-		record = &crashRecord{reports: make(map[core.NodeID]Crash), observedAt: c.ObservedAt, knownAt: now, answersBefore: answers}
+		record = &crashRecord{reports: make(map[core.NodeID]Crash), observedAt: c.ObservedAt, receivedAt: now, answersBefore: answers}
 		l.records[c.Incarnation] = record
 	}
 	if len(c.Suspects) <= len(record.reports[c.Reporter].Suspects) {
@@ -74,14 +74,14 @@
 // prune removes the crashes that no longer count and the oldest ones above the bound.
 func (l *crashLog) prune(now time.Time) {
 	for key, record := range l.records {
-		if now.Sub(record.knownAt) > crashRetention {
+		if now.Sub(record.receivedAt) > crashRetention {
 			delete(l.records, key)
 		}
 	}
 	for len(l.records) > maxCrashes {
 		var oldest Incarnation
 		for key, record := range l.records {
-			if oldest == (Incarnation{}) || record.knownAt.Before(l.records[oldest].knownAt) {
+			if oldest == (Incarnation{}) || record.receivedAt.Before(l.records[oldest].receivedAt) {
 				oldest = key
 			}
 		}
@@ -155,24 +155,24 @@
 					if !record.observedAt.After(lastAnswer(part)) {
 						continue
 					}
-					out[part] = out[part].add(part, depth, s.Own, record)
+					out[part] = out[part].add(part, depth, s.LastPart, record)
 				}
 			}
 		}
 	}
 	for _, t := range out {
-		slices.SortFunc(t.crashes, func(a, b *crashRecord) int { return a.knownAt.Compare(b.knownAt) })
+		slices.SortFunc(t.crashes, func(a, b *crashRecord) int { return a.receivedAt.Compare(b.receivedAt) })
 	}
 	return out
 }
 
 // add adds a suspect. The receiver may be nil.
-func (t *tally) add(part Part, depth int, own core.PartID, record *crashRecord) *tally {
+func (t *tally) add(part Part, depth int, lastPart core.PartID, record *crashRecord) *tally {
 	if t == nil {
 		t = &tally{part: part, prompts: make(map[core.PartID]struct{})}
 	}
 	t.depth = max(t.depth, depth)
-	t.prompts[own] = struct{}{}
+	t.prompts[lastPart] = struct{}{}
 	if !slices.Contains(t.crashes, record) {
 		t.crashes = append(t.crashes, record)
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -34,10 +34,9 @@
 // its upstream crashed.
 type Suspect struct {
 	Model core.ModelID
-	// Own is the last part of the prompt, which is specific to it. Shared are the
-	// other parts, in order.
-	Own    core.PartID
-	Shared []core.PartID
+	// LastPart is specific to the prompt. Shared are the other parts, in order.
+	LastPart core.PartID
+	Shared   []core.PartID
 }
 
 // Crash is the crash of an upstream as observed by one process.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -124,7 +124,7 @@
 func newSuspect(p core.Prompt) Suspect {
 	shared := p.ShareableParts()
 	shared = shared[max(len(shared)-maxSharedParts, 0):]
-	s := Suspect{Model: p.Model, Own: p.Parts[len(p.Parts)-1].ID, Shared: make([]core.PartID, len(shared))}
+	s := Suspect{Model: p.Model, LastPart: p.Parts[len(p.Parts)-1].ID, Shared: make([]core.PartID, len(shared))}
 	for i, part := range shared {
 		s.Shared[i] = part.ID
 	}
@@ -152,8 +152,8 @@
 
 func (t *Tracker) recordSuspect(now time.Time, incarnation Incarnation, s Suspect) bool {
 	if record := t.crashes.records[incarnation]; record != nil {
-		if own, ok := record.reports[t.self]; ok {
-			t.addCrash(now, Crash{Incarnation: incarnation, Reporter: t.self, ObservedAt: own.ObservedAt, Suspects: appendSuspect(own.Suspects, s)})
+		if local, ok := record.reports[t.self]; ok {
+			t.addCrash(now, Crash{Incarnation: incarnation, Reporter: t.self, ObservedAt: local.ObservedAt, Suspects: appendSuspect(local.Suspects, s)})
 			return false
 		}
 	}
@@ -275,7 +275,7 @@
 		if first, last := candidate.period(); float64(candidate.support()) < minCrashShare*float64(t.crashes.unexplainedEvents(first, last)) {
 			continue
 		}
-		if now.Sub(candidate.crashes[required-1].knownAt) < settleTime {
+		if now.Sub(candidate.crashes[required-1].receivedAt) < settleTime {
 			t.unsettled = true
 			continue
 		}
--- a/rollout/slow_test.go
+++ b/rollout/slow_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -107,3 +108,34 @@
 		}
 	}
 }
+
+// Guards against a version of a quiet service that is slow for half of its calls and
+// that is found only after more calls than an unjudged version may get. One front judges
+// a quarter of 30 calls a second.
+func TestHalfSlowVersionOfQuietServiceIsFound(t *testing.T) {
+	const (
+		n            = 200
+		allowedCalls = 50
+		callInterval = 133 * time.Millisecond
+	)
+	late := 0
+	for seed := range uint64(n) {
+		j, attempts := NewJudge("v1", "v2", DefaultLimits()), newTraffic(seed+70000)
+		attempts.newShare, attempts.groups = 0.16, 2
+		found := false
+		for attempts.newSamples < allowedCalls && !found {
+			s := attempts.next(nil)
+			attempts.now = attempts.now.Add(callInterval)
+			s.PrefillTokens = 0
+			s.Latency = time.Duration(30 * math.Exp(0.5*attempts.rng.NormFloat64()) * float64(time.Millisecond))
+			if s.Version == "v2" && attempts.rng.Float64() < 0.5 {
+				s.Latency *= 7
+			}
+			found = j.Add(s) != nil
+		}
+		if !found {
+			late++
+		}
+	}
+	require.Zero(t, late, "versions that were not found, of %d", n)
+}
--- a/sharing/board.go
+++ b/sharing/board.go
@@ -100,9 +100,9 @@
 // isNewRate reports whether an announced rate is newer and either differs from the one
 // on the board or confirms it after rateConfirmInterval.
 func (b *board) isNewRate(o Observation) bool {
-	known, ok := b.rates[o.Upstream]
-	age := o.ObservedAt.Sub(known.ObservedAt)
-	return !ok || age > 0 && (known.RateLimit != o.RateLimit || age >= rateConfirmInterval)
+	stored, ok := b.rates[o.Upstream]
+	age := o.ObservedAt.Sub(stored.ObservedAt)
+	return !ok || age > 0 && (stored.RateLimit != o.RateLimit || age >= rateConfirmInterval)
 }
 
 // assignNumber returns an observation with the next number.
--- a/sharing/encode.go
+++ b/sharing/encode.go
@@ -71,7 +71,7 @@
 func encodeSuspects(suspects []quarantine.Suspect) []*wire.SuspectPrompt {
 	out := make([]*wire.SuspectPrompt, len(suspects))
 	for i, s := range suspects {
-		out[i] = &wire.SuspectPrompt{Model: string(s.Model), Own: string(s.Own)}
+		out[i] = &wire.SuspectPrompt{Model: string(s.Model), LastPart: string(s.LastPart)}
 		for _, id := range s.Shared {
 			out[i].Shared = append(out[i].Shared, string(id))
 		}
@@ -101,7 +101,7 @@
 func decodeSuspects(suspects []*wire.SuspectPrompt) []quarantine.Suspect {
 	out := make([]quarantine.Suspect, len(suspects))
 	for i, s := range suspects {
-		out[i] = quarantine.Suspect{Model: core.ModelID(s.Model), Own: core.PartID(s.Own)}
+		out[i] = quarantine.Suspect{Model: core.ModelID(s.Model), LastPart: core.PartID(s.LastPart)}
 		for _, id := range s.Shared {
 			out[i].Shared = append(out[i].Shared, core.PartID(id))
 		}
--- a/sharing/evidence.go
+++ b/sharing/evidence.go
@@ -114,9 +114,9 @@
 func (b *board) addVerdicts(now time.Time, sender core.NodeID, verdicts []canary.Verdict) {
 	for _, v := range verdicts {
 		key := verdictKey{v.Service, v.RequestRowVersion}
-		known, ok := b.verdicts[key]
-		repeated := now.Sub(known.addedAt) >= verdictInterval
-		if !ok || v.Withdrawn && !known.value.Withdrawn || !known.value.Withdrawn && repeated {
+		stored, ok := b.verdicts[key]
+		repeated := now.Sub(stored.addedAt) >= verdictInterval
+		if !ok || v.Withdrawn && !stored.value.Withdrawn || !stored.value.Withdrawn && repeated {
 			b.verdicts.put(key, numberEvidence(b, now, sender, v))
 		}
 	}
--- a/sharing/evidence_test.go
+++ b/sharing/evidence_test.go
@@ -73,7 +73,7 @@
 	e := quarantine.Evidence{
 		Crashes: []quarantine.Crash{{
 			Incarnation: quarantine.Incarnation{Upstream: "u", StartedAtMs: 7}, Reporter: "a", ObservedAt: boardNow.Add(-time.Second),
-			Suspects: []quarantine.Suspect{{Model: "m", Own: "own", Shared: []core.PartID{"common", "bad"}}},
+			Suspects: []quarantine.Suspect{{Model: "m", LastPart: "own", Shared: []core.PartID{"common", "bad"}}},
 		}},
 		Answers: []quarantine.Answer{{Part: badPart, AnsweredAt: boardNow.Add(-2 * time.Second)}},
 		States:  []quarantine.State{{Part: badPart, Version: 3, Until: boardNow.Add(time.Minute)}},
--- a/sharing/exchange.go
+++ b/sharing/exchange.go
@@ -170,10 +170,10 @@
 		if err != nil {
 			return
 		}
-		knownBoard := x.globalLink.boardID
+		previousBoard := x.globalLink.boardID
 		if reply := x.exchange(ctx, &x.globalLink, outgoing.batch, true); reply != nil {
 			x.globalLink.sentNumber = outgoing.newestNumber
-			if knownBoard != 0 && knownBoard != reply.Board {
+			if previousBoard != 0 && previousBoard != reply.Board {
 				x.globalLink.sentNumber = 0 // the collector has restarted and lacks the rest
 			}
 			received := decodeBatch(time.Now(), reply)
