Bound the parts that are watched after crashes

Cause: the parts of suspects were kept for a minute whatever the number of crashes. Change: they are those of the recorded crashes, which are bounded as soon as one is added. A crash is reported once with all its suspects, and a restarted front uses the crashes that it reported before.

--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -11,7 +11,7 @@
 const (
 	// crashRetention is the time for which a crash counts as evidence.
 	crashRetention = time.Minute
-	// maxCrashes bounds the recorded crashes. The oldest are removed.
+	// maxCrashes bounds the recorded crashes. The oldest is removed.
 	maxCrashes = 64
 	// eventWindow is the time within which crashes count as simultaneous.
 	eventWindow = 100 * time.Millisecond
@@ -50,6 +50,7 @@
 func (l *crashLog) add(now time.Time, c Crash, answers uint64) bool {
 	record := l.records[c.Incarnation]
 	if record == nil {
+		l.makeSpace()
 		record = &crashRecord{reports: make(map[core.NodeID]Crash), observedAt: c.ObservedAt, receivedAt: now, answersBefore: answers}
 		l.records[c.Incarnation] = record
 	}
@@ -60,6 +61,12 @@
 	if c.ObservedAt.Before(record.observedAt) {
 		record.observedAt = c.ObservedAt
 	}
+	l.watch(c)
+	return true
+}
+
+// watch adds the parts of the suspects of a crash.
+func (l *crashLog) watch(c Crash) {
 	for _, s := range c.Suspects {
 		for _, id := range s.Shared {
 			part := Part{s.Model, id}
@@ -68,28 +75,42 @@
 			}
 		}
 	}
-	return true
 }
 
-// prune removes the crashes that no longer count and the oldest ones above the bound.
+// makeSpace removes the oldest crash if there are maxCrashes.
+func (l *crashLog) makeSpace() {
+	if len(l.records) < maxCrashes {
+		return
+	}
+	var oldest Incarnation
+	for key, record := range l.records {
+		if oldest == (Incarnation{}) || record.receivedAt.Before(l.records[oldest].receivedAt) {
+			oldest = key
+		}
+	}
+	delete(l.records, oldest)
+	l.rebuildWatched()
+}
+
+// prune removes the crashes that no longer count.
 func (l *crashLog) prune(now time.Time) {
+	before := len(l.records)
 	for key, record := range l.records {
 		if now.Sub(record.receivedAt) > crashRetention {
 			delete(l.records, key)
 		}
 	}
-	for len(l.records) > maxCrashes {
-		var oldest Incarnation
-		for key, record := range l.records {
-			if oldest == (Incarnation{}) || record.receivedAt.Before(l.records[oldest].receivedAt) {
-				oldest = key
-			}
-		}
-		delete(l.records, oldest)
+	if len(l.records) < before {
+		l.rebuildWatched()
 	}
-	for part, at := range l.watched {
-		if now.Sub(at) > crashRetention {
-			delete(l.watched, part)
+}
+
+// rebuildWatched removes the parts of removed crashes from watched.
+func (l *crashLog) rebuildWatched() {
+	clear(l.watched)
+	for _, record := range l.records {
+		for _, report := range record.reports {
+			l.watch(report)
 		}
 	}
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"waxwingtide.example/waxwingtide/core"
@@ -29,8 +30,8 @@
 	minSpanAnswered    = time.Second
 	minOtherAnswers    = 20
 	// minCrashShare is the ratio that a part's crashes must have to all crashes between
-	// its first and its last one, where simultaneous ones count once. Among many crashes with other causes, some parts
-	// occur several times by chance.
+	// its first and its last one, where simultaneous ones count once. Among many crashes
+	// with other causes, some parts occur several times by chance.
 	minCrashShare = 0.3
 	// settleTime is the time after a crash in which answers that other processes have
 	// received can still clear a part.
@@ -192,10 +193,12 @@
 
 // addCrash records a local observation.
 func (t *Tracker) addCrash(now time.Time, c Crash) {
-	if t.crashes.add(now, c, t.answers.count) {
-		t.outgoing.Crashes = append(t.outgoing.Crashes, c)
-		t.changed = true
+	if !t.crashes.add(now, c, t.answers.count) {
+		return
 	}
+	t.changed = true
+	isSame := func(other Crash) bool { return other.Incarnation == c.Incarnation }
+	t.outgoing.Crashes = append(slices.DeleteFunc(t.outgoing.Crashes, isSame), c)
 }
 
 // Merge adds the evidence of other processes.
@@ -208,7 +211,7 @@
 		t.mergeState(s)
 	}
 	for _, c := range e.Crashes {
-		if c.Reporter == t.self || !t.crashes.add(now, c, t.answers.count) {
+		if !t.crashes.add(now, c, t.answers.count) {
 			continue
 		}
 		t.changed = true
