Keep calls on the old version at the fronts that judge

Cause: the one front that judged sent 92% of its calls to the new version and had no samples of the old one. Other fronts found doubt only at the end: they withdrew the version while another one reported it as completed, and then used neither version.

Change: a front sends at most 0.3 of its calls to an unjudged version, and more fronts judge. A version in doubt is withdrawn at 0.9 of the time. A completed version is used whatever was found.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -40,6 +40,9 @@
 	// version that is slow for half of its calls is not found before the cutover.
 	firstCalls = 30
 	firstShare = 0.6
+	// maxLocalShare is the largest share of a process's calls that the new version
+	// receives after its first calls. The rest is what the judge compares with.
+	maxLocalShare = 0.3
 	// minCanaryFraction is the fraction of the rollout's time for which the new version
 	// must have had upstreams before the cutover.
 	minCanaryFraction = 0.2
@@ -153,9 +156,11 @@
 	switch {
 	case r == nil:
 		return Filter{}
+	case r.hasStatus(catalog.RolloutCompleted):
+		return Filter{RequiredVersion: r.Version} // the old upstreams stop, whatever was found
 	case r.bad:
 		return Filter{ExcludedVersion: r.Version}
-	case r.hasStatus(catalog.RolloutCompleted) || r.isCutOver(now):
+	case r.isCutOver(now):
 		return Filter{RequiredVersion: r.Version}
 	case r.hasUpstreams && random < c.localShare(r):
 		return Filter{RequiredVersion: r.Version, Upstreams: r.canaries}
@@ -175,11 +180,12 @@
 }
 
 // localShare returns the share of this process's calls that the new version
-// receives before the cutover. Only as many processes as the total share requires
-// send calls to the new version, so that each of them judges many calls.
+// receives before the cutover. Only as many processes as the total share requires, at
+// maxLocalShare each, send calls to the new version, so that each of them judges many
+// calls.
 func (c *Controller) localShare(r *trackedRollout) float64 {
 	n := max(len(c.fronts), 1)
-	participants := max(int(math.Ceil(c.share*float64(n))), 1)
+	participants := min(max(int(math.Ceil(c.share*float64(n)/maxLocalShare)), 1), n)
 	if rendezvous.Position(c.fronts, c.self, string(r.Service)) >= participants {
 		return 0
 	}
--- a/canary/verdict.go
+++ b/canary/verdict.go
@@ -13,6 +13,10 @@
 	// maxDoubt is the evidence against the new version (see rollout.Judge.Doubt) from
 	// which the cutover is held.
 	maxDoubt = 20.0
+	// doubtDeadlineFraction is the fraction of the rollout's time after which a version
+	// in doubt is withdrawn. It leaves time for the verdict to reach the process that
+	// reports the rollout as completed.
+	doubtDeadlineFraction = 0.9
 	// holdDuration is the time for which a process holds the cutover because of the
 	// doubt of another one, which repeats it more often.
 	holdDuration = 3 * time.Second
@@ -58,12 +62,12 @@
 	return r.bad
 }
 
-// WithdrawDoubted withdraws the versions against which this process has evidence at the
-// time at which their rollout would be completed, and returns their rollouts.
+// WithdrawDoubted withdraws the versions against which this process has evidence shortly
+// before their rollout would be completed, and returns their rollouts.
 func (c *Controller) WithdrawDoubted(now time.Time) []catalog.Rollout {
 	var withdrawn []catalog.Rollout
 	for _, r := range c.rollouts {
-		if !r.bad && !r.hasStatus(catalog.RolloutCompleted) && r.elapsed(now, completionFraction) && r.doubted() {
+		if !r.bad && !r.hasStatus(catalog.RolloutCompleted) && r.elapsed(now, doubtDeadlineFraction) && r.doubted() {
 			r.bad = true
 			withdrawn = append(withdrawn, r.Rollout)
 		}
