Break off streams that end inside an event

Callers got a stream that its server had broken off as a complete one: the bytes after the last complete event were forwarded and the stream was closed normally. A server that ended before the first event gave an empty success.

Cause: the end of the connection was taken for the end of the answer when a stream has neither a length nor chunks.

Change: a stream that ends inside an event, or an unframed one without any event, is incomplete: it is resumed or broken off. What was received before is flushed first. An unframed answer that ends soon after its begin does not clear the parts of its prompt, since a crash looks the same.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -18,6 +18,13 @@
 type event struct {
 	text []byte
 	id   string
+	// complete is set when the section ends with an empty line.
+	complete bool
+}
+
+// isPartial reports whether the section has text and does not end with an empty line.
+func (e event) isPartial() bool {
+	return len(bytes.TrimRight(e.text, "\r\n")) > 0 && !e.complete
 }
 
 // isAtOrBefore reports whether the event is the one with the given id or an earlier
@@ -62,6 +69,7 @@
 			e.id = string(bytes.TrimSpace(value))
 		}
 		if len(trimmed) == 0 {
+			e.complete = true
 			return e, nil
 		}
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -21,6 +21,9 @@
 	// AnswerAge is the time since the first byte of the answer, or 0 if there was
 	// none.
 	AnswerAge time.Duration
+	// Unframed is set when the answer ended with its connection, as it also does when
+	// the upstream crashes.
+	Unframed bool
 }
 
 // recordEnd passes the end of an attempt to the quarantine.
@@ -31,7 +34,8 @@
 	incarnation := quarantine.Incarnation{Upstream: report.Upstream, StartedAtMs: report.StartedAtMs}
 	mayHaveCrashed := r.quarantine.RecordEnd(now, quarantine.AttemptEnd{
 		Incarnation: incarnation, Prompt: report.Prompt, AnswerAge: report.AnswerAge,
-		Broken: report.Result == placement.Incomplete, Completed: report.Result == placement.Completed,
+		Broken:    report.Result == placement.Incomplete || report.Unframed,
+		Completed: report.Result == placement.Completed && !report.Unframed,
 	})
 	if mayHaveCrashed && !r.crashChecker.checks.Offer(crashCheck{incarnation: incarnation, address: report.Address}) {
 		r.quarantine.DismissCrash(incarnation)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -114,6 +114,9 @@
 		if err == nil {
 			pace.recordEvent(time.Now())
 		}
+		if errors.Is(err, io.EOF) && (event.isPartial() || pace.events == 0 && !x.HasKnownEnd()) {
+			err = errs.New(errs.Corrupt, "resume the stream at another upstream", "stream ended inside an event or without any")
+		}
 		if err == nil || errors.Is(err, io.EOF) {
 			if writeErr := s.writeEvent(control, x.Response, event, events.hasBuffered()); writeErr != nil {
 				x.Finish(false, 0)
@@ -123,7 +126,7 @@
 		if errors.Is(err, io.EOF) {
 			x.Finish(!response.Close, response.KeepAlive)
 			s.logResponse("stream_completed")
-			return attemptOutcome{result: placement.Completed}
+			return attemptOutcome{result: placement.Completed, unframed: !x.HasKnownEnd()}
 		}
 		if err != nil {
 			x.Finish(false, 0)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -133,7 +133,9 @@
 	result placement.UpstreamResult
 	// notRun is set when the call is proved not to have run.
 	notRun bool
-	err    error
+	// unframed is set when a complete response ended with its connection.
+	unframed bool
+	err      error
 }
 
 // callOutcome returns what the attempt proves about the run of the call.
@@ -152,6 +154,7 @@
 // not appear complete.
 func (s *callState) abort(reason string) {
 	s.log("answer_cut").WithFields(logrus.Fields{"reason": reason, "last_event": s.lastEventID}).Warn("response was interrupted; closing the connection to the caller")
+	_ = http.NewResponseController(s.writer).Flush() // the caller may resume after the last complete event
 	panic(http.ErrAbortHandler)
 }
 
@@ -195,7 +198,7 @@
 	if o.result == placement.Incomplete && ctx.Err() != nil {
 		o.result = placement.Abandoned
 	}
-	report.Final, report.Result = true, o.result
+	report.Final, report.Result, report.Unframed = true, o.result, o.unframed
 	report.AnswerAge = time.Since(sentAt) - firstByte
 	s.gateway.router.report(report)
 	s.logAttempt(p, attemptTimes{sentAt: sentAt, firstByte: firstByte}, x.Reused, response.Status, o)
--- a/upstreamhttp/upstreamhttp.go
+++ b/upstreamhttp/upstreamhttp.go
@@ -264,6 +264,13 @@
 	return errs.Wrap(err, errs.Unknown, "do not resend a call that may run only once", "no response from %s", x.conn.RemoteAddr())
 }
 
+// HasKnownEnd reports whether the response states its length or is sent in chunks.
+// Otherwise it ends with its connection, and the end of a failed upstream looks like
+// that of a complete response.
+func (x *Exchange) HasKnownEnd() bool {
+	return x.Response.ContentLength >= 0 || len(x.Response.TransferEncoding) > 0
+}
+
 // Finish ends the exchange. reusable is set if the complete response was read and the
 // upstream does not close the connection. The connection is then pooled, unless
 // further bytes are expected on it. An idleTimeout of 0 means that the upstream has
@@ -271,14 +278,13 @@
 func (x *Exchange) Finish(reusable bool, idleTimeout time.Duration) {
 	stillOpen := x.cancelClose()
 	resp := x.Response
-	hasKnownEnd := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	requestWritten := false
 	select {
 	case err := <-x.writeResult:
 		requestWritten = err == nil
 	default:
 	}
-	if !reusable || !stillOpen || !hasKnownEnd || !requestWritten || resp.Close || x.conn.reader.Buffered() > 0 {
+	if !reusable || !stillOpen || !x.HasKnownEnd() || !requestWritten || resp.Close || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		return
 	}
