--- a/sharing/sharing_test.go
+++ b/sharing/sharing_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -25,6 +26,8 @@
 // DOMAIN-NUMBER.
 type cluster struct {
 	names []string
+	// mu guards processes, which restart changes.
+	mu sync.Mutex
 	// unlisted processes are not among the candidates.
 	unlisted  map[string]*atomic.Bool
 	group     *duty.Group
@@ -52,8 +55,8 @@
 		c.isolated[name], c.unlisted[name] = new(atomic.Bool), new(atomic.Bool)
 		c.processes[name] = c.newProcess(name, 1)
 	}
-	for _, p := range c.processes {
-		p.Start(c.group)
+	for _, name := range names {
+		c.process(name).Start(c.group)
 	}
 	t.Cleanup(func() {
 		c.group.Stop()
@@ -70,7 +73,7 @@
 			if c.isolated[name].Load() || c.isolated[address].Load() {
 				return nil, errs.New(errs.Unavailable, "retry with another process", "%s is isolated", address)
 			}
-			reply, err := c.processes[address].Share(ctx, request)
+			reply, err := c.process(address).Share(ctx, request)
 			c.messages.Add(1)
 			if domain(name) != domain(address) {
 				c.crossDomainMessages.Add(1)
@@ -97,8 +100,17 @@
 
 // restart replaces a process by one without state.
 func (c *cluster) restart(name string) {
-	c.processes[name] = c.newProcess(name, 2)
-	c.processes[name].Start(c.group)
+	restarted := c.newProcess(name, 2)
+	restarted.Start(c.group)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.processes[name] = restarted
+}
+
+func (c *cluster) process(name string) *sharing.Exchanger {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.processes[name]
 }
 
 // receivers polls for a time and returns the names of the processes that received
