Quarantine a part after five crashes with two prompts

Cause: the number of prompts alone decided, whatever the number of crashes.

Change: five crashes with two prompts are enough for a part without recent answers.

--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -22,6 +22,9 @@
 	// minSupport is the number of crashes and of prompts that quarantine a part
 	// without recent answers.
 	minSupport = 3
+	// manyCrashes is the number of crashes with which two prompts are enough. Repeats
+	// of a prompt that crash one upstream after the other leave little doubt.
+	manyCrashes = 5
 	// minSupportAnswered, minSpanAnswered and minOtherAnswers are required of a part
 	// with recent answers: that many crashes, over at least that time, while that many
 	// other calls were answered. Without them, a failure of many upstreams at once
@@ -272,10 +275,11 @@
 		if !answered && candidate.support() >= required-1 {
 			t.implicated[part] = true
 		}
-		if candidate.support() < required || answered && !t.excludesOutage(candidate) {
+		repeated := !answered && len(candidate.prompts) > 1 && len(candidate.crashes) >= manyCrashes
+		if candidate.support() < required && !repeated || answered && !t.excludesOutage(candidate) {
 			continue
 		}
-		if first, last := candidate.period(); float64(candidate.support()) < minCrashShare*float64(t.crashes.unexplainedEvents(first, last)) {
+		if first, last := candidate.period(); float64(len(candidate.crashes)) < minCrashShare*float64(t.crashes.unexplainedEvents(first, last)) {
 			continue
 		}
 		if now.Sub(candidate.crashes[required-1].receivedAt) < settleTime {
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -112,6 +112,25 @@
 	require.False(t, c.refused("a", prompt("new", "common", "history")))
 }
 
+// Guards against waiting for a third prompt while the repeats of two crash one upstream
+// after the other.
+func TestRepeatsOfTwoPromptsAreEnough(t *testing.T) {
+	c := newCluster("a", "b")
+	for range 2 {
+		c.crash("a", prompt("own-1", "common", "history", "bad"))
+		c.crash("b", prompt("own-2", "common", "history", "bad"))
+		c.answer("a", prompt("own", "common"))
+		c.exchange(200 * time.Millisecond)
+	}
+	c.exchange(settled)
+	require.False(t, c.refused("a", prompt("new", "common", "history", "bad")))
+	c.crash("b", prompt("own-2", "common", "history", "bad"))
+	c.exchange(settled)
+	require.True(t, c.refused("a", prompt("new", "common", "history", "bad")))
+	require.False(t, c.refused("b", prompt("new", "common", "history")))
+	require.False(t, c.refused("b", prompt("new", "common")))
+}
+
 // Guards against the quarantine of a sound part that many prompts share, when many
 // upstreams fail at once and nothing is answered for a while.
 func TestOutageDoesNotQuarantineCommonPart(t *testing.T) {
