--- a/gateway/router.go
+++ b/gateway/router.go
@@ -116,10 +116,11 @@
 }
 
 // sweep does the periodic work. It removes the pending saves of prompt parts that no
-// kept-cache store has confirmed in time, updates the oldest weight
-// versions in use, checks the registration of this process, queues the statuses of
-// rollouts, and frees stored parts whose weight version is no longer loaded at any
-// upstream. A part's cache salt contains its weight version; see placement.Salt.
+// kept-cache store has confirmed in time, updates the oldest weight versions in use and
+// checks the registration of this process. It withdraws versions in doubt, repeats
+// verdicts and quarantines for the other processes and queues the statuses of rollouts.
+// It frees stored parts whose weight version is no longer loaded at any upstream. A
+// part's cache salt contains its weight version; see placement.Salt.
 func (r *router) sweep(now time.Time) {
 	r.cacheIndex.RemoveExpiredSaves(now)
 	r.placer.UpdateOldestWeights(now)
--- a/placement/table.go
+++ b/placement/table.go
@@ -154,9 +154,9 @@
 
 func (pl *Placer) pick(now time.Time, service *catalog.Service, req Request) (*candidate, Refusal) {
 	// The fallback is used if there is no other candidate. It is an upstream that the
-	// call should avoid or leave to larger calls, or one that is not recorded as cold but has already received
-	// this process's share of the calls that a cold upstream can sustain. The limit
-	// excludes only upstreams that are recorded as cold.
+	// call should avoid or leave to larger calls, or one that is not recorded as cold
+	// but has already received this process's share of the calls that a cold upstream
+	// can sustain. The limit excludes only upstreams that are recorded as cold.
 	var best, fallback *candidate
 	refusal := NoUpstream
 	clear(pl.partServers)
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -260,8 +260,9 @@
 	}
 }
 
-// strongest returns the tally with the strongest evidence among those that are
-// complete, or nil. It also updates the implicated parts.
+// strongest returns the tally with the strongest evidence among those that are complete
+// and settled, or nil. It also updates the implicated parts. Only one part is selected
+// at a time: the crashes that it explains are then no evidence against the others.
 func (t *Tracker) strongest(now time.Time) *tally {
 	clear(t.implicated)
 	t.unsettled = false
