End listings of the audit trail at the last page

`waxwingtide audit` and `bundle history` never ended against a real entry whose trail was not empty, and used up its table budget: the position of the next page was that of the page before when no row was left, so the client read the last page again.

The page is converted by a function of its own, which names a next page only if the page is full. The store's List returns fewer rows than the limit only at the end.

--- a/admin/control.go
+++ b/admin/control.go
@@ -30,7 +30,8 @@
 	// Loads returns what is known about the load of the upstreams.
 	Loads() []UpstreamLoad
 	// Audit lists entries, oldest first, after a position ("" is the start), at
-	// most limit of them, and returns the position to go on from.
+	// most limit of them, and returns the position of the next page, or "" if there is
+	// none.
 	Audit(ctx context.Context, after string, limit int) (entries []AuditEntry, next string, err error)
 }
 
--- a/admin/types.go
+++ b/admin/types.go
@@ -40,7 +40,7 @@
 // AuditPage is one page of the audit trail or of the bundle history.
 type AuditPage struct {
 	Entries []AuditEntry `json:"entries"`
-	// Next is the position of the next page.
+	// Next is the position of the next page, or empty on the last one.
 	Next string `json:"next,omitempty"`
 }
 
--- a/daemon/admincontrol.go
+++ b/daemon/admincontrol.go
@@ -59,15 +59,24 @@
 	if err != nil {
 		return nil, "", err
 	}
-	entries := make([]admin.AuditEntry, len(rows))
-	next := after
+	entries, next := auditPage(rows, limit)
+	return entries, next, nil
+}
+
+// auditPage converts the rows of one page of the audit trail. It returns the position
+// of the next page, or an empty string if the page is the last one because it has fewer
+// rows than the limit.
+func auditPage(rows []control.AuditEntry, limit int) (entries []admin.AuditEntry, next string) {
+	entries = make([]admin.AuditEntry, len(rows))
 	for i, r := range rows {
 		entries[i] = admin.AuditEntry{
 			At: r.Time(), Actor: r.Actor, Action: r.Action, Detail: r.Detail, Epoch: r.Epoch, OperationID: r.OperationID,
 		}
-		next = r.Cursor
 	}
-	return entries, next, nil
+	if len(rows) < limit {
+		return entries, ""
+	}
+	return entries, rows[len(rows)-1].Cursor
 }
 
 // countLiveEntries returns the number of entries with the state Live.
