--- a/cachestore/client.go
+++ b/cachestore/client.go
@@ -98,7 +98,10 @@
 	if err := json.Unmarshal(body, &m); err != nil {
 		return Manifest{}, errs.Wrap(err, errs.Corrupt, remedyDeleteManifest, "manifest is malformed")
 	}
-	return m, m.validate(scope, keys)
+	if err := m.validate(scope, keys); err != nil {
+		return Manifest{}, err
+	}
+	return m, nil
 }
 
 // validate checks that a manifest is of the scope and describes a prefix of the
--- a/cachestore/client_test.go
+++ b/cachestore/client_test.go
@@ -136,7 +136,8 @@
 }
 
 // Guards against a manifest that is accepted although it is malformed or too large, or
-// its scope, prompt or piece sizes are wrong.
+// its scope, prompt or piece sizes are wrong, and against pieces of such a manifest that
+// are returned beside the error: callers index the blocks of the prompt by them.
 func TestLookupRejectsInvalidManifests(t *testing.T) {
 	cases := map[string]string{
 		"malformed":          `{"scope":"salt","pieces":[`,
@@ -152,8 +153,9 @@
 	for name, body := range cases {
 		t.Run(name, func(t *testing.T) {
 			c := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
-			_, err := c.LookupManifest(t.Context(), scope, longestFirst(3))
+			manifest, err := c.LookupManifest(t.Context(), scope, longestFirst(3))
 			requireKind(t, errs.Corrupt, err)
+			require.Zero(t, manifest)
 		})
 	}
 }
--- a/transfer/export.go
+++ b/transfer/export.go
@@ -132,10 +132,9 @@
 
 // checkStoredPrefix reports whether the store already has the complete prefix, for
 // example from another agent. If not, it records the pieces in the manifest that the
-// lookup returns, which is empty if the store has none or does not respond. The error
-// of the lookup is not checked for this, so the pieces of a manifest that failed
-// validation are recorded too. For a prefix exported before, it first clears the
-// records of the job's pieces, because they may be outdated.
+// lookup returns, which is empty if the store has none, does not respond or returns an
+// invalid one. For a prefix exported before, it first clears the records of the job's
+// pieces, because they may be outdated.
 func (e *exporter) checkStoredPrefix(ctx context.Context, j job) bool {
 	manifest, err := e.handle.lookupManifest(ctx, j.store, j.prefix.Salt, j.prefix.Keys)
 	if err == nil && len(manifest.Pieces) == len(j.prefix.Keys) {
