Report a changed lease or grace as one that requires a restart

reload counted all bounds as applied, so that a change of the bounds for leases and planned stops, which are read at the start only, was logged as reloaded. The comparison is a function of its own now, with a test; the test needs the new function and was not run on the code before.

--- a/frontend/reload.go
+++ b/frontend/reload.go
@@ -56,13 +56,18 @@
 	if level, err := logrus.ParseLevel(next.Log.Level); err == nil {
 		p.log.SetLevel(level)
 	}
-	// effective counts all bounds as applied, so a change of lease or grace is not
-	// logged although it requires a restart.
-	effective := *current
-	effective.Seeds, effective.Log, effective.Engine, effective.Bounds = next.Seeds, next.Log, next.Engine, next.Bounds
-	if !reflect.DeepEqual(&effective, next) {
+	if needsRestart(current, next) {
 		log.Warn("some changed settings take effect only after a restart")
 	}
 	log.Info("settings were reloaded")
 	return next
 }
+
+// needsRestart reports whether settings have changed that reload does not apply. The
+// bounds for leases and for planned stops are read at the start only.
+func needsRestart(current, next *settings.Front) bool {
+	applied := *current
+	applied.Seeds, applied.Log, applied.Engine, applied.Bounds = next.Seeds, next.Log, next.Engine, next.Bounds
+	applied.Bounds.Lease, applied.Bounds.Grace = current.Bounds.Lease, current.Bounds.Grace
+	return !reflect.DeepEqual(&applied, next)
+}
