Remove an unused type, an unused field and a check without effect

core.Lease was used nowhere, route's field occupied was written and never read, and the check of hasReport in the placement of transfers was always true, since its only caller sets the field first. No behaviour changes.

--- a/core/core.go
+++ b/core/core.go
@@ -2,8 +2,6 @@
 // packages. It performs no I/O and imports no other package of this module.
 package core
 
-import "time"
-
 // WorkspaceID identifies a workspace, the unit of isolation between customers.
 type WorkspaceID string
 
@@ -122,10 +120,3 @@
 // BlockKey identifies a cache block within its scope. It is the truncated value of a
 // SHA-256 chain over the scope's salt and the prompt up to the end of the block.
 type BlockKey [16]byte
-
-// Lease is a permission of Holder for a limited duration. Fence is its fencing token.
-type Lease struct {
-	Holder   NodeID
-	Fence    Fence
-	Duration time.Duration
-}
--- a/placement/links.go
+++ b/placement/links.go
@@ -83,9 +83,7 @@
 		l.pendingMs = max(l.pendingMs-f.nominalMs, 0)
 		totalMs += f.queuedMs
 	}
-	// The check of hasReport has no effect at present, because RecordReport, the only
-	// caller, sets hasReport first.
-	if len(a.transfers) == 0 || !a.hasReport {
+	if len(a.transfers) == 0 {
 		return
 	}
 	unexplainedMs := float64(now.Sub(a.sentAt).Microseconds())/1000 - a.nonTransferMs - firstByteNoiseMs
--- a/route/table.go
+++ b/route/table.go
@@ -49,8 +49,7 @@
 // upstream is the routing state of one upstream.
 type upstream struct {
 	UpstreamConfig
-	occupied bool
-	group    *group
+	group *group
 	// generation is incremented when the upstream loses its cache and when the slot
 	// is freed.
 	generation     uint32
@@ -149,7 +148,7 @@
 		t.recentKeys = append(t.recentKeys, recentKeys{})
 	}
 	generation := t.upstreams[slot].generation
-	t.upstreams[slot] = upstream{occupied: true, generation: generation, availableIndex: noIndex, retention: t.opts.InitialRetention}
+	t.upstreams[slot] = upstream{generation: generation, availableIndex: noIndex, retention: t.opts.InitialRetention}
 	t.slots[id] = slot
 	return slot
 }
