Log connections that a planned stop closes with unanswered requests

Change: callers_closing is written when the listener and idle connections are about to be closed, and says whether connections wait to be accepted. closed_unanswered is written for each connection that is closed with bytes of an unanswered request, read or unread, with the state that net/http gives it. No change of behaviour.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -80,7 +80,10 @@
 	metrics      *telemetry.Metrics
 	incarnation  core.Incarnation
 	callerServer *http.Server
-	stopping     chan struct{}
+	callerConns  *connTimeoutDuty
+	// callerListener is the listener of callerServer.
+	callerListener *net.TCPListener
+	stopping       chan struct{}
 	// settingsFile is the path of the settings file.
 	settingsFile string
 }
@@ -242,14 +245,14 @@
 		return err
 	}
 	p.group.Go("inner protocol", func(ctx context.Context) error { return transport.Serve(ctx, inner, nil, mux) })
-	if _, err := p.serve("metrics", p.settings.Metrics, p.metrics.Handler(), defaultTimeouts); err != nil {
+	if _, _, _, err := p.serve("metrics", p.settings.Metrics, p.metrics.Handler(), defaultTimeouts); err != nil {
 		return err
 	}
-	if p.callerServer, err = p.serve("callers", p.settings.Callers, p.gateway, p.callerTimeouts); err != nil {
+	if p.callerServer, p.callerConns, p.callerListener, err = p.serve("callers", p.settings.Callers, p.gateway, p.callerTimeouts); err != nil {
 		return err
 	}
 	// The load balancer sends connections as soon as a readiness check succeeds.
-	_, err = p.serve("readiness", p.settings.Readiness, p.readinessHandler(), defaultTimeouts)
+	_, _, _, err = p.serve("readiness", p.settings.Readiness, p.readinessHandler(), defaultTimeouts)
 	return err
 }
 
@@ -277,10 +280,10 @@
 }
 
 // serve starts the duties of a server and of the timeouts of its connections.
-func (p *process) serve(name, address string, handler http.Handler, timeouts func() connTimeouts) (*http.Server, error) {
+func (p *process) serve(name, address string, handler http.Handler, timeouts func() connTimeouts) (*http.Server, *connTimeoutDuty, *net.TCPListener, error) {
 	l, err := listenTCP(address)
 	if err != nil {
-		return nil, err
+		return nil, nil, nil, err
 	}
 	timeoutDuty := newConnTimeoutDuty(timeouts, p.log)
 	server := &http.Server{
@@ -295,7 +298,7 @@
 		}
 		return nil
 	})
-	return server, nil
+	return server, timeoutDuty, l, nil
 }
 
 // defaultTimeouts returns zero timeouts, which select the defaults.
@@ -350,6 +353,10 @@
 	}
 	ctx, cancel = context.WithDeadline(context.Background(), stopStarted.Add(p.settings.Bounds.Grace-stopReserve))
 	defer cancel()
+	p.callerConns.stopping.Store(true)
+	p.log.WithFields(logrus.Fields{
+		"event": "callers_closing", "elapsed_ms": time.Since(stopStarted).Milliseconds(), "accept_queue": hasPendingConns(p.callerListener),
+	}).Info("closing the callers' listener and idle connections")
 	if err := p.callerServer.Shutdown(ctx); err != nil {
 		p.log.WithField("event", "calls_cut").WithError(err).Warn("planned stop did not complete all calls before its deadline")
 	}
--- a/frontend/waiting.go
+++ b/frontend/waiting.go
@@ -5,9 +5,11 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	"waxwingtide.example/waxwingtide/ring"
 )
@@ -18,6 +20,8 @@
 	connChangeCapacity = 1024
 	// connCheckInterval is the interval between two checks for expired connections.
 	connCheckInterval = time.Second
+	// maxUnreadBytes limits the count of unread bytes in log lines.
+	maxUnreadBytes = 512
 	// defaultIdleTimeout and defaultHeaderTimeout apply if the configuration sets no
 	// timeout.
 	defaultIdleTimeout   = 60 * time.Second
@@ -51,6 +55,8 @@
 	changes  *ring.Ring[connChange]
 	timeouts func() connTimeouts
 	log      logrus.FieldLogger
+	// stopping is set while a planned stop closes connections.
+	stopping atomic.Bool
 }
 
 // connChange is the start of a connection's phase.
@@ -71,17 +77,75 @@
 	duty *connTimeoutDuty
 	// awaitingFirstByte is set until the first byte of the next request is received.
 	awaitingFirstByte atomic.Bool
+	// state is the http.ConnState. received and written count the bytes since the
+	// connection last became idle. lastReadAt is the time of the last byte in
+	// nanoseconds since 1970.
+	state             atomic.Int32
+	received, written atomic.Int64
+	lastReadAt        atomic.Int64
 }
 
 // Read implements net.Conn.
 func (c *timedConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.received.Add(int64(n))
+		c.lastReadAt.Store(time.Now().UnixNano())
+	}
 	if n > 0 && c.awaitingFirstByte.CompareAndSwap(true, false) {
 		c.duty.changes.Push(connChange{conn: c, phase: awaitingHeader, changedAt: time.Now()})
 	}
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *timedConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// Close implements net.Conn. During a planned stop it logs a connection that has an
+// unanswered request.
+func (c *timedConn) Close() error {
+	if c.duty.stopping.Load() && c.written.Load() == 0 {
+		c.logUnanswered()
+	}
+	return c.TCPConn.Close()
+}
+
+// logUnanswered logs the bytes of an unanswered request, if there are any.
+func (c *timedConn) logUnanswered() {
+	unread := unreadBytes(c.TCPConn)
+	received := c.received.Load()
+	if received == 0 && unread == 0 {
+		return
+	}
+	fields := logrus.Fields{
+		"event": "closed_unanswered", "caller": c.RemoteAddr().String(), "state": http.ConnState(c.state.Load()).String(),
+		"received": received, "unread": unread,
+	}
+	if at := c.lastReadAt.Load(); received > 0 {
+		fields["last_byte_ms"] = time.Since(time.Unix(0, at)).Milliseconds()
+	}
+	c.duty.log.WithFields(fields).Warn("closed a connection with an unanswered request")
+}
+
+// unreadBytes returns the number of received bytes that have not been read, up to
+// maxUnreadBytes.
+func unreadBytes(conn *net.TCPConn) int {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0 // the connection is closed
+	}
+	n := 0
+	var buf [maxUnreadBytes]byte
+	_ = raw.Control(func(fd uintptr) { // fails only if the connection is closed
+		n, _, _ = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return max(n, 0)
+}
+
 // timedListener accepts connections as timedConn.
 type timedListener struct {
 	*net.TCPListener
@@ -101,9 +165,15 @@
 // http.Server.
 func (d *connTimeoutDuty) recordState(conn net.Conn, state http.ConnState) {
 	phase := notWaiting
+	c, timed := conn.(*timedConn)
+	if timed {
+		c.state.Store(int32(state))
+	}
 	if state == http.StateNew || state == http.StateIdle {
 		phase = awaitingRequest
-		if c, ok := conn.(*timedConn); ok {
+		if timed {
+			c.received.Store(0)
+			c.written.Store(0)
 			c.awaitingFirstByte.Store(true)
 		}
 	}
@@ -172,3 +242,16 @@
 		}).Info("closed connections whose clients exceeded a timeout")
 	}
 }
+
+// hasPendingConns reports whether connections wait to be accepted.
+func hasPendingConns(l *net.TCPListener) bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false // the listener is closed
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) { // fails only if the listener is closed
+		n, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return n > 0
+}
