Move the HTTP server for callers into a package of its own

The planned stops of a front and of an entry use the same calls of net/http. No change of behaviour.

--- a/frontend/waiting.go
+++ b/callerhttp/waiting.go
@@ -1,4 +1,4 @@
-package frontend
+package callerhttp
 
 import (
 	"context"
@@ -28,14 +28,14 @@
 	defaultHeaderTimeout = 5 * time.Second
 )
 
-// connTimeouts limit the time for which a connection waits for its client. 0 selects
+// Timeouts limit the time for which a connection waits for its client. 0 selects
 // the default.
-type connTimeouts struct {
-	// header is the maximum time from the first byte of a request to the end of its
+type Timeouts struct {
+	// Header is the maximum time from the first byte of a request to the end of its
 	// headers.
-	header time.Duration
-	// idle is the maximum time without a request.
-	idle time.Duration
+	Header time.Duration
+	// Idle is the maximum time without a request.
+	Idle time.Duration
 }
 
 // connPhase states what a connection waits for.
@@ -53,7 +53,7 @@
 // timeouts.
 type connTimeoutDuty struct {
 	changes  *ring.Ring[connChange]
-	timeouts func() connTimeouts
+	timeouts func() Timeouts
 	log      logrus.FieldLogger
 	// stopping is set while a planned stop closes connections.
 	stopping atomic.Bool
@@ -66,7 +66,7 @@
 	changedAt time.Time
 }
 
-func newConnTimeoutDuty(timeouts func() connTimeouts, log logrus.FieldLogger) *connTimeoutDuty {
+func newConnTimeoutDuty(timeouts func() Timeouts, log logrus.FieldLogger) *connTimeoutDuty {
 	return &connTimeoutDuty{changes: ring.New[connChange](connChangeCapacity), timeouts: timeouts, log: log}
 }
 
@@ -217,17 +217,17 @@
 // closeExpired closes the waiting connections whose timeouts have expired.
 func (d *connTimeoutDuty) closeExpired(waiting map[net.Conn]connChange, now time.Time) {
 	timeouts := d.timeouts()
-	if timeouts.header <= 0 {
-		timeouts.header = defaultHeaderTimeout
+	if timeouts.Header <= 0 {
+		timeouts.Header = defaultHeaderTimeout
 	}
-	if timeouts.idle <= 0 {
-		timeouts.idle = defaultIdleTimeout
+	if timeouts.Idle <= 0 {
+		timeouts.Idle = defaultIdleTimeout
 	}
 	idleCount, headerCount := 0, 0
 	for conn, c := range waiting {
-		timeout, count := timeouts.idle, &idleCount
+		timeout, count := timeouts.Idle, &idleCount
 		if c.phase == awaitingHeader {
-			timeout, count = timeouts.header, &headerCount
+			timeout, count = timeouts.Header, &headerCount
 		}
 		if now.Sub(c.changedAt) > timeout {
 			_ = conn.Close() // the connection is abandoned even if closing it fails
@@ -237,8 +237,8 @@
 	}
 	if idleCount > 0 || headerCount > 0 {
 		d.log.WithFields(logrus.Fields{
-			"event": "waiting_closed", "idle": idleCount, "idle_limit_ms": timeouts.idle.Milliseconds(),
-			"head": headerCount, "head_limit_ms": timeouts.header.Milliseconds(),
+			"event": "waiting_closed", "idle": idleCount, "idle_limit_ms": timeouts.Idle.Milliseconds(),
+			"head": headerCount, "head_limit_ms": timeouts.Header.Milliseconds(),
 		}).Info("closed connections whose clients exceeded a timeout")
 	}
 }
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -12,13 +12,13 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sirupsen/logrus"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
 	"waxwingtide.example/waxwingtide/cacheevents"
+	"waxwingtide.example/waxwingtide/callerhttp"
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
@@ -79,11 +79,8 @@
 	dialer       *transport.Dialer
 	metrics      *telemetry.Metrics
 	incarnation  core.Incarnation
-	callerServer *http.Server
-	callerConns  *connTimeoutDuty
-	// callerListener is the listener of callerServer.
-	callerListener *net.TCPListener
-	stopping       chan struct{}
+	callerServer *callerhttp.Server
+	stopping     chan struct{}
 	// settingsFile is the path of the settings file.
 	settingsFile string
 }
@@ -245,14 +242,14 @@
 		return err
 	}
 	p.group.Go("inner protocol", func(ctx context.Context) error { return transport.Serve(ctx, inner, nil, mux) })
-	if _, _, _, err := p.serve("metrics", p.settings.Metrics, p.metrics.Handler(), defaultTimeouts); err != nil {
+	if _, err := p.serve("metrics", p.settings.Metrics, p.metrics.Handler(), defaultTimeouts); err != nil {
 		return err
 	}
-	if p.callerServer, p.callerConns, p.callerListener, err = p.serve("callers", p.settings.Callers, p.gateway, p.callerTimeouts); err != nil {
+	if p.callerServer, err = p.serve("callers", p.settings.Callers, p.gateway, p.callerTimeouts); err != nil {
 		return err
 	}
 	// The load balancer sends connections as soon as a readiness check succeeds.
-	_, _, _, err = p.serve("readiness", p.settings.Readiness, p.readinessHandler(), defaultTimeouts)
+	_, err = p.serve("readiness", p.settings.Readiness, p.readinessHandler(), defaultTimeouts)
 	return err
 }
 
@@ -279,37 +276,29 @@
 	return l.(*net.TCPListener), nil // the network is tcp
 }
 
-// serve starts the duties of a server and of the timeouts of its connections.
-func (p *process) serve(name, address string, handler http.Handler, timeouts func() connTimeouts) (*http.Server, *connTimeoutDuty, *net.TCPListener, error) {
+// serve starts the duties of a server.
+func (p *process) serve(name, address string, handler http.Handler, timeouts func() callerhttp.Timeouts) (*callerhttp.Server, error) {
 	l, err := listenTCP(address)
 	if err != nil {
-		return nil, nil, nil, err
-	}
-	timeoutDuty := newConnTimeoutDuty(timeouts, p.log)
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: timeoutDuty.recordState,
+		return nil, err
 	}
-	p.group.Go(name+" waiting connections", timeoutDuty.run)
-	p.group.Go(name, func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		if err := server.Serve(timedListener{l, timeoutDuty}); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
+	server := callerhttp.New(callerhttp.Options{
+		Name: name, Listener: l, Handler: handler, Timeouts: timeouts, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Log: p.log,
 	})
-	return server, timeoutDuty, l, nil
+	server.Start(p.group)
+	return server, nil
 }
 
 // defaultTimeouts returns zero timeouts, which select the defaults.
-func defaultTimeouts() connTimeouts { return connTimeouts{} }
+func defaultTimeouts() callerhttp.Timeouts { return callerhttp.Timeouts{} }
 
 // callerTimeouts returns the timeouts of the configuration in force.
-func (p *process) callerTimeouts() connTimeouts {
+func (p *process) callerTimeouts() callerhttp.Timeouts {
 	if c := p.fleet.View().Config; c != nil {
-		return connTimeouts{header: c.Limits.HeaderTimeout, idle: c.Limits.IdleTimeout}
+		return callerhttp.Timeouts{Header: c.Limits.HeaderTimeout, Idle: c.Limits.IdleTimeout}
 	}
-	return connTimeouts{}
+	return callerhttp.Timeouts{}
 }
 
 // readinessHandler responds to the readiness checks of the platform's load balancer.
@@ -353,11 +342,7 @@
 	}
 	ctx, cancel = context.WithDeadline(context.Background(), stopStarted.Add(p.settings.Bounds.Grace-stopReserve))
 	defer cancel()
-	p.callerConns.stopping.Store(true)
-	p.log.WithFields(logrus.Fields{
-		"event": "callers_closing", "elapsed_ms": time.Since(stopStarted).Milliseconds(), "accept_queue": hasPendingConns(p.callerListener),
-	}).Info("closing the callers' listener and idle connections")
-	if err := p.callerServer.Shutdown(ctx); err != nil {
+	if err := p.callerServer.Drain(ctx); err != nil {
 		p.log.WithField("event", "calls_cut").WithError(err).Warn("planned stop did not complete all calls before its deadline")
 	}
 }
