--- /dev/null
+++ b/frontend/stop_test.go
@@ -0,0 +1,70 @@
+package frontend_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against requests that a planned stop takes and gives up: their heads were
+// partly received when the front began to close connections.
+func TestPlannedStopAnswersRequestsThatHaveBegun(t *testing.T) {
+	d := newDeployment(t)
+	d.startServer("i-1", "svc", nil)
+	f := newFront()
+	f.grace = 6 * time.Second
+	d.runFront("front-1", f)
+	d.eventually(f.ready, "front is not ready")
+	const head = "GET /open/x HTTP/1.1\r\nHost: gates.example\r\nRequest-Id: r\r\nDeadline-Ms: 2500\r\n"
+	kept, opened := f.dial(t), f.dial(t)
+	keptReader := bufio.NewReader(kept)
+	send(t, kept, head+"\r\n")
+	require.Equal(t, http.StatusOK, readResponse(t, keptReader).StatusCode)
+	send(t, kept, head)
+	send(t, opened, head)
+	f.stop()
+	d.eventually(func() bool {
+		conn, err := net.Dial("tcp", f.callerAddress)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	}, "the front does not close its listener")
+	for conn, reader := range map[net.Conn]*bufio.Reader{kept: keptReader, opened: bufio.NewReader(opened)} {
+		send(t, conn, "\r\n")
+		resp := readResponse(t, reader)
+		require.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, resp.StatusCode)
+		require.True(t, resp.Close)
+	}
+}
+
+// dial opens a connection of a caller.
+func (f *front) dial(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", f.callerAddress)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(2*testTimeout)))
+	return conn
+}
+
+func send(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	_, err := io.WriteString(conn, text)
+	require.NoError(t, err)
+}
+
+// readResponse reads a whole response.
+func readResponse(t *testing.T, reader *bufio.Reader) *http.Response {
+	t.Helper()
+	resp, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err, "the connection ended without a response")
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	return resp
+}
--- a/frontend/world_test.go
+++ b/frontend/world_test.go
@@ -38,8 +38,10 @@
 	callerAddress    string
 	readinessAddress string
 	innerAddress     string
-	stop             context.CancelFunc
-	exited           chan error
+	// grace is the time of a planned stop.
+	grace  time.Duration
+	stop   context.CancelFunc
+	exited chan error
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -137,7 +139,12 @@
 
 func (d *deployment) startFront(name string) *front {
 	d.t.Helper()
-	f := newFront()
+	return d.runFront(name, newFront())
+}
+
+// runFront runs a front that has not started.
+func (d *deployment) runFront(name string, f *front) *front {
+	d.t.Helper()
 	file := d.writeSettings(name, f)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
@@ -157,7 +164,7 @@
 
 // newFront returns a front that has not started.
 func newFront() *front {
-	return &front{callerAddress: freeAddress(), readinessAddress: freeAddress(), innerAddress: freeAddress(), exited: make(chan error, 1)}
+	return &front{callerAddress: freeAddress(), readinessAddress: freeAddress(), innerAddress: freeAddress(), grace: time.Second, exited: make(chan error, 1)}
 }
 
 // writeSettings writes the settings file of a front and returns its path.
@@ -176,11 +183,11 @@
 metrics: %q
 seeds: [%s]
 store: %q
-bounds: {lease: 3000ms, weights: 10s, grace: 1s, cold_over: 1.5, cold_slack: 5, retry_share: 0.2, retry_slack: 50, retry_window: 10s}
+bounds: {lease: 3000ms, weights: 10s, grace: %s, cold_over: 1.5, cold_slack: 5, retry_share: 0.2, retry_slack: 50, retry_window: 10s}
 stop: {rotation: 100ms}
 rollout: {canary_share: 0.3}
 log: {level: error}
-`, name, f.callerAddress, f.readinessAddress, f.innerAddress, freeAddress(), seeds, d.storeAddress)
+`, name, f.callerAddress, f.readinessAddress, f.innerAddress, freeAddress(), seeds, d.storeAddress, f.grace)
 	file := filepath.Join(d.t.TempDir(), "front.yaml")
 	require.NoError(d.t, os.WriteFile(file, []byte(body), 0o600))
 	return file
