Drain callers' connections in the planned stop of an entry

What callers saw: nothing was reported. The planned stop of an entry has the same cause as that of a front: http.Server.Shutdown closes idle connections with unread requests and discards each request whose head is completed after its call.

Change: entries serve callers with callerhttp and drain it. Its drain closes a connection only where no request has begun, also with TLS and HTTP/2 (an HTTP/2 connection gets GOAWAY with its next response). The administration API keeps its http.Server.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -65,15 +65,15 @@
 	}
 	p.group.Go("administration events", api.Events)
 	e.Start(p.group)
-	callerServer, err := p.serveHTTP("callers", p.deps.CallerListener, s.Callers, e.Handler())
+	callerServer, err := p.serveCallers(s.Callers, e.Handler())
 	if err != nil {
 		return err
 	}
 	p.log.WithFields(logrus.Fields{"event": "start", "node": s.Node, "failure_domain": s.FailureDomain}).Info("entry started")
 	return p.waitAndStop(ctx, func(ctx context.Context) {
 		e.Drain()
-		if err := callerServer.Shutdown(ctx); err != nil {
-			p.log.WithFields(logrus.Fields{"event": "drain", "node": s.Node}).WithError(err).Warn("shutdown did not finish; active calls are interrupted")
+		if err := callerServer.Drain(ctx); err != nil {
+			p.log.WithFields(logrus.Fields{"event": "drain", "node": s.Node}).WithError(err).Warn("drain did not finish; active calls are interrupted")
 		}
 	})
 }
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -19,6 +19,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"waxwingtide.example/waxwingtide/bundle"
+	"waxwingtide.example/waxwingtide/callerhttp"
 	"waxwingtide.example/waxwingtide/control"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
@@ -248,8 +249,7 @@
 	p.group.Go("inner protocol", func(ctx context.Context) error {
 		return transport.Serve(ctx, inner, config, p.mux)
 	})
-	_, err = p.serveHTTP("administration", p.deps.AdminListener, p.common.Admin, admin)
-	return err
+	return p.serveAdmin(admin)
 }
 
 // listen returns the replacement, or a new listener on the address if the replacement
@@ -262,26 +262,23 @@
 	return l, errs.Wrap(err, errs.Invalid, "set a free address of this VM", "cannot listen on %s", address)
 }
 
-// serveHTTP starts a duty with an HTTP server. The duty ends with the group or when
-// the server is shut down.
-func (p *process) serveHTTP(name string, replacement net.Listener, s settings.Listener, handler http.Handler) (*http.Server, error) {
-	listener, err := listen(replacement, s.Address)
+// serveAdmin starts a duty with the HTTP server of the administration API. The duty ends
+// with the group.
+func (p *process) serveAdmin(handler http.Handler) error {
+	const name = "administration"
+	listener, err := listen(p.deps.AdminListener, p.common.Admin.Address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+	config, err := p.serverTLS(name, p.common.Admin.TLS)
+	if err != nil {
+		return err
 	}
-	if s.TLS != nil {
-		identity, err := security.LoadTLSIdentity(newTLSFiles(s.TLS), p.log)
-		if err != nil {
-			return nil, err
-		}
-		listener = tls.NewListener(listener, identity.ServerConfig())
-		p.group.Go(name+" certificates", identity.FileWatchDuty())
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	p.group.Go(name, func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
@@ -292,9 +289,49 @@
 		}
 		return err
 	})
+	return nil
+}
+
+// serveCallers starts the duties of the server for callers.
+func (p *process) serveCallers(s settings.Listener, handler http.Handler) (*callerhttp.Server, error) {
+	const name = "callers"
+	listener, err := listen(p.deps.CallerListener, s.Address)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		return nil, errs.New(errs.Invalid, "use a TCP listener", "callers cannot be served on a %T", listener)
+	}
+	config, err := p.serverTLS(name, s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	server := callerhttp.New(callerhttp.Options{
+		Name: name, Listener: tcp, TLS: config, Handler: handler,
+		Timeouts: func() callerhttp.Timeouts {
+			return callerhttp.Timeouts{Header: readHeaderTimeout, Idle: idleTimeout}
+		},
+		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Log: p.log,
+	})
+	server.Start(p.group)
 	return server, nil
 }
 
+// serverTLS returns the TLS configuration of a listener, or nil without TLS. It starts a
+// duty that loads changed certificates.
+func (p *process) serverTLS(name string, files *settings.TLS) (*tls.Config, error) {
+	if files == nil {
+		return nil, nil
+	}
+	identity, err := security.LoadTLSIdentity(newTLSFiles(files), p.log)
+	if err != nil {
+		return nil, err
+	}
+	p.group.Go(name+" certificates", identity.FileWatchDuty())
+	return identity.ServerConfig(), nil
+}
+
 // adminHandler serves health checks and metrics, and the administration API unless api
 // is nil.
 func (p *process) adminHandler(ready func() bool, api http.Handler) http.Handler {
