Keep connections whose late heads have arrived

A front that is suspended, or short of processor time, in the middle of a request's head closes the connection when the limit for heads has passed, though the rest of the head is in the socket.

Cause: the duty decides by when the reader read the first byte, not by what has arrived.

Change: a connection with unread bytes is not closed for a late head. The client is not waited for then, and readHeaderTimeout of http.Server still limits it.

--- a/callerhttp/drain_test.go
+++ b/callerhttp/drain_test.go
@@ -204,20 +204,11 @@
 
 // Guards against connections with an unread request that are closed as idle ones.
 func TestConnectionWithUnreadBytesIsNotQuiet(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	clientConn, err := net.Dial("tcp", l.Addr().String())
-	require.NoError(t, err)
-	defer func() { _ = clientConn.Close() }()
-	accepted, err := l.Accept()
-	require.NoError(t, err)
-	c := newConn(accepted.(*net.TCPConn), newConnDuty(nil, logrus.New()))
-	defer func() { _ = c.Close() }()
+	c, clientConn := newConnPair(t)
 	buf := make([]byte, 64)
 
 	c.closeIfQuiet(time.Nanosecond)
-	_, err = c.Read(buf)
+	_, err := c.Read(buf)
 	require.True(t, isTimeout(err), "a quiet connection is closed")
 
 	_, err = io.WriteString(clientConn, "GET")
--- a/callerhttp/waiting.go
+++ b/callerhttp/waiting.go
@@ -176,6 +176,9 @@
 	for c := range table.open {
 		switch state := c.waitState(); {
 		case state.isHeaderLate(now, timeouts):
+			if unreadBytes(c.TCPConn) > 0 {
+				continue // the process is late, not the client
+			}
 			_ = c.Close() // the connection is abandoned even if closing it fails
 			headerCount++
 		case state.isQuiet(now, idleTimeout):
