--- a/core/core.go
+++ b/core/core.go
@@ -39,6 +39,12 @@
 // so far.
 type Epoch uint64
 
+// Generation is the generation of the content of the platform's metadata store. It
+// increases each time that content is restored from a copy. Row versions of the lost
+// content are then assigned again, so that versions of different generations are not
+// comparable.
+type Generation uint64
+
 // Fence is a fencing token. A larger fence supersedes a smaller one.
 type Fence uint64
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -44,6 +44,9 @@
 	Rows []Row
 	// Version is the store's version at the time of the response.
 	Version uint64
+	// Generation is the generation of the store's content. Versions of different
+	// generations are not comparable.
+	Generation core.Generation
 	// Now is the reading of the store's monotonic clock.
 	Now time.Duration
 }
--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -15,7 +16,9 @@
 	owner   *stateOwner
 	rows    map[platformKey]platformRow
 	version uint64
-	started time.Time
+	// generation rises with each restore.
+	generation uint64
+	started    time.Time
 	// waiters are closed at the next change.
 	changed chan struct{}
 	// dark makes the store refuse all calls with status 503.
@@ -63,6 +66,30 @@
 	s.owner.do(func() { s.commit([]platformRow{{Table: table, Key: key, Value: body, Removed: value == nil}}) })
 }
 
+// StoreCopy is a copy of the store's content.
+type StoreCopy struct {
+	rows    map[platformKey]platformRow
+	version uint64
+}
+
+// Copy returns a copy of the content.
+func (s *PlatformStore) Copy() StoreCopy {
+	var out StoreCopy
+	s.owner.do(func() { out = StoreCopy{rows: maps.Clone(s.rows), version: s.version} })
+	return out
+}
+
+// Restore replaces the content by a copy. What was written since the copy is lost, and
+// its versions are assigned again.
+func (s *PlatformStore) Restore(from StoreCopy) {
+	s.owner.do(func() {
+		s.rows, s.version = maps.Clone(from.rows), from.version
+		s.generation++
+		close(s.changed)
+		s.changed = make(chan struct{})
+	})
+}
+
 // Row returns the value of a row and whether it exists.
 func (s *PlatformStore) Row(table, key string) (value []byte, ok bool) {
 	s.owner.do(func() {
@@ -101,11 +128,19 @@
 	}
 }
 
-func (s *PlatformStore) answer(w http.ResponseWriter, status int, rows []platformRow, version uint64) {
+// page is a result of the store.
+type page struct {
+	rows       []platformRow
+	version    uint64
+	generation uint64
+}
+
+func (s *PlatformStore) answer(w http.ResponseWriter, status int, p page) {
+	w.Header().Set("Store-Era", strconv.FormatUint(p.generation, 10))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(map[string]any{
-		"rows": rows, "has-more": false, "ver": version, "now-ms": time.Since(s.started).Milliseconds(),
+		"rows": p.rows, "has-more": false, "ver": p.version, "now-ms": time.Since(s.started).Milliseconds(),
 	})
 }
 
@@ -122,10 +157,11 @@
 }
 
 func (s *PlatformStore) get(w http.ResponseWriter, r *http.Request) {
-	var rows []platformRow
-	var version uint64
-	s.owner.do(func() { rows, version = s.after(r.URL.Query().Get("table"), 0, false), s.version })
-	s.answer(w, http.StatusOK, rows, version)
+	var p page
+	s.owner.do(func() {
+		p = page{rows: s.after(r.URL.Query().Get("table"), 0, false), version: s.version, generation: s.generation}
+	})
+	s.answer(w, http.StatusOK, p)
 }
 
 func (s *PlatformStore) feed(w http.ResponseWriter, r *http.Request) {
@@ -135,18 +171,24 @@
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for {
-		var rows []platformRow
-		var version uint64
+		var p page
 		var changed chan struct{}
-		s.owner.do(func() { rows, version, changed = s.after(query.Get("table"), after, true), s.version, s.changed })
-		if len(rows) > 0 {
-			s.answer(w, http.StatusOK, rows, version)
+		s.owner.do(func() {
+			p = page{rows: s.after(query.Get("table"), after, true), version: s.version, generation: s.generation}
+			changed = s.changed
+		})
+		if after > p.version {
+			s.answer(w, http.StatusGone, page{version: p.version, generation: p.generation})
+			return
+		}
+		if len(p.rows) > 0 {
+			s.answer(w, http.StatusOK, p)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			s.answer(w, http.StatusOK, nil, version)
+			s.answer(w, http.StatusOK, p)
 			return
 		case <-r.Context().Done():
 			return
@@ -164,7 +206,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	status, version := http.StatusOK, uint64(0)
+	status := http.StatusOK
+	var p page
 	s.owner.do(func() {
 		for _, c := range tx.Conditions {
 			have := s.rows[platformKey{c.Table, c.Key}]
@@ -173,6 +216,7 @@
 			}
 			if have.Version != c.Version {
 				status = http.StatusPreconditionFailed
+				p = page{version: s.version, generation: s.generation}
 				return
 			}
 		}
@@ -180,10 +224,10 @@
 			tx.Removes[i].Removed = true
 		}
 		s.commit(append(tx.Puts, tx.Removes...))
-		version = s.version
+		p = page{version: s.version, generation: s.generation}
 	})
 	if s.loseAnswers.Load() {
 		panic(http.ErrAbortHandler)
 	}
-	s.answer(w, status, nil, version)
+	s.answer(w, status, p)
 }
