Keep the final state of a rollout after a restore of the store

After the store lost the rows of a rollout and the operator wrote the request again, the rollout began anew: calls went to a version that had been withdrawn, or back to old upstreams that stop once the rollout is completed, and the lost status was not written again.

Cause: a rollout was identified by the version of its request's row, and its final state was read from the status row alone. Both change in a restore.

Change: a rollout is identified by its version and the time of its request in this process, and remembers that it was completed. A final state that the store no longer has is reported again.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -122,7 +122,7 @@
 	next := make(map[core.ServiceID]*trackedRollout, len(in.Rollouts))
 	for service, requested := range in.Rollouts {
 		r := c.rollouts[service]
-		if r == nil || r.RequestRowVersion != requested.RequestRowVersion || r.Version != requested.Version {
+		if r == nil || !r.isRequestedBy(requested) {
 			// The start of a rollout that is older than this process is unknown. It
 			// is assumed to be now, so that the cutover is late rather than early.
 			startedAt := requested.RequestedAt
@@ -133,6 +133,7 @@
 		}
 		r.ActiveRollout = requested
 		r.bad = r.bad || r.hasStatus(catalog.RolloutRolledBack)
+		r.completed = r.completed || r.hasStatus(catalog.RolloutCompleted)
 		r.setCanaries(in.Upstreams, c.share)
 		if r.hasUpstreams && r.firstListedAt.IsZero() {
 			r.firstListedAt = now
@@ -156,7 +157,7 @@
 	switch {
 	case r == nil:
 		return Filter{}
-	case r.hasStatus(catalog.RolloutCompleted):
+	case r.completed:
 		return Filter{RequiredVersion: r.Version} // the old upstreams stop, whatever was found
 	case r.bad:
 		return Filter{ExcludedVersion: r.Version}
@@ -207,7 +208,7 @@
 // the sample completes the evidence that the new version is worse.
 func (c *Controller) Observe(now time.Time, s Sample) (FailedRollout, bool) {
 	r := c.rollouts[s.Service]
-	if r == nil || r.bad || r.hasStatus(catalog.RolloutCompleted) {
+	if r == nil || r.bad || r.completed {
 		return FailedRollout{}, false
 	}
 	version := oldVersion
@@ -226,8 +227,8 @@
 }
 
 // PendingUpdates returns the statuses that have not been reported to the operator
-// yet, sorted by service. A version that was rolled back remains so: no process
-// reports the rollout as completed afterwards.
+// yet or whose report the store has lost, sorted by service. A version that was rolled
+// back remains so: no process reports the rollout as completed afterwards.
 func (c *Controller) PendingUpdates(now time.Time) []StatusUpdate {
 	var updates []StatusUpdate
 	for service, r := range c.rollouts {
@@ -236,6 +237,8 @@
 		switch {
 		case r.hasStatus(catalog.RolloutCompleted) || r.hasStatus(catalog.RolloutRolledBack):
 			continue
+		case r.completed:
+			state = catalog.RolloutCompleted
 		case r.bad:
 			state = catalog.RolloutRolledBack
 		case r.isCutOver(now) && r.elapsed(now.Add(-time.Duration(rank)*staggerDelay), completionFraction):
--- a/canary/rollout.go
+++ b/canary/rollout.go
@@ -18,6 +18,9 @@
 	startedAt time.Time
 	judge     *rollout.Judge
 	bad       bool
+	// completed is set when the rollout was reported as completed, also when the store
+	// has lost the report.
+	completed bool
 	// canaries are the upstreams that serve the new version before the cutover.
 	canaries []core.UpstreamID
 	// hasUpstreams is set while at least one upstream runs the new version and is
@@ -30,6 +33,12 @@
 	heldUntil time.Time
 }
 
+// isRequestedBy reports whether a request is the one of this rollout. The version of its
+// row differs when the row was written again after a restore of the store.
+func (r *trackedRollout) isRequestedBy(requested fleet.ActiveRollout) bool {
+	return r.Version == requested.Version && r.RequestedAt.Equal(requested.RequestedAt)
+}
+
 // hasStatus reports whether the operator's status row contains the state for this
 // rollout.
 func (r *trackedRollout) hasStatus(state catalog.RolloutState) bool {
--- a/canary/verdict.go
+++ b/canary/verdict.go
@@ -67,7 +67,7 @@
 func (c *Controller) WithdrawDoubted(now time.Time) []catalog.Rollout {
 	var withdrawn []catalog.Rollout
 	for _, r := range c.rollouts {
-		if !r.bad && !r.hasStatus(catalog.RolloutCompleted) && r.elapsed(now, doubtDeadlineFraction) && r.doubted() {
+		if !r.bad && !r.completed && r.elapsed(now, doubtDeadlineFraction) && r.doubted() {
 			r.bad = true
 			withdrawn = append(withdrawn, r.Rollout)
 		}
