Separate the holders of the weights lease across restores of the store

Cause: the row of the lease was lost or older after a restore, so that another process took the lease at once, with a fence that had been used. Class: state of the store is taken as newer than what a process knows, though versions of two generations cannot be compared.

Change: fences of a newer generation are larger than all older ones. After its first observation of a generation, a process that does not hold the lease waits until leases of the lost content have expired and the gap has elapsed. The holder renews its lease at once. A write that another generation confirms does not count.

Evidence: with the wait or the fences of a generation taken out, TestStoreLeaseKeepsHoldersApartAfterRestores fails with "two holders" and with a fence that is used twice. TestFencesRiseAfterRestoreDuringLoads fails on the code before. The specification spec/timed.pml has no restores.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -126,6 +126,9 @@
 	// Epoch is the version of the newest row of the operator and upstreams tables,
 	// 0 when there is none. Processes exchange it in their messages.
 	Epoch core.Epoch
+	// Generation is the newest generation of the store's content from which a table was
+	// read.
+	Generation core.Generation
 	// Config is nil until a configuration is received.
 	Config *catalog.Config
 	// Upstreams are sorted by id.
--- a/lease/timed.go
+++ b/lease/timed.go
@@ -6,6 +6,11 @@
 	"waxwingtide.example/waxwingtide/core"
 )
 
+// fencesPerGeneration is the number of fences that are reserved for each generation of
+// the store's content. The fences of a newer generation are larger than all those of
+// older generations, whose rows may be lost.
+const fencesPerGeneration = 1 << 24
+
 // StoreLeaseRow is the content of the row of a StoreLease. Expiry is a time on the
 // monotonic clock of the platform's metadata store.
 type StoreLeaseRow struct {
@@ -35,7 +40,10 @@
 // lease immediately after the gap, without observing an unchanged row for the full
 // lease duration. The holder
 // measures local time with a clock that also advances while the VM is suspended.
-// One duty owns the state.
+//
+// After a restore of the store's content, the row may be older than the last lease, or
+// missing. A process that does not hold the lease then waits until a lease of the lost
+// content has expired and the gap after it has elapsed. One duty owns the state.
 type StoreLease struct {
 	cfg         StoreLeaseConfig
 	self        core.NodeID
@@ -50,6 +58,15 @@
 	// process does not hold the lease.
 	stopAt  time.Duration
 	renewAt time.Duration
+	// heldFence and heldGeneration are the fence of the lease that was last held and the
+	// generation in which it was written.
+	heldFence      core.Fence
+	heldGeneration core.Generation
+	// generation is the newest observed generation of the store's content.
+	generation core.Generation
+	// acquirableAt is the local time from which the lease may be acquired in this
+	// generation.
+	acquirableAt time.Duration
 }
 
 // NewStoreLease returns the state of a process that has not read the row.
@@ -57,39 +74,75 @@
 	return &StoreLease{cfg: cfg, self: self, incarnation: incarnation}
 }
 
+// ObserveGeneration records the generation of the store's content and the local time
+// after its first observation. Later observations of the same generation have no
+// effect. A process that has just started cannot know whether the content was restored
+// before, so that its first observation counts as a restore.
+func (l *StoreLease) ObserveGeneration(now time.Duration, generation core.Generation) {
+	if l.acquirableAt != 0 && generation <= l.generation {
+		return
+	}
+	l.generation = generation
+	l.acquirableAt = now + l.cfg.Duration + l.cfg.Gap
+}
+
+// Generation returns the newest observed generation.
+func (l *StoreLease) Generation() core.Generation { return l.generation }
+
 // RecordRead records the content of the row, the time that the store returned with
 // it and the local time before the row was requested. Version 0 means that the row
-// does not exist.
+// does not exist. A holder whose row was lost in a restore remains the holder until its
+// time has ended.
 func (l *StoreLease) RecordRead(requestedAt time.Duration, row StoreLeaseRow, version uint64, storeNow time.Duration) {
 	l.row, l.version, l.storeNow, l.requestedAt = row, version, storeNow, requestedAt
-	if row.Holder != l.self || row.Incarnation != l.incarnation {
+	isOwnRow := row.Holder == l.self && row.Incarnation == l.incarnation
+	if !isOwnRow && !l.holdsLostLease() {
 		l.stopAt = 0
 	}
 }
 
+// holdsLostLease reports whether this process holds the lease of an older generation.
+// Other processes do not acquire the lease meanwhile.
+func (l *StoreLease) holdsLostLease() bool {
+	return l.heldGeneration < l.generation && l.requestedAt < l.stopAt
+}
+
 // Proposal returns the row to write and the version that it replaces. It returns
-// false if another node is the holder and the gap after the expiry has not
-// elapsed. An acquisition raises the fence. A renewal keeps the fence.
+// false if another node may be the holder, or was the holder and the gap after the
+// expiry has not elapsed. An acquisition and the first renewal in a generation raise the
+// fence. Further renewals keep it.
 func (l *StoreLease) Proposal() (StoreLeaseRow, uint64, bool) {
-	sameNode := l.row.Holder == l.self
-	mayWrite := l.version == 0 || sameNode || l.storeNow >= l.row.Expiry+l.cfg.Gap
-	if !mayWrite {
+	if !l.mayWrite() {
 		return StoreLeaseRow{}, 0, false
 	}
 	next := StoreLeaseRow{Holder: l.self, Incarnation: l.incarnation, Fence: l.row.Fence, Expiry: l.storeNow + l.cfg.Duration}
-	if !sameNode || l.row.Incarnation != l.incarnation {
-		next.Fence++
+	lowestFence := core.Fence(l.generation) * fencesPerGeneration
+	isRenewal := l.row.Holder == l.self && l.row.Incarnation == l.incarnation
+	if !isRenewal || next.Fence < lowestFence {
+		next.Fence = max(next.Fence, lowestFence) + 1
 	}
 	return next, l.version, true
 }
 
+func (l *StoreLease) mayWrite() bool {
+	switch {
+	case l.requestedAt < l.stopAt:
+		return true
+	case l.requestedAt < l.acquirableAt:
+		return false
+	}
+	return l.version == 0 || l.row.Holder == l.self || l.storeNow >= l.row.Expiry+l.cfg.Gap
+}
+
 // TakeoverDelay returns the time, counted from the last request for the row, after
 // which another process may acquire the lease unless the holder renews it.
-func (l *StoreLease) TakeoverDelay() time.Duration { return max(l.row.Expiry+l.cfg.Gap-l.storeNow, 0) }
+func (l *StoreLease) TakeoverDelay() time.Duration {
+	return max(l.row.Expiry+l.cfg.Gap-l.storeNow, l.acquirableAt-l.requestedAt, 0)
+}
 
 // RecordWrite records that the row from Proposal was written.
 func (l *StoreLease) RecordWrite(row StoreLeaseRow) {
-	l.row = row
+	l.row, l.heldFence, l.heldGeneration = row, row.Fence, l.generation
 	l.stopAt = l.requestedAt + l.cfg.Duration - l.cfg.Margin
 	l.renewAt = l.requestedAt + l.cfg.RenewInterval
 }
@@ -104,7 +157,7 @@
 	if l.stopAt == 0 || now >= l.stopAt {
 		return 0, false
 	}
-	return l.row.Fence, true
+	return l.heldFence, true
 }
 
 // StopAt returns the local time at which the holder must stop.
--- a/weights/loader.go
+++ b/weights/loader.go
@@ -145,6 +145,7 @@
 // there are any, and schedules the first attempt to acquire the lease.
 func (l *Loader) checkJobs() []Job {
 	v := l.opts.Fleet.View()
+	l.observeGeneration(v.Generation)
 	requested := make(map[core.ModelID]catalog.WeightNumber, len(v.Weights))
 	for model, w := range v.Weights {
 		requested[model] = w.Newest().Version
@@ -206,6 +207,14 @@
 	return err
 }
 
+// observeGeneration records the generation of the store's content, for the lease.
+func (l *Loader) observeGeneration(generation core.Generation) {
+	if generation > l.lease.Generation() {
+		l.opts.Log.WithFields(logrus.Fields{"event": "lease_generation", "lease": leaseKey, "generation": generation}).Info("store was restored; the weights lease is not acquired until leases of the lost content have ended")
+	}
+	l.lease.ObserveGeneration(clock.SinceBoot(), generation)
+}
+
 // renew acquires or renews the lease.
 func (l *Loader) renew(ctx context.Context) {
 	requestedAt := clock.SinceBoot()
@@ -222,6 +231,7 @@
 		l.opts.Log.WithFields(logrus.Fields{"event": "lease_read", "lease": leaseKey}).Info("weights lease can be read again")
 	}
 	l.readFailed = false
+	l.observeGeneration(page.Generation)
 	row, rowVersion := decodeLease(page)
 	oldFence, wasHeld := l.lease.HeldFence(requestedAt)
 	l.lease.RecordRead(requestedAt, row, rowVersion, page.Now)
@@ -234,10 +244,7 @@
 		Holder: string(next.Holder), Incarnation: uint64(next.Incarnation), Fence: uint64(next.Fence), UntilMs: next.Expiry.Milliseconds(),
 	})
 	if err == nil {
-		_, err = l.opts.Store.Commit(ctx, fleet.Transaction{
-			Conditions: []fleet.Row{{Table: leaseTable, Key: leaseKey, Version: replacedRowVersion}},
-			Puts:       []fleet.Row{{Table: leaseTable, Key: leaseKey, Value: value}},
-		})
+		err = l.write(ctx, value, replacedRowVersion, page.Generation)
 	}
 	if err != nil {
 		l.opts.Log.WithFields(logrus.Fields{"event": "lease_not_taken", "lease": leaseKey, "fence": next.Fence}).WithError(err).Warn("write of the weights lease was not confirmed")
@@ -250,6 +257,19 @@
 	}
 }
 
+// write replaces the row of the lease if it still has the version that was read in the
+// given generation. The version may belong to another row after a restore.
+func (l *Loader) write(ctx context.Context, value []byte, replacedRowVersion uint64, generation core.Generation) error {
+	response, err := l.opts.Store.Commit(ctx, fleet.Transaction{
+		Conditions: []fleet.Row{{Table: leaseTable, Key: leaseKey, Version: replacedRowVersion}},
+		Puts:       []fleet.Row{{Table: leaseTable, Key: leaseKey, Value: value}},
+	})
+	if err == nil && response.Generation != generation {
+		return errs.New(errs.Conflict, "read the row again", "the metadata store was restored after the lease was read")
+	}
+	return err
+}
+
 func decodeLease(page fleet.StoreResponse) (lease.StoreLeaseRow, uint64) {
 	for _, r := range page.Rows {
 		var row wire.LeaseRow
