Split the weights loader and drop the filter of its errors

The duty, its lease and its jobs are in files of their own. ignoreClosed dropped every error without a kind; the ring's Send fails only when the loader stops, so its error is not needed at all. No change of behaviour.

--- a/weights/loader.go
+++ b/weights/loader.go
@@ -6,17 +6,14 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/clock"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
-	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/fleet"
 	"waxwingtide.example/waxwingtide/lease"
 	"waxwingtide.example/waxwingtide/ring"
-	"waxwingtide.example/waxwingtide/wire"
 )
 
 const (
@@ -192,162 +189,8 @@
 	for _, job := range l.tracker.nextJobs(time.Now(), jobs, maxConcurrentLoads(loadable, l.opts.LoadShare)) {
 		group.Go("load "+string(job.Upstream.ID), func(ctx context.Context) error {
 			succeeded := l.load(ctx, job)
-			return ignoreClosed(l.results.Send(ctx, jobResult{job: job, succeeded: succeeded}))
+			_ = l.results.Send(ctx, jobResult{job: job, succeeded: succeeded}) // fails only when the loader stops
+			return nil
 		})
 	}
 }
-
-// ignoreClosed drops the errors of a closed ring and of an ended context, which
-// Send returns when the loader stops. They have no kind of their own, and errs.Is
-// reports such errors as Internal.
-func ignoreClosed(err error) error {
-	if errs.Is(err, errs.Internal) {
-		return nil
-	}
-	return err
-}
-
-// observeGeneration records the generation of the store's content, for the lease.
-func (l *Loader) observeGeneration(generation core.Generation) {
-	if generation > l.lease.Generation() {
-		l.opts.Log.WithFields(logrus.Fields{"event": "lease_generation", "lease": leaseKey, "generation": generation}).Info("store was restored; the weights lease is not acquired until leases of the lost content have ended")
-	}
-	l.lease.ObserveGeneration(clock.SinceBoot(), generation)
-}
-
-// renew acquires or renews the lease.
-func (l *Loader) renew(ctx context.Context) {
-	requestedAt := clock.SinceBoot()
-	page, err := l.opts.Store.Rows(ctx, leaseTable)
-	if err != nil {
-		if !l.readFailed {
-			l.opts.Log.WithFields(logrus.Fields{"event": "lease_unread", "lease": leaseKey}).WithError(err).Warn("weights lease could not be read")
-		}
-		l.readFailed = true
-		l.nextLeaseAttempt = time.Now().Add(checkInterval)
-		return
-	}
-	if l.readFailed {
-		l.opts.Log.WithFields(logrus.Fields{"event": "lease_read", "lease": leaseKey}).Info("weights lease can be read again")
-	}
-	l.readFailed = false
-	l.observeGeneration(page.Generation)
-	row, rowVersion := decodeLease(page)
-	oldFence, wasHeld := l.lease.HeldFence(requestedAt)
-	l.lease.RecordRead(requestedAt, row, rowVersion, page.Now)
-	next, replacedRowVersion, available := l.lease.Proposal()
-	if !available {
-		l.nextLeaseAttempt = time.Now().Add(max(l.lease.TakeoverDelay(), checkInterval))
-		return
-	}
-	value, err := proto.Marshal(&wire.LeaseRow{
-		Holder: string(next.Holder), Incarnation: uint64(next.Incarnation), Fence: uint64(next.Fence), UntilMs: next.Expiry.Milliseconds(),
-	})
-	if err == nil {
-		err = l.write(ctx, value, replacedRowVersion, page.Generation)
-	}
-	if err != nil {
-		l.opts.Log.WithFields(logrus.Fields{"event": "lease_not_taken", "lease": leaseKey, "fence": next.Fence}).WithError(err).Warn("write of the weights lease was not confirmed")
-		l.nextLeaseAttempt = time.Now().Add(checkInterval)
-		return
-	}
-	l.lease.RecordWrite(next)
-	if !wasHeld || oldFence != next.Fence {
-		l.opts.Log.WithFields(logrus.Fields{"event": "lease_taken", "lease": leaseKey, "fence": next.Fence, "until_ms": next.Expiry.Milliseconds()}).Info("weights lease acquired")
-	}
-}
-
-// write replaces the row of the lease if it still has the version that was read in the
-// given generation. The version may belong to another row after a restore.
-func (l *Loader) write(ctx context.Context, value []byte, replacedRowVersion uint64, generation core.Generation) error {
-	response, err := l.opts.Store.Commit(ctx, fleet.Transaction{
-		Conditions: []fleet.Row{{Table: leaseTable, Key: leaseKey, Version: replacedRowVersion}},
-		Puts:       []fleet.Row{{Table: leaseTable, Key: leaseKey, Value: value}},
-	})
-	if err == nil && response.Generation != generation {
-		return errs.New(errs.Conflict, "read the row again", "the metadata store was restored after the lease was read")
-	}
-	return err
-}
-
-func decodeLease(page fleet.StoreResponse) (lease.StoreLeaseRow, uint64) {
-	for _, r := range page.Rows {
-		var row wire.LeaseRow
-		if r.Key != leaseKey || proto.Unmarshal(r.Value, &row) != nil {
-			continue
-		}
-		return lease.StoreLeaseRow{
-			Holder: core.NodeID(row.Holder), Incarnation: core.Incarnation(row.Incarnation),
-			Fence: core.Fence(row.Fence), Expiry: time.Duration(row.UntilMs) * time.Millisecond,
-		}, r.Version
-	}
-	return lease.StoreLeaseRow{}, 0
-}
-
-// load updates one server to the target version and reports whether the server
-// has it.
-func (l *Loader) load(ctx context.Context, job Job) bool {
-	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
-	defer cancel()
-	log := l.opts.Log.WithFields(logrus.Fields{"upstream": job.Upstream.ID, "model": job.Model, "weights": job.TargetVersion})
-	var orderedAt time.Time
-	failedPolls := 0
-	for ctx.Err() == nil {
-		state, err := l.state(ctx, job)
-		if err != nil {
-			if failedPolls++; failedPolls >= maxFailedPolls {
-				log.WithField("event", "load_failed").WithError(err).Warn("model server did not report its state, load job failed")
-				return false
-			}
-			continue
-		}
-		failedPolls = 0
-		if state.Weights[job.Model] >= job.TargetVersion {
-			log.WithFields(logrus.Fields{"event": "weights_loaded", "orders": state.AcceptedOrders}).Info("model server has loaded the weights")
-			return true
-		}
-		pause := pollInterval
-		if !state.Busy && time.Since(orderedAt) >= orderRetryDelay {
-			switch l.sendOrder(ctx, job, state, log) {
-			case AlreadyLoaded:
-				return true
-			case Accepted:
-				orderedAt, pause = time.Now(), minLoadTime
-			case Conflicting:
-			default:
-				// The job fails, so that its slot is free for other servers. If the order
-				// is executed although no response was received, the next job observes it
-				// in the state of the server.
-				return false
-			}
-		}
-		duty.Pause(ctx, pause)
-	}
-	return false
-}
-
-func (l *Loader) state(ctx context.Context, job Job) (EngineState, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return l.opts.Engines.State(ctx, job.Upstream.Address)
-}
-
-// sendOrder sends an order if the lease is still held.
-func (l *Loader) sendOrder(ctx context.Context, job Job, state EngineState, log logrus.FieldLogger) OrderResult {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	held := l.heldLease.Load()
-	if held == nil || clock.SinceBoot() >= held.stopAt {
-		return Refused
-	}
-	result, err := l.opts.Engines.Load(ctx, Order{
-		Upstream: job.Upstream.ID, Address: job.Upstream.Address, Model: job.Model, Version: job.TargetVersion,
-		Mode: l.opts.Mode, Holder: l.opts.Self, Fence: held.fence, ExpectedOrders: state.AcceptedOrders,
-	})
-	entry := log.WithFields(logrus.Fields{"event": "order", "fence": held.fence, "orders": state.AcceptedOrders, "reply": result})
-	if err != nil {
-		entry = entry.WithError(err)
-	}
-	entry.Info("load order sent")
-	return result
-}
