Order rows by the generation of the store's content and their version

Cause: the store's content was restored from a copy, after which versions are assigned again. Rows were compared by their version alone, so that a new row with a version that had been assigned before was taken for a known one.

Evidence: the log of a front shows the store's version fall from 23 to 22, and no applied row after it.

Change: all rows of a table belong to the generation of its position, a pair of generation and version. A complete table of a newer generation replaces the rows; updates of an older one are ignored. The configuration does not go back, and the requested weight versions remain. Processes exchange positions: a peer that has an older generation of a table gets all its rows. Peers without the new fields count as generation 0. The event store_restored is logged.

--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -77,26 +78,29 @@
 // update reports rows of a table to the state duty, or that they could not be
 // read from the store.
 type update struct {
-	source  string
-	table   Table
-	rows    []Row
-	version uint64
+	source string
+	table  Table
+	rows   []Row
+	// position is that of the table with these rows.
+	position Position
 	// complete is set when rows is the full table, not only its changes.
 	complete bool
 	err      error
 }
 
-// rowQuery requests rows from the state duty: those that are newer than the versions
-// that a peer has seen. Without versions it serves to obtain the versions that this
+// rowQuery requests rows from the state duty: those that are newer than the positions
+// that a peer has seen. Without positions it serves to obtain the positions that this
 // process has seen.
 type rowQuery struct {
-	seenVersions map[Table]uint64
-	reply        *ring.Ring[rowResult]
+	seen  map[Table]Position
+	reply *ring.Ring[rowResult]
 }
 
 type rowResult struct {
-	rows         []Row
-	seenVersions map[Table]uint64
+	rows []Row
+	seen map[Table]Position
+	// complete contains the tables of which all rows are in rows.
+	complete map[Table]bool
 	// readsStore is set when this process reads the store directly, has read the
 	// operator and upstreams tables, and no read fails.
 	readsStore bool
@@ -171,9 +175,9 @@
 }
 
 // pollTable reads the complete table and then polls for its changes, until needed
-// returns false.
+// returns false. It reads the complete table again if the store has dropped the changes.
 func (f *Fleet) pollTable(ctx context.Context, table Table, needed func() bool) error {
-	var version uint64
+	var read Position
 	readAll, failing := true, false
 	maxWait, interval := maxChangesWait, feedPollInterval
 	if table == MembersTable {
@@ -185,7 +189,7 @@
 		if readAll {
 			response, err = f.opts.Store.Rows(ctx, table)
 		} else {
-			response, err = f.opts.Store.Changes(ctx, table, version, maxWait)
+			response, err = f.opts.Store.Changes(ctx, table, read.Version, maxWait)
 		}
 		if errs.Is(err, errs.Stale) {
 			readAll = true
@@ -195,7 +199,7 @@
 			return nil
 		}
 		if err != nil || failing || readAll || len(response.Rows) > 0 {
-			u := update{source: "store", table: table, rows: response.Rows, version: response.Version, complete: readAll, err: err}
+			u := update{source: "store", table: table, rows: response.Rows, position: Position{response.Generation, response.Version}, complete: readAll, err: err}
 			if err := f.updates.Send(ctx, u); err != nil {
 				return nil
 			}
@@ -207,7 +211,7 @@
 			// our version. Changes then returns errs.Stale, and the complete table is read.
 			pause = retryInterval
 		} else {
-			version, readAll = response.Version, false
+			read, readAll = Position{response.Generation, response.Version}, false
 		}
 		duty.Pause(ctx, pause)
 	}
@@ -230,18 +234,16 @@
 			f.apply(s, failing, u)
 		}
 		for query, ok := f.rowQueries.TryReceive(); ok; query, ok = f.rowQueries.TryReceive() {
-			readsStore := f.readsStore.Load() && len(failing) == 0 && s.seenVersions[f.opts.Tables.Operator] > 0 && s.seenVersions[f.opts.Tables.Upstreams] > 0
-			query.reply.Push(rowResult{rows: s.rowsAfter(query.seenVersions), seenVersions: copyVersions(s.seenVersions), readsStore: readsStore})
+			query.reply.Push(f.answer(s, failing, query))
 		}
 	}
 }
 
-func copyVersions(versions map[Table]uint64) map[Table]uint64 {
-	out := make(map[Table]uint64, len(versions))
-	for table, version := range versions {
-		out[table] = version
-	}
-	return out
+// answer returns the rows that a peer requests.
+func (f *Fleet) answer(s *state, failing map[Table]bool, query rowQuery) rowResult {
+	rows, complete := s.rowsAfter(query.seen)
+	hasRead := s.seen[f.opts.Tables.Operator].Version > 0 && s.seen[f.opts.Tables.Upstreams].Version > 0
+	return rowResult{rows: rows, complete: complete, seen: maps.Clone(s.seen), readsStore: f.readsStore.Load() && len(failing) == 0 && hasRead}
 }
 
 // awaitWork blocks until a ring has an element or the time next is reached. It
@@ -281,7 +283,7 @@
 	}
 	if u.source == "store" && failing[u.table] {
 		delete(failing, u.table)
-		log.WithFields(logrus.Fields{"event": "store_regained", "version": u.version}).Info("table can be read from the platform store again")
+		log.WithFields(logrus.Fields{"event": "store_regained", "version": u.position.Version, "generation": u.position.Generation}).Info("table can be read from the platform store again")
 		if u.table == f.opts.Tables.Upstreams {
 			s.setUpstreamsRecovered(now)
 		}
@@ -289,14 +291,16 @@
 			f.tablesUnavailable.Push(false)
 		}
 	}
-	var changed bool
-	if u.complete {
-		changed = s.replace(now, u.table, u.rows, u.version)
-	} else {
-		changed = s.merge(now, u.table, u.rows, u.version)
+	before := s.seen[u.table]
+	changed, restored := s.apply(now, u)
+	if restored {
+		log.WithFields(logrus.Fields{
+			"event": "store_restored", "old_generation": before.Generation, "old_version": before.Version,
+			"generation": u.position.Generation, "version": u.position.Version,
+		}).Warn("content of the platform store was restored from a copy")
 	}
 	if changed {
-		log.WithFields(logrus.Fields{"event": "rows_changed", "version": u.version, "rows": len(u.rows)}).Info("rows changed")
+		log.WithFields(logrus.Fields{"event": "rows_changed", "version": u.position.Version, "generation": u.position.Generation, "rows": len(u.rows)}).Info("rows changed")
 		f.publish(s)
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,7 +30,7 @@
 }
 
 // Row is one row of a table. Versions are assigned from one counter for all tables
-// of the store.
+// of the store. They are comparable within one generation of the store's content only.
 type Row struct {
 	Table   Table
 	Key     string
@@ -77,7 +77,7 @@
 
 // DecodedRow is the decoded value of a row. At most one field is set. Package fleet
 // does not decode removed rows, so that no field is set for them, unless the previous
-// value is retained; see state.acceptsConfig and state.retainRemoved.
+// value is retained; see state.acceptsConfig, state.retainRemoved and carryOver.
 type DecodedRow struct {
 	Config *catalog.Config
 	// Upstream is nil in package fleet when its row was removed. If the row was removed
@@ -123,12 +123,11 @@
 
 // View is an immutable snapshot of the rows that the process has received.
 type View struct {
-	// Epoch is the version of the newest row of the operator and upstreams tables,
-	// 0 when there is none. Processes exchange it in their messages.
-	Epoch core.Epoch
-	// Generation is the newest generation of the store's content from which a table was
-	// read.
+	// Generation and Epoch are the position of the newest row of the operator and
+	// upstreams tables; Epoch is 0 when there is none. Processes exchange them in their
+	// messages.
 	Generation core.Generation
+	Epoch      core.Epoch
 	// Config is nil until a configuration is received.
 	Config *catalog.Config
 	// Upstreams are sorted by id.
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/ring"
@@ -53,15 +54,15 @@
 	}
 }
 
-// newPullRequest returns a request with the versions that this process has seen.
+// newPullRequest returns a request with the positions that this process has seen.
 func (f *Fleet) newPullRequest(ctx context.Context) *wire.PullRequest {
 	request := &wire.PullRequest{Sender: f.Sender()}
 	result, err := ring.Request(ctx, f.rowQueries, func(reply *ring.Ring[rowResult]) rowQuery { return rowQuery{reply: reply} })
 	if err != nil {
-		return request // the process is stopping; without versions the peer returns all rows
+		return request // the process is stopping; without positions the peer returns all rows
 	}
-	for table, version := range result.seenVersions {
-		request.Known = append(request.Known, &wire.TableVersion{Table: string(table), Version: version})
+	for table, position := range result.seen {
+		request.Known = append(request.Known, &wire.TableVersion{Table: string(table), Version: position.Version, Generation: uint64(position.Generation)})
 	}
 	return request
 }
@@ -101,7 +102,10 @@
 	}
 	for _, tableVersion := range reply.Known {
 		table := Table(tableVersion.Table)
-		u := update{source: "peer " + address, table: table, rows: byTable[table], version: tableVersion.Version}
+		u := update{
+			source: "peer " + address, table: table, rows: byTable[table], complete: tableVersion.Complete,
+			position: Position{core.Generation(tableVersion.Generation), tableVersion.Version},
+		}
 		if err := f.updates.Send(ctx, u); err != nil {
 			return false
 		}
@@ -110,13 +114,14 @@
 }
 
 // Pull implements the Pull call of the protocol between the system's processes. It
-// returns the rows that are newer than the versions in the request.
+// returns the rows that are newer than the positions in the request. A table of which
+// the requester has an older generation is returned completely.
 func (f *Fleet) Pull(ctx context.Context, request *wire.PullRequest) (*wire.PullReply, error) {
-	versions := make(map[Table]uint64, len(request.Known))
+	seen := make(map[Table]Position, len(request.Known))
 	for _, k := range request.Known {
-		versions[Table(k.Table)] = k.Version
+		seen[Table(k.Table)] = Position{core.Generation(k.Generation), k.Version}
 	}
-	result, err := ring.Request(ctx, f.rowQueries, func(reply *ring.Ring[rowResult]) rowQuery { return rowQuery{seenVersions: versions, reply: reply} })
+	result, err := ring.Request(ctx, f.rowQueries, func(reply *ring.Ring[rowResult]) rowQuery { return rowQuery{seen: seen, reply: reply} })
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Unavailable, "query another peer", "rows were not read before the call ended")
 	}
@@ -130,8 +135,10 @@
 			Table: string(r.Table), Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed,
 		})
 	}
-	for table, version := range result.seenVersions {
-		reply.Known = append(reply.Known, &wire.TableVersion{Table: string(table), Version: version})
+	for table, position := range result.seen {
+		reply.Known = append(reply.Known, &wire.TableVersion{
+			Table: string(table), Version: position.Version, Generation: uint64(position.Generation), Complete: result.complete[table],
+		})
 	}
 	return reply
 }
--- /dev/null
+++ b/fleet/restore_test.go
@@ -0,0 +1,128 @@
+package fleet
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/errs"
+)
+
+// jsonDecoder reads values that are written as DecodedRow.
+type jsonDecoder struct{}
+
+func (jsonDecoder) Decode(row Row) (out DecodedRow, err error) {
+	return out, errs.Wrap(json.Unmarshal(row.Value, &out), errs.Invalid, "ignore the row", "row")
+}
+
+// restoreTest applies updates of one table at times after t0.
+type restoreTest struct {
+	*testing.T
+	state *state
+	table Table
+}
+
+func newRestoreTest(t *testing.T, table Table) restoreTest {
+	return restoreTest{t, newState(Tables{Operator: operatorTable, Upstreams: upstreamsTable, Status: "status"}, jsonDecoder{}), table}
+}
+
+func (r restoreTest) row(key string, version uint64, value any) Row {
+	if value == nil {
+		return Row{Table: r.table, Key: key, Version: version, Removed: true}
+	}
+	body, err := json.Marshal(value)
+	require.NoError(r, err)
+	return Row{Table: r.table, Key: key, Version: version, Value: body}
+}
+
+func (r restoreTest) readTable(after time.Duration, generation core.Generation, version uint64, rows ...Row) *View {
+	r.state.apply(t0.Add(after), update{table: r.table, rows: rows, position: Position{generation, version}, complete: true})
+	return r.state.view()
+}
+
+func (r restoreTest) changes(after time.Duration, generation core.Generation, version uint64, rows ...Row) *View {
+	r.state.apply(t0.Add(after), update{table: r.table, rows: rows, position: Position{generation, version}})
+	return r.state.view()
+}
+
+func config(epoch core.Epoch) DecodedRow {
+	return DecodedRow{Config: &catalog.Config{Epoch: epoch}}
+}
+
+func weightsOf(number catalog.WeightNumber) DecodedRow {
+	return DecodedRow{Weights: &RequestedWeights{Model: "m", Version: number}}
+}
+
+// Guards against a configuration that is ignored since its row got a version that was
+// assigned before the store's content was restored, and against one that goes back to
+// that of the copy.
+func TestConfigurationAdvancesAfterRestore(t *testing.T) {
+	r := newRestoreTest(t, operatorTable)
+	r.readTable(0, 0, 23, r.row("config", 23, config(12)))
+	require.Equal(t, core.Epoch(12), r.readTable(time.Second, 1, 20, r.row("config", 20, config(5))).Config.Epoch, "the copy is older")
+	require.Equal(t, core.Epoch(12), r.changes(2*time.Second, 1, 22, r.row("config", 22, config(12))).Config.Epoch)
+	v := r.changes(3*time.Second, 1, 23, r.row("config", 23, config(15)))
+	require.Equal(t, core.Epoch(15), v.Config.Epoch, "version 23 was assigned to configuration 12 before")
+	require.Equal(t, Position{1, 23}, v.position())
+	require.Equal(t, core.Epoch(15), r.changes(4*time.Second, 0, 99, r.row("config", 99, config(16))).Config.Epoch, "changes of the lost content are ignored")
+	require.Equal(t, core.Epoch(15), r.readTable(5*time.Second, 2, 1).Config.Epoch, "the second copy has no configuration")
+	require.Equal(t, core.Epoch(16), r.changes(6*time.Second, 2, 2, r.row("config", 2, config(16))).Config.Epoch)
+}
+
+// Guards against a weight version that calls no longer require since the copy of the
+// store's content is older than its request.
+func TestRequestedWeightsRemainAfterRestore(t *testing.T) {
+	for name, copied := range map[string][]any{"older version in the copy": {weightsOf(1)}, "no version in the copy": nil} {
+		t.Run(name, func(t *testing.T) {
+			r := newRestoreTest(t, operatorTable)
+			r.readTable(0, 0, 5, r.row("w", 5, weightsOf(1)))
+			r.changes(time.Second, 0, 9, r.row("w", 9, weightsOf(2)))
+			var rows []Row
+			for _, value := range copied {
+				rows = append(rows, r.row("w", 5, value))
+			}
+			history := r.readTable(2*time.Second, 1, 5, rows...).Weights["m"]
+			require.Equal(t, catalog.RequestedVersion{Version: 2, RequestedAt: t0.Add(time.Second)}, history.Newest())
+			require.Equal(t, history, r.state.view().Weights["m"])
+			r.changes(2*time.Hour, 1, 9, r.row("w", 9, weightsOf(3)))
+			require.Equal(t, catalog.WeightNumber(3), r.state.view().Weights["m"].Newest().Version)
+		})
+	}
+}
+
+// Guards against a process that learns of a restore from a peer only, and misses rows
+// or goes back to rows of the lost content.
+func TestRestoreIsLearnedFromPeer(t *testing.T) {
+	ahead, behind := newRestoreTest(t, operatorTable), newRestoreTest(t, operatorTable)
+	for _, r := range []restoreTest{ahead, behind} {
+		r.readTable(0, 0, 30, r.row("config", 30, config(12)))
+	}
+	ahead.readTable(time.Second, 1, 20, ahead.row("config", 20, config(5)))
+	ahead.changes(2*time.Second, 1, 25, ahead.row("config", 25, config(13)))
+
+	rows, complete := behind.state.rowsAfter(ahead.state.seen)
+	require.Empty(t, rows, "the peer has a newer generation")
+	require.False(t, complete[operatorTable])
+	behindUpdate := update{table: operatorTable, rows: rows, position: behind.state.seen[operatorTable]}
+	changed, _ := ahead.state.apply(t0.Add(3*time.Second), behindUpdate)
+	require.False(t, changed)
+	require.Equal(t, Position{1, 25}, ahead.state.seen[operatorTable])
+
+	rows, complete = ahead.state.rowsAfter(behind.state.seen)
+	require.True(t, complete[operatorTable])
+	u := update{table: operatorTable, rows: rows, position: ahead.state.seen[operatorTable], complete: true}
+	_, restored := behind.state.apply(t0.Add(3*time.Second), u)
+	require.True(t, restored)
+	v := behind.state.view()
+	require.Equal(t, core.Epoch(13), v.Config.Epoch)
+	rows, complete = ahead.state.rowsAfter(behind.state.seen)
+	require.Empty(t, rows)
+	require.False(t, complete[operatorTable])
+
+	_, restored = newRestoreTest(t, operatorTable).state.apply(t0, u)
+	require.False(t, restored, "a process that has started does not know the lost content")
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -31,8 +31,10 @@
 
 // rowState is a row with its decoded value.
 type rowState struct {
-	row     Row
-	decoded DecodedRow
+	row Row
+	// listed is the decoded value of the row as the store has it. decoded is the value
+	// in force, which differs while an older value is retained.
+	listed, decoded DecodedRow
 	// receivedAt is the time at which this process received this version of the row;
 	// zero for rows that are older than this process.
 	receivedAt time.Time
@@ -48,14 +50,15 @@
 }
 
 // state merges rows from the store and from peers. For each row the newest version
-// wins, so that no change is reverted. It performs no I/O.
+// wins, so that no change is reverted. When the store's content was restored from a
+// copy, versions start again from that copy; see restore. It performs no I/O.
 type state struct {
 	tables  Tables
 	decoder Decoder
 	rows    map[rowKey]*rowState
-	// seenVersions contains, for each table, the version up to which all changes have
-	// been received.
-	seenVersions map[Table]uint64
+	// seen contains, for each table, the position up to which all changes have been
+	// received. All rows of a table belong to the generation of its position.
+	seen map[Table]Position
 	// upstreamsUnavailableSince is the time since which the upstreams table cannot be
 	// read from the store, zero while it can be read. upstreamsRecoveredAt is the end
 	// of the last such outage.
@@ -67,7 +70,7 @@
 }
 
 func newState(tables Tables, decoder Decoder) *state {
-	return &state{tables: tables, decoder: decoder, rows: make(map[rowKey]*rowState), seenVersions: make(map[Table]uint64)}
+	return &state{tables: tables, decoder: decoder, rows: make(map[rowKey]*rowState), seen: make(map[Table]Position)}
 }
 
 // merge applies changed rows of a table and records that all its changes up to a
@@ -76,7 +79,9 @@
 	for _, row := range rows {
 		changed = s.put(now, row) || changed
 	}
-	s.seenVersions[table] = max(s.seenVersions[table], version)
+	seen := s.seen[table]
+	seen.Version = max(seen.Version, version)
+	s.seen[table] = seen
 	return changed
 }
 
@@ -101,26 +106,38 @@
 	if old != nil && (row.Version < old.row.Version || row.Version == old.row.Version && row.Removed == old.row.Removed) {
 		return false
 	}
+	next := s.newRowState(now, row)
+	if row.Table != MembersTable {
+		s.retainRemoved(now, old, next)
+	}
+	s.finish(old, next)
+	s.rows[key] = next
+	return true
+}
+
+// newRowState decodes a row.
+func (s *state) newRowState(now time.Time, row Row) *rowState {
 	next := &rowState{row: row, receivedAt: now, renewedAt: now}
-	if s.seenVersions[row.Table] == 0 {
+	if s.seen[row.Table].Version == 0 {
 		next.receivedAt = time.Time{} // older than this process
 	}
-	if row.Table == s.tables.Operator || row.Table == s.tables.Upstreams || row.Table == s.tables.Status {
-		if !row.Removed {
-			decoded, err := s.decoder.Decode(row)
-			if err != nil {
-				s.decodeErrors = append(s.decodeErrors, err)
-			}
-			next.decoded = decoded
-		}
-		s.retainRemoved(now, old, next)
+	if row.Removed || row.Table == MembersTable {
+		return next
 	}
+	decoded, err := s.decoder.Decode(row)
+	if err != nil {
+		s.decodeErrors = append(s.decodeErrors, err)
+	}
+	next.listed, next.decoded = decoded, decoded
+	return next
+}
+
+// finish adds to a row what never goes back.
+func (s *state) finish(old, next *rowState) {
 	next.weightHistory = appendWeightVersion(old, next)
 	if !s.acceptsConfig(old, next) {
 		next.decoded.Config = old.decoded.Config
 	}
-	s.rows[key] = next
-	return true
 }
 
 // appendWeightVersion returns the weight history of the old row. If the next row
@@ -130,7 +147,7 @@
 	if old != nil {
 		history = old.weightHistory
 	}
-	w := next.decoded.Weights
+	w := next.listed.Weights
 	if w == nil || w.Version <= history.Newest().Version {
 		return history
 	}
@@ -216,17 +233,23 @@
 	return changed, next
 }
 
-// rowsAfter returns the rows that changed after the versions that a peer has seen,
-// sorted by version.
-func (s *state) rowsAfter(seenVersions map[Table]uint64) []Row {
-	var rows []Row
+// rowsAfter returns the rows that changed after the positions that a peer has seen,
+// sorted by version, and the tables of which it returns all rows because the peer has
+// an older generation of them. It returns no rows of tables of which the peer has a
+// newer generation.
+func (s *state) rowsAfter(peerSeen map[Table]Position) (rows []Row, complete map[Table]bool) {
+	complete = make(map[Table]bool)
+	for table, own := range s.seen {
+		complete[table] = peerSeen[table].Generation < own.Generation
+	}
 	for key, rs := range s.rows {
-		if rs.row.Version > seenVersions[key.table] {
+		own := Position{s.seen[key.table].Generation, rs.row.Version}
+		if own.Compare(peerSeen[key.table]) > 0 {
 			rows = append(rows, rs.row)
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Version < rows[j].Version })
-	return rows
+	return rows, complete
 }
 
 // view returns a snapshot of the state.
@@ -240,14 +263,14 @@
 		// Removed rows do not contribute to the epoch, since processes may record a
 		// removal with different versions.
 		if !rs.row.Removed && (key.table == s.tables.Operator || key.table == s.tables.Upstreams) {
-			v.Epoch = max(v.Epoch, core.Epoch(rs.row.Version))
+			v.advance(Position{s.seen[key.table].Generation, rs.row.Version})
 		}
 		switch {
 		case rs.decoded.Config != nil:
 			v.Config = rs.decoded.Config
 		case rs.decoded.Upstream != nil && rs.decoded.Upstream.Service != "":
 			v.Upstreams = append(v.Upstreams, catalog.UpstreamRow{Upstream: rs.decoded.Upstream, RowVersion: rs.row.Version})
-		case rs.decoded.Evacuated != "" && !rs.row.Removed:
+		case rs.decoded.Evacuated != "":
 			v.Evacuated[rs.decoded.Evacuated] = true
 		case rs.decoded.Weights != nil:
 			v.Weights[rs.decoded.Weights.Model] = rs.weightHistory
