Reject heads that are joined from two responses

A caller could get 503, or its call could run at a second upstream, though its upstream had run it and answered with success.

Cause: an extra response that is written on a kept connection and ends inside a line is continued by the status line of the next response. net/http parses both as one head, with the status and Not-Executed of the first and the Request-Id of the second, so that an earlier refusal appeared to prove that the current call has not run. The same joins any other status with the seal of another response. The id only separates whole responses.

Evidence: TestRefusalOfAnotherRequestIsNoProof writes an earlier refusal, whole and cut at each byte, before the answer on a kept connection.

--- /dev/null
+++ b/frontend/refusal_test.go
@@ -0,0 +1,71 @@
+package frontend_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	refusalHead = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: %s\r\nX-Reason: queue full\r\nContent-Length: 0\r\n\r\n"
+	successHead = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nContent-Length: 4\r\n\r\n"
+)
+
+// Guards against a call that has run and is answered as not run, or is sent to a second
+// server, because its server writes a refusal of another request on a kept connection.
+// The refusal may be whole or cut, so that the head of the real answer continues it.
+func TestRefusalOfAnotherRequestIsNoProof(t *testing.T) {
+	extras := map[string]string{
+		"whole":                     fmt.Sprintf(refusalHead, "earlier"),
+		"without id":                "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"with an empty id":          "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: \r\nContent-Length: 0\r\n\r\n",
+		"421 without id":            "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+		"with a body":               "HTTP/1.1 429 Too Many Requests\r\nNot-Executed: 1\r\nRequest-Id: earlier\r\nContent-Length: 4\r\n\r\nfull",
+		"several":                   fmt.Sprintf(refusalHead+refusalHead, "earlier", "earlier"),
+		"after an interim answer":   "HTTP/1.1 100 Continue\r\n\r\n" + fmt.Sprintf(refusalHead, "earlier"),
+		"cut in a header":           "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nX-Reason: queue f",
+		"cut before a header value": "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nX-Reason:",
+		"cut in a folded header":    "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n ",
+		"cut in the status line":    "HTTP/1.1 421 Misdir",
+		"cut after the id":          "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: earlier\r\nX-Reason: q",
+	}
+	whole := fmt.Sprintf(refusalHead, "earlier")
+	for cut := 1; cut < len(whole); cut++ {
+		extras[fmt.Sprintf("cut after %d bytes", cut)] = whole[:cut]
+	}
+	d := newDeployment(t)
+	var extra atomic.Value
+	var runs atomic.Int64
+	answer := func(conn net.Conn, r rawRequest) bool {
+		runs.Add(1)
+		if r.number > 1 {
+			write(t, conn, extra.Load().(string))
+		}
+		write(t, conn, fmt.Sprintf(successHead, r.id)+"done")
+		return true
+	}
+	d.startRawUpstream("i-1", answer)
+	d.startRawUpstream("i-2", answer)
+	f := d.startReadyFront("front-1")
+	for name, text := range extras {
+		t.Run(name, func(t *testing.T) {
+			extra.Store("")
+			for i := range 4 { // opens connections that are kept
+				require.NoError(t, f.call(http.MethodPost, "/log/x", fmt.Sprintf("earlier-%d", i), nil).err)
+			}
+			extra.Store(text)
+			runs.Store(0)
+			got := f.call(http.MethodPost, "/log/x", "r", func(r *http.Request) { r.Header.Set("Deadline-Ms", "300") })
+			require.NoError(t, got.err)
+			require.LessOrEqual(t, runs.Load(), int64(1), "a call that may have run is sent again")
+			require.Contains(t, []int{http.StatusOK, http.StatusBadGateway, http.StatusGatewayTimeout}, got.status, "answered as not run")
+			if got.status == http.StatusOK {
+				require.Equal(t, "done", got.body)
+			}
+		})
+	}
+}
--- a/upstreamhttp/upstreamhttp.go
+++ b/upstreamhttp/upstreamhttp.go
@@ -246,13 +246,6 @@
 	return nil, errors.New("none of the first responses on the connection belongs to the request")
 }
 
-// readHead reads status and headers of the next response.
-func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
-	c.readingHead, c.headBytes = true, maxHeadBytes
-	defer func() { c.readingHead = false }()
-	return http.ReadResponse(c.reader, req)
-}
-
 // fail closes the connection and classifies the error.
 func (x *Exchange) fail(err error) error {
 	x.cancelClose()
