Send calls without an id over new connections

A caller without a Request-Id could get 503 though its upstream had run the call.

Cause: responses are matched to requests by the id. For a call without one, every response without an id matches, also an earlier refusal (400 without an id proves that a request has not run) that is written once more on a pooled connection.

Evidence: TestCallWithoutIDGetsNoEarlierRefusal got 503 on the code before.

Change: such a call is sent over a new connection, on which there is no earlier response. Calls with an id use the pool as before.

--- a/frontend/refusal_test.go
+++ b/frontend/refusal_test.go
@@ -69,3 +69,25 @@
 		})
 	}
 }
+
+// Guards against a call without an id that is answered as not run, because an earlier
+// refusal without an id is written once more on a kept connection.
+func TestCallWithoutIDGetsNoEarlierRefusal(t *testing.T) {
+	d := newDeployment(t)
+	d.startRawUpstream("i-1", func(conn net.Conn, r rawRequest) bool {
+		if r.number > 1 {
+			write(t, conn, "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		}
+		id := ""
+		if r.id != "" {
+			id = "Request-Id: " + r.id + "\r\n"
+		}
+		write(t, conn, "HTTP/1.1 200 OK\r\n"+id+"Response-Seal: s\r\nContent-Length: 4\r\n\r\ndone")
+		return true
+	})
+	f := d.startReadyFront("front-1")
+	require.Equal(t, http.StatusOK, f.call(http.MethodPost, "/log/x", "earlier", nil).status)
+	got := f.call(http.MethodPost, "/log/x", "", func(r *http.Request) { r.Header.Del("Request-Id") })
+	require.NoError(t, got.err)
+	require.NotContains(t, []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}, got.status)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -231,6 +231,7 @@
 		Matches: func(status int, h http.Header) bool {
 			return codec.DecodeResponse(status, h).ID == s.call.ID
 		},
+		NewConnection: s.call.ID == "",
 	})
 }
 
--- a/upstreamhttp/upstreamhttp.go
+++ b/upstreamhttp/upstreamhttp.go
@@ -94,6 +94,9 @@
 	// Matches reports whether a response with this status and these headers belongs
 	// to the request.
 	Matches func(status int, h http.Header) bool
+	// NewConnection is set when Matches cannot distinguish the response from those to
+	// earlier requests on a pooled connection. The request is then sent over a new one.
+	NewConnection bool
 }
 
 // Exchange is a request that was sent and its response. The caller reads the body of
@@ -120,7 +123,7 @@
 // errs.Unknown when the upstream may have received it. The connection is closed when
 // the context ends.
 func (c *Client) Send(ctx context.Context, pool IdlePool, r Request) (*Exchange, error) {
-	conn, reused, err := c.connect(ctx, pool, r.Address)
+	conn, reused, err := c.connect(ctx, pool, r)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Unavailable, "use another upstream", "cannot connect to %s", r.Address)
 	}
@@ -147,8 +150,8 @@
 	return false
 }
 
-func (c *Client) connect(ctx context.Context, pool IdlePool, address string) (conn *Conn, reused bool, err error) {
-	for {
+func (c *Client) connect(ctx context.Context, pool IdlePool, r Request) (conn *Conn, reused bool, err error) {
+	for !r.NewConnection {
 		pooled, ok := pool.TryReceive()
 		if !ok {
 			break
@@ -158,7 +161,7 @@
 		}
 		_ = pooled.Close()
 	}
-	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.dialer.DialContext(ctx, "tcp", r.Address)
 	if err != nil {
 		return nil, false, err
 	}
