Take no successful response as proof that a call has not run

A caller could get 503, or its call could run at a second upstream, though an upstream had answered it with success.

Cause: Not-Executed was a proof with every status. A response with status 2xx and that header contradicts itself, and as a stream it was even forwarded as a success.

Change: such a response counts as incomplete, after which the call may have run. Other statuses with the header remain a proof.

--- a/frontend/refusal_test.go
+++ b/frontend/refusal_test.go
@@ -91,3 +91,33 @@
 	require.NoError(t, got.err)
 	require.NotContains(t, []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}, got.status)
 }
+
+// Guards against a call that is answered as not run, or sent to a second server,
+// although its server has answered it with success.
+func TestSuccessIsNoProofOfNotRun(t *testing.T) {
+	cases := map[string]struct{ path, seal, body string }{
+		"unsafe":                {"/log/x", "Response-Seal: s\r\n", "done"},
+		"unsafe without seal":   {"/log/x", "", "done"},
+		"unsafe, cut":           {"/log/x", "Response-Seal: s\r\n", "do"},
+		"stream":                {"/draft/x", "Response-Seal: s\r\n", "id: 1\n\n"},
+		"stream without a seal": {"/draft/x", "", "id: 1\n\n"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			var runs atomic.Int64
+			answer := func(conn net.Conn, r rawRequest) bool {
+				runs.Add(1)
+				length := max(len(c.body), len("done"))
+				write(t, conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%sNot-Executed: 1\r\nContent-Length: %d\r\n\r\n%s", r.id, c.seal, length, c.body))
+				return false
+			}
+			d.startRawUpstream("i-1", answer)
+			d.startRawUpstream("i-2", answer)
+			got := d.startReadyFront("front-1").call(http.MethodPost, c.path, "r", nil)
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusBadGateway, got.status)
+			require.Equal(t, int64(1), runs.Load())
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
@@ -72,7 +73,9 @@
 	x.Finish(err == nil && !response.Close, response.KeepAlive)
 	switch {
 	case err != nil:
-		return attemptOutcome{result: placement.Incomplete, notRun: response.NotRun, err: err}
+		return attemptOutcome{result: placement.Incomplete, notRun: provesNotRun(response), err: err}
+	case isContradictory(response):
+		return attemptOutcome{result: placement.Incomplete, err: errors.New("successful response states that the call has not run")}
 	case response.Status == http.StatusMisdirectedRequest:
 		return attemptOutcome{result: placement.Misdirected, notRun: true}
 	case response.NotRun:
@@ -92,6 +95,18 @@
 	return attemptOutcome{result: placement.Completed}
 }
 
+// isContradictory reports whether a response states both that the call was served and
+// that it has not run.
+func isContradictory(r UpstreamResponse) bool { return r.NotRun && r.Success() }
+
+// provesNotRun reports whether a response proves that the call has not run.
+func provesNotRun(r UpstreamResponse) bool { return r.NotRun && !isContradictory(r) }
+
+// isStream reports whether a response is forwarded as a stream.
+func (s *callState) isStream(r UpstreamResponse) bool {
+	return s.route.Kind == core.KindStream && r.Success() && r.FromUpstream && !isContradictory(r)
+}
+
 // writeResponse sends a buffered response to the caller.
 func (s *callState) writeResponse(response *bufferedResponse) {
 	h := s.writer.Header()
