Continue a resumed stream only with events that follow

A caller could find an error text, the head of an error response or the events of a second run in the middle of its stream, and the stream ended as if it were complete.

Cause: a response to a resumed stream was judged by its status and seal only. Any sealed success was forwarded: one of another content type, 204, text without ids, or a run that had started from the beginning, whose first events were skipped. Responses with an error status or without a seal were not forwarded and broke the stream off, as intended.

Change: a response may resume a stream only with status 200 and, if it states a type, as text/event-stream. Its first event must have an id after that of the last event that the caller has received, and no later id may go back; otherwise the attempt is incomplete, and the next one or the end of the connection follows. The events of a stream that is not resumed are forwarded unchanged.

--- /dev/null
+++ b/frontend/resume_test.go
@@ -0,0 +1,98 @@
+package frontend_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	streamHead = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n"
+	eventOne   = "id: 1\ndata: a\n\n"
+	eventTwo   = "id: 2\ndata: b\n\n"
+	eventThree = "id: 3\ndata: c\n\n"
+)
+
+func framed(head, body string) string {
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+}
+
+// resumeCase is a response to a request that resumes a stream after its second event.
+type resumeCase struct {
+	// response has the verb %s for the id of the request.
+	response string
+	complete bool
+}
+
+// Guards against an error response, or a response that does not continue the events, in
+// the middle of a resumed stream, and against a stream that such a response ends as if
+// it were complete.
+func TestResumedStreamContinuesOrIsBrokenOff(t *testing.T) {
+	const sealed = "Request-Id: %s\r\nResponse-Seal: s\r\n"
+	const sseType = "Content-Type: text/event-stream\r\n"
+	cases := map[string]resumeCase{
+		"remaining event":                    {framed(streamHead, eventThree), true},
+		"remaining event with a charset":     {framed("HTTP/1.1 200 OK\r\n"+sealed+"Content-Type: text/event-stream; charset=utf-8\r\n", eventThree), true},
+		"comment, then the remaining event":  {framed(streamHead, ": wait\n\n"+eventThree), true},
+		"remaining event, unframed":          {streamHead + "\r\n" + eventThree, true},
+		"remaining event without a type":     {framed("HTTP/1.1 200 OK\r\n"+sealed, eventThree), true},
+		"nothing remains":                    {framed(streamHead, ""), true},
+		"nothing, unframed":                  {streamHead + "\r\n", false},
+		"event without an id":                {framed(streamHead, "data: error\n\n"), false},
+		"events from the beginning":          {framed(streamHead, eventOne+eventTwo+eventThree), false},
+		"only events that were received":     {framed(streamHead, eventTwo), false},
+		"id that is no number":               {framed(streamHead, "id: x\ndata: error\n\n"), false},
+		"text that is no event":              {framed(streamHead, "internal error\n\n"), false},
+		"head of an error in the stream":     {streamHead + "\r\nHTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", false},
+		"500":                                {framed("HTTP/1.1 500 Internal Server Error\r\n"+sealed, "error\n\n"), false},
+		"500 as event stream":                {framed("HTTP/1.1 500 Internal Server Error\r\n"+sealed+sseType, eventThree), false},
+		"500 without seal":                   {framed("HTTP/1.1 500 Internal Server Error\r\nRequest-Id: %s\r\n", "error\n\n"), false},
+		"500 that is cut":                    {"HTTP/1.1 500 Internal Server Error\r\n" + sealed + "Content-Length: 100\r\n\r\nerror\n\n", false},
+		"502":                                {framed("HTTP/1.1 502 Bad Gateway\r\n"+sealed, "error\n\n"), false},
+		"404":                                {framed("HTTP/1.1 404 Not Found\r\n"+sealed, "error\n\n"), false},
+		"404 without seal":                   {framed("HTTP/1.1 404 Not Found\r\nRequest-Id: %s\r\n", "error\n\n"), false},
+		"302":                                {framed("HTTP/1.1 302 Found\r\n"+sealed+"Location: /other\r\n", "error\n\n"), false},
+		"429":                                {framed("HTTP/1.1 429 Too Many Requests\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n", "error\n\n"), false},
+		"421":                                {framed("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\n", "error\n\n"), false},
+		"503 without proof":                  {framed("HTTP/1.1 503 Service Unavailable\r\n"+sealed, "error\n\n"), false},
+		"success without seal":               {framed("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"+sseType, eventThree), false},
+		"success of another type":            {framed("HTTP/1.1 200 OK\r\n"+sealed+"Content-Type: application/json\r\n", "{}\n\n"), false},
+		"success of another type with event": {framed("HTTP/1.1 200 OK\r\n"+sealed+"Content-Type: text/plain\r\n", eventThree), false},
+		"empty success of another type":      {framed("HTTP/1.1 200 OK\r\n"+sealed+"Content-Type: text/plain\r\n", ""), false},
+		"204":                                {"HTTP/1.1 204 No Content\r\n" + sealed + "\r\n", false},
+		"no response":                        {"", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			var resumed atomic.Int64
+			answer := func(conn net.Conn, r rawRequest) bool {
+				if r.lastEventID == "" {
+					write(t, conn, fmt.Sprintf(streamHead+"Content-Length: 1000\r\n\r\n", r.id)+eventOne+eventTwo)
+					return false
+				}
+				resumed.Add(1)
+				if c.response != "" {
+					write(t, conn, fmt.Sprintf(c.response, r.id))
+				}
+				return false
+			}
+			d.startRawUpstream("i-1", answer)
+			d.startRawUpstream("i-2", answer)
+			got := d.startReadyFront("front-1").call(http.MethodPost, "/verdict/x", "r", nil)
+			require.Equal(t, int64(1), resumed.Load())
+			require.Equal(t, http.StatusOK, got.status)
+			if !c.complete {
+				require.Error(t, got.err, "the stream appears complete: %q", got.body)
+				require.Equal(t, eventOne+eventTwo, got.body)
+				return
+			}
+			require.NoError(t, got.err)
+			require.Contains(t, []string{eventOne + eventTwo, eventOne + eventTwo + eventThree, eventOne + eventTwo + ": wait\n\n" + eventThree}, got.body)
+		})
+	}
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -20,6 +20,8 @@
 	id   string
 	// complete is set when the section ends with an empty line.
 	complete bool
+	// hasFields is set when the section has lines that are no comments.
+	hasFields bool
 }
 
 // isPartial reports whether the section has text and does not end with an empty line.
@@ -27,14 +29,16 @@
 	return len(bytes.TrimRight(e.text, "\r\n")) > 0 && !e.complete
 }
 
-// isAtOrBefore reports whether the event is the one with the given id or an earlier
-// one.
-// It returns false if one of the ids is not a number, so that such events are never
-// skipped.
-func (e event) isAtOrBefore(id string) bool {
-	last, err1 := strconv.ParseInt(id, 10, 64)
-	current, err2 := strconv.ParseInt(e.id, 10, 64)
-	return err1 == nil && err2 == nil && current <= last
+// isAfter reports whether the event follows the one with the given id. Ids are increasing
+// numbers; if that of the earlier event is none, the order is unknown, and any id is
+// accepted.
+func (e event) isAfter(id string) bool {
+	last, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return true
+	}
+	current, err := strconv.ParseInt(e.id, 10, 64)
+	return err == nil && current > last
 }
 
 // eventReader splits a stream into events.
@@ -72,5 +76,6 @@
 			e.complete = true
 			return e, nil
 		}
+		e.hasFields = e.hasFields || trimmed[0] != ':'
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -103,7 +103,10 @@
 func provesNotRun(r UpstreamResponse) bool { return r.NotRun && !isContradictory(r) }
 
 // isStream reports whether a response is forwarded as a stream.
-func (s *callState) isStream(r UpstreamResponse) bool {
+func (s *callState) isStream(x *upstreamhttp.Exchange, r UpstreamResponse) bool {
+	if s.headerSent && !canContinueStream(x.Response) {
+		return false
+	}
 	return s.route.Kind == core.KindStream && r.Success() && r.FromUpstream && !isContradictory(r)
 }
 
@@ -124,13 +127,15 @@
 	events := newEventReader(bufio.NewReader(x.Response.Body))
 	control := http.NewResponseController(s.writer)
 	pace := paceMeter{report: reportPace}
+	order := continuation{resumed: s.headerSent}
 	for {
 		event, err := events.next()
 		if err == nil {
 			pace.recordEvent(time.Now())
+			err = order.check(event, s.lastEventID)
 		}
 		if errors.Is(err, io.EOF) && (event.isPartial() || pace.events == 0 && !x.HasKnownEnd()) {
-			err = errs.New(errs.Corrupt, "resume the stream at another upstream", "stream ended inside an event or without any")
+			err = errs.New(errs.Corrupt, remedyResume, "stream ended inside an event or without any")
 		}
 		if err == nil || errors.Is(err, io.EOF) {
 			if writeErr := s.writeEvent(control, x.Response, event, events.hasBuffered()); writeErr != nil {
@@ -173,9 +178,6 @@
 // writeEvent sends an event to the caller. Status and headers are sent with the
 // first one. The writer is flushed unless more bytes are buffered.
 func (s *callState) writeEvent(control *http.ResponseController, resp *http.Response, e event, moreBuffered bool) error {
-	if e.isAtOrBefore(s.lastEventID) {
-		return nil // the caller has received it from an earlier attempt
-	}
 	if !s.headerSent {
 		s.gateway.opts.Codec.CopyResponseHeader(s.writer.Header(), resp.Header)
 		s.writer.WriteHeader(resp.StatusCode)
--- /dev/null
+++ b/gateway/resume.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"mime"
+	"net/http"
+
+	"waxwingtide.example/waxwingtide/errs"
+)
+
+const (
+	contentTypeEvents = "text/event-stream"
+	remedyResume      = "resume the stream at another upstream"
+)
+
+// canContinueStream reports whether the response may contain the remaining events of a
+// stream whose beginning the caller has received. A response that states no type may.
+func canContinueStream(resp *http.Response) bool {
+	stated := resp.Header.Get("Content-Type")
+	if resp.StatusCode != http.StatusOK || stated == "" {
+		return resp.StatusCode == http.StatusOK
+	}
+	mediaType, _, err := mime.ParseMediaType(stated)
+	return err == nil && mediaType == contentTypeEvents
+}
+
+// continuation checks the events of a response that resumes a stream. The caller takes
+// them as the continuation of what it has received, so they must be that: a run that
+// starts again may differ from the first one, and an error text is no event.
+type continuation struct {
+	// resumed is set when the response resumes a stream.
+	resumed bool
+	// continued is set when an event has followed those that the caller had received.
+	continued bool
+}
+
+// check returns an error if the event does not follow the one with the id lastID.
+func (c *continuation) check(e event, lastID string) error {
+	if !c.resumed || !e.hasFields || e.id == "" && c.continued {
+		return nil
+	}
+	if e.id == "" || !e.isAfter(lastID) {
+		return errs.New(errs.Corrupt, remedyResume, "event with the id %q does not continue a stream after %q", e.id, lastID)
+	}
+	c.continued = true
+	return nil
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -186,7 +186,7 @@
 	s.gateway.router.report(report)
 	s.gateway.metrics.firstByteReceived(string(s.service), firstByte)
 	var o attemptOutcome
-	if s.isStream(response) {
+	if s.isStream(x, response) {
 		o = s.relayStream(x, response, func(pace time.Duration) {
 			paced := s.newReport(p)
 			paced.Pace = pace
