Read the complete table when the feed's content was restored

Cause: the feed asks for changes after a version of the lost content. The store may have assigned that version again, so that changes after it lack those that were assigned before it.

Change: changes of another generation than that of the version read are discarded, and the complete table is read.

--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -175,7 +175,9 @@
 }
 
 // pollTable reads the complete table and then polls for its changes, until needed
-// returns false. It reads the complete table again if the store has dropped the changes.
+// returns false. It reads the complete table again if the store has dropped the changes
+// or if its content was restored from a copy: the version that was read then belongs to
+// the lost content, and changes after it may lack some.
 func (f *Fleet) pollTable(ctx context.Context, table Table, needed func() bool) error {
 	var read Position
 	readAll, failing := true, false
@@ -191,7 +193,8 @@
 		} else {
 			response, err = f.opts.Store.Changes(ctx, table, read.Version, maxWait)
 		}
-		if errs.Is(err, errs.Stale) {
+		restored := err == nil && !readAll && response.Generation != read.Generation
+		if restored || errs.Is(err, errs.Stale) {
 			readAll = true
 			continue
 		}
--- /dev/null
+++ b/fleet/restored_store_test.go
@@ -0,0 +1,103 @@
+package fleet_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/standin"
+)
+
+// restorableStore is a store with processes that read it. Two read it directly, the
+// others pull from them.
+type restorableStore struct {
+	*testing.T
+	store     *standin.PlatformStore
+	address   string
+	processes []*process
+}
+
+func newRestorableStore(t *testing.T) *restorableStore {
+	store := standin.NewPlatformStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		store.Close()
+	})
+	return &restorableStore{T: t, store: store, address: server.Listener.Addr().String()}
+}
+
+// start starts processes until there are n.
+func (r *restorableStore) start(n int) {
+	for len(r.processes) < n {
+		r.processes = append(r.processes, startProcess(r.T, r.address, len(r.processes)))
+	}
+}
+
+func (r *restorableStore) putConfig(version core.Epoch) {
+	r.store.Put("op", "config", map[string]any{"version": version})
+}
+
+func (r *restorableStore) putUpstream(id string, revision int, state string) {
+	r.store.Put("servers", id, map[string]any{
+		"service": "svc", "address": "127.0.0.1:9", "zone": "z1", "version": "v1", "slots": 1, "state": state, "born": 1000, "seq": revision,
+	})
+}
+
+// await waits until all processes have n members, a configuration and upstreams.
+func (r *restorableStore) await(message string, config core.Epoch, upstreams ...string) {
+	r.Helper()
+	require.Eventually(r, func() bool {
+		for _, p := range r.processes {
+			v := p.fleet.View()
+			if len(v.Members) != len(r.processes) || v.Config == nil || v.Config.Epoch != config || len(v.Upstreams) != len(upstreams) {
+				return false
+			}
+			for i, u := range v.Upstreams {
+				if string(u.ID) != upstreams[i] {
+					return false
+				}
+			}
+		}
+		return true
+	}, eventuallyTimeout, 10*time.Millisecond, message)
+}
+
+// Guards against processes that ignore or miss a configuration or an upstream's entry
+// that is written after the store's content was restored from an older copy, since
+// versions are assigned again; also when no read fails, and when it happens twice.
+func TestChangesAfterRestoreTakeEffect(t *testing.T) {
+	for _, outage := range []bool{true, false} {
+		t.Run(fmt.Sprintf("outage %t", outage), func(t *testing.T) {
+			r := newRestorableStore(t)
+			r.putConfig(1)
+			r.putUpstream("i-1", 1, "ready")
+			r.start(4)
+			r.await("start", 1, "i-1")
+			version := core.Epoch(1)
+			for range 2 {
+				backup := r.store.Copy()
+				r.putConfig(version + 1)
+				r.putUpstream("i-2", 1, "ready")
+				r.putConfig(version + 2)
+				r.await("before the restore", version+2, "i-1", "i-2")
+				if outage {
+					r.store.SetDark(true)
+					time.Sleep(2500 * time.Millisecond) // until pending calls have ended
+				}
+				r.store.Restore(backup)
+				r.putConfig(version + 2) // again
+				r.putUpstream("i-2", 2, "ready")
+				r.putConfig(version + 3)
+				r.store.SetDark(false)
+				r.await("after the restore", version+3, "i-1", "i-2")
+				version += 3
+			}
+		})
+	}
+}
