Retain newer knowledge of upstreams after a restore of the store's content

What callers saw: not reported. After a restore, a front used upstreams that drain or have left, since the copy lists them as they were, and stopped using live ones that the copy lacks until they had written their entries again.

Cause: the list of the copy replaced a newer one. Upstreams write again within about two seconds what was lost.

Change: the upstream's own numbers of its entries, its start and a count, are decoded. An entry of the copy that is not newer than the newest one known comes in force after 5 s only, or when it is written again; an upstream that has left stays out, one that drains keeps draining. A retained row has both values, that of the store and that in force.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -180,6 +180,18 @@
 	// StartedAtMs is the start of the upstream's incarnation in Unix milliseconds,
 	// or 0 when the list does not contain it.
 	StartedAtMs int64
+	// Revision is the number of this entry among those that the incarnation has
+	// written.
+	Revision uint64
+}
+
+// IsNewerThan reports whether the upstream has written this entry after the other
+// one.
+func (u *Upstream) IsNewerThan(other *Upstream) bool {
+	if u.StartedAtMs != other.StartedAtMs {
+		return u.StartedAtMs > other.StartedAtMs
+	}
+	return u.Revision > other.Revision
 }
 
 // UpstreamRow is an upstream with the version of the row that contains it.
--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -300,7 +300,7 @@
 		log.WithFields(logrus.Fields{
 			"event": "store_restored", "old_generation": before.Generation, "old_version": before.Version,
 			"generation": u.position.Generation, "version": u.position.Version,
-		}).Warn("content of the platform store was restored from a copy")
+		}).Warn("content of the platform store was restored from a copy; newer knowledge is retained for a limited time")
 	}
 	if changed {
 		log.WithFields(logrus.Fields{"event": "rows_changed", "version": u.position.Version, "generation": u.position.Generation, "rows": len(u.rows)}).Info("rows changed")
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+// restoreGracePeriod is the time after a restore of the store's content in which
+// knowledge of this process that is newer than the copy takes precedence over it. The
+// operator and the upstreams write again within about two seconds what was lost.
+const restoreGracePeriod = 5 * time.Second
+
 // apply applies an update from the store or a peer. restored is true if the update
 // contains the table after the store's content was restored from a copy.
 func (s *state) apply(now time.Time, u update) (changed, restored bool) {
@@ -43,7 +48,7 @@
 		old, next := s.rows[key], s.newRowState(now, row)
 		if old != nil {
 			next.keepDecoded(old)
-			s.carryOver(old, next)
+			s.carryOver(now, old, next)
 		}
 		s.finish(old, next)
 		s.rows[key] = next
@@ -58,17 +63,56 @@
 	}
 }
 
+// retain keeps a value in force for a grace period.
+func (rs *rowState) retain(value DecodedRow, from time.Time, gracePeriod time.Duration) {
+	rs.decoded, rs.retainedUntil, rs.gracePeriod = value, from.Add(gracePeriod), gracePeriod
+}
+
 // carryOver decides what remains in force of the old row after a restore. The
 // configuration and the history of weight versions never go back; see finish.
-func (s *state) carryOver(old, next *rowState) {
-	if next.row.Table == s.tables.Operator {
+func (s *state) carryOver(now time.Time, old, next *rowState) {
+	switch next.row.Table {
+	case s.tables.Upstreams:
+		carryOverUpstream(now, old, next)
+	case s.tables.Operator:
 		carryOverRequest(old, next)
 	}
 }
 
+// carryOverUpstream compares the upstream's own numbers of its entries, which a restore
+// does not change. An older entry of the copy, for example of an upstream that has left
+// or is draining, comes in force only if it is not written again.
+func carryOverUpstream(now time.Time, old, next *rowState) {
+	inForce := old.decoded.Upstream
+	switch listed := next.listed.Upstream; {
+	case next.row.Removed:
+		if inForce != nil && !inForce.Draining {
+			next.retain(old.decoded, now, removalGracePeriod)
+		}
+	case listed == nil || old.newestUpstream == nil || listed.IsNewerThan(old.newestUpstream):
+	case inForce == listed: // the same content
+	default:
+		next.retain(old.decoded, now, restoreGracePeriod)
+	}
+}
+
 // carryOverRequest retains what the operator has requested since the copy.
 func carryOverRequest(old, next *rowState) {
 	if old.decoded.Weights != nil && next.listed.Weights == nil {
 		next.decoded = old.decoded
 	}
 }
+
+// rememberNewest records the newest entry of an upstream, also if the row was
+// removed since.
+func (rs *rowState) rememberNewest(old *rowState) {
+	if u := rs.listed.Upstream; u != nil {
+		rs.newestUpstream = u
+	}
+	if old == nil {
+		return
+	}
+	if rs.newestUpstream == nil || old.newestUpstream != nil && old.newestUpstream.IsNewerThan(rs.newestUpstream) {
+		rs.newestUpstream = old.newestUpstream
+	}
+}
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -49,6 +49,11 @@
 	return r.state.view()
 }
 
+func (r restoreTest) expire(after time.Duration) *View {
+	r.state.expire(t0.Add(after))
+	return r.state.view()
+}
+
 func config(epoch core.Epoch) DecodedRow {
 	return DecodedRow{Config: &catalog.Config{Epoch: epoch}}
 }
@@ -57,6 +62,10 @@
 	return DecodedRow{Weights: &RequestedWeights{Model: "m", Version: number}}
 }
 
+func entry(id string, startedAtMs int64, revision uint64, draining bool) DecodedRow {
+	return DecodedRow{Upstream: &catalog.Upstream{ID: core.UpstreamID(id), Service: "s", StartedAtMs: startedAtMs, Revision: revision, Draining: draining}}
+}
+
 // Guards against a configuration that is ignored since its row got a version that was
 // assigned before the store's content was restored, and against one that goes back to
 // that of the copy.
@@ -87,13 +96,87 @@
 			}
 			history := r.readTable(2*time.Second, 1, 5, rows...).Weights["m"]
 			require.Equal(t, catalog.RequestedVersion{Version: 2, RequestedAt: t0.Add(time.Second)}, history.Newest())
-			require.Equal(t, history, r.state.view().Weights["m"])
+			require.Equal(t, history, r.expire(time.Hour).Weights["m"])
 			r.changes(2*time.Hour, 1, 9, r.row("w", 9, weightsOf(3)))
 			require.Equal(t, catalog.WeightNumber(3), r.state.view().Weights["m"].Newest().Version)
 		})
 	}
 }
 
+// Guards against calls to upstreams that drain or have left, which the copy of the
+// store's content lists as they were, and against the loss of live upstreams that the
+// copy lacks.
+func TestUpstreamsAfterRestore(t *testing.T) {
+	ready, newer, drains := entry("u", 100, 1, false), entry("u", 100, 3, false), entry("u", 100, 2, true)
+	cases := map[string]struct {
+		before []any // values of the row before the restore; nil is a removal
+		copied any
+		// restored, graceEnds and written are what is listed after the copy was read,
+		// when the grace period has ended, and when again has been written before that.
+		restored, graceEnds []string
+		again               any
+		written             []string
+	}{
+		"draining, ready in the copy":    {before: []any{ready, drains}, copied: ready, restored: []string{"u draining"}, graceEnds: []string{"u"}, again: drains, written: []string{"u draining"}},
+		"removed, ready in the copy":     {before: []any{ready, nil}, copied: ready, graceEnds: []string{"u"}, again: newer, written: []string{"u"}},
+		"drained and removed, in copy":   {before: []any{ready, drains, nil}, copied: drains, graceEnds: []string{"u draining"}},
+		"live, missing in the copy":      {before: []any{ready}, restored: []string{"u"}, again: newer, written: []string{"u"}},
+		"draining, missing in the copy":  {before: []any{drains}, again: drains, written: []string{"u draining"}},
+		"removed, missing in the copy":   {before: []any{ready, nil}, again: newer, written: []string{"u"}},
+		"newer entry than known":         {before: []any{ready}, copied: drains, restored: []string{"u draining"}, graceEnds: []string{"u draining"}},
+		"restarted with a reused id":     {before: []any{drains, nil}, copied: entry("u", 200, 1, false), restored: []string{"u"}, graceEnds: []string{"u"}},
+		"older incarnation in the copy":  {before: []any{drains, nil, entry("u", 200, 1, false)}, copied: drains, restored: []string{"u"}, graceEnds: []string{"u draining"}, again: entry("u", 200, 2, false), written: []string{"u"}},
+		"live, the same in the copy":     {before: []any{ready}, copied: ready, restored: []string{"u"}, graceEnds: []string{"u"}, again: drains, written: []string{"u draining"}},
+		"live, older entry in the copy":  {before: []any{ready, newer}, copied: ready, restored: []string{"u"}, graceEnds: []string{"u"}, again: nil, written: nil},
+		"unknown before":                 {copied: ready, restored: []string{"u"}, graceEnds: []string{"u"}},
+		"unreadable entry in the copy":   {before: []any{ready}, copied: "garbage"},
+		"unreadable entry known, sound":  {before: []any{"garbage"}, copied: ready, restored: []string{"u"}, graceEnds: []string{"u"}},
+		"drain written before the copy":  {before: []any{ready, drains}, copied: drains, restored: []string{"u draining"}, graceEnds: []string{"u draining"}},
+		"removal written after the copy": {before: []any{ready, drains, nil}, copied: ready, graceEnds: []string{"u"}, again: nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			restored := func() restoreTest {
+				r := newRestoreTest(t, upstreamsTable)
+				r.readTable(0, 0, 50, r.row("other", 50, entry("other", 1, 1, false)))
+				for i, value := range c.before {
+					r.changes(0, 0, uint64(51+i), r.row("u", uint64(51+i), value))
+				}
+				rows := []Row{r.row("other", 50, entry("other", 1, 1, false))}
+				if c.copied != nil {
+					rows = append(rows, r.row("u", 51, c.copied))
+				}
+				v := r.readTable(time.Second, 1, 51, rows...)
+				require.Equal(t, append([]string{"other"}, c.restored...), listedUpstreams(v))
+				return r
+			}
+			r := restored()
+			require.Equal(t, append([]string{"other"}, c.restored...), listedUpstreams(r.expire(time.Second+removalGracePeriod-1)))
+			require.Equal(t, append([]string{"other"}, c.graceEnds...), listedUpstreams(r.expire(time.Second+restoreGracePeriod)))
+			r = restored()
+			r.changes(2*time.Second, 1, 52, r.row("u", 52, c.again))
+			require.Equal(t, append([]string{"other"}, c.written...), listedUpstreams(r.expire(time.Minute)))
+		})
+	}
+}
+
+// Guards against an upstream that is listed again by a second restore within the grace
+// period of the first one, or while the store is away.
+func TestGracePeriodLastsForSecondRestoreAndOutage(t *testing.T) {
+	r := newRestoreTest(t, upstreamsTable)
+	ready := r.row("u", 5, entry("u", 100, 1, false))
+	r.readTable(0, 0, 5, ready)
+	r.changes(0, 0, 6, r.row("u", 6, nil))
+	require.Empty(t, listedUpstreams(r.readTable(time.Second, 1, 5, ready)))
+	require.Empty(t, listedUpstreams(r.readTable(3*time.Second, 2, 5, ready)))
+	require.Empty(t, listedUpstreams(r.expire(time.Second+restoreGracePeriod)))
+	r.state.setUpstreamsUnavailable(t0.Add(7 * time.Second))
+	require.Empty(t, listedUpstreams(r.expire(20*time.Second)))
+	r.state.setUpstreamsRecovered(t0.Add(20 * time.Second))
+	require.Empty(t, listedUpstreams(r.readTable(20*time.Second, 3, 5, ready)))
+	require.Equal(t, []string{"u"}, listedUpstreams(r.expire(20*time.Second+restoreGracePeriod)), "not removed again")
+}
+
 // Guards against a process that learns of a restore from a peer only, and misses rows
 // or goes back to rows of the lost content.
 func TestRestoreIsLearnedFromPeer(t *testing.T) {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -45,8 +45,13 @@
 	expired   bool
 	// weightHistory contains the weight versions that the row has contained so far.
 	weightHistory catalog.WeightHistory
-	// retainedUntil is set while a removed upstream remains in use.
+	// retainedUntil is set while a value is retained for a limited time. gracePeriod is
+	// that time.
 	retainedUntil time.Time
+	gracePeriod   time.Duration
+	// newestUpstream is the newest entry of the upstream. It remains when the row is
+	// removed.
+	newestUpstream *catalog.Upstream
 }
 
 // state merges rows from the store and from peers. For each row the newest version
@@ -134,6 +139,7 @@
 
 // finish adds to a row what never goes back.
 func (s *state) finish(old, next *rowState) {
+	next.rememberNewest(old)
 	next.weightHistory = appendWeightVersion(old, next)
 	if !s.acceptsConfig(old, next) {
 		next.decoded.Config = old.decoded.Config
@@ -174,11 +180,11 @@
 	unavailable := !s.upstreamsUnavailableSince.IsZero()
 	justRecovered := !s.upstreamsRecoveredAt.IsZero() && now.Sub(s.upstreamsRecoveredAt) < recoveryWindow
 	if unavailable || justRecovered {
-		next.decoded = old.decoded
-		next.retainedUntil = now.Add(removalGracePeriod)
+		from := now
 		if justRecovered {
-			next.retainedUntil = s.upstreamsRecoveredAt.Add(removalGracePeriod)
+			from = s.upstreamsRecoveredAt
 		}
+		next.retain(old.decoded, from, removalGracePeriod)
 	}
 }
 
@@ -198,41 +204,51 @@
 	}
 }
 
-// expire removes retained upstreams whose grace period has ended, marks members
+// expire ends the retention of values whose grace period has ended, marks members
 // that no longer renew their rows as expired, and returns the time of the next
 // expiry.
 func (s *state) expire(now time.Time) (changed bool, next time.Time) {
 	for key, rs := range s.rows {
-		if key.table == MembersTable && !rs.row.Removed && !rs.expired {
-			if !s.upstreamsUnavailableSince.IsZero() {
-				rs.renewedAt = now
-			}
-			due := rs.renewedAt.Add(memberExpiry)
-			if rs.expired = !now.Before(due); rs.expired {
-				changed = true
-			} else if next.IsZero() || due.Before(next) {
-				next = due
-			}
-			continue
-		}
-		if rs.retainedUntil.IsZero() {
-			continue
+		due := rs.retainedUntil
+		if key.table == MembersTable {
+			due = s.memberExpiresAt(now, rs)
+		} else if !due.IsZero() && !s.upstreamsUnavailableSince.IsZero() {
+			due = now.Add(rs.gracePeriod) // rows cannot be written again during the outage
+			rs.retainedUntil = due
 		}
-		if !s.upstreamsUnavailableSince.IsZero() {
-			rs.retainedUntil = now.Add(removalGracePeriod) // the upstream cannot be listed again during the outage
-		}
-		if !now.Before(rs.retainedUntil) {
-			rs.decoded, rs.retainedUntil = DecodedRow{}, time.Time{}
+		switch {
+		case due.IsZero():
+		case !now.Before(due):
+			rs.endRetention()
 			changed = true
-			continue
-		}
-		if next.IsZero() || rs.retainedUntil.Before(next) {
-			next = rs.retainedUntil
+		case next.IsZero() || due.Before(next):
+			next = due
 		}
 	}
 	return changed, next
 }
 
+// memberExpiresAt returns the time at which a member expires; zero if it has expired or
+// left.
+func (s *state) memberExpiresAt(now time.Time, rs *rowState) time.Time {
+	if rs.expired || rs.row.Removed {
+		return time.Time{}
+	}
+	if !s.upstreamsUnavailableSince.IsZero() {
+		rs.renewedAt = now
+	}
+	return rs.renewedAt.Add(memberExpiry)
+}
+
+// endRetention applies what the store has in a row, or marks a member as expired.
+func (rs *rowState) endRetention() {
+	if rs.row.Table != MembersTable {
+		rs.decoded, rs.retainedUntil = rs.listed, time.Time{}
+		return
+	}
+	rs.expired = true
+}
+
 // rowsAfter returns the rows that changed after the positions that a peer has seen,
 // sorted by version, and the tables of which it returns all rows because the peer has
 // an older generation of them. It returns no rows of tables of which the peer has a
@@ -270,7 +286,7 @@
 			v.Config = rs.decoded.Config
 		case rs.decoded.Upstream != nil && rs.decoded.Upstream.Service != "":
 			v.Upstreams = append(v.Upstreams, catalog.UpstreamRow{Upstream: rs.decoded.Upstream, RowVersion: rs.row.Version})
-		case rs.decoded.Evacuated != "":
+		case rs.decoded.Evacuated != "" && !rs.row.Removed:
 			v.Evacuated[rs.decoded.Evacuated] = true
 		case rs.decoded.Weights != nil:
 			v.Weights[rs.decoded.Weights.Model] = rs.weightHistory
