Retain evacuations and rollouts after a restore of the store's content

What callers saw: not reported. After a restore, an evacuated failure domain got calls again, a rollout ended, began anew or came back after its end, until the operator had written again what the copy lacks.

Cause: the copy of the operator's table replaced a newer one.

The time of a request stays when the same request is read or written again.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -97,8 +97,8 @@
 type ActiveRollout struct {
 	catalog.Rollout
 	// RequestRowVersion is the version of the request's row. RequestedAt is the time
-	// at which this process received that row; zero when the row is older than the
-	// process.
+	// at which this process received that request; zero when the request is older than
+	// the process. It stays when the same request is in restored content of the store.
 	RequestRowVersion uint64
 	RequestedAt       time.Time
 	// Status is the status last written for the operator. StatusRowVersion is
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -75,7 +75,7 @@
 	case s.tables.Upstreams:
 		carryOverUpstream(now, old, next)
 	case s.tables.Operator:
-		carryOverRequest(old, next)
+		carryOverRequest(now, old, next)
 	}
 }
 
@@ -96,10 +96,31 @@
 	}
 }
 
-// carryOverRequest retains what the operator has requested since the copy.
-func carryOverRequest(old, next *rowState) {
-	if old.decoded.Weights != nil && next.listed.Weights == nil {
-		next.decoded = old.decoded
+// carryOverRequest retains what the operator has requested, or has withdrawn, since the
+// copy.
+func carryOverRequest(now time.Time, old, next *rowState) {
+	before, listed := old.decoded, next.listed
+	switch {
+	case before.Weights != nil && listed.Weights == nil:
+		next.decoded = before
+	case before.Evacuated != "" && listed.Evacuated == "":
+		next.retain(before, now, restoreGracePeriod)
+	case before.Rollout != nil:
+		next.receivedAt = old.receivedAt
+		next.retain(before, now, restoreGracePeriod)
+	case listed.Rollout != nil:
+		next.retain(DecodedRow{}, now, restoreGracePeriod) // withdrawn since the copy
+	}
+}
+
+// continueRollout keeps the time of a rollout's request that is written again within the
+// grace period.
+func continueRollout(old, next *rowState) {
+	if old == nil || old.retainedUntil.IsZero() || old.decoded.Rollout == nil || next.decoded.Rollout == nil {
+		return
+	}
+	if *old.decoded.Rollout == *next.decoded.Rollout {
+		next.receivedAt = old.receivedAt
 	}
 }
 
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -177,12 +177,64 @@
 	require.Equal(t, []string{"u"}, listedUpstreams(r.expire(20*time.Second+restoreGracePeriod)), "not removed again")
 }
 
+// Guards against calls to a failure domain whose evacuation is missing in the copy.
+func TestEvacuationRemainsAfterRestore(t *testing.T) {
+	evacuated := DecodedRow{Evacuated: "z1"}
+	r := newRestoreTest(t, operatorTable)
+	r.readTable(0, 0, 5, r.row("other", 5, config(1)))
+	r.changes(0, 0, 6, r.row("z1", 6, evacuated))
+	require.True(t, r.readTable(time.Second, 1, 5, r.row("other", 5, config(1))).Evacuated["z1"])
+	require.True(t, r.expire(time.Second + restoreGracePeriod - 1).Evacuated["z1"])
+	require.False(t, r.expire(time.Second + restoreGracePeriod).Evacuated["z1"], "not requested again")
+
+	r.changes(10*time.Second, 1, 6, r.row("z1", 6, evacuated))
+	r.changes(11*time.Second, 1, 7, r.row("z1", 7, nil))
+	require.True(t, r.readTable(12*time.Second, 2, 6, r.row("z1", 6, evacuated)).Evacuated["z1"])
+	require.False(t, r.changes(13*time.Second, 2, 7, r.row("z1", 7, nil)).Evacuated["z1"], "the end is written again")
+}
+
+// Guards against a rollout that begins anew, disappears, or comes back after its end,
+// since the copy is older than the request.
+func TestRolloutAfterRestore(t *testing.T) {
+	request := DecodedRow{Rollout: &catalog.Rollout{Service: "s", Version: "v2", MaxDuration: time.Minute}}
+	other := DecodedRow{Rollout: &catalog.Rollout{Service: "s", Version: "v1", MaxDuration: time.Minute}}
+	known := func(values ...any) restoreTest {
+		r := newRestoreTest(t, operatorTable)
+		r.readTable(0, 0, 5)
+		for i, value := range values {
+			r.changes(time.Second, 0, uint64(6+i), r.row("r", uint64(6+i), value))
+		}
+		return r
+	}
+	r := known(request)
+	rollout := r.readTable(2*time.Second, 1, 9, r.row("r", 8, request)).Rollouts["s"]
+	require.Equal(t, t0.Add(time.Second), rollout.RequestedAt, "the same request")
+	require.Equal(t, uint64(8), rollout.RequestRowVersion)
+
+	r = known(request)
+	require.Equal(t, t0.Add(time.Second), r.readTable(2*time.Second, 1, 5).Rollouts["s"].RequestedAt, "missing in the copy")
+	rollout = r.changes(3*time.Second, 1, 6, r.row("r", 6, request)).Rollouts["s"]
+	require.Equal(t, t0.Add(time.Second), rollout.RequestedAt, "written again")
+
+	r = known(request)
+	r.readTable(2*time.Second, 1, 5)
+	require.Empty(t, r.expire(2*time.Second+restoreGracePeriod).Rollouts, "not written again")
+
+	r = known(request)
+	require.Equal(t, "v2", r.readTable(2*time.Second, 1, 5, r.row("r", 4, other)).Rollouts["s"].Version, "older request in the copy")
+	require.Equal(t, "v1", r.expire(2*time.Second + restoreGracePeriod).Rollouts["s"].Version)
+
+	r = known(request, nil)
+	require.Empty(t, r.readTable(2*time.Second, 1, 6, r.row("r", 6, request)).Rollouts, "withdrawn since the copy")
+	require.Equal(t, "v2", r.changes(3*time.Second, 1, 7, r.row("r", 7, request)).Rollouts["s"].Version, "written again")
+}
+
 // Guards against a process that learns of a restore from a peer only, and misses rows
 // or goes back to rows of the lost content.
 func TestRestoreIsLearnedFromPeer(t *testing.T) {
 	ahead, behind := newRestoreTest(t, operatorTable), newRestoreTest(t, operatorTable)
 	for _, r := range []restoreTest{ahead, behind} {
-		r.readTable(0, 0, 30, r.row("config", 30, config(12)))
+		r.readTable(0, 0, 30, r.row("config", 30, config(12)), r.row("z1", 29, DecodedRow{Evacuated: "z1"}))
 	}
 	ahead.readTable(time.Second, 1, 20, ahead.row("config", 20, config(5)))
 	ahead.changes(2*time.Second, 1, 25, ahead.row("config", 25, config(13)))
@@ -202,6 +254,7 @@
 	require.True(t, restored)
 	v := behind.state.view()
 	require.Equal(t, core.Epoch(13), v.Config.Epoch)
+	require.True(t, v.Evacuated["z1"], "retained here as well")
 	rows, complete = ahead.state.rowsAfter(behind.state.seen)
 	require.Empty(t, rows)
 	require.False(t, complete[operatorTable])
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -114,6 +114,7 @@
 	next := s.newRowState(now, row)
 	if row.Table != MembersTable {
 		s.retainRemoved(now, old, next)
+		continueRollout(old, next)
 	}
 	s.finish(old, next)
 	s.rows[key] = next
@@ -286,7 +287,7 @@
 			v.Config = rs.decoded.Config
 		case rs.decoded.Upstream != nil && rs.decoded.Upstream.Service != "":
 			v.Upstreams = append(v.Upstreams, catalog.UpstreamRow{Upstream: rs.decoded.Upstream, RowVersion: rs.row.Version})
-		case rs.decoded.Evacuated != "" && !rs.row.Removed:
+		case rs.decoded.Evacuated != "":
 			v.Evacuated[rs.decoded.Evacuated] = true
 		case rs.decoded.Weights != nil:
 			v.Weights[rs.decoded.Weights.Model] = rs.weightHistory
