Retain members after a restore of the store's content

What callers saw: not reported. After a restore, limits were divided among too few processes, since the copy lacked some, or among too many, since it listed processes that had left.

Cause: the copy of the members table replaced a newer one.

Change: a member that the copy lacks remains until it has not been renewed for memberExpiry, counted from its last renewal. A member that is known to have left counts as expired at once if the copy lists it, so that its row is removed. A live member whose older incarnation is listed remains. Rows of members are decoded when they are received instead of for each view.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -91,6 +91,8 @@
 	Rollout *catalog.Rollout
 	// Status is the rollout status last written for the operator.
 	Status *catalog.RolloutStatus
+	// Member is decoded by package fleet itself.
+	Member *Member
 }
 
 // ActiveRollout is a rollout that the operator requested.
@@ -136,7 +138,8 @@
 	Weights   map[core.ModelID]catalog.WeightHistory
 	Rollouts  map[core.ServiceID]ActiveRollout
 	Members   []Member
-	// ExpiredMembers are the rows of processes that no longer renew them.
+	// ExpiredMembers are the rows of processes that no longer renew them, or that are
+	// known to have left although restored content of the store lists them.
 	ExpiredMembers []Row
 	// Departures are the times at which this process received the removal of a
 	// member's row, for members that have not registered again, oldest first.
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -74,6 +74,8 @@
 	switch next.row.Table {
 	case s.tables.Upstreams:
 		carryOverUpstream(now, old, next)
+	case MembersTable:
+		carryOverMember(old, next)
 	case s.tables.Operator:
 		carryOverRequest(now, old, next)
 	}
@@ -124,15 +126,41 @@
 	}
 }
 
-// rememberNewest records the newest entry of an upstream, also if the row was
+// carryOverMember retains a member that the copy lacks until it has not been renewed
+// for memberExpiry, so that limits are not divided among too few processes. A member
+// that has left is expired at once if the copy lists it.
+func carryOverMember(old, next *rowState) {
+	next.renewedAt, next.expired = old.renewedAt, old.expired
+	before, listed := old.decoded.Member, next.listed.Member
+	switch {
+	case before == nil && next.row.Removed:
+		next.receivedAt, next.expired = old.receivedAt, false
+	case before == nil && listed != nil:
+		next.renewedAt = next.receivedAt
+		next.expired = listed.Incarnation <= old.newestIncarnation
+	case before == nil:
+	case listed == nil && old.expired:
+		next.receivedAt, next.expired = time.Time{}, false
+	case listed == nil || listed.Incarnation < before.Incarnation:
+		next.decoded = old.decoded
+	case listed.Incarnation > before.Incarnation:
+		next.renewedAt, next.expired = next.receivedAt, false
+	}
+}
+
+// rememberNewest records the newest entry of an upstream or member, also if the row was
 // removed since.
 func (rs *rowState) rememberNewest(old *rowState) {
 	if u := rs.listed.Upstream; u != nil {
 		rs.newestUpstream = u
 	}
+	if m := rs.listed.Member; m != nil {
+		rs.newestIncarnation = m.Incarnation
+	}
 	if old == nil {
 		return
 	}
+	rs.newestIncarnation = max(rs.newestIncarnation, old.newestIncarnation)
 	if rs.newestUpstream == nil || old.newestUpstream != nil && old.newestUpstream.IsNewerThan(rs.newestUpstream) {
 		rs.newestUpstream = old.newestUpstream
 	}
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -34,7 +34,13 @@
 	if value == nil {
 		return Row{Table: r.table, Key: key, Version: version, Removed: true}
 	}
-	body, err := json.Marshal(value)
+	var body []byte
+	var err error
+	if m, ok := value.(Member); ok {
+		body, err = encodeMember(m)
+	} else {
+		body, err = json.Marshal(value)
+	}
 	require.NoError(r, err)
 	return Row{Table: r.table, Key: key, Version: version, Value: body}
 }
@@ -229,6 +235,39 @@
 	require.Equal(t, "v2", r.changes(3*time.Second, 1, 7, r.row("r", 7, request)).Rollouts["s"].Version, "written again")
 }
 
+// Guards against limits that are divided among too few processes because the copy lacks
+// members, or among too many because it lists processes that have left.
+func TestMembersAfterRestore(t *testing.T) {
+	r := newRestoreTest(t, MembersTable)
+	a, b, c := Member{Node: "a", Incarnation: 1}, Member{Node: "b", Incarnation: 1}, Member{Node: "c", Incarnation: 1}
+	nodes := func(v *View) (out []core.NodeID) {
+		for _, m := range v.Members {
+			out = append(out, m.Node)
+		}
+		return out
+	}
+	r.readTable(0, 0, 5, r.row("a", 3, a), r.row("b", 4, b), r.row("c", 5, c))
+	b.Incarnation = 2
+	r.changes(0, 0, 6, r.row("b", 6, b))
+	v := r.changes(time.Second, 0, 7, r.row("c", 7, nil))
+	require.Equal(t, []time.Time{t0.Add(time.Second)}, v.Departures)
+
+	b.Incarnation = 1
+	v = r.readTable(2*time.Second, 1, 5, r.row("b", 4, b), r.row("c", 5, c))
+	require.Equal(t, []core.NodeID{"a", "b"}, nodes(v), "a is not in the copy, c has left")
+	require.Equal(t, core.Incarnation(2), v.Members[1].Incarnation)
+	require.Len(t, v.ExpiredMembers, 1)
+	require.Equal(t, Row{Table: MembersTable, Key: "c", Version: 5, Value: v.ExpiredMembers[0].Value}, v.ExpiredMembers[0])
+
+	v = r.expire(memberExpiry)
+	require.Equal(t, []core.NodeID(nil), nodes(v), "a and b have not renewed their rows")
+	require.Len(t, v.ExpiredMembers, 2, "rows of b and c")
+	require.Empty(t, v.Departures, "a has not left just now")
+	c.Incarnation = 2
+	v = r.changes(memberExpiry, 1, 9, r.row("a", 8, a), r.row("c", 9, c))
+	require.Equal(t, []core.NodeID{"a", "c"}, nodes(v))
+}
+
 // Guards against a process that learns of a restore from a peer only, and misses rows
 // or goes back to rows of the lost content.
 func TestRestoreIsLearnedFromPeer(t *testing.T) {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -49,9 +49,10 @@
 	// that time.
 	retainedUntil time.Time
 	gracePeriod   time.Duration
-	// newestUpstream is the newest entry of the upstream. It remains when the row is
-	// removed.
-	newestUpstream *catalog.Upstream
+	// newestUpstream is the newest entry of the upstream, newestIncarnation the newest
+	// incarnation of the member. They remain when the row is removed.
+	newestUpstream    *catalog.Upstream
+	newestIncarnation core.Incarnation
 }
 
 // state merges rows from the store and from peers. For each row the newest version
@@ -127,10 +128,14 @@
 	if s.seen[row.Table].Version == 0 {
 		next.receivedAt = time.Time{} // older than this process
 	}
-	if row.Removed || row.Table == MembersTable {
+	if row.Removed {
 		return next
 	}
-	decoded, err := s.decoder.Decode(row)
+	decode := s.decoder.Decode
+	if row.Table == MembersTable {
+		decode = decodeMemberRow
+	}
+	decoded, err := decode(row)
 	if err != nil {
 		s.decodeErrors = append(s.decodeErrors, err)
 	}
@@ -232,7 +237,7 @@
 // memberExpiresAt returns the time at which a member expires; zero if it has expired or
 // left.
 func (s *state) memberExpiresAt(now time.Time, rs *rowState) time.Time {
-	if rs.expired || rs.row.Removed {
+	if rs.expired || rs.row.Removed && rs.decoded.Member == nil {
 		return time.Time{}
 	}
 	if !s.upstreamsUnavailableSince.IsZero() {
@@ -248,6 +253,9 @@
 		return
 	}
 	rs.expired = true
+	if rs.row.Removed {
+		rs.decoded, rs.receivedAt = DecodedRow{}, time.Time{} // it did not leave just now
+	}
 }
 
 // rowsAfter returns the rows that changed after the positions that a peer has seen,
@@ -293,13 +301,9 @@
 			v.Weights[rs.decoded.Weights.Model] = rs.weightHistory
 		case key.table == MembersTable && rs.expired && !rs.row.Removed:
 			v.ExpiredMembers = append(v.ExpiredMembers, rs.row)
-		case key.table == MembersTable && !rs.row.Removed:
-			if m, err := decodeMember(rs.row.Value); err == nil {
-				v.Members = append(v.Members, m)
-			} else {
-				s.decodeErrors = append(s.decodeErrors, err)
-			}
-		case key.table == MembersTable && !rs.receivedAt.IsZero():
+		case rs.decoded.Member != nil:
+			v.Members = append(v.Members, *rs.decoded.Member)
+		case key.table == MembersTable && rs.row.Removed && !rs.receivedAt.IsZero():
 			v.Departures = append(v.Departures, rs.receivedAt)
 		}
 	}
@@ -331,15 +335,15 @@
 	return rollouts
 }
 
-func decodeMember(value []byte) (Member, error) {
+func decodeMemberRow(row Row) (DecodedRow, error) {
 	var m wire.MemberRow
-	if err := proto.Unmarshal(value, &m); err != nil || m.Node == "" {
-		return Member{}, errs.Wrap(err, errs.Corrupt, "ignore the row", "member row cannot be decoded")
+	if err := proto.Unmarshal(row.Value, &m); err != nil || m.Node == "" {
+		return DecodedRow{}, errs.Wrap(err, errs.Corrupt, "ignore the row", "member row cannot be decoded")
 	}
-	return Member{
+	return DecodedRow{Member: &Member{
 		Node: core.NodeID(m.Node), Address: m.Address, Domain: core.FailureDomain(m.FailureDomain),
 		Incarnation: core.Incarnation(m.Incarnation),
-	}, nil
+	}}, nil
 }
 
 func encodeMember(m Member) ([]byte, error) {
