Register again when the store's content was restored

What callers saw: not reported. After a restore, the row of a process that had registered since the copy was missing until its next renewal, up to a minute later. A process that started meanwhile did not count it when it divided limits.

Cause: the local row is written once a minute, whatever happens to the store's content.

Change: the state duty notifies the registration duty of a newer generation, learned from the store or from a peer, through a ring of one element. It is notified once more when the members table was read, which shows the expired members.

--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -71,6 +71,9 @@
 	// deregistrations holds the request to deregister; its element is the ring that
 	// is notified when the request has been processed.
 	deregistrations *ring.Ring[*ring.Ring[struct{}]]
+	// reregistrations receives an element when the local row may have been lost, because
+	// the store's content was restored.
+	reregistrations *ring.Ring[struct{}]
 	random          *rand.Rand
 	seeds           atomic.Pointer[[]string]
 }
@@ -111,7 +114,8 @@
 	f := &Fleet{
 		opts: opts, updates: ring.New[update](updateRingSize), rowQueries: ring.New[rowQuery](updateRingSize),
 		tablesUnavailable: ring.New[bool](1), observedEpochs: ring.New[observedEpoch](observedEpochRingSize), deregistrations: ring.New[*ring.Ring[struct{}]](1),
-		random: rand.New(rand.NewPCG(opts.RandomSeed, 1)),
+		reregistrations: ring.New[struct{}](1),
+		random:          rand.New(rand.NewPCG(opts.RandomSeed, 1)),
 	}
 	f.readsStore.Store(true)
 	f.viewChanged = f.Subscribe()
@@ -294,9 +298,13 @@
 			f.tablesUnavailable.Push(false)
 		}
 	}
-	before := s.seen[u.table]
+	before, newest := s.seen[u.table], s.newestGeneration()
 	changed, restored := s.apply(now, u)
 	if restored {
+		// The members table may be read later than others, and then shows expired rows.
+		if u.table == MembersTable || u.position.Generation > newest {
+			f.reregistrations.Push(struct{}{})
+		}
 		log.WithFields(logrus.Fields{
 			"event": "store_restored", "old_generation": before.Generation, "old_version": before.Version,
 			"generation": u.position.Generation, "version": u.position.Version,
--- a/fleet/registration.go
+++ b/fleet/registration.go
@@ -29,7 +29,8 @@
 )
 
 // runRegistration is the duty that writes the row of this process and renews it
-// until the process deregisters. A row remains until it has expired or its process
+// until the process deregisters. It writes the row at once after the store's content was
+// restored from a copy, which may lack it. A row remains until it has expired or its process
 // is stopped as planned, so that limits are never divided among too few processes.
 func (f *Fleet) runRegistration(ctx context.Context) error {
 	value, err := encodeMember(f.opts.Self)
@@ -63,6 +64,9 @@
 			timer.Stop()
 			return nil
 		case <-timer.C:
+		case <-f.reregistrations.Ready():
+			timer.Stop()
+			f.reregistrations.TryReceive()
 		case <-f.deregistrations.Ready():
 			timer.Stop()
 			if done, ok := f.deregistrations.TryReceive(); ok {
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"time"
+
+	"waxwingtide.example/waxwingtide/core"
 )
 
 // restoreGracePeriod is the time after a restore of the store's content in which
@@ -165,3 +167,12 @@
 		rs.newestUpstream = old.newestUpstream
 	}
 }
+
+// newestGeneration returns the newest generation of all tables.
+func (s *state) newestGeneration() core.Generation {
+	var newest core.Generation
+	for _, position := range s.seen {
+		newest = max(newest, position.Generation)
+	}
+	return newest
+}
--- a/fleet/restored_store_test.go
+++ b/fleet/restored_store_test.go
@@ -101,3 +101,22 @@
 		})
 	}
 }
+
+// Guards against a process whose row remains lost for up to a minute after the store's
+// content was restored, so that processes that start do not count it.
+func TestProcessRegistersAgainAfterRestore(t *testing.T) {
+	r := newRestorableStore(t)
+	r.putConfig(1)
+	backup := r.store.Copy()
+	r.start(4)
+	r.await("start", 1)
+	r.store.Restore(backup)
+	require.Eventually(t, func() bool {
+		for i := range r.processes {
+			if _, ok := r.store.Row("members", fmt.Sprintf("front-%d", i)); !ok {
+				return false
+			}
+		}
+		return true
+	}, eventuallyTimeout, 10*time.Millisecond, "a process has not registered again")
+}
