Apply the planned stop to calls whose bodies arrive late

A stopping front decided when the head of a call was read whether it still takes the call. A stream whose head came before SIGTERM and whose body came seconds later was sent to an upstream at any time in the grace period, and the end of the stop cut it (LOST: passed on, and the connection ends without a complete answer). The decision is now repeated when the body is complete; the call is refused with 503, since it has not run.

TestPlannedStopRefusesStreamWhoseBodyIsLate fails on the code before: the upstream runs the call.

--- a/frontend/stop_test.go
+++ b/frontend/stop_test.go
@@ -5,10 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/standin"
 )
 
 // Guards against requests that a planned stop takes and gives up: their heads were
@@ -43,6 +46,33 @@
 	}
 }
 
+// Guards against streams that begin so late in a planned stop that its end cuts them:
+// their heads were received before the stop, their bodies long after it.
+func TestPlannedStopRefusesStreamWhoseBodyIsLate(t *testing.T) {
+	d := newDeployment(t)
+	runs := atomic.Int32{}
+	d.startServer("i-1", "svc", func(s *standin.PlatformServer) func(http.ResponseWriter, *http.Request, []byte) {
+		return func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+			runs.Add(1)
+			s.Answer(w, http.StatusOK, "served")
+		}
+	})
+	f := newFront()
+	f.grace = 6 * time.Second
+	d.runFront("front-1", f)
+	d.eventually(f.ready, "front is not ready")
+	const head = "POST /draft/x HTTP/1.1\r\nHost: gates.example\r\nX-Api-Key: key-1\r\nRequest-Id: r\r\nContent-Length: 4\r\n\r\n"
+	conn := f.dial(t)
+	send(t, conn, head+"bo")
+	time.Sleep(100 * time.Millisecond) // the head is read before the stop
+	f.stop()
+	d.eventually(func() bool { return !f.ready() }, "the front does not stop")
+	time.Sleep(f.grace * 4 / 10) // no streams begin after 0.3 of the grace time
+	send(t, conn, "dy")
+	require.Equal(t, http.StatusServiceUnavailable, readResponse(t, bufio.NewReader(conn)).StatusCode)
+	require.Zero(t, runs.Load())
+}
+
 // dial opens a connection of a caller.
 func (f *front) dial(t *testing.T) net.Conn {
 	t.Helper()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,8 +111,10 @@
 	if !s.resolve() || !s.readBody() {
 		return
 	}
-	// The configuration may have changed while the body was received.
-	if g.opts.Fleet.View().Config != s.config && !s.resolve() {
+	// The configuration may have changed while the body was received, and a planned stop
+	// accepts fewer calls as it proceeds.
+	changed := g.opts.Fleet.View().Config != s.config || g.plannedStop.Load() != nil
+	if changed && !s.resolve() {
 		return
 	}
 	if s.route.Kind == core.KindStream {
