Find lost calls and overlapping planned stops in the fault soak

The soak missed the calls that planned stops lost: it took a connection that ended without a response as one that promises nothing, it stopped one front at a time and about once a run, and its callers sent each request at once, on connections that the HTTP client may replace unseen.

Holders use one connection until the front closes it, send requests in two pieces and pause about as long as a drain waits. A call is lost if its connection ends without a response more than 200 ms after the first byte, and its front was neither killed nor suspended; planned stops and a store that is away excuse nothing. A fault stops all fronts one after the other, so that the stops overlap, and a planned stop also gets SIGHUP and a second SIGTERM.

--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -92,11 +92,18 @@
 		return
 	}
 	w.ledger.note(entry{id: id, front: f.name, once: once, tried: true})
+	begun := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
-		return // a connection that breaks promises nothing
+		w.noteClosed(f, id, begun, err)
+		return
 	}
 	defer func() { _ = resp.Body.Close() }()
+	w.checkResponse(id, resp, stream)
+}
+
+// checkResponse checks the response of a call and notes what it promises.
+func (w *world) checkResponse(id string, resp *http.Response, stream bool) {
 	if got := standin.PlatformID(resp.Header); got != id {
 		w.ledger.note(entry{id: id, broken: "got the answer of " + got})
 		return
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -19,6 +19,10 @@
 	// is down.
 	faultTime    = 2500 * time.Millisecond
 	restartPause = 300 * time.Millisecond
+	// seriesGap is the time between two of the planned stops in a series, which
+	// overlap. signalGap is the time after which a planned stop gets further signals.
+	seriesGap = 500 * time.Millisecond
+	signalGap = 400 * time.Millisecond
 )
 
 // fault changes something and puts it back after a time.
@@ -27,6 +31,8 @@
 	run  func(ctx context.Context, lasts time.Duration)
 	// touches is the front or the server's link that the fault touches.
 	touches string
+	// disrupts is set when the fault kills or suspends the front.
+	disrupts bool
 }
 
 // inject draws faults until the time is over and waits until all have ended.
@@ -42,10 +48,15 @@
 		duty.Pause(ctx, faultGap/2+time.Duration(random.Int64N(int64(faultGap))))
 		lasts := faultTime/5 + time.Duration(random.Int64N(int64(faultTime*4/5)))
 		i, server := random.IntN(len(w.fronts)), w.servers[random.IntN(len(w.servers))]
-		kind := random.IntN(faultKinds)
+		kind := random.IntN(faultKinds+1) - 1
 		if ctx.Err() != nil || time.Since(begun) > w.o.For-faultTime {
 			return
 		}
+		if kind == stopsInSeries {
+			w.faults = append(w.faults, fmt.Sprintf("%.1fs stops in series", time.Since(begun).Seconds()))
+			w.stopInSeries(ctx, &running, busy, lasts)
+			continue
+		}
 		if kind < processFaults {
 			if time.Now().Before(busy[i]) {
 				continue // its process is being stopped or started
@@ -60,17 +71,49 @@
 		}
 		f := w.draw(kind, w.fronts[i], server)
 		w.faults = append(w.faults, fmt.Sprintf("%.1fs %s for %s", time.Since(begun).Seconds(), f.name, lasts.Round(time.Millisecond)))
+		running.Go(func() { w.apply(ctx, f, lasts) })
+	}
+}
+
+// apply runs a fault and notes when it touches a front or a link.
+func (w *world) apply(ctx context.Context, f fault, lasts time.Duration) {
+	note := func(change func(map[string][]span, string, time.Time)) {
+		w.ledger.note(entry{change: func(t *timeline, at time.Time) {
+			change(t.touched, f.touches, at)
+			if f.disrupts {
+				change(t.disrupted, f.touches, at)
+			}
+		}})
+	}
+	note(begin)
+	f.run(ctx, lasts)
+	note(end)
+}
+
+// stopInSeries stops the fronts one after the other, so that the stops overlap. It
+// leaves out fronts whose processes are already being stopped.
+func (w *world) stopInSeries(ctx context.Context, running *conc.WaitGroup, busy []time.Time, lasts time.Duration) {
+	delay := time.Duration(0)
+	for i, f := range w.fronts {
+		if time.Now().Before(busy[i]) {
+			continue
+		}
+		busy[i] = time.Now().Add(delay + grace + 2*restartPause)
+		after := delay
 		running.Go(func() {
-			w.ledger.note(entry{change: func(t *timeline, at time.Time) { begin(t.touched, f.touches, at) }})
-			f.run(ctx, lasts)
-			w.ledger.note(entry{change: func(t *timeline, at time.Time) { end(t.touched, f.touches, at) }})
+			duty.Pause(ctx, after)
+			w.apply(ctx, w.draw(plannedStop, f, nil), lasts)
 		})
+		delay += seriesGap
 	}
 }
 
 // processFaults are the first kinds, which stop or start a front's process; from
-// drains on a server is drained.
+// drains on a server is drained. plannedStop is the planned stop of one front, and
+// stopsInSeries of all.
 const (
+	stopsInSeries = -1
+	plannedStop   = 1
 	processFaults = 3
 	drains        = 12
 	faultKinds    = 14
@@ -93,11 +136,19 @@
 	}
 	switch kind {
 	case 0:
-		return fault{name: "kill " + f.name, touches: f.name, run: func(ctx context.Context, lasts time.Duration) { w.restart(ctx, f, syscall.SIGKILL, lasts/2) }}
+		return fault{name: "kill " + f.name, touches: f.name, disrupts: true, run: func(ctx context.Context, lasts time.Duration) { w.restart(ctx, f, syscall.SIGKILL, lasts/2) }}
 	case 1:
-		return fault{name: "stop " + f.name, touches: f.name, run: func(ctx context.Context, _ time.Duration) { w.restart(ctx, f, syscall.SIGTERM, restartPause) }}
+		return fault{name: "stop " + f.name, touches: f.name, run: func(ctx context.Context, _ time.Duration) {
+			c := f.child.Load()
+			signals := time.AfterFunc(signalGap, func() {
+				c.signal(syscall.SIGHUP)
+				c.signal(syscall.SIGTERM)
+			})
+			defer signals.Stop()
+			w.restart(ctx, f, syscall.SIGTERM, restartPause)
+		}}
 	case 2:
-		return fault{name: "freeze " + f.name, touches: f.name, run: func(ctx context.Context, lasts time.Duration) {
+		return fault{name: "freeze " + f.name, touches: f.name, disrupts: true, run: func(ctx context.Context, lasts time.Duration) {
 			f.child.Load().signal(syscall.SIGSTOP)
 			duty.Pause(ctx, lasts)
 			f.child.Load().signal(syscall.SIGCONT)
--- a/tools/soak/ledger.go
+++ b/tools/soak/ledger.go
@@ -30,6 +30,9 @@
 	version  int
 	accepted bool
 	sent     time.Time
+	// lost is set when a front has closed the connection of a call, sent at sent,
+	// without a response.
+	lost bool
 	// change notes something in the timeline, as of at.
 	change func(t *timeline, at time.Time)
 }
@@ -40,6 +43,7 @@
 	calls   map[string]*callRecord
 	times   *timeline
 	keyed   []entry
+	lost    []entry
 	broken  []string
 	served  int
 	tried   int
@@ -86,6 +90,10 @@
 		l.keyed = append(l.keyed, e)
 		return
 	}
+	if e.lost {
+		l.lost = append(l.lost, e)
+		return
+	}
 	c := l.calls[e.id]
 	if c == nil {
 		c = &callRecord{}
@@ -139,6 +147,11 @@
 			l.broken = append(l.broken, e.id+": "+missed)
 		}
 	}
+	for _, e := range l.lost {
+		if !l.times.isDisrupted(e.front, e.sent, e.at) {
+			l.broken = append(l.broken, fmt.Sprintf("%s: %s closed the connection without an answer %s after the first byte", e.id, e.front, e.at.Sub(e.sent).Round(time.Millisecond)))
+		}
+	}
 	if l.lateTried > 0 && l.lateServed*10 < l.lateTried*9 {
 		l.broken = append(l.broken, fmt.Sprintf("after the faults %d of %d calls were served", l.lateServed, l.lateTried))
 	}
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -78,3 +78,27 @@
 	require.Empty(t, l.keyMissed("f", 2, refused, at(14.9), at(15)))
 	require.NotEmpty(t, l.keyMissed("f", 2, refused, at(15.1), at(15.2)))
 }
+
+// Guards against a soak that takes a lost call for one that crossed the close of its
+// connection, or blames a front that was killed.
+func TestLedgerSeesLostCalls(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return t0.Add(time.Duration(seconds * float64(time.Second))) }
+	l := newLedger()
+	l.calm = at(1000)
+	begin(l.times.touched, "f", at(9)) // a planned stop excuses nothing
+	begin(l.times.disrupted, "g", at(10))
+	end(l.times.disrupted, "g", at(11))
+	for _, e := range []entry{
+		{id: "stop", front: "f", lost: true, sent: at(10), at: at(10.3)},
+		{id: "killed", front: "g", lost: true, sent: at(9), at: at(10.1)},
+		{id: "restarted", front: "g", lost: true, sent: at(13.9), at: at(14.2)},
+		{id: "later", front: "g", lost: true, sent: at(14.1), at: at(14.4)},
+	} {
+		l.take(e)
+	}
+	require.Equal(t, []string{
+		"later: g closed the connection without an answer 300ms after the first byte",
+		"stop: f closed the connection without an answer 300ms after the first byte",
+	}, l.verdict())
+}
--- a/tools/soak/timeline.go
+++ b/tools/soak/timeline.go
@@ -26,12 +26,16 @@
 	// server, drained those in which a server was drained.
 	touched map[string][]span
 	drained map[string][]span
+	// disrupted holds the spans in which a front was killed or suspended.
+	disrupted map[string][]span
 	// keys holds when the key of each version of the configuration was allowed.
 	keys map[int]span
 }
 
 func newTimeline() *timeline {
-	return &timeline{touched: make(map[string][]span), drained: make(map[string][]span), keys: make(map[int]span)}
+	return &timeline{
+		touched: make(map[string][]span), drained: make(map[string][]span), disrupted: make(map[string][]span), keys: make(map[int]span),
+	}
 }
 
 // begin and end note a span of one of the maps.
@@ -69,6 +73,17 @@
 	return true
 }
 
+// isDisrupted reports whether a front was killed or suspended during a call or shortly
+// before it. Planned stops and faults of the store do not count.
+func (t *timeline) isDisrupted(front string, from, to time.Time) bool {
+	for _, s := range t.disrupted[front] {
+		if s.from.Before(to) && (s.to.IsZero() || from.Sub(s.to) < contact) {
+			return true
+		}
+	}
+	return false
+}
+
 // drainMissed says which drain a run that began at a server has missed.
 func (t *timeline) drainMissed(front, server string, at time.Time) string {
 	for _, s := range t.drained[server] {
--- a/tools/soak/world.go
+++ b/tools/soak/world.go
@@ -157,6 +157,7 @@
 	calling, stop := context.WithCancel(ctx)
 	for n := range o.Callers {
 		callers.Go(func() { w.caller(calling, n) })
+		callers.Go(func() { w.holder(calling, n) })
 	}
 	callers.Go(func() { w.keyHolder(calling) })
 	w.inject(ctx)
