Drain the administration API in a planned stop

An operator's request that an entry or agent had begun to receive, or was carrying out, ended without an answer when the daemon stopped: the server of the administration API was closed with http.Server.Close as soon as the callers were drained. The operator could not tell whether the change was made. It is the class of the callers' fault: connections are closed regardless of the requests that they carry.

The API uses the server of package callerhttp and is drained after the callers, so that readiness checks are answered until then, for at most two seconds within the stop timeout. Streams of events have no end and are interrupted by it.

TestPlannedStopOfEntryAnswersAdministrationRequests fails on the code before ("unexpected EOF"). The test of the callers' stop now shares its steps with it.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -65,7 +65,7 @@
 	}
 	p.group.Go("administration events", api.Events)
 	e.Start(p.group)
-	callerServer, err := p.serveCallers(s.Callers, e.Handler())
+	callerServer, err := p.serveHTTP("callers", p.deps.CallerListener, s.Callers, e.Handler())
 	if err != nil {
 		return err
 	}
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -12,7 +12,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sirupsen/logrus"
 	"storj.io/drpc"
@@ -37,6 +36,9 @@
 	idleTimeout        = 2 * time.Minute
 	maxHeaderBytes     = 64 << 10
 	maxSecretFileBytes = 4 << 10
+	// adminDrainTimeout is the maximum time for the drain of the administration API in a
+	// planned stop, within the stop timeout.
+	adminDrainTimeout = 2 * time.Second
 )
 
 // Deps are dependencies that replace the defaults of a daemon. The zero value selects
@@ -78,6 +80,9 @@
 	dialer  *transport.Dialer
 	control *control.Control
 	mux     *drpcmux.Mux
+	// adminServer serves the administration API, health checks and metrics.
+	adminServer *callerhttp.Server
+
 	table   stores.Table
 	objects stores.ObjectStore
 	// innerIdentity is the TLS identity of the inner protocol, or nil without TLS.
@@ -249,7 +254,8 @@
 	p.group.Go("inner protocol", func(ctx context.Context) error {
 		return transport.Serve(ctx, inner, config, p.mux)
 	})
-	return p.serveAdmin(admin)
+	p.adminServer, err = p.serveHTTP("administration", p.deps.AdminListener, p.common.Admin, admin)
+	return err
 }
 
 // listen returns the replacement, or a new listener on the address if the replacement
@@ -262,46 +268,15 @@
 	return l, errs.Wrap(err, errs.Invalid, "set a free address of this VM", "cannot listen on %s", address)
 }
 
-// serveAdmin starts a duty with the HTTP server of the administration API. The duty ends
-// with the group.
-func (p *process) serveAdmin(handler http.Handler) error {
-	const name = "administration"
-	listener, err := listen(p.deps.AdminListener, p.common.Admin.Address)
-	if err != nil {
-		return err
-	}
-	config, err := p.serverTLS(name, p.common.Admin.TLS)
-	if err != nil {
-		return err
-	}
-	if config != nil {
-		listener = tls.NewListener(listener, config)
-	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-	p.group.Go(name, func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	})
-	return nil
-}
-
-// serveCallers starts the duties of the server for callers.
-func (p *process) serveCallers(s settings.Listener, handler http.Handler) (*callerhttp.Server, error) {
-	const name = "callers"
-	listener, err := listen(p.deps.CallerListener, s.Address)
+// serveHTTP starts the duties of a server for callers or for the administration API.
+func (p *process) serveHTTP(name string, replacement net.Listener, s settings.Listener, handler http.Handler) (*callerhttp.Server, error) {
+	listener, err := listen(replacement, s.Address)
 	if err != nil {
 		return nil, err
 	}
 	tcp, ok := listener.(*net.TCPListener)
 	if !ok {
-		return nil, errs.New(errs.Invalid, "use a TCP listener", "callers cannot be served on a %T", listener)
+		return nil, errs.New(errs.Invalid, "use a TCP listener", "%s cannot be served on a %T", name, listener)
 	}
 	config, err := p.serverTLS(name, s.TLS)
 	if err != nil {
@@ -353,6 +328,16 @@
 	return router
 }
 
+// drainAdmin completes the requests to the administration API that are in progress or
+// have begun. Streams of events have no end; they are interrupted.
+func (p *process) drainAdmin(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, adminDrainTimeout)
+	defer cancel()
+	if err := p.adminServer.Drain(ctx); err != nil {
+		p.log.WithFields(logrus.Fields{"event": "drain", "node": p.common.Node}).WithError(err).Warn("drain of the administration API did not finish; requests are interrupted")
+	}
+}
+
 // waitAndStop blocks until the context ends or a duty fails. If the context has ended,
 // it calls drain with the stop timeout. It then stops all duties and returns the first
 // error of a duty.
@@ -364,6 +349,7 @@
 		drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.common.StopTimeout)
 		defer cancel()
 		drain(drainCtx)
+		p.drainAdmin(drainCtx)
 	case <-p.group.Context().Done():
 	}
 	p.group.Stop()
