Answer calls that outlast a planned stop before their connections are closed

A call that was accepted in the first part of the grace time, and whose upstream did not respond, was still waiting when the stop closed the remaining connections: the caller's connection ended without an answer (LOST). All calls are accepted in that part, whatever their deadline, and the time until the front has deregistered, up to 300 ms, did not count as a part of the stop at all.

The front's log has closed_unanswered with state=active unread=0 and last_byte_ms of 1801, 1720 and 2422 at the end of the grace time.

The deadline of a call in a planned stop is limited to the start of the stop reserve, 600 ms before the end of the grace time, so that the caller gets 504. The stop begins before the front deregisters.

TestPlannedStopAnswersCallsThatOutlastIt fails on the code before ("the connection ended without a response").

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -327,10 +327,10 @@
 	stopStarted := time.Now()
 	p.log.WithFields(logrus.Fields{"event": "stop", "grace_ms": p.settings.Bounds.Grace.Milliseconds()}).Info("stopping")
 	close(p.stopping)
+	p.gateway.BeginStop(stopStarted, p.settings.Bounds.Grace)
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
 	p.fleet.Deregister(ctx)
 	cancel()
-	p.gateway.BeginStop(stopStarted, p.settings.Bounds.Grace)
 	// The load balancer continues to open connections for the time Rotation. Idle
 	// connections remain open for at least half the grace period, so that a caller's
 	// next call still gets a response, which closes the connection.
--- a/frontend/stop_test.go
+++ b/frontend/stop_test.go
@@ -73,6 +73,25 @@
 	require.Zero(t, runs.Load())
 }
 
+// Guards against calls that a planned stop takes at its beginning and cuts at its end
+// without a response: their upstreams do not respond.
+func TestPlannedStopAnswersCallsThatOutlastIt(t *testing.T) {
+	d := newDeployment(t)
+	d.startServer("i-1", "svc", func(*standin.PlatformServer) func(http.ResponseWriter, *http.Request, []byte) {
+		return func(_ http.ResponseWriter, r *http.Request, _ []byte) { <-r.Context().Done() }
+	})
+	f := newFront()
+	f.grace = 3 * time.Second
+	d.runFront("front-1", f)
+	d.eventually(f.ready, "front is not ready")
+	f.stop()
+	d.eventually(func() bool { return !f.ready() }, "the front does not stop")
+	time.Sleep(f.grace / 5) // all calls are accepted in the first 0.3 of the grace time
+	conn := f.dial(t)
+	send(t, conn, "GET /open/x HTTP/1.1\r\nHost: gates.example\r\nRequest-Id: r\r\n\r\n")
+	require.Equal(t, http.StatusGatewayTimeout, readResponse(t, bufio.NewReader(conn)).StatusCode)
+}
+
 // dial opens a connection of a caller.
 func (f *front) dial(t *testing.T) net.Conn {
 	t.Helper()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -176,11 +176,13 @@
 		return false
 	}
 	s.setDeadline()
-	if stop := s.gateway.plannedStop.Load(); !stop.accepts(s.route.Kind, time.Now(), s.remaining()) {
+	stop := s.gateway.plannedStop.Load()
+	if !stop.accepts(s.route.Kind, time.Now(), s.remaining()) {
 		wait := stop.retryAfter(time.Now(), s.route.Kind, s.remaining(), s.gateway.opts.Placement.Node, s.gateway.opts.Fleet.View())
 		s.respondWithError(http.StatusServiceUnavailable, "stopping", s.limitRetryAfter(wait), nil)
 		return false
 	}
+	s.deadline = stop.limitDeadline(s.deadline)
 	s.workspace = nil
 	if s.config.NeedsKeys() && !s.route.Public {
 		if s.workspace = s.config.Workspace(s.call.APIKey); s.workspace == nil {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -38,6 +38,18 @@
 	return s == nil || now.Before(s.startedAt.Add(s.acceptPeriod(kind, remaining)))
 }
 
+// limitDeadline limits the deadline of an accepted call to the start of the stop
+// reserve, so that the caller receives an error response before its connection is closed.
+func (s *plannedStop) limitDeadline(deadline time.Time) time.Time {
+	if s == nil {
+		return deadline
+	}
+	if end := s.startedAt.Add(s.grace - stopReserve); end.Before(deadline) {
+		return end
+	}
+	return deadline
+}
+
 // acceptPeriod returns the period after the start of the stop in which calls of a kind
 // are accepted. It is never shorter than that of streams.
 func (s *plannedStop) acceptPeriod(kind core.CallKind, remaining time.Duration) time.Duration {
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -35,6 +35,18 @@
 	require.True(t, (*plannedStop)(nil).accepts(core.KindStream, startedAt, time.Minute), "no stop is in progress")
 }
 
+// Guards against calls without a response at the end of the grace time.
+func TestStoppingFrontLimitsDeadlines(t *testing.T) {
+	startedAt := time.Unix(100, 0)
+	s := &plannedStop{startedAt: startedAt, grace: 8 * time.Second}
+	for elapsed, want := range map[time.Duration]time.Duration{
+		7 * time.Second: 7 * time.Second, 7400 * time.Millisecond: 7400 * time.Millisecond, 15 * time.Second: 7400 * time.Millisecond,
+	} {
+		require.Equal(t, startedAt.Add(want), s.limitDeadline(startedAt.Add(elapsed)))
+	}
+	require.Equal(t, startedAt, (*plannedStop)(nil).limitDeadline(startedAt), "no stop is in progress")
+}
+
 // Guards against callers that retry at one stopping front after the other until all
 // their attempts are used.
 func TestStoppingFrontReturnsRetryAfter(t *testing.T) {
