--- a/fleet/restored_store_test.go
+++ b/fleet/restored_store_test.go
@@ -120,3 +120,30 @@
 		return true
 	}, eventuallyTimeout, 10*time.Millisecond, "a process has not registered again")
 }
+
+// Guards against a process that keeps lost content of the store, since the store does
+// not respond to it and the versions that other processes send are lower than its own.
+func TestNewerGenerationIsPulledFromPeer(t *testing.T) {
+	r := newRestorableStore(t)
+	r.putConfig(1)
+	r.start(2)
+	r.await("start", 1)
+	backup := r.store.Copy()
+	for range 3 {
+		r.putConfig(2)
+	}
+	r.await("before the restore", 2)
+	current, stale := r.processes[0], r.processes[1]
+	stale.store.unresponsive.Store(true)
+	time.Sleep(3 * time.Second) // until the pending calls have finished
+	r.store.Restore(backup)
+	r.putConfig(3)
+	hasConfig := func(p *process) func() bool {
+		return func() bool { return p.fleet.View().Config.Epoch == 3 }
+	}
+	require.Eventually(t, hasConfig(current), eventuallyTimeout, 10*time.Millisecond)
+	require.Less(t, current.fleet.View().Epoch, stale.fleet.View().Epoch)
+	stale.fleet.ObserveEpoch(current.fleet.Sender())
+	require.Eventually(t, hasConfig(stale), 2*time.Second, 10*time.Millisecond, "a newer generation was not pulled")
+	require.Equal(t, current.fleet.View().Generation, stale.fleet.View().Generation)
+}
