Forward the length of a response to HEAD

A caller's HEAD request was answered with Content-Length: 0, whatever its upstream had stated, and the connection to the upstream was not used again when it had stated none.

Cause: the length was that of the buffered body, and a response without a length counted as one that ends with its connection. The response to HEAD ends with its head.

Evidence: the three HEAD cases of TestAnswersWithoutBody failed on the code before; those of 204, 304 and an empty body passed at once. So did all of TestAmbiguousLengthIsNotComplete (two lengths, chunks and a length, other encodings, HTTP/1.0), which shows that net/http rejects what is ambiguous.

Change: the stated length is forwarded, or none, and the connection is pooled.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -63,6 +63,9 @@
 	header http.Header
 	status int
 	body   []byte
+	// length is the Content-Length that the caller receives. It is negative when there
+	// is none.
+	length int64
 }
 
 // relayBuffered reads the response before it forwards it. A body that is too large is an
@@ -83,7 +86,7 @@
 	case !response.FromUpstream:
 		return attemptOutcome{result: placement.Incomplete, err: errors.New("response lacks the header with which upstreams mark their responses")}
 	}
-	buffered := &bufferedResponse{header: x.Response.Header, status: response.Status, body: body}
+	buffered := &bufferedResponse{header: x.Response.Header, status: response.Status, body: body, length: x.ForwardedLength(len(body))}
 	switch {
 	case s.headerSent:
 		return attemptOutcome{result: placement.Failed, err: errors.New("response to a resumed stream is not an event stream")}
@@ -114,7 +117,9 @@
 func (s *callState) writeResponse(response *bufferedResponse) {
 	h := s.writer.Header()
 	s.gateway.opts.Codec.CopyResponseHeader(h, response.header)
-	h.Set("Content-Length", strconv.Itoa(len(response.body)))
+	if response.length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(response.length, 10))
+	}
 	s.status = response.status
 	s.writer.WriteHeader(response.status)
 	_, _ = s.writer.Write(response.body) // the caller may have disconnected
--- a/upstreamhttp/upstreamhttp.go
+++ b/upstreamhttp/upstreamhttp.go
@@ -260,11 +260,24 @@
 	return errs.Wrap(err, errs.Unknown, "do not resend a call that may run only once", "no response from %s", x.conn.RemoteAddr())
 }
 
-// HasKnownEnd reports whether the response states its length or is sent in chunks.
-// Otherwise it ends with its connection, and the end of a failed upstream looks like
-// that of a complete response.
+// HasKnownEnd reports whether the response states its length, is sent in chunks or ends
+// with its head. Otherwise it ends with its connection, and the end of a failed upstream
+// looks like that of a complete response.
 func (x *Exchange) HasKnownEnd() bool {
-	return x.Response.ContentLength >= 0 || len(x.Response.TransferEncoding) > 0
+	return x.isHead() || x.Response.ContentLength >= 0 || len(x.Response.TransferEncoding) > 0
+}
+
+// isHead reports whether the request was a HEAD request, whose response has no body.
+func (x *Exchange) isHead() bool { return x.Response.Request.Method == http.MethodHead }
+
+// ForwardedLength returns the Content-Length of the response when it is forwarded with a
+// body of the given size, or a negative number if it has none. The response to a HEAD
+// request states the length that a GET request would have received.
+func (x *Exchange) ForwardedLength(bodyBytes int) int64 {
+	if x.isHead() {
+		return x.Response.ContentLength
+	}
+	return int64(bodyBytes)
 }
 
 // Finish ends the exchange. reusable is set if the complete response was read and the
