Take an empty body that ends with its connection as incomplete

A caller could get 200 with an empty body, framed as complete, from an upstream that had stopped and closed its connection after the head of its response.

Cause: a response without a length or chunks ends with its connection, so that a close after the head looks like an empty body. Streams already counted as incomplete then; buffered responses did not.

Evidence: TestTruncatedAnswerIsNotComplete cuts responses with a length, chunks, a trailer or none of these at each byte, for buffered responses and streams. On the code before, only this case failed. All other cuts, also those in the status line and in Content-Length, passed at once: net/http accepts no head without its empty line. A response without a length that is cut inside its body and closed cleanly cannot be distinguished from a complete one.

Change: a successful response of that kind is incomplete. An upstream with an empty body states the length 0.

--- /dev/null
+++ b/frontend/truncated_test.go
@@ -0,0 +1,73 @@
+package frontend_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a server that stops within its answer, at any byte of the head or the
+// body, and closes the connection: the caller must not get a shorter answer that appears
+// complete.
+func TestTruncatedAnswerIsNotComplete(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n"
+	const events = eventOne + eventTwo
+	cases := map[string]struct {
+		path string
+		// head has the verb %s for the id of the request. The answer is the head and the
+		// framed body.
+		head, framed, body string
+		// untilClose is set when the answer ends with its connection. A cut of its body
+		// cannot be distinguished from its end, except before the first byte and inside an
+		// event.
+		untilClose bool
+	}{
+		"length":              {"/log/x", head + "X-More: 1\r\nContent-Length: 12\r\n\r\n", "twelve bytes", "twelve bytes", false},
+		"length first":        {"/log/x", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nResponse-Seal: s\r\nRequest-Id: %s\r\n\r\n", "twelve bytes", "twelve bytes", false},
+		"chunks":              {"/log/x", head + "Transfer-Encoding: chunked\r\n\r\n", "6\r\ntwelve\r\n11;x=y\r\n bytes and more!!\r\n0\r\n\r\n", "twelve bytes and more!!", false},
+		"chunks with trailer": {"/log/x", head + "Trailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n", "6\r\ntwelve\r\n0\r\nX-Sum: 6\r\n\r\n", "twelve", false},
+		"until close":         {"/log/x", head + "\r\n", "twelve bytes", "twelve bytes", true},
+		"stream, length":      {"/draft/x", head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(events)), events, events, false},
+		"stream, chunks":      {"/draft/x", head + "Transfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", len(eventOne), eventOne, len(eventTwo), eventTwo), events, false},
+		"stream, until close": {"/draft/x", head + "\r\n", events, events, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			var length, sent atomic.Int64
+			d.startRawUpstream("i-1", func(conn net.Conn, r rawRequest) bool {
+				whole := fmt.Sprintf(c.head, r.id) + c.framed
+				sent.Add(1)
+				write(t, conn, whole[:min(int(length.Load()), len(whole))])
+				return false
+			})
+			f := d.startReadyFront("front-1")
+			headLength := len(fmt.Sprintf(c.head, "r"))
+			wholeLength := headLength + len(c.framed)
+			for cut := range wholeLength + 1 {
+				length.Store(int64(cut))
+				got := f.call(http.MethodPost, c.path, "r", nil)
+				bodyCut := cut - headLength
+				switch {
+				case cut == wholeLength:
+					require.NoError(t, got.err)
+					require.Equal(t, http.StatusOK, got.status)
+					require.Equal(t, c.body, got.body)
+				case c.untilClose && c.path == "/log/x" && bodyCut > 0, c.untilClose && bodyCut > 0 && c.framed[bodyCut-1] == '\n':
+					if got.err == nil && got.status == http.StatusOK {
+						require.Equal(t, c.framed[:bodyCut], got.body)
+					}
+				default:
+					complete := got.err == nil && got.status == http.StatusOK
+					require.False(t, complete, "cut after %d of %d bytes of the head: status %d, body %q", cut, headLength, got.status, got.body)
+				}
+			}
+			require.GreaterOrEqual(t, sent.Load(), int64(wholeLength/2), "too few calls reach the server")
+			t.Logf("%d of %d calls reached the server", sent.Load(), wholeLength+1)
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -86,6 +86,9 @@
 	case !response.FromUpstream:
 		return attemptOutcome{result: placement.Incomplete, err: errors.New("response lacks the header with which upstreams mark their responses")}
 	}
+	if len(body) == 0 && response.Success() && !x.HasKnownEnd() {
+		return attemptOutcome{result: placement.Incomplete, err: errors.New("connection ended after the head of a response without a length")}
+	}
 	buffered := &bufferedResponse{header: x.Response.Header, status: response.Status, body: body, length: x.ForwardedLength(len(body))}
 	switch {
 	case s.headerSent:
