Read lines of a stream as a whole

A stream that broke off inside an event with a line of more than 4 KiB could be resumed so that the caller received a part of an event twice, or from a wrong id.

Cause: a line longer than the read buffer was read in parts, and each last part was taken as a line of its own. If it was only the line's end, the event counted as complete before its empty line; if it began with "id:", its text became the id.

Change: the fields are read from the whole line.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -53,9 +53,10 @@
 // event then contains the bytes after the last empty line.
 func (r *eventReader) next() (event, error) {
 	var e event
+	lineStart := 0
 	for {
-		line, err := r.source.ReadSlice('\n')
-		e.text = append(e.text, line...)
+		part, err := r.source.ReadSlice('\n')
+		e.text = append(e.text, part...)
 		if len(e.text) > maxEventBytes {
 			return event{}, errs.New(errs.Corrupt, "report this as a defect of the upstream", "event exceeds %d bytes", maxEventBytes)
 		}
@@ -68,7 +69,8 @@
 			}
 			return e, io.EOF
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
+		trimmed := bytes.TrimRight(e.text[lineStart:], "\r\n")
+		lineStart = len(e.text)
 		if value, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(value))
 		}
