--- a/frontend/resume_test.go
+++ b/frontend/resume_test.go
@@ -96,3 +96,41 @@
 		})
 	}
 }
+
+// Guards against a response that a server writes into its stream without a length or
+// chunks, and that is forwarded as a part of the stream.
+func TestResponseInsideStreamIsNotForwarded(t *testing.T) {
+	const inner = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\n\r\nerror\n\n"
+	cases := map[string]struct{ first, resumed string }{
+		"broken off and resumed": {eventOne + inner, eventTwo + eventThree},
+		"inside a resumed one":   {eventOne, eventTwo + inner},
+		"cut in its head":        {eventOne + "HTTP/1.1 503 Service Unavailable\r\nNot-Exec", eventTwo},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			answer := func(conn net.Conn, r rawRequest) bool {
+				head := fmt.Sprintf(streamHead, r.id)
+				switch {
+				case r.lastEventID != "":
+					write(t, conn, head+"\r\n"+c.resumed)
+				case name == "inside a resumed one":
+					write(t, conn, head+"Content-Length: 100\r\n\r\n"+c.first)
+				default:
+					write(t, conn, head+"\r\n"+c.first)
+				}
+				return false
+			}
+			d.startRawUpstream("i-1", answer)
+			d.startRawUpstream("i-2", answer)
+			got := d.startReadyFront("front-1").call(http.MethodPost, "/verdict/x", "r", nil)
+			if name == "inside a resumed one" {
+				require.Error(t, got.err)
+				require.Equal(t, eventOne+eventTwo, got.body)
+				return
+			}
+			require.NoError(t, got.err)
+			require.Equal(t, eventOne+c.resumed, got.body)
+		})
+	}
+}
--- a/upstreamhttp/head.go
+++ b/upstreamhttp/head.go
@@ -10,6 +10,12 @@
 // statusLine matches the beginning of the status line of a response.
 var statusLine = regexp.MustCompile(`HTTP/\d\.\d +\d{3}`)
 
+// StartsResponse reports whether text begins with the status line of a response.
+func StartsResponse(text []byte) bool {
+	at := statusLine.FindIndex(text)
+	return at != nil && at[0] == 0
+}
+
 // readHead reads status and headers of the next response.
 func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
 	c.readingHead, c.headBytes = true, maxHeadBytes
