Run completions over connections of their own

A run of the product's own interface could be sent to a second upstream, or answered as refused, though its engine had begun it.

Cause: the client of engines used net/http's pool. An engine's refusal has no id; an earlier 503 that is written once more after the request of a run has been written was taken as its refusal, and as proof that the engine had not taken it.

Change: each completion uses a new connection. Reads and orders still share connections.

--- a/engine/client.go
+++ b/engine/client.go
@@ -50,6 +50,10 @@
 type Client struct {
 	base string
 	http *http.Client
+	// runs performs the requests for completions. It keeps no connections: an engine's
+	// refusal carries no id, so on a kept connection an earlier one that arrives late
+	// would appear to prove that a run has not started.
+	runs *http.Client
 }
 
 // New returns a client for the engine at the base URL.
@@ -57,7 +61,25 @@
 	if o.HTTP == nil {
 		o.HTTP = http.DefaultClient
 	}
-	return &Client{base: strings.TrimRight(o.BaseURL, "/"), http: o.HTTP}
+	return &Client{base: strings.TrimRight(o.BaseURL, "/"), http: o.HTTP, runs: withoutKeptConnections(o.HTTP)}
+}
+
+// withoutKeptConnections returns a client that opens a connection for each request. A
+// transport that is not net/http's is used as it is.
+func withoutKeptConnections(c *http.Client) *http.Client {
+	kept := c.Transport
+	if kept == nil {
+		kept = http.DefaultTransport
+	}
+	transport, ok := kept.(*http.Transport)
+	if !ok {
+		return c
+	}
+	transport = transport.Clone()
+	transport.DisableKeepAlives = true
+	single := *c
+	single.Transport = transport
+	return &single
 }
 
 // Load is a sample of the engine's load metrics. The engine reports them late.
@@ -152,6 +174,8 @@
 	raw    *[]byte
 	fence  core.Fence
 	limit  int64
+	// isRun is set for a completion.
+	isRun bool
 }
 
 func (c *Client) call(ctx context.Context, req call) error {
@@ -202,7 +226,11 @@
 	if req.fence > 0 {
 		request.Header.Set(HeaderFence, strconv.FormatUint(uint64(req.fence), 10))
 	}
-	resp, err := c.http.Do(request)
+	client := c.http
+	if req.isRun {
+		client = c.runs
+	}
+	resp, err := client.Do(request)
 	if err != nil {
 		return nil, transportError(err, req.path)
 	}
