Stop the use of servers that say in answers that they leave

Callers' requests went on reaching a server for as long as its row said that it was ready, although each of its answers said that it leaves (DRAIN): the header Server-Leaving was not read.

Cause: departures came from the list of upstreams alone.

From the head of the answer on, no call is placed at that incarnation, first or repeated, whatever its row says later; streams go on. The other fronts get it with the exchange of observations (two new fields of the message), repeated for three seconds and to new collectors.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -14,10 +14,8 @@
 // one.
 type attemptReport struct {
 	placement.Report
-	// StartedAtMs identifies the incarnation of the upstream.
-	StartedAtMs int64
-	Address     string
-	Prompt      core.Prompt
+	Address string
+	Prompt  core.Prompt
 	// AnswerAge is the time since the first byte of the answer, or 0 if there was
 	// none.
 	AnswerAge time.Duration
@@ -59,6 +57,7 @@
 	}
 	if _, ok := r.observations.NewBoards().TryReceive(); ok {
 		r.quarantine.RepeatQuarantines()
+		r.repeatDepartures(time.Time{})
 	}
 	for _, state := range r.quarantine.Evaluate(now) {
 		r.logQuarantine(state.Part, state.Until.Sub(now)).WithField("version", state.Version).
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -32,6 +32,9 @@
 	maxIdleConnsPerUpstream = 24
 	// sweepInterval is the interval between two calls of sweep.
 	sweepInterval = time.Second
+	// departureRepeat is the time for which the announced departure of an upstream is
+	// repeated to the other processes in each sweep, in case an exchange fails.
+	departureRepeat = 3 * time.Second
 )
 
 // placeRequest is a handler's request to place a call.
@@ -118,7 +121,8 @@
 // sweep does the periodic work. It removes the pending saves of prompt parts that no
 // kept-cache store has confirmed in time, updates the oldest weight versions in use and
 // checks the registration of this process. It withdraws versions in doubt, repeats
-// verdicts and quarantines for the other processes and queues the statuses of rollouts.
+// verdicts, quarantines and departures for the other processes and queues the statuses of
+// rollouts.
 // It frees stored parts whose weight version is no longer loaded at any upstream. A
 // part's cache salt contains its weight version; see placement.Salt.
 func (r *router) sweep(now time.Time) {
@@ -127,6 +131,7 @@
 	r.placer.SetRegistrationExpired(r.fleet.RegistrationExpired())
 	r.sweepRollouts(now)
 	r.quarantine.Sweep(now)
+	r.repeatDepartures(now.Add(-departureRepeat))
 	for _, store := range r.placer.CacheStores() {
 		obsolete := func(salt string) bool { return r.placer.Obsolete(now, salt) }
 		incarnation, keys := r.cacheIndex.ObsoleteParts(now, store.Address, obsolete)
@@ -164,6 +169,7 @@
 		r.recordEnd(now, report)
 	}
 	r.logRateChanges()
+	r.logRestrictions()
 	r.applyVerdicts(now)
 	r.updateQuarantine(now)
 	for pending, ok := r.placeRequests.TryReceive(); ok; pending, ok = r.placeRequests.TryReceive() {
@@ -207,19 +213,20 @@
 	return choice, refusal
 }
 
-// publishObservation sends the other processes the load of an upstream, the rate that
-// it announces, or that it is unreachable, if the report contains it.
+// publishObservation sends the other processes the load of an upstream, the rate or the
+// departure that it announces, or that it is unreachable, if the report contains it.
 func (r *router) publishObservation(now time.Time, report placement.Report) {
 	o := sharing.Observation{Upstream: report.Upstream, Load: report.Load, ObservedAt: now}
 	if report.Final {
 		o.Unreachable = report.Result == placement.Unreachable
 	} else {
 		o.HasLoad = report.HasLoad
+		o.Leaving, o.StartedAtMs = report.Leaving, report.StartedAtMs
 		if limit, repeat := r.placer.RateLimit(now, report.Upstream); report.HasRateLimit && repeat {
 			o.HasRateLimit, o.RateLimit = true, limit
 		}
 	}
-	if o.Unreachable || o.HasLoad || o.HasRateLimit {
+	if o.Unreachable || o.HasLoad || o.HasRateLimit || o.Leaving {
 		r.observations.Record(o)
 	}
 }
@@ -233,6 +240,23 @@
 	}
 }
 
+// logRestrictions logs the new restrictions of upstreams.
+func (r *router) logRestrictions() {
+	for _, change := range r.placer.TakeRestrictionChanges() {
+		r.log.WithFields(logrus.Fields{
+			"event": "upstream_leaving", "upstream": change.Upstream, "born": change.StartedAtMs, "age_ms": change.Age.Milliseconds(), "reporter": change.Reporter,
+		}).Info("upstream announces that it leaves; no more calls are sent to it")
+	}
+}
+
+// repeatDepartures sends the other processes the departures that upstreams have
+// announced after a point in time.
+func (r *router) repeatDepartures(after time.Time) {
+	for _, o := range r.placer.Departures(after) {
+		r.observations.Record(o)
+	}
+}
+
 func (r *router) applyView(now time.Time) {
 	v := r.fleet.View()
 	inputs := placement.Inputs{
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -179,6 +179,7 @@
 	response := s.gateway.opts.Codec.DecodeResponse(x.Response.StatusCode, x.Response.Header)
 	report.Load, report.HasLoad, report.Weights, report.ColdRemaining = response.Load, response.HasLoad, response.Weights, response.ColdRemaining
 	report.RateLimit, report.HasRateLimit = response.RateLimit, response.fromUpstreamItself()
+	report.Leaving = response.announcesDeparture()
 	firstByte := time.Since(sentAt)
 	if response.Success() && response.FromUpstream {
 		report.FirstByte = firstByte
@@ -207,8 +208,8 @@
 
 func (s *callState) newReport(p placementResult) attemptReport {
 	return attemptReport{
-		Report:      placement.Report{AttemptID: p.choice.AttemptID, Upstream: p.choice.Upstream.ID, Model: s.call.Prompt.Model, Route: s.route.Name},
-		StartedAtMs: p.choice.Upstream.StartedAtMs, Address: p.choice.Upstream.Address, Prompt: s.call.Prompt,
+		Report:  placement.Report{AttemptID: p.choice.AttemptID, Upstream: p.choice.Upstream.ID, StartedAtMs: p.choice.Upstream.StartedAtMs, Model: s.call.Prompt.Model, Route: s.route.Name},
+		Address: p.choice.Upstream.Address, Prompt: s.call.Prompt,
 	}
 }
 
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -51,6 +51,8 @@
 	HasLoad bool
 	// RateLimit is the rate of calls that the upstream announces.
 	RateLimit core.RateLimit
+	// Leaving is set when the response announces that the upstream leaves.
+	Leaving bool
 	// KeepAlive is the time for which the upstream keeps the idle connection open; 0
 	// when it is unknown.
 	KeepAlive time.Duration
@@ -68,6 +70,13 @@
 	return r.Status != http.StatusMisdirectedRequest && (r.FromUpstream || r.NotRun)
 }
 
+// announcesDeparture reports whether the upstream to which the call was sent announces
+// that it leaves. The upstream does so in all its responses, also in those without its
+// mark.
+func (r UpstreamResponse) announcesDeparture() bool {
+	return r.Leaving && r.Status != http.StatusMisdirectedRequest
+}
+
 // Codec encodes and decodes calls and responses in HTTP.
 type Codec interface {
 	// DecodeCall decodes the call from a request, without its body.
--- a/placement/caches.go
+++ b/placement/caches.go
@@ -7,6 +7,7 @@
 	"waxwingtide.example/waxwingtide/cacheindex"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/quarantine"
 	"waxwingtide.example/waxwingtide/rendezvous"
 	"waxwingtide.example/waxwingtide/sharing"
 )
@@ -114,6 +115,9 @@
 // ApplyObservation applies another process's observation of an upstream unless
 // this process has newer data.
 func (pl *Placer) ApplyObservation(now time.Time, o sharing.Observation) {
+	if o.Leaving {
+		pl.recordDeparture(now, o.ObservedAt, quarantine.Incarnation{Upstream: o.Upstream, StartedAtMs: o.StartedAtMs}, o.Reporter)
+	}
 	u := pl.upstreams[o.Upstream]
 	if u == nil {
 		return
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -24,7 +24,7 @@
 
 // usable reports whether the call may be sent to an upstream.
 func (pl *Placer) usable(now time.Time, u *upstream, req Request) bool {
-	if u.row.Draining || pl.evacuated[u.row.Domain] || now.Before(u.excludedUntil) {
+	if u.leaving() || pl.evacuated[u.row.Domain] || now.Before(u.excludedUntil) {
 		return false
 	}
 	if !matchesFilter(req.RolloutFilter, u) {
@@ -71,11 +71,11 @@
 	return float64(now.Sub(newer.RequestedAt)) > weightChangeShare*float64(pl.opts.WeightChangeTimeout)
 }
 
-// anyLoaded reports whether a non-draining upstream of a service has loaded a
+// anyLoaded reports whether an upstream of a service that does not leave has loaded a
 // weight version or a newer one.
 func (pl *Placer) anyLoaded(service core.ServiceID, model core.ModelID, version catalog.WeightNumber) bool {
 	for _, u := range pl.byService[service] {
-		if !u.row.Draining && u.weights[model] >= version {
+		if !u.leaving() && u.weights[model] >= version {
 			return true
 		}
 	}
--- /dev/null
+++ b/placement/restrictions_test.go
@@ -0,0 +1,131 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/cacheindex"
+	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/sharing"
+)
+
+const restricted = core.UpstreamID("records-0")
+
+// relist lists an upstream as a newer row with the given start, or removes its row.
+func relist(pl *Placer, now time.Time, in Inputs, id core.UpstreamID, startedAtMs int64, listed bool) {
+	rows := in.Upstreams
+	in.Upstreams = nil
+	for _, row := range rows {
+		if row.ID == id {
+			if !listed {
+				continue
+			}
+			updated := *row.Upstream
+			updated.StartedAtMs = startedAtMs
+			row.Upstream, row.RowVersion = &updated, uint64(now.Sub(t0).Milliseconds())+2 //nolint:gosec // after t0
+		}
+		in.Upstreams = append(in.Upstreams, row)
+	}
+	pl.SetInputs(now, in)
+}
+
+// callsPlaced returns how many of 60 calls are placed at the restricted upstream.
+func callsPlaced(pl *Placer, now time.Time) int {
+	return countChoices(pl, now, 60, time.Millisecond, newPlainRequest())[restricted]
+}
+
+// Guards against calls to an upstream that has announced in a response that it leaves,
+// although its row still says that it is ready, a later response lacks the announcement,
+// or its row was missing for a moment, as after a restore of the metadata store.
+func TestNoCallIsPlacedAtLeavingUpstream(t *testing.T) {
+	announcements := map[string]func(pl *Placer){
+		"response to this process": func(pl *Placer) { pl.RecordReport(t0, Report{Upstream: restricted, Leaving: true}) },
+		"response to another process": func(pl *Placer) {
+			pl.ApplyObservation(t0, sharing.Observation{Upstream: restricted, Leaving: true, ObservedAt: t0})
+		},
+	}
+	for name, announce := range announcements {
+		t.Run(name, func(t *testing.T) {
+			in := newInputs(1)
+			pl := newPlacer(in)
+			require.Positive(t, callsPlaced(pl, t0))
+			announce(pl)
+			require.Zero(t, callsPlaced(pl, t0))
+			relist(pl, t0.Add(time.Second), in, restricted, 0, true)
+			pl.RecordReport(t0.Add(time.Second), Report{Upstream: restricted})
+			require.Zero(t, callsPlaced(pl, t0.Add(time.Second)))
+			relist(pl, t0.Add(time.Minute), in, restricted, 0, false)
+			relist(pl, t0.Add(2*time.Minute), in, restricted, 0, true)
+			require.Zero(t, callsPlaced(pl, t0.Add(time.Hour)))
+			relist(pl, t0.Add(2*time.Hour), in, restricted, 7, true)
+			require.Positive(t, callsPlaced(pl, t0.Add(2*time.Hour)))
+		})
+	}
+}
+
+// Guards against a restriction of a new incarnation by a late response of the previous
+// one, and against the use of the previous one if an older row lists it again.
+func TestDepartureAppliesToOneIncarnation(t *testing.T) {
+	in := newInputs(1)
+	pl := newPlacer(in)
+	relist(pl, t0, in, restricted, 7, true)
+	pl.RecordReport(t0, Report{Upstream: restricted, StartedAtMs: 0, Leaving: true})
+	require.Positive(t, callsPlaced(pl, t0))
+	relist(pl, t0.Add(time.Second), in, restricted, 0, true)
+	require.Zero(t, callsPlaced(pl, t0.Add(time.Second)))
+}
+
+// Guards against a departure that is lost because the row of the upstream was removed
+// before its last response, and against state of upstreams that are gone for good.
+func TestRestrictionOfUnlistedUpstreamIsStoredForLimitedTime(t *testing.T) {
+	in := newInputs(1)
+	pl := newPlacer(in)
+	relist(pl, t0, in, restricted, 0, false)
+	pl.RecordReport(t0, Report{Upstream: restricted, Leaving: true})
+	relist(pl, t0.Add(time.Second), in, restricted, 0, true)
+	require.Zero(t, callsPlaced(pl, t0.Add(time.Second)))
+	relist(pl, t0.Add(time.Hour), in, restricted, 0, false)
+	require.Len(t, pl.restrictions, 1)
+	relist(pl, t0.Add(time.Hour+restrictionRetention+time.Second), in, restricted, 0, false)
+	require.Empty(t, pl.restrictions)
+}
+
+// Guards against calls that stay without an upstream because newer weights are loaded
+// only at upstreams that leave.
+func TestLeavingUpstreamDoesNotMakeOlderWeightsOverdue(t *testing.T) {
+	in := newInputs(1)
+	in.Upstreams = in.Upstreams[:2]
+	in.WeightHistory = map[core.ModelID]catalog.WeightHistory{model: {{Version: 2}}}
+	pl := newPlacer(in)
+	pl.RecordReport(t0, Report{Upstream: "engines-0", Model: model, Weights: 2, Leaving: true})
+	choice, refusal := pl.Choose(t0, Request{Service: engines, Prompt: newPrompt("a")})
+	require.Equal(t, NotRefused, refusal)
+	require.Equal(t, core.UpstreamID("engines-1"), choice.Upstream.ID)
+}
+
+// Guards against departures that other processes do not receive because an exchange
+// failed, and against a change that is logged with each response.
+func TestDeparturesAreRepeated(t *testing.T) {
+	in := newInputs(1)
+	pl := newPlacer(in)
+	pl.RecordReport(t0, Report{Upstream: restricted, Leaving: true})
+	pl.RecordReport(t0.Add(time.Second), Report{Upstream: restricted, Leaving: true})
+	want := []sharing.Observation{{Upstream: restricted, Leaving: true, ObservedAt: t0}}
+	require.Equal(t, want, pl.Departures(t0.Add(-time.Second)))
+	require.Equal(t, want, pl.Departures(time.Time{}))
+	require.Empty(t, pl.Departures(t0.Add(time.Second)))
+	require.Len(t, pl.TakeRestrictionChanges(), 1)
+
+	other := New(options("front-1"), cacheindex.New())
+	other.SetInputs(t0, in)
+	other.ApplyObservation(t0.Add(time.Second), sharing.Observation{Upstream: restricted, Leaving: true, Reporter: "front-0", ObservedAt: t0})
+	changes := other.TakeRestrictionChanges()
+	require.Len(t, changes, 1)
+	require.Equal(t, core.NodeID("front-0"), changes[0].Reporter)
+	require.Equal(t, time.Second, changes[0].Age)
+	relist(pl, t0.Add(time.Minute), in, restricted, 0, false)
+	require.Empty(t, pl.Departures(time.Time{}), "an upstream that is not listed")
+}
--- a/placement/table.go
+++ b/placement/table.go
@@ -8,6 +8,7 @@
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/quarantine"
 	"waxwingtide.example/waxwingtide/retry"
 )
 
@@ -52,6 +53,10 @@
 	meanPromptTokens map[core.ServiceID]float64
 	// rateChanges are the changes of announced rates since TakeRateChanges.
 	rateChanges []RateChange
+	// restrictions are the restrictions of incarnations of upstreams, restrictionChanges
+	// the new ones since TakeRestrictionChanges.
+	restrictions       map[quarantine.Incarnation]*restriction
+	restrictionChanges []RestrictionChange
 	// registrationExpired is set while other processes may have stopped counting this
 	// process as a member. The process then uses no share of any limit.
 	registrationExpired bool
@@ -76,7 +81,7 @@
 	return &Placer{
 		opts: opts, cacheIndex: index, upstreams: make(map[core.UpstreamID]*upstream),
 		retryBudgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*sourceLink), partServers: make(map[cacheindex.Key][]*upstream), oldestVersions: make(map[core.ModelID]oldestVersion),
-		meanPromptTokens: make(map[core.ServiceID]float64),
+		meanPromptTokens: make(map[core.ServiceID]float64), restrictions: make(map[quarantine.Incarnation]*restriction),
 	}
 }
 
@@ -99,6 +104,7 @@
 		pl.byService[row.Service] = append(pl.byService[row.Service], u)
 	}
 	pl.upstreams = next
+	pl.updateRestrictions(now)
 	pl.evacuated, pl.weightHistory = in.Evacuated, in.WeightHistory
 	pl.members.set(now, pl.opts.Node, in.Fronts)
 	pl.fronts, pl.frontAddresses = in.Fronts, in.FrontAddresses
@@ -281,6 +287,9 @@
 
 // RecordReport updates the upstream's state with the report of an attempt.
 func (pl *Placer) RecordReport(now time.Time, r Report) {
+	if r.Leaving && !r.Final {
+		pl.recordDeparture(now, now, quarantine.Incarnation{Upstream: r.Upstream, StartedAtMs: r.StartedAtMs}, "")
+	}
 	u := pl.upstreams[r.Upstream]
 	if u == nil {
 		return
--- a/placement/types.go
+++ b/placement/types.go
@@ -131,6 +131,8 @@
 type Report struct {
 	AttemptID AttemptID
 	Upstream  core.UpstreamID
+	// StartedAtMs identifies the incarnation of the upstream.
+	StartedAtMs int64
 	// Final is set in the last report of an attempt. Only that report has a Result.
 	Final  bool
 	Result UpstreamResult
@@ -141,6 +143,8 @@
 	// ends an earlier limit.
 	RateLimit    core.RateLimit
 	HasRateLimit bool
+	// Leaving is set when the upstream announces that it leaves.
+	Leaving bool
 	// Route is the name of the call's route. FirstByte is the time to the first byte of
 	// a success, or 0 when there was none. Pace is the mean time between the first
 	// events of a stream. Each of them is set in one report that is not final.
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -10,6 +10,7 @@
 	"waxwingtide.example/waxwingtide/cacheindex"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/quarantine"
 )
 
 const (
@@ -98,6 +99,8 @@
 	rejectionCostUntil time.Time
 	gate               admit.Gate
 	rate               announcedRate
+	// restriction is nil while the upstream has announced none.
+	restriction *restriction
 	// rank is this process's rank among the fronts over which the upstream's limits
 	// are divided, computed for the generation rankGeneration of the fronts.
 	rank           int
@@ -142,6 +145,15 @@
 	}
 }
 
+// incarnation returns the listed incarnation.
+func (u *upstream) incarnation() quarantine.Incarnation {
+	return quarantine.Incarnation{Upstream: u.row.ID, StartedAtMs: u.row.StartedAtMs}
+}
+
+// leaving reports whether the upstream's row or the upstream itself announces that it
+// leaves.
+func (u *upstream) leaving() bool { return u.row.Draining || u.restriction.leaving() }
+
 func (u *upstream) updateWeights(model core.ModelID, version catalog.WeightNumber) {
 	if version > u.weights[model] {
 		u.weights[model] = version
--- a/sharing/board.go
+++ b/sharing/board.go
@@ -5,6 +5,7 @@
 
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/quarantine"
 )
 
 const (
@@ -20,8 +21,8 @@
 	minReporters = 2
 )
 
-// Observation is the load, the announced rate or the unreachability of an upstream, as
-// observed by a process.
+// Observation is the load, the announced rate, the unreachability or the announced
+// departure of an upstream, as observed by a process.
 type Observation struct {
 	Upstream core.UpstreamID
 	// Load is the number of calls at the upstream. It is valid if HasLoad is set.
@@ -33,9 +34,13 @@
 	HasRateLimit bool
 	// Unreachable is set when a connection to the upstream failed.
 	Unreachable bool
-	// Reporter is the process whose connection failed. It is empty if the
-	// observation combines the failures of several processes, or if the reporter
-	// is the process that sends the observation.
+	// Leaving is set when the incarnation of the upstream that started at StartedAtMs
+	// announces that it leaves.
+	Leaving     bool
+	StartedAtMs int64
+	// Reporter is the process whose connection failed or that received the
+	// announcement. It is empty if the observation combines the failures of several
+	// processes, or if the reporter is the process that sends the observation.
 	Reporter   core.NodeID
 	ObservedAt time.Time
 }
@@ -60,6 +65,7 @@
 	failures     map[core.UpstreamID]map[core.NodeID]numberedObservation
 	evidence     evidenceBoard
 	verdicts     evidenceStore[verdictKey, canary.Verdict]
+	departures   evidenceStore[quarantine.Incarnation, Observation]
 	newestNumber uint64
 }
 
@@ -67,6 +73,7 @@
 	return &board{
 		loads: make(map[core.UpstreamID]numberedObservation), rates: make(map[core.UpstreamID]numberedObservation), failures: make(map[core.UpstreamID]map[core.NodeID]numberedObservation),
 		evidence: newEvidenceBoard(), verdicts: make(evidenceStore[verdictKey, canary.Verdict]),
+		departures: make(evidenceStore[quarantine.Incarnation, Observation]),
 	}
 }
 
@@ -143,7 +150,25 @@
 			out = append(out, Observation{Upstream: id, Unreachable: true, ObservedAt: newest.ObservedAt})
 		}
 	}
-	return out
+	return append(out, b.departures.newFor(now, requester, afterNumber)...)
+}
+
+// addDepartures stores the announced departures that a process has sent. A departure
+// does not end, so that a repeated one is new only after the first has expired.
+func (b *board) addDepartures(now time.Time, sender core.NodeID, observations []Observation) {
+	for _, o := range observations {
+		key := quarantine.Incarnation{Upstream: o.Upstream, StartedAtMs: o.StartedAtMs}
+		stored, ok := b.departures[key]
+		if !o.Leaving || ok && now.Sub(stored.addedAt) <= evidenceTTL {
+			continue
+		}
+		if o.Reporter == "" {
+			o.Reporter = sender
+		}
+		b.departures.put(key, numberEvidence(b, now, sender, Observation{
+			Upstream: o.Upstream, Leaving: true, StartedAtMs: o.StartedAtMs, Reporter: o.Reporter, ObservedAt: o.ObservedAt,
+		}))
+	}
 }
 
 // removeExpired removes the observations that are older than observationTTL.
--- a/sharing/board_test.go
+++ b/sharing/board_test.go
@@ -85,3 +85,29 @@
 	require.Equal(t, rate(0, t0.Add(time.Second)), b.newObservations(t0.Add(time.Second), "b", known, false))
 	require.Empty(t, b.newObservations(t0.Add(time.Minute), "b", 0, false))
 }
+
+// Guards against departures that other processes do not receive, that are sent again
+// with each response of the upstream, or that are applied to another incarnation.
+func TestBoardForwardsDepartures(t *testing.T) {
+	departure := []Observation{{Upstream: "u", Leaving: true, StartedAtMs: 7, ObservedAt: t0}}
+	want := []Observation{{Upstream: "u", Leaving: true, StartedAtMs: 7, Reporter: "a", ObservedAt: t0}}
+	b := newBoard()
+	add := func(sender core.NodeID, observations []Observation) {
+		now := t0.Add(time.Second)
+		received := decodeObservations(now, encodeObservations(now, observations))
+		b.add(sender, received)
+		b.addDepartures(now, sender, received)
+	}
+	add("a", departure)
+	require.Equal(t, want, b.newObservations(t0, "b", 0, false))
+	require.Equal(t, want, b.newObservations(t0, "domain", 0, true))
+	require.Equal(t, want, b.newObservations(t0, "a", 0, false), "a process that has restarted")
+	known := b.newestNumber
+	require.Empty(t, b.newObservations(t0, "a", 1, false))
+	add("a", departure)
+	add("b", departure)
+	require.Empty(t, b.newObservations(t0, "c", known, false))
+	add("b", []Observation{{Upstream: "u", Leaving: true, StartedAtMs: 8, ObservedAt: t0}})
+	require.Len(t, b.newObservations(t0, "c", known, false), 1)
+	require.Empty(t, b.newObservations(t0.Add(time.Hour), "c", 0, false))
+}
--- a/sharing/encode.go
+++ b/sharing/encode.go
@@ -16,6 +16,7 @@
 			Upstream: string(o.Upstream), HasLoad: o.HasLoad, Load: uint32(max(o.Load, 0)), //nolint:gosec // loads are small
 			Unreachable: o.Unreachable, Reporter: string(o.Reporter), AgeMs: ageMs(now, o.ObservedAt),
 			HasRate: o.HasRateLimit, RateLimited: o.RateLimit.Limited, Rate: o.RateLimit.PerSecond,
+			Leaving: o.Leaving, StartedAtMs: o.StartedAtMs,
 		}
 	}
 	return out
@@ -28,6 +29,7 @@
 			Upstream: core.UpstreamID(o.Upstream), HasLoad: o.HasLoad, Load: int(o.Load), Unreachable: o.Unreachable,
 			Reporter: core.NodeID(o.Reporter), ObservedAt: timeOf(now, o.AgeMs),
 			HasRateLimit: o.HasRate, RateLimit: core.RateLimit{Limited: o.RateLimited, PerSecond: o.Rate},
+			Leaving: o.Leaving, StartedAtMs: o.StartedAtMs,
 		}
 	}
 	return out
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -155,6 +155,7 @@
 		}
 		now := time.Now()
 		b.add(request.sender, request.observations)
+		b.addDepartures(now, request.sender, request.observations)
 		b.addEvidence(now, request.sender, request.evidence)
 		b.addVerdicts(now, request.sender, request.verdicts)
 		request.reply.Push(boardReply{
--- a/standin/platformserver.go
+++ b/standin/platformserver.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"waxwingtide.example/waxwingtide/ring"
@@ -22,7 +23,8 @@
 	// with success.
 	Script func(w http.ResponseWriter, r *http.Request, body []byte)
 
-	seen *ring.Ring[SeenRequest]
+	seen    *ring.Ring[SeenRequest]
+	leaving atomic.Bool
 }
 
 // SeenRequest is a request as it reached a server.
@@ -39,6 +41,10 @@
 	return &PlatformServer{ID: id, seen: ring.New[SeenRequest](seenRing)}
 }
 
+// SetLeaving makes the server announce in all its answers that it leaves, or stop to
+// announce it.
+func (s *PlatformServer) SetLeaving(leaving bool) { s.leaving.Store(leaving) }
+
 // Seen returns the requests that have come since the last call, in order.
 func (s *PlatformServer) Seen() []SeenRequest {
 	var out []SeenRequest
@@ -60,6 +66,9 @@
 	}
 	s.seen.Push(SeenRequest{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body)})
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	if s.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != s.ID {
 		w.Header().Set("Instance-Id", s.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
