Judge which version the slow calls belong to

Cause: the test for hard slowness compares a call on the new version with the calls on the old one since the last block, about five at a share of 0.16. A slow call multiplies the evidence by 3 to 5, a fast one by 0.6, so that 50 calls rarely reach the threshold of 40,000.

Change: a second test (slowshare.go) takes blocks of up to 24 calls of both versions and asks on which version the slow ones are. Under the hypothesis that is random, whatever the latencies are. As for errors, a finding also needs a share of slow calls above a floor (0.1). Both tests for slowness share one quarter of the false alarm rate.

TestHalfSlowVersionOfQuietServiceRaisesDoubt fails on the code before (49, allowed 20). TestFewSlowCallsRaiseNoFinding fails without the floor (1,999 of 2,000 runs).

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -155,6 +155,7 @@
 	groups                 map[CallGroup]*groupTest
 	hardFailures           hardFailureTest
 	hardSlowness           hardSlownessTest
+	slowShare              slowShareTest
 	samples                uint64
 	finding                *Finding
 }
@@ -176,7 +177,7 @@
 // worse, the probability that it ever reaches 1/a is at most a. A finding has the value
 // 1/FalseAlarmRate.
 func (j *Judge) Doubt() float64 {
-	doubt := max(slowAlarmShare*j.hardSlowness.value(), hardAlarmShare*j.hardFailures.stake)
+	doubt := max(slowAlarmShare*j.slowness(), hardAlarmShare*j.hardFailures.stake)
 	for _, r := range j.groups {
 		doubt = max(doubt, r.value()/(r.threshold*j.limits.FalseAlarmRate))
 	}
@@ -203,13 +204,18 @@
 	// An attempt on the old version may complete the block of an attempt on the new
 	// one.
 	j.hardSlowness.addOld(s, j.limits)
-	j.checkHard(SignalLatency, j.hardSlowness.value(), slowAlarmShare)
+	j.slowShare.add(s, false, j.limits)
+	j.checkHard(SignalLatency, j.slowness(), slowAlarmShare)
 	if !s.LatencyOnly {
 		j.hardFailures.addOld(s.Failed, s.FinishedAt, j.limits)
 		j.checkHard(SignalErrors, j.hardFailures.stake, hardAlarmShare)
 	}
 }
 
+// slowness returns the value of the tests for hard slowness and for the share of slow
+// calls, which share one part of the false alarm rate.
+func (j *Judge) slowness() float64 { return (j.hardSlowness.value() + j.slowShare.value()) / 2 }
+
 // checkHard reports a finding if the value of a test over all groups is large enough for
 // its share of the false alarm rate.
 func (j *Judge) checkHard(signal Signal, value, alarmShare float64) {
@@ -220,6 +226,8 @@
 
 func (j *Judge) addNew(s Sample) {
 	j.hardSlowness.addNew(s, j.limits)
+	j.slowShare.add(s, true, j.limits)
+	j.checkHard(SignalLatency, j.slowness(), slowAlarmShare)
 	if !s.LatencyOnly {
 		j.hardFailures.addNew(s.Failed, s.FinishedAt, j.limits)
 	}
--- a/rollout/slow.go
+++ b/rollout/slow.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// slowAlarmShare is the share of the false alarm rate that the test for hard
-	// slowness may use.
+	// slowAlarmShare is the share of the false alarm rate that the tests for hard
+	// slowness and for the share of slow calls may use together.
 	slowAlarmShare = 0.25
 	// maxSlowSeries bounds the series of latencies that are compared.
 	maxSlowSeries = 256
