Send no calls to a server within the time for which it wants none

A server that turned a request away with 503 and Retry-After got further requests of the same front as soon as its short cost for refusals had passed (BUDGET), and callers of a service whose only server had asked for 30 s were refused after a futile wait, with a Retry-After of a quarter of a second.

Cause: the time in the refusal was not read.

Until the longest end that an incarnation has named, this front places no call there. If all servers that may be used want no calls, a call is refused at once, reason paused, with the time until the first end, at most 10 s.

--- /dev/null
+++ b/frontend/pause_test.go
@@ -0,0 +1,102 @@
+package frontend_test
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/standin"
+)
+
+// burstInterval is longer than the time for which a server is avoided after a refusal
+// without a time.
+const burstInterval = 400 * time.Millisecond
+
+// refusals are answers with status 503, with and without the server's mark.
+var refusals = map[string]func(s *standin.PlatformServer, w http.ResponseWriter){
+	"refusal": func(s *standin.PlatformServer, w http.ResponseWriter) { s.Reject(w) },
+	"refusal with the server's mark": func(s *standin.PlatformServer, w http.ResponseWriter) {
+		s.Answer(w, http.StatusServiceUnavailable, "busy")
+	},
+}
+
+// Guards against calls to a server within the time for which it wants none, as it states
+// in a refusal with or without its mark, against calls that are refused although another
+// server is free, and against a server that gets no calls after that time.
+func TestServerGetsNoCallsWhileItWantsNone(t *testing.T) {
+	for name, refuse := range refusals {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			var busy atomic.Bool
+			busy.Store(true)
+			paused := d.startServer("i-paused", "svc", func(s *standin.PlatformServer) func(http.ResponseWriter, *http.Request, []byte) {
+				return func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+					if !busy.Load() {
+						s.Answer(w, http.StatusOK, "served")
+						return
+					}
+					w.Header().Set("Retry-After", "7")
+					refuse(s, w)
+				}
+			})
+			d.startServer("i-other", "svc", nil)
+			f := d.startReadyFront("front-1")
+			d.eventually(func() bool {
+				f.callConcurrently(http.MethodGet, "/read/x", 8)
+				return len(paused.Seen()) > 0
+			}, "no call reached the server")
+			busy.Store(false)
+			for range 6 {
+				time.Sleep(burstInterval)
+				for _, got := range f.callConcurrently(http.MethodGet, "/read/x", 20) {
+					require.NoError(t, got.err)
+					require.Equal(t, http.StatusOK, got.status)
+				}
+			}
+			require.Empty(t, paused.Seen())
+			row, ok := d.store.Row("servers", "i-other")
+			require.True(t, ok)
+			d.putUpstreamRow("i-other", "svc", addressOfRow(t, row), "draining")
+			d.eventually(func() bool {
+				f.callConcurrently(http.MethodGet, "/read/x", 8)
+				return len(paused.Seen()) > 0
+			}, "the server gets no calls after the pause")
+		})
+	}
+}
+
+// Guards against calls that reach the only server of a service although it wants none,
+// and against callers that are not told when it may be used again.
+func TestCallIsRefusedUntilOnlyServerMayBeUsed(t *testing.T) {
+	const pauseSeconds = 30
+	for name, refuse := range refusals {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			s := d.startServer("i-1", "svc", func(s *standin.PlatformServer) func(http.ResponseWriter, *http.Request, []byte) {
+				return func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+					w.Header().Set("Retry-After", strconv.Itoa(pauseSeconds))
+					refuse(s, w)
+				}
+			})
+			f := d.startReadyFront("front-1")
+			require.Equal(t, http.StatusServiceUnavailable, f.call(http.MethodPost, "/log/x", "r-1", nil).status)
+			for range 3 {
+				got := f.call(http.MethodPost, "/log/x", "r-2", nil)
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusServiceUnavailable, got.status)
+				require.Equal(t, "paused\n", got.body)
+				seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				require.NoError(t, err)
+				require.Greater(t, seconds, 1.0)
+				require.LessOrEqual(t, seconds, float64(pauseSeconds)+1)
+			}
+			require.Len(t, s.Seen(), 1)
+		})
+	}
+}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -35,6 +35,9 @@
 	// departureRepeat is the time for which the announced departure of an upstream is
 	// repeated to the other processes in each sweep, in case an exchange fails.
 	departureRepeat = 3 * time.Second
+	// maxPausedRetryAfter is the maximum Retry-After value of a call whose upstreams have
+	// asked for a pause. Other processes may still use them, and others may be started.
+	maxPausedRetryAfter = 10 * time.Second
 )
 
 // placeRequest is a handler's request to place a call.
@@ -47,7 +50,8 @@
 type placementResult struct {
 	choice  placement.Choice
 	refusal placement.Refusal
-	// retryAfter is the time after which a call in quarantine may be placed.
+	// retryAfter is the time after which a call in quarantine, or one whose upstreams have
+	// asked for a pause, may be placed.
 	retryAfter time.Duration
 	idleConns  upstreamhttp.IdlePool
 }
@@ -193,8 +197,13 @@
 		return placementResult{refusal: placement.Quarantined, retryAfter: wait}
 	}
 	choice, refusal := r.chooseVersion(now, request)
-	if refusal == placement.NotRefused {
+	switch refusal {
+	case placement.NotRefused:
 		r.rollouts.RecordPlaced(choice.Upstream)
+	case placement.NoUpstream:
+		if wait, paused := r.placer.PauseRemaining(now, request); paused {
+			return placementResult{refusal: placement.Paused, retryAfter: min(wait, maxPausedRetryAfter)}
+		}
 	}
 	return placementResult{choice: choice, refusal: refusal}
 }
@@ -243,9 +252,12 @@
 // logRestrictions logs the new restrictions of upstreams.
 func (r *router) logRestrictions() {
 	for _, change := range r.placer.TakeRestrictionChanges() {
-		r.log.WithFields(logrus.Fields{
-			"event": "upstream_leaving", "upstream": change.Upstream, "born": change.StartedAtMs, "age_ms": change.Age.Milliseconds(), "reporter": change.Reporter,
-		}).Info("upstream announces that it leaves; no more calls are sent to it")
+		entry := r.log.WithFields(logrus.Fields{"upstream": change.Upstream, "born": change.StartedAtMs, "age_ms": change.Age.Milliseconds()})
+		if !change.Leaving {
+			entry.WithFields(logrus.Fields{"event": "upstream_paused", "for_ms": change.PauseFor.Milliseconds()}).Info("upstream asks for no calls for a time")
+			continue
+		}
+		entry.WithFields(logrus.Fields{"event": "upstream_leaving", "reporter": change.Reporter}).Info("upstream announces that it leaves; no more calls are sent to it")
 	}
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -179,7 +179,7 @@
 	response := s.gateway.opts.Codec.DecodeResponse(x.Response.StatusCode, x.Response.Header)
 	report.Load, report.HasLoad, report.Weights, report.ColdRemaining = response.Load, response.HasLoad, response.Weights, response.ColdRemaining
 	report.RateLimit, report.HasRateLimit = response.RateLimit, response.fromUpstreamItself()
-	report.Leaving = response.announcesDeparture()
+	report.Leaving, report.PauseFor = response.announcesDeparture(), response.requestedPause()
 	firstByte := time.Since(sentAt)
 	if response.Success() && response.FromUpstream {
 		report.FirstByte = firstByte
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -53,6 +53,8 @@
 	RateLimit core.RateLimit
 	// Leaving is set when the response announces that the upstream leaves.
 	Leaving bool
+	// RetryAfter is the time after which the upstream may be used again, or 0.
+	RetryAfter time.Duration
 	// KeepAlive is the time for which the upstream keeps the idle connection open; 0
 	// when it is unknown.
 	KeepAlive time.Duration
@@ -77,6 +79,15 @@
 	return r.Leaving && r.Status != http.StatusMisdirectedRequest
 }
 
+// requestedPause returns the time for which the upstream wants no calls from this process,
+// as it states in a refusal, or 0. A refusal need not have the upstream's mark.
+func (r UpstreamResponse) requestedPause() time.Duration {
+	if r.Status != http.StatusServiceUnavailable {
+		return 0
+	}
+	return r.RetryAfter
+}
+
 // Codec encodes and decodes calls and responses in HTTP.
 type Codec interface {
 	// DecodeCall decodes the call from a request, without its body.
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -24,7 +24,7 @@
 
 // usable reports whether the call may be sent to an upstream.
 func (pl *Placer) usable(now time.Time, u *upstream, req Request) bool {
-	if u.leaving() || pl.evacuated[u.row.Domain] || now.Before(u.excludedUntil) {
+	if u.leaving() || pl.evacuated[u.row.Domain] || now.Before(u.excludedUntil) || u.restriction.paused(now) {
 		return false
 	}
 	if !matchesFilter(req.RolloutFilter, u) {
--- a/placement/restrictions.go
+++ b/placement/restrictions.go
@@ -13,6 +13,10 @@
 // the metadata store was restored from a copy.
 const restrictionRetention = 2 * time.Minute
 
+// pauseMargin is added to the time for which an upstream wants no calls. It covers the
+// time by which the owner's reading of the clock may precede the response.
+const pauseMargin = 50 * time.Millisecond
+
 // restriction is what an incarnation of an upstream has announced about new calls.
 // Restrictions are stored apart from the state of the upstream, which is removed as soon
 // as the upstream is not listed.
@@ -20,15 +24,23 @@
 	// leavingSince is the time of the announcement that the incarnation leaves, or zero.
 	// The announcement has no end: no later response without it and no row revokes it.
 	leavingSince time.Time
+	// pausedUntil is the end of the longest time for which the incarnation has asked this
+	// process for no calls.
+	pausedUntil time.Time
 	// unlistedSince is the time from which the incarnation has not been listed, or zero.
 	unlistedSince time.Time
 }
 
 func (r *restriction) leaving() bool { return r != nil && !r.leavingSince.IsZero() }
 
+func (r *restriction) paused(now time.Time) bool { return r != nil && now.Before(r.pausedUntil) }
+
 // RestrictionChange is a new restriction of an incarnation of an upstream.
 type RestrictionChange struct {
 	quarantine.Incarnation
+	// Leaving is set when the incarnation leaves. Otherwise it wants no calls for PauseFor.
+	Leaving  bool
+	PauseFor time.Duration
 	// Age is the age of the announcement. It is 0 for a response to this process.
 	Age time.Duration
 	// Reporter is the process that received the announcement. It is empty for this
@@ -57,6 +69,18 @@
 	return out
 }
 
+// recordAnnouncements records what a response announces about new calls. The final report
+// repeats the head of the response, perhaps long after it.
+func (pl *Placer) recordAnnouncements(now time.Time, r Report) {
+	incarnation := quarantine.Incarnation{Upstream: r.Upstream, StartedAtMs: r.StartedAtMs}
+	if r.Leaving {
+		pl.recordDeparture(now, now, incarnation, "")
+	}
+	if r.PauseFor > 0 {
+		pl.recordPause(now, incarnation, r.PauseFor)
+	}
+}
+
 // recordDeparture records that an incarnation leaves.
 func (pl *Placer) recordDeparture(now, observedAt time.Time, incarnation quarantine.Incarnation, reporter core.NodeID) {
 	r := pl.restrictionOf(incarnation)
@@ -64,7 +88,37 @@
 		return
 	}
 	r.leavingSince = observedAt
-	pl.restrictionChanges = append(pl.restrictionChanges, RestrictionChange{Incarnation: incarnation, Age: now.Sub(observedAt), Reporter: reporter})
+	pl.restrictionChanges = append(pl.restrictionChanges, RestrictionChange{Incarnation: incarnation, Leaving: true, Age: now.Sub(observedAt), Reporter: reporter})
+}
+
+// recordPause records that an incarnation wants no calls from this process for a time.
+// A later response does not shorten a pause, since responses overtake one another.
+func (pl *Placer) recordPause(now time.Time, incarnation quarantine.Incarnation, pauseFor time.Duration) {
+	r := pl.restrictionOf(incarnation)
+	if !r.paused(now) {
+		pl.restrictionChanges = append(pl.restrictionChanges, RestrictionChange{Incarnation: incarnation, PauseFor: pauseFor})
+	}
+	if until := now.Add(pauseFor + pauseMargin); until.After(r.pausedUntil) {
+		r.pausedUntil = until
+	}
+}
+
+// PauseRemaining returns the time until the first pause ends, if all upstreams that could
+// otherwise serve a call, now or soon, have asked for a pause. A rollout's filter and the
+// upstreams tried before do not matter, since they differ for the next call.
+func (pl *Placer) PauseRemaining(now time.Time, req Request) (remaining time.Duration, paused bool) {
+	for _, u := range pl.byService[req.Service] {
+		if u.leaving() || pl.evacuated[u.row.Domain] || pl.weightsOverdue(now, u, req.Prompt.Model) {
+			continue
+		}
+		if !u.restriction.paused(now) {
+			return 0, false
+		}
+		if wait := u.restriction.pausedUntil.Sub(now); !paused || wait < remaining {
+			remaining, paused = wait, true
+		}
+	}
+	return remaining, paused
 }
 
 // restrictionOf returns the restriction of an incarnation, which may not be listed. It
@@ -81,15 +135,15 @@
 	return r
 }
 
-// updateRestrictions applies the restrictions to the listed upstreams and removes those
-// of incarnations that have not been listed for restrictionRetention.
+// updateRestrictions applies the restrictions to the listed upstreams. It removes those
+// that have ended and those of incarnations that have not been listed for
+// restrictionRetention.
 func (pl *Placer) updateRestrictions(now time.Time) {
-	for _, u := range pl.upstreams {
-		u.restriction = pl.restrictions[u.incarnation()]
-	}
 	for incarnation, r := range pl.restrictions {
 		u := pl.upstreams[incarnation.Upstream]
 		switch {
+		case !r.leaving() && !r.paused(now):
+			delete(pl.restrictions, incarnation)
 		case u != nil && u.incarnation() == incarnation:
 			r.unlistedSince = time.Time{}
 		case r.unlistedSince.IsZero():
@@ -98,4 +152,7 @@
 			delete(pl.restrictions, incarnation)
 		}
 	}
+	for _, u := range pl.upstreams {
+		u.restriction = pl.restrictions[u.incarnation()]
+	}
 }
--- a/placement/restrictions_test.go
+++ b/placement/restrictions_test.go
@@ -129,3 +129,64 @@
 	relist(pl, t0.Add(time.Minute), in, restricted, 0, false)
 	require.Empty(t, pl.Departures(time.Time{}), "an upstream that is not listed")
 }
+
+// Guards against calls to an upstream within the time for which it wants none, also after
+// a later response with a shorter time or none, a newer row of the same incarnation, or a
+// missing row, and against an upstream that gets no calls after that time or a restart.
+func TestNoCallIsPlacedDuringPause(t *testing.T) {
+	const pause = 4 * time.Hour
+	in := newInputs(1)
+	pl := newPlacer(in)
+	pl.RecordReport(t0, Report{Upstream: restricted, PauseFor: pause})
+	require.Zero(t, callsPlaced(pl, t0))
+	pl.RecordReport(t0.Add(time.Second), Report{Upstream: restricted, PauseFor: time.Second})
+	pl.RecordReport(t0.Add(time.Second), Report{Upstream: restricted})
+	relist(pl, t0.Add(time.Second), in, restricted, 0, true)
+	require.Zero(t, callsPlaced(pl, t0.Add(time.Minute)))
+	relist(pl, t0.Add(time.Minute), in, restricted, 0, false)
+	relist(pl, t0.Add(2*time.Minute), in, restricted, 0, true)
+	require.Zero(t, callsPlaced(pl, t0.Add(pause-100*time.Millisecond)))
+	require.Positive(t, callsPlaced(pl, t0.Add(pause+pauseMargin)))
+	require.Len(t, pl.TakeRestrictionChanges(), 1)
+
+	now := t0.Add(pause + time.Minute)
+	pl.RecordReport(now, Report{Upstream: restricted, PauseFor: pause})
+	require.Zero(t, callsPlaced(pl, now))
+	relist(pl, now.Add(time.Second), in, restricted, 7, true)
+	require.Positive(t, callsPlaced(pl, now.Add(time.Second)))
+	relist(pl, now.Add(2*pause), in, restricted, 7, true)
+	require.Empty(t, pl.restrictions)
+}
+
+// Guards against the end of a long stream or call that starts a pause again.
+func TestFinalReportDoesNotStartPause(t *testing.T) {
+	pl := newPlacer(newInputs(1))
+	pl.RecordReport(t0, Report{Upstream: restricted, Final: true, Result: Failed, PauseFor: time.Hour})
+	require.Positive(t, callsPlaced(pl, t0))
+}
+
+// Guards against calls that wait for an upstream although all have asked for a pause, and
+// against calls that are refused until the end of a pause although another upstream may
+// be used before.
+func TestPauseRemainingUntilFirstUpstreamMayBeUsed(t *testing.T) {
+	in := newInputs(1)
+	pl := newPlacer(in)
+	req := newPlainRequest()
+	remaining := func() time.Duration {
+		wait, paused := pl.PauseRemaining(t0, req)
+		require.Equal(t, paused, wait > 0)
+		return wait
+	}
+	pl.RecordReport(t0, Report{Upstream: "records-0", PauseFor: 3 * time.Second})
+	pl.RecordReport(t0, Report{Upstream: "records-1", PauseFor: 2 * time.Second})
+	require.Zero(t, remaining())
+	req.TriedUpstreams = []core.UpstreamID{"records-2"}
+	require.Zero(t, remaining(), "the next call may use the upstream")
+	pl.RecordReport(t0, Report{Upstream: "records-2", Leaving: true})
+	require.Equal(t, 2*time.Second+pauseMargin, remaining())
+	_, refusal := pl.Choose(t0, req)
+	require.Equal(t, NoUpstream, refusal)
+	pl.RecordReport(t0, Report{Upstream: "records-0", Leaving: true})
+	pl.RecordReport(t0, Report{Upstream: "records-1", Leaving: true})
+	require.Zero(t, remaining(), "no pause ends")
+}
--- a/placement/table.go
+++ b/placement/table.go
@@ -287,8 +287,8 @@
 
 // RecordReport updates the upstream's state with the report of an attempt.
 func (pl *Placer) RecordReport(now time.Time, r Report) {
-	if r.Leaving && !r.Final {
-		pl.recordDeparture(now, now, quarantine.Incarnation{Upstream: r.Upstream, StartedAtMs: r.StartedAtMs}, "")
+	if !r.Final {
+		pl.recordAnnouncements(now, r)
 	}
 	u := pl.upstreams[r.Upstream]
 	if u == nil {
--- a/placement/types.go
+++ b/placement/types.go
@@ -91,11 +91,14 @@
 	// Quarantined means that upstreams crash on a part of the prompt; see package
 	// quarantine.
 	Quarantined
+	// Paused means that all upstreams that may be used have asked for no calls for a time;
+	// see Placer.PauseRemaining.
+	Paused
 )
 
 // String returns the name of the refusal as used in metrics and logs.
 func (r Refusal) String() string {
-	return [...]string{"placed", "no_upstream", "limited", "retry_budget", "quarantined"}[r]
+	return [...]string{"placed", "no_upstream", "limited", "retry_budget", "quarantined", "paused"}[r]
 }
 
 // UpstreamResult is the result of an attempt as an indication of its upstream's
@@ -145,6 +148,8 @@
 	HasRateLimit bool
 	// Leaving is set when the upstream announces that it leaves.
 	Leaving bool
+	// PauseFor is the time for which the upstream wants no calls from this process, or 0.
+	PauseFor time.Duration
 	// Route is the name of the call's route. FirstByte is the time to the first byte of
 	// a success, or 0 when there was none. Pace is the mean time between the first
 	// events of a stream. Each of them is set in one report that is not final.
