Apply changed entries of upstreams whatever the versions of their rows are

After a restore of the store, an entry with other content may have the row version of the one before: the placer ignored it, for example a server that drains. An unchanged entry with another row version made its server count as cold again.

Change: the placer compares the decoded entries, which package fleet keeps as they are while their content is the same.

--- a/placement/table.go
+++ b/placement/table.go
@@ -97,8 +97,10 @@
 		switch {
 		case u == nil:
 			u = newUpstream(now, pl.startedAt, row)
-		case u.row.RowVersion != row.RowVersion:
+		case u.row.Upstream != row.Upstream:
 			u.update(now, row)
+		default:
+			u.row = row
 		}
 		next[row.ID] = u
 		pl.byService[row.Service] = append(pl.byService[row.Service], u)
