--- a/fleet/restored_store_test.go
+++ b/fleet/restored_store_test.go
@@ -124,22 +124,23 @@
 // Guards against a process that keeps lost content of the store, since the store does
 // not respond to it and the versions that other processes send are lower than its own.
 func TestNewerGenerationIsPulledFromPeer(t *testing.T) {
+	const lostConfig core.Epoch = 8
 	r := newRestorableStore(t)
 	r.putConfig(1)
 	r.start(2)
 	r.await("start", 1)
 	backup := r.store.Copy()
-	for range 3 {
-		r.putConfig(2)
+	for config := core.Epoch(2); config <= lostConfig; config++ {
+		r.putConfig(config)
 	}
-	r.await("before the restore", 2)
+	r.await("before the restore", lostConfig)
 	current, stale := r.processes[0], r.processes[1]
 	stale.store.unresponsive.Store(true)
 	time.Sleep(3 * time.Second) // until the pending calls have finished
 	r.store.Restore(backup)
-	r.putConfig(3)
+	r.putConfig(lostConfig + 1)
 	hasConfig := func(p *process) func() bool {
-		return func() bool { return p.fleet.View().Config.Epoch == 3 }
+		return func() bool { return p.fleet.View().Config.Epoch == lostConfig+1 }
 	}
 	require.Eventually(t, hasConfig(current), eventuallyTimeout, 10*time.Millisecond)
 	require.Less(t, current.fleet.View().Epoch, stale.fleet.View().Epoch)
