--- a/spec/merge.pml
+++ b/spec/merge.pml
@@ -27,8 +27,12 @@
  */
 #define PROCESSES 2
 #define ROWS 2
-#define MAX_VERSION 4
+#ifndef MAX_VERSION
+#define MAX_VERSION 3
+#endif
+#ifndef MAX_GENERATION
 #define MAX_GENERATION 1
+#endif
 
 byte counter = 0;
 byte stored[ROWS];
