Keep retained values when a removal is repeated with another version

What callers saw: not reported.

Cause: processes record a row that a complete table lacks as removed with the version of their own read. When a process received the same removal from a peer with a later version, it replaced the retained value of an evacuation, upstream or member.

Change: the removal of a removed row changes its version only.

--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -199,6 +199,23 @@
 	require.False(t, r.changes(13*time.Second, 2, 7, r.row("z1", 7, nil)).Evacuated["z1"], "the end is written again")
 }
 
+// Guards against the loss of retained values when another process has recorded the
+// same removal with a later version.
+func TestRepeatedRemovalKeepsRetainedValues(t *testing.T) {
+	r := newRestoreTest(t, operatorTable)
+	r.readTable(0, 0, 6, r.row("other", 5, config(1)), r.row("z1", 6, DecodedRow{Evacuated: "z1"}))
+	r.readTable(time.Second, 1, 5, r.row("other", 5, config(1)))
+	require.True(t, r.changes(time.Second, 1, 7, r.row("z1", 7, nil)).Evacuated["z1"])
+	require.False(t, r.expire(time.Second + restoreGracePeriod).Evacuated["z1"])
+
+	m := newRestoreTest(t, MembersTable)
+	m.readTable(0, 0, 6, m.row("a", 6, Member{Node: "a", Incarnation: 1}))
+	m.readTable(time.Second, 1, 5)
+	v := m.changes(2*time.Second, 1, 7, m.row("a", 7, nil))
+	require.Len(t, v.Members, 1)
+	require.Empty(t, v.Departures)
+}
+
 // Guards against a rollout that begins anew, disappears, or comes back after its end,
 // since the copy is older than the request.
 func TestRolloutAfterRestore(t *testing.T) {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -112,6 +112,10 @@
 	if old != nil && (row.Version < old.row.Version || row.Version == old.row.Version && row.Removed == old.row.Removed) {
 		return false
 	}
+	if old != nil && old.row.Removed && row.Removed {
+		old.row.Version = row.Version // recorded by another process, with another version
+		return false
+	}
 	next := s.newRowState(now, row)
 	if row.Table != MembersTable {
 		s.retainRemoved(now, old, next)
