Restore the stand-in store from copies in the fault soak

A fault copies the store, lets it run on, makes it unavailable for a moment and replaces its content by the copy. What the operator and the servers wrote since is written again, as the platform does; the rows of the fronts are gone. All fronts count as touched meanwhile.

--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -29,7 +29,7 @@
 type fault struct {
 	name string
 	run  func(ctx context.Context, lasts time.Duration)
-	// touches is the front or the server's link that the fault touches.
+	// touches is the front or the server's link that the fault touches, if it is one.
 	touches string
 	// disrupts is set when the fault kills or suspends the front.
 	disrupts bool
@@ -63,7 +63,7 @@
 			}
 			busy[i] = time.Now().Add(grace + lasts + 2*restartPause)
 		}
-		if kind >= drains {
+		if kind == drains || kind == drains+1 {
 			if time.Now().Before(drained[server]) {
 				continue
 			}
@@ -116,7 +116,7 @@
 	plannedStop   = 1
 	processFaults = 3
 	drains        = 12
-	faultKinds    = 14
+	faultKinds    = 15
 )
 
 func (w *world) draw(kind int, f *front, s *server) fault {
@@ -179,6 +179,8 @@
 			}
 			w.drain(ctx, s, lasts)
 		}}
+	case 14:
+		return fault{name: "store restored from a copy", run: w.restoreStore}
 	default:
 		return fault{name: s.id + " drains for long", run: func(ctx context.Context, lasts time.Duration) {
 			w.drain(ctx, s, drainBound+lasts)
@@ -186,6 +188,23 @@
 	}
 }
 
+// restoreStore replaces the store's content by a copy that is as old as the fault is
+// long. The store is away for a moment before.
+func (w *world) restoreStore(ctx context.Context, lasts time.Duration) {
+	copied := w.store.Copy()
+	duty.Pause(ctx, lasts)
+	for _, f := range w.fronts {
+		w.ledger.note(entry{change: func(t *timeline, at time.Time) { begin(t.touched, f.name, at) }})
+		f.store.set(resetting)
+	}
+	duty.Pause(ctx, restartPause)
+	w.restore(copied)
+	for _, f := range w.fronts {
+		f.store.set(open)
+		w.ledger.note(entry{change: func(t *timeline, at time.Time) { end(t.touched, f.name, at) }})
+	}
+}
+
 // drain drains a server for a time.
 func (w *world) drain(ctx context.Context, s *server, lasts time.Duration) {
 	w.list(s, true)
--- a/tools/soak/world.go
+++ b/tools/soak/world.go
@@ -83,9 +83,10 @@
 
 // server is a stand-in server behind a link.
 type server struct {
-	id      string
-	link    *proxy
-	failing atomic.Int32
+	id       string
+	link     *proxy
+	failing  atomic.Int32
+	draining atomic.Bool
 }
 
 // Ways in which a server fails a share of its calls.
@@ -249,25 +250,52 @@
 }
 
 func (w *world) list(s *server, draining bool) {
+	s.draining.Store(draining)
+	w.putServer(s, draining)
+}
+
+func (w *world) putServer(s *server, draining bool) {
 	w.store.PutServer(s.id, service, s.link.address(), zone, draining)
 }
 
-// configure writes the next version of the configuration; all versions allow
-// what the callers send.
+// configure writes the next version of the configuration.
 func (w *world) configure() {
 	version := int(w.version.Add(1))
+	w.ledger.note(entry{change: func(t *timeline, at time.Time) { t.configured(version, at) }})
+	w.putConfig(version)
+}
+
+// putConfig writes a version of the configuration; all versions allow what the callers
+// send.
+func (w *world) putConfig(version int) {
 	route := func(name, kind string, attempts int) standin.PlatformRoute {
 		return standin.PlatformRoute{
 			Name: name, Kind: kind, Attempts: attempts, Resumable: name == "verdict", Timeout: callTime, Aim: callTime / 3,
 		}
 	}
-	w.ledger.note(entry{change: func(t *timeline, at time.Time) { t.configured(version, at) }})
 	w.store.PutConfig(version, host, service, []standin.PlatformRoute{
 		route("read", "safe", 2), route("log", "unsafe", 1), route("draft", "streaming", 1), route("verdict", "streaming", 2),
 		route(fmt.Sprintf("new-%d", version), "safe", 1),
 	}, []string{apiKey, keyOf(version)})
 }
 
+// restore replaces the store's content by a copy and writes again what the operator and
+// the servers wrote, as the platform does. It repeats what has changed meanwhile.
+func (w *world) restore(from standin.StoreCopy) {
+	w.store.Restore(from)
+	for version := int32(0); version != w.version.Load(); {
+		version = w.version.Load()
+		w.putConfig(int(version))
+	}
+	for _, s := range w.servers {
+		draining := s.draining.Load()
+		w.putServer(s, draining)
+		if s.draining.Load() != draining {
+			w.putServer(s, !draining)
+		}
+	}
+}
+
 // keyOf is the key that one version of the configuration allows beside apiKey.
 func keyOf(version int) string { return fmt.Sprintf("key-v%d", version) }
 
