Forward no response that begins inside an event of a stream

Callers of a stream without a length got the head and the text of an error in the middle of their stream, which then ended as if it were complete, when the server cut an event and wrote another response behind it.

Cause: only the beginning of a section of the stream was compared with a status line. Behind a cut event, the head is a part of the event's section, and its empty line completes the section.

Evidence: the new cases of TestResponseInsideStreamIsNotForwarded (between two lines, inside a line, inside an id) failed before; the caller received "id: 2\ndata: bHTTP/1.1 500 Internal Server Error\r\n..." without an error.

Change: a section contains a response if one of its lines begins with a status line, or if a status line inside a line is followed by a header that is no field of an event. Data that mention a status line are forwarded (TestStatusLineInDataIsNoResponse).

Tests of gateway, upstreamhttp and frontend pass.

--- a/frontend/resume_test.go
+++ b/frontend/resume_test.go
@@ -105,6 +105,9 @@
 		"broken off and resumed": {eventOne + inner, eventTwo + eventThree},
 		"inside a resumed one":   {eventOne, eventTwo + inner},
 		"cut in its head":        {eventOne + "HTTP/1.1 503 Service Unavailable\r\nNot-Exec", eventTwo},
+		"between two lines":      {eventOne + "id: 2\n" + inner, eventTwo + eventThree},
+		"inside a line":          {eventOne + "id: 2\ndata: b" + inner, eventTwo + eventThree},
+		"inside an id":           {eventOne + "id: 2" + inner, eventTwo + eventThree},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/upstreamhttp"
 )
 
 // maxEventBytes is the maximum size of one event of a stream.
@@ -29,6 +30,32 @@
 	return len(bytes.TrimRight(e.text, "\r\n")) > 0 && !e.complete
 }
 
+// containsResponse reports whether the section contains the head of a response. The head
+// may continue a line of an event that was cut. The data of an event may contain a status
+// line as well, but is not followed by a header.
+func (e event) containsResponse() bool {
+	afterStatusLine := false
+	for line := range bytes.Lines(e.text) {
+		at := upstreamhttp.FindStatusLine(line)
+		if at == 0 || afterStatusLine && isHeader(line) {
+			return true
+		}
+		afterStatusLine = at > 0
+	}
+	return false
+}
+
+// isHeader reports whether a line is a header of a response and not a comment or a field
+// of an event.
+func isHeader(line []byte) bool {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "data", "event", "id", "retry":
+		return false
+	}
+	return found
+}
+
 // isAfter reports whether the event follows the one with the given id. Ids are increasing
 // numbers; if that of the earlier event is none, the order is unknown, and any id is
 // accepted.
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -31,3 +31,14 @@
 		}
 	}
 }
+
+// Guards against events that are not forwarded because their data mention a status line.
+func TestStatusLineInDataIsNoResponse(t *testing.T) {
+	for _, text := range []string{
+		"data: HTTP/1.1 200 OK\n\n", "id: 1\ndata: GET / gives HTTP/1.1 404 Not Found\ndata: Content-Length: 0\n\n",
+		"data: HTTP/1.1 200 OK\r\nid: 2\r\n\r\n", "data: HTTP/1.1 200 OK\n: comment\nevent: x\nretry: 5\n\n",
+		"Content-Length: 0\ndata: x\n\n",
+	} {
+		require.False(t, event{text: []byte(text)}.containsResponse(), text)
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -142,8 +142,8 @@
 			pace.recordEvent(time.Now())
 			err = order.check(event, s.lastEventID)
 		}
-		if !x.HasKnownEnd() && upstreamhttp.StartsResponse(event.text) {
-			err = errs.New(errs.Corrupt, remedyResume, "stream is followed by another response")
+		if !x.HasKnownEnd() && event.containsResponse() {
+			err = errs.New(errs.Corrupt, remedyResume, "stream contains another response")
 		}
 		if errors.Is(err, io.EOF) && (event.isPartial() || pace.events == 0 && !x.HasKnownEnd()) {
 			err = errs.New(errs.Corrupt, remedyResume, "stream ended inside an event or without any")
--- a/upstreamhttp/head.go
+++ b/upstreamhttp/head.go
@@ -10,10 +10,14 @@
 // statusLine matches the beginning of the status line of a response.
 var statusLine = regexp.MustCompile(`HTTP/\d\.\d +\d{3}`)
 
-// StartsResponse reports whether text begins with the status line of a response.
-func StartsResponse(text []byte) bool {
-	at := statusLine.FindIndex(text)
-	return at != nil && at[0] == 0
+// FindStatusLine returns the index of the first status line of a response in a line, or a
+// negative number if there is none.
+func FindStatusLine(line []byte) int {
+	at := statusLine.FindIndex(line)
+	if at == nil {
+		return -1
+	}
+	return at[0]
 }
 
 // readHead reads status and headers of the next response.
