Begin a rollout that follows a retained one after it

What callers would have seen: a new software version that gets all calls, and is reported as completed, too early.

Cause: after a restore of the store's content, the rollout that was in force is retained for a grace period. If the store lists another one for the service already, that one took effect with the time of the request of the retained one, which may be minutes old, so that most of its time counted as elapsed. After a withdrawn one it counted from the restore, although it had no effect until the grace period ended.

Change: a rollout that differs from the retained one begins when the retention ends.

The test fails on the code before in both cases; package fleet passes with the change.

--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -117,6 +117,13 @@
 	}
 }
 
+// replacesRollout reports whether the store lists another rollout than the retained one.
+// It begins when the retention ends.
+func (rs *rowState) replacesRollout() bool {
+	listed, retained := rs.listed.Rollout, rs.decoded.Rollout
+	return listed != nil && (retained == nil || *retained != *listed)
+}
+
 // continueRollout keeps the time of a rollout's request that is written again within the
 // grace period.
 func continueRollout(old, next *rowState) {
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -252,6 +252,26 @@
 	require.Equal(t, "v2", r.changes(3*time.Second, 1, 7, r.row("r", 7, request)).Rollouts["s"].Version, "written again")
 }
 
+// Guards against a new version that gets all calls too early, since its rollout counts
+// from the request of another one that was retained after a restore.
+func TestRolloutThatFollowsRetainedOneBeginsAfterIt(t *testing.T) {
+	rollout := func(version string) DecodedRow {
+		return DecodedRow{Rollout: &catalog.Rollout{Service: "s", Version: version, MaxDuration: time.Minute}}
+	}
+	for name, before := range map[string]any{"another rollout": rollout("v2"), "withdrawn": nil} {
+		t.Run(name, func(t *testing.T) {
+			r := newRestoreTest(t, operatorTable)
+			r.readTable(0, 0, 5)
+			r.changes(0, 0, 6, r.row("r", 6, rollout("v2")))
+			r.changes(0, 0, 7, r.row("r", 7, before))
+			r.readTable(time.Minute, 1, 8, r.row("r", 8, rollout("v3")))
+			began := r.expire(time.Minute + restoreGracePeriod).Rollouts["s"]
+			require.Equal(t, "v3", began.Version)
+			require.Equal(t, t0.Add(time.Minute+restoreGracePeriod), began.RequestedAt)
+		})
+	}
+}
+
 // Guards against limits that are divided among too few processes because the copy lacks
 // members, or among too many because it lists processes that have left.
 func TestMembersAfterRestore(t *testing.T) {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -253,6 +253,9 @@
 // endRetention applies what the store has in a row, or marks a member as expired.
 func (rs *rowState) endRetention() {
 	if rs.row.Table != MembersTable {
+		if rs.replacesRollout() {
+			rs.receivedAt = rs.retainedUntil
+		}
 		rs.decoded, rs.retainedUntil = rs.listed, time.Time{}
 		return
 	}
