Register again if the store was restored before the first read

What operators would have seen: a process that starts in a drill is missing from the members table for up to a minute, and others that start meanwhile divide limits among too few processes.

Cause: a restore is noticed by a table whose generation rises. A process whose row was written before the restore and whose first read came after it notices none. Nor does one that reads the members table first in the newer generation and another table in it later.

Change: the process writes its row again when it learns of a generation that is newer than that of its last write.

--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc"
 
 	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/ring"
@@ -68,6 +69,9 @@
 	// renewedAt is the time of the last renewal of the local row, in nanoseconds of
 	// the clock that includes the time in which the VM is suspended.
 	renewedAt atomic.Int64
+	// registeredIn is the generation of the store's content in which the local row was
+	// last written.
+	registeredIn atomic.Uint64
 	// deregistrations holds the request to deregister; its element is the ring that
 	// is notified when the request has been processed.
 	deregistrations *ring.Ring[*ring.Ring[struct{}]]
@@ -300,11 +304,12 @@
 	}
 	before, newest := s.seen[u.table], s.newestGeneration()
 	changed, restored := s.apply(now, u)
+	mayLackLocalRow := s.newestGeneration() > max(newest, core.Generation(f.registeredIn.Load()))
+	// The members table may be read later than others, and then shows expired rows.
+	if mayLackLocalRow || restored && u.table == MembersTable {
+		f.reregistrations.Push(struct{}{})
+	}
 	if restored {
-		// The members table may be read later than others, and then shows expired rows.
-		if u.table == MembersTable || u.position.Generation > newest {
-			f.reregistrations.Push(struct{}{})
-		}
 		log.WithFields(logrus.Fields{
 			"event": "store_restored", "old_generation": before.Generation, "old_version": before.Version,
 			"generation": u.position.Generation, "version": u.position.Version,
--- a/fleet/registration.go
+++ b/fleet/registration.go
@@ -42,10 +42,11 @@
 	for {
 		pause := renewInterval
 		requestedAt := clock.SinceBoot()
-		_, err := f.opts.Store.Commit(ctx, Transaction{Puts: []Row{row}})
+		response, err := f.opts.Store.Commit(ctx, Transaction{Puts: []Row{row}})
 		switch {
 		case err == nil:
 			f.renewedAt.Store(int64(requestedAt))
+			f.registeredIn.Store(uint64(response.Generation))
 			if !registered {
 				f.opts.Log.WithFields(logrus.Fields{"event": "registered", "address": f.opts.Self.Address}).Info("process registered")
 			}
--- a/fleet/restored_store_test.go
+++ b/fleet/restored_store_test.go
@@ -1,14 +1,22 @@
 package fleet_test
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/duty"
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/fleet"
+	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/standin"
 )
 
@@ -148,3 +156,58 @@
 	require.Eventually(t, hasConfig(stale), 2*time.Second, 10*time.Millisecond, "a newer generation was not pulled")
 	require.Equal(t, current.fleet.View().Generation, stale.fleet.View().Generation)
 }
+
+// unreadStore accepts registrations. Its reads fail until readable is set, and then belong
+// to a newer generation than the first registration.
+type unreadStore struct {
+	readable  atomic.Bool
+	committed chan core.Generation
+}
+
+func (s *unreadStore) response() fleet.StoreResponse {
+	if s.readable.Load() {
+		return fleet.StoreResponse{Version: 1, Generation: 2}
+	}
+	return fleet.StoreResponse{Version: 1, Generation: 1}
+}
+
+func (s *unreadStore) Rows(context.Context, fleet.Table) (fleet.StoreResponse, error) {
+	if !s.readable.Load() {
+		return fleet.StoreResponse{}, errs.New(errs.Unavailable, "", "store is unavailable")
+	}
+	return s.response(), nil
+}
+
+func (s *unreadStore) Changes(ctx context.Context, _ fleet.Table, _ uint64, _ time.Duration) (fleet.StoreResponse, error) {
+	<-ctx.Done()
+	return fleet.StoreResponse{}, ctx.Err()
+}
+
+func (s *unreadStore) Commit(context.Context, fleet.Transaction) (fleet.StoreResponse, error) {
+	response := s.response()
+	s.committed <- response.Generation
+	return response, nil
+}
+
+// Guards against a process whose row is lost for up to a minute, since the store's content
+// was restored between its registration and its first read.
+func TestProcessRegistersAgainAfterRestoreBeforeFirstRead(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store := &unreadStore{committed: make(chan core.Generation, 8)}
+	f := fleet.New(fleet.Options{Self: fleet.Member{Node: "front-0"}, Store: store, Tables: platform.Tables(), Decoder: platform.RowCodec{}, Log: log})
+	group := duty.NewGroup(context.Background(), log)
+	f.Start(group)
+	defer func() {
+		group.Stop()
+		require.NoError(t, group.Wait())
+	}()
+	require.Equal(t, core.Generation(1), <-store.committed)
+	store.readable.Store(true)
+	select {
+	case generation := <-store.committed:
+		require.Equal(t, core.Generation(2), generation)
+	case <-time.After(eventuallyTimeout):
+		t.Fatal("the process has not registered again")
+	}
+}
