Send verdicts on a version whose request reuses a row version

What callers would have seen: calls to a new software version that another process has withdrawn.

Cause: a board identifies the rollout of a verdict by the service and the version of the request's row. After a restore of the store's content, another rollout's row may get that version. The board already held a withdrawal under it and dropped the new one.

Change: the software version is part of the key, as it is when a verdict is applied.

The test fails on the code before; package sharing passes with the change.

--- a/sharing/evidence.go
+++ b/sharing/evidence.go
@@ -103,9 +103,11 @@
 	}
 }
 
-// verdictKey identifies the rollout that a verdict restricts.
+// verdictKey identifies the rollout that a verdict restricts. The version of the request's
+// row alone may have been that of another rollout before a restore of the store.
 type verdictKey struct {
 	service core.ServiceID
+	version string
 	request uint64
 }
 
@@ -113,7 +115,7 @@
 // after verdictInterval, since receivers hold the cutover only for a limited time.
 func (b *board) addVerdicts(now time.Time, sender core.NodeID, verdicts []canary.Verdict) {
 	for _, v := range verdicts {
-		key := verdictKey{v.Service, v.RequestRowVersion}
+		key := verdictKey{v.Service, v.Version, v.RequestRowVersion}
 		stored, ok := b.verdicts[key]
 		repeated := now.Sub(stored.addedAt) >= verdictInterval
 		if !ok || v.Withdrawn && !stored.value.Withdrawn || !stored.value.Withdrawn && repeated {
--- a/sharing/evidence_test.go
+++ b/sharing/evidence_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/quarantine"
 )
@@ -87,3 +88,14 @@
 	require.Equal(t, e, got)
 	require.Nil(t, encodeEvidence(boardNow, quarantine.Evidence{}))
 }
+
+// Guards against a withdrawn version that other processes keep using, since the row of its
+// request got the version that the request of another rollout had before a restore.
+func TestVerdictOnAnotherVersionWithTheSameRowVersionIsSent(t *testing.T) {
+	before := canary.Verdict{Service: "s", Version: "v2", RequestRowVersion: 24, Withdrawn: true}
+	after := canary.Verdict{Service: "s", Version: "v3", RequestRowVersion: 24, Withdrawn: true}
+	b := newBoard()
+	b.addVerdicts(t0, "a", []canary.Verdict{before})
+	b.addVerdicts(t0.Add(time.Second), "a", []canary.Verdict{after})
+	require.ElementsMatch(t, []canary.Verdict{before, after}, b.verdicts.newFor(t0.Add(time.Second), "c", 0))
+}
