Ignore lost content after a restore from an empty copy

What operators would have seen: a withdrawn evacuation in force again, which a peer that lags has sent.

Cause: a table of version 0 counted as one that was never read, whatever its generation, so that a complete table of an older generation was applied and lowered the generation.

Change: only a table without a position counts as never read.

The test fails on the code before; the tests of restores in package fleet pass.

--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -17,7 +17,7 @@
 func (s *state) apply(now time.Time, u update) (changed, restored bool) {
 	seen := s.seen[u.table]
 	switch {
-	case seen.Version == 0 && u.complete:
+	case seen == Position{} && u.complete:
 		s.seen[u.table] = Position{Generation: u.position.Generation}
 		return s.replace(now, u.table, u.rows, u.position.Version), false
 	case u.position.Generation > seen.Generation && u.complete:
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -88,6 +88,17 @@
 	require.Equal(t, core.Epoch(16), r.changes(6*time.Second, 2, 2, r.row("config", 2, config(16))).Config.Epoch)
 }
 
+// Guards against rows of the lost content that a peer sends after the content was restored
+// from an empty copy.
+func TestLostContentIsIgnoredAfterRestoreFromEmptyCopy(t *testing.T) {
+	r := newRestoreTest(t, operatorTable)
+	r.readTable(0, 1, 23, r.row("z1", 23, DecodedRow{Evacuated: "z1"}))
+	r.readTable(time.Second, 2, 0)
+	require.Empty(t, r.expire(time.Second+restoreGracePeriod).Evacuated)
+	require.Empty(t, r.readTable(time.Minute, 1, 23, r.row("z1", 23, DecodedRow{Evacuated: "z1"})).Evacuated)
+	require.Equal(t, Position{2, 0}, r.state.seen[operatorTable])
+}
+
 // Guards against a weight version that calls no longer require since the copy of the
 // store's content is older than its request.
 func TestRequestedWeightsRemainAfterRestore(t *testing.T) {
