Pause between reads of tables that are stale

What operators would have seen: a process that uses a whole core and floods the store, while complete reads are answered as stale.

Cause: an error of the kind stale leads to a read of the complete table at once. When that read itself is stale, for example since the content was restored between two pages, it was repeated without a pause and was not reported as a failure.

Change: only a stale read of changes leads to the complete read at once. A stale complete read is a failure, which pauses.

The test fails on the code before (1,908,837 reads in half a second, 50 allowed); package fleet passes with the change.

--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -202,7 +202,7 @@
 			response, err = f.opts.Store.Changes(ctx, table, read.Version, maxWait)
 		}
 		restored := err == nil && !readAll && response.Generation != read.Generation
-		if restored || errs.Is(err, errs.Stale) {
+		if restored || !readAll && errs.Is(err, errs.Stale) {
 			readAll = true
 			continue
 		}
--- a/fleet/restored_store_test.go
+++ b/fleet/restored_store_test.go
@@ -211,3 +211,35 @@
 		t.Fatal("the process has not registered again")
 	}
 }
+
+// staleStore has no content of any version and counts the reads.
+type staleStore struct{ reads atomic.Int64 }
+
+func (s *staleStore) Rows(context.Context, fleet.Table) (fleet.StoreResponse, error) {
+	s.reads.Add(1)
+	return fleet.StoreResponse{}, errs.New(errs.Stale, "", "content was restored during the read")
+}
+
+func (s *staleStore) Changes(ctx context.Context, table fleet.Table, _ uint64, _ time.Duration) (fleet.StoreResponse, error) {
+	return s.Rows(ctx, table)
+}
+
+func (s *staleStore) Commit(context.Context, fleet.Transaction) (fleet.StoreResponse, error) {
+	return fleet.StoreResponse{}, errs.New(errs.Unavailable, "", "store is unavailable")
+}
+
+// Guards against feeds that read without a pause while complete tables are stale.
+func TestStaleTablesAreReadWithPauses(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store := &staleStore{}
+	f := fleet.New(fleet.Options{Self: fleet.Member{Node: "front-0"}, Store: store, Tables: platform.Tables(), Decoder: platform.RowCodec{}, Log: log})
+	group := duty.NewGroup(context.Background(), log)
+	f.Start(group)
+	time.Sleep(500 * time.Millisecond)
+	reads := store.reads.Load()
+	group.Stop()
+	require.NoError(t, group.Wait())
+	require.Positive(t, reads)
+	require.Less(t, reads, int64(50), "three feeds with a pause of 200 ms")
+}
