--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -194,13 +194,7 @@
 		maxWait, interval = maxMemberChangesWait, memberPollInterval
 	}
 	for ctx.Err() == nil && needed() {
-		var response StoreResponse
-		var err error
-		if readAll {
-			response, err = f.opts.Store.Rows(ctx, table)
-		} else {
-			response, err = f.opts.Store.Changes(ctx, table, read.Version, maxWait)
-		}
+		response, err := f.readTable(ctx, table, readAll, read.Version, maxWait)
 		restored := err == nil && !readAll && response.Generation != read.Generation
 		if restored || !readAll && errs.Is(err, errs.Stale) {
 			readAll = true
@@ -229,6 +223,14 @@
 	return nil
 }
 
+// readTable reads a complete table, or waits for its changes after a version.
+func (f *Fleet) readTable(ctx context.Context, table Table, complete bool, after uint64, maxWait time.Duration) (StoreResponse, error) {
+	if complete {
+		return f.opts.Store.Rows(ctx, table)
+	}
+	return f.opts.Store.Changes(ctx, table, after, maxWait)
+}
+
 // runState is the duty that owns the rows.
 func (f *Fleet) runState(ctx context.Context) error {
 	s := newState(f.opts.Tables, f.opts.Decoder)
@@ -283,24 +285,12 @@
 		if !failing[u.table] {
 			log.WithField("event", "store_lost").WithError(u.err).Warn("table cannot be read from the platform store")
 		}
-		failing[u.table] = true
-		if u.table == f.opts.Tables.Upstreams {
-			s.setUpstreamsUnavailable(now)
-		}
-		if u.table == f.opts.Tables.Operator || u.table == f.opts.Tables.Upstreams {
-			f.tablesUnavailable.Push(true)
-		}
+		f.recordFailure(now, s, failing, u.table)
 		return
 	}
 	if u.source == "store" && failing[u.table] {
-		delete(failing, u.table)
 		log.WithFields(logrus.Fields{"event": "store_regained", "version": u.position.Version, "generation": u.position.Generation}).Info("table can be read from the platform store again")
-		if u.table == f.opts.Tables.Upstreams {
-			s.setUpstreamsRecovered(now)
-		}
-		if !failing[f.opts.Tables.Operator] && !failing[f.opts.Tables.Upstreams] {
-			f.tablesUnavailable.Push(false)
-		}
+		f.recordRecovery(now, s, failing, u.table)
 	}
 	before, newest := s.seen[u.table], s.newestGeneration()
 	changed, restored := s.apply(now, u)
@@ -321,6 +311,28 @@
 	}
 }
 
+// recordFailure records that a table cannot be read from the store.
+func (f *Fleet) recordFailure(now time.Time, s *state, failing map[Table]bool, table Table) {
+	failing[table] = true
+	if table == f.opts.Tables.Upstreams {
+		s.setUpstreamsUnavailable(now)
+	}
+	if table == f.opts.Tables.Operator || table == f.opts.Tables.Upstreams {
+		f.tablesUnavailable.Push(true)
+	}
+}
+
+// recordRecovery records that a table can be read from the store again.
+func (f *Fleet) recordRecovery(now time.Time, s *state, failing map[Table]bool, table Table) {
+	delete(failing, table)
+	if table == f.opts.Tables.Upstreams {
+		s.setUpstreamsRecovered(now)
+	}
+	if !failing[f.opts.Tables.Operator] && !failing[f.opts.Tables.Upstreams] {
+		f.tablesUnavailable.Push(false)
+	}
+}
+
 func (f *Fleet) publish(s *state) {
 	old, v := f.View(), s.view()
 	for _, err := range s.decodeErrors {
--- a/fleet/registration.go
+++ b/fleet/registration.go
@@ -40,25 +40,8 @@
 	row := Row{Table: MembersTable, Key: string(f.opts.Self.Node), Value: value}
 	registered := false
 	for {
-		pause := renewInterval
-		requestedAt := clock.SinceBoot()
-		response, err := f.opts.Store.Commit(ctx, Transaction{Puts: []Row{row}})
-		switch {
-		case err == nil:
-			f.renewedAt.Store(int64(requestedAt))
-			f.registeredIn.Store(uint64(response.Generation))
-			if !registered {
-				f.opts.Log.WithFields(logrus.Fields{"event": "registered", "address": f.opts.Self.Address}).Info("process registered")
-			}
-			registered = true
-			f.removeExpired(ctx)
-		case registered:
-			pause = renewRetryInterval
-			f.opts.Log.WithField("event", "renewal_failed").WithError(err).Warn("registration was not renewed; retrying")
-		default:
-			pause = retryInterval
-			f.opts.Log.WithField("event", "register_failed").WithError(err).Warn("registration failed; retrying")
-		}
+		pause := f.register(ctx, row, registered)
+		registered = registered || pause == renewInterval
 		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
@@ -79,6 +62,29 @@
 	}
 }
 
+// register writes the row of this process and returns the time until the next attempt,
+// which is renewInterval after a success.
+func (f *Fleet) register(ctx context.Context, row Row, registered bool) time.Duration {
+	requestedAt := clock.SinceBoot()
+	response, err := f.opts.Store.Commit(ctx, Transaction{Puts: []Row{row}})
+	switch {
+	case err == nil:
+		f.renewedAt.Store(int64(requestedAt))
+		f.registeredIn.Store(uint64(response.Generation))
+		if !registered {
+			f.opts.Log.WithFields(logrus.Fields{"event": "registered", "address": f.opts.Self.Address}).Info("process registered")
+		}
+		f.removeExpired(ctx)
+		return renewInterval
+	case registered:
+		f.opts.Log.WithField("event", "renewal_failed").WithError(err).Warn("registration was not renewed; retrying")
+		return renewRetryInterval
+	default:
+		f.opts.Log.WithField("event", "register_failed").WithError(err).Warn("registration failed; retrying")
+		return retryInterval
+	}
+}
+
 func (f *Fleet) removeLocalRow(ctx context.Context, row Row) {
 	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
 	defer cancel()
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -100,8 +100,9 @@
 	}
 }
 
-// carryOverRequest retains what the operator has requested, or has withdrawn, since the
-// copy.
+// carryOverRequest retains what the operator has requested since the copy, and the
+// withdrawal of a rollout. A withdrawn evacuation that the copy has is in force again
+// until it is withdrawn again, since it only restricts.
 func carryOverRequest(now time.Time, old, next *rowState) {
 	before, listed := old.decoded, next.listed
 	switch {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,8 +113,8 @@
 	}
 	// The configuration may have changed while the body was received, and a planned stop
 	// accepts fewer calls as it proceeds.
-	changed := g.opts.Fleet.View().Config != s.config || g.plannedStop.Load() != nil
-	if changed && !s.resolve() {
+	mayDiffer := g.opts.Fleet.View().Config != s.config || g.plannedStop.Load() != nil
+	if mayDiffer && !s.resolve() {
 		return
 	}
 	if s.route.Kind == core.KindStream {
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -35,9 +35,12 @@
 
 // check returns an error if the event does not follow the one with the id lastID.
 func (c *continuation) check(e event, lastID string) error {
-	if !c.resumed || !e.hasFields || e.id == "" && c.continued {
+	if !c.resumed || !e.hasFields {
 		return nil
 	}
+	if e.id == "" && c.continued {
+		return nil // a section without an id behind an event that continues the stream
+	}
 	if e.id == "" || !e.isAfter(lastID) {
 		return errs.New(errs.Corrupt, remedyResume, "event with the id %q does not continue a stream after %q", e.id, lastID)
 	}
--- a/placement/restrictions.go
+++ b/placement/restrictions.go
@@ -13,8 +13,9 @@
 // the metadata store was restored from a copy.
 const restrictionRetention = 2 * time.Minute
 
-// pauseMargin is added to the time for which an upstream wants no calls. It covers the
-// time by which the owner's reading of the clock may precede the response.
+// pauseMargin is added to the time for which an upstream wants no calls. The router reads
+// its clock before it takes the reports that have arrived, so that its time may be earlier
+// than the response.
 const pauseMargin = 50 * time.Millisecond
 
 // restriction is what an incarnation of an upstream has announced about new calls.
@@ -69,8 +70,8 @@
 	return out
 }
 
-// recordAnnouncements records what a response announces about new calls. The final report
-// repeats the head of the response, perhaps long after it.
+// recordAnnouncements records what a response announces about new calls. It is not called
+// for final reports, which repeat the head of the response, perhaps long after it.
 func (pl *Placer) recordAnnouncements(now time.Time, r Report) {
 	incarnation := quarantine.Incarnation{Upstream: r.Upstream, StartedAtMs: r.StartedAtMs}
 	if r.Leaving {
@@ -104,8 +105,9 @@
 }
 
 // PauseRemaining returns the time until the first pause ends, if all upstreams that could
-// otherwise serve a call, now or soon, have asked for a pause. A rollout's filter and the
-// upstreams tried before do not matter, since they differ for the next call.
+// otherwise serve the next attempt of the caller have asked for a pause. A rollout's
+// filter and the upstreams that were used before are ignored, since they do not restrict
+// that attempt.
 func (pl *Placer) PauseRemaining(now time.Time, req Request) (remaining time.Duration, paused bool) {
 	for _, u := range pl.byService[req.Service] {
 		if u.leaving() || pl.evacuated[u.row.Domain] || pl.weightsOverdue(now, u, req.Prompt.Model) {
--- a/rollout/slowshare.go
+++ b/rollout/slowshare.go
@@ -32,8 +32,8 @@
 // same latencies, and the front selects the version of a call at random, then a slow
 // call of a block with m calls, n of them on the new version, is on the new version with
 // the probability n/m. After each slow call, it is removed from m and n. The test is a
-// likelihood ratio against these probabilities. They hold whatever the latencies are and
-// however they change within the block, so that a disturbance of both versions does not
+// likelihood ratio against these probabilities. They do not depend on the distribution of
+// the latencies or on how it changes within the block, so that a disturbance of both versions does not
 // count against the new one. It assumes that both versions receive the same mix of
 // calls, and that the share of the new version is constant within a block.
 //
@@ -41,8 +41,8 @@
 // a finding needs both: a larger share of the slow calls than the old version, and a
 // share of slow calls above slowShareFloor.
 //
-// The latencies of the old version are changed to the largest accepted ones before the
-// comparison: SlowFactor times the latency plus SlowOffset. Times between events are not
+// The latencies of the old version are changed before the comparison to the largest that
+// the new version may have: SlowFactor times the latency plus SlowOffset. Times between events are not
 // added, as they would count a call twice.
 type slowShareTest struct {
 	blocks float64
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -48,7 +48,7 @@
 		duty.Pause(ctx, faultGap/2+time.Duration(random.Int64N(int64(faultGap))))
 		lasts := faultTime/5 + time.Duration(random.Int64N(int64(faultTime*4/5)))
 		i, server := random.IntN(len(w.fronts)), w.servers[random.IntN(len(w.servers))]
-		kind := random.IntN(faultKinds+1) - 1
+		kind := stopsInSeries + random.IntN(faultKinds+1) // the first kind is stopsInSeries, -1
 		if ctx.Err() != nil || time.Since(begun) > w.o.For-faultTime {
 			return
 		}
