--- /dev/null
+++ b/quarantine/evaluate.go
@@ -0,0 +1,102 @@
+package quarantine
+
+import (
+	"time"
+)
+
+const (
+	// minSupport is the number of crashes and of prompts that quarantine a part
+	// without recent answers.
+	minSupport = 3
+	// manyCrashes is the number of crashes with which two prompts are enough. Repeats
+	// of a prompt that crash one upstream after the other leave little doubt.
+	manyCrashes = 5
+	// minSupportAnswered, minSpanAnswered and minOtherAnswers are required of a part
+	// with recent answers: that many crashes, over at least that time, while that many
+	// other calls were answered. Without them, a failure of many upstreams at once
+	// would quarantine a part that many prompts share.
+	minSupportAnswered = 6
+	minSpanAnswered    = time.Second
+	minOtherAnswers    = 20
+	// minCrashShare is the ratio that a part's crashes must have to all crashes between
+	// its first and its last one, where simultaneous ones count once. Among many crashes
+	// with other causes, some parts occur several times by chance.
+	minCrashShare = 0.3
+	// settleTime is the time after a crash in which answers that other processes have
+	// received can still clear a part.
+	settleTime = 700 * time.Millisecond
+	// evaluateInterval is the minimum interval between two evaluations.
+	evaluateInterval = 100 * time.Millisecond
+	// warmUp is the time after the start of a process in which it does not know which
+	// parts have recent answers.
+	warmUp = 10 * time.Second
+)
+
+// Evaluate quarantines the parts against which the evidence is complete and returns
+// their states.
+func (t *Tracker) Evaluate(now time.Time) []State {
+	if !t.changed && !t.unsettled || now.Sub(t.evaluatedAt) < evaluateInterval {
+		return nil
+	}
+	t.changed, t.evaluatedAt = false, now
+	var quarantined []State
+	for {
+		t.crashes.markExplained(func(part Part) bool { return t.states[part].Quarantined() })
+		worst := t.strongest(now)
+		if worst == nil {
+			return quarantined
+		}
+		// The version after a release or without a state is odd.
+		version := t.states[worst.part].Version + 1
+		state := State{Part: worst.part, Version: version, Until: now.Add(duration(version))}
+		t.setState(state)
+		quarantined = append(quarantined, state)
+	}
+}
+
+// strongest returns the tally with the strongest evidence among those that are complete
+// and settled, or nil. It also updates the implicated parts. Only one part is selected
+// at a time: the crashes that it explains are then no evidence against the others.
+func (t *Tracker) strongest(now time.Time) *tally {
+	clear(t.implicated)
+	t.unsettled = false
+	var worst *tally
+	for part, candidate := range t.crashes.tallies(t.answers.lastAnswer) {
+		required := minSupport
+		answered := t.hasRecentAnswers(now, part)
+		if answered {
+			required = minSupportAnswered
+		}
+		if !answered && candidate.support() >= required-1 {
+			t.implicated[part] = true
+		}
+		repeated := !answered && len(candidate.prompts) > 1 && len(candidate.crashes) >= manyCrashes
+		if candidate.support() < required && !repeated || answered && !t.excludesOutage(candidate) {
+			continue
+		}
+		if first, last := candidate.period(); float64(len(candidate.crashes)) < minCrashShare*float64(t.crashes.unexplainedEvents(first, last)) {
+			continue
+		}
+		if now.Sub(candidate.crashes[required-1].receivedAt) < settleTime {
+			t.unsettled = true
+			continue
+		}
+		if worst == nil || compareStrength(candidate, worst) > 0 {
+			worst = candidate
+		}
+	}
+	return worst
+}
+
+// hasRecentAnswers reports whether a part is in use, or whether this process has not
+// run for long enough to know.
+func (t *Tracker) hasRecentAnswers(now time.Time, part Part) bool {
+	return now.Sub(t.startedAt) < warmUp || now.Sub(t.answers.lastAnswer(part)) < answerMemory
+}
+
+// excludesOutage reports whether other calls were answered between the crashes, so
+// that a failure of all upstreams at once does not explain them.
+func (t *Tracker) excludesOutage(candidate *tally) bool {
+	first, last := candidate.period()
+	return last.Sub(first) >= minSpanAnswered && t.answers.count-candidate.crashes[0].answersBefore >= minOtherAnswers
+}
