--- a/dev/ledger.go
+++ b/dev/ledger.go
@@ -30,7 +30,7 @@
 	upstream core.UpstreamID
 	domain   core.FailureDomain
 	seen     *ring.Ring[observation]
-	lost     *atomic.Int64
+	dropped  *atomic.Int64
 }
 
 // statusWriter notes the status of an answer.
@@ -80,7 +80,7 @@
 			noted.status == http.StatusNotFound
 		if !refused {
 			if !o.seen.Offer(seen) {
-				o.lost.Add(1)
+				o.dropped.Add(1)
 			}
 		}
 	}()
--- a/dev/run.go
+++ b/dev/run.go
@@ -89,7 +89,7 @@
 		return nil, err
 	}
 	// The workload begins when the engines are no longer fresh.
-	duty.Pause(ctx, coldFor)
+	duty.Pause(ctx, coldPeriod)
 	r := &run{options: o, cluster: c, began: time.Now().Add(warmUp)}
 	linkBefore := r.linkBytes()
 	results := r.work(ctx, workload(d, o.For, o.Seed, o.Heavy))
