Log observations that the dev command drops

The dev command counts prompts that its observers had no room for, and read that count nowhere: its invariant counters could be too low without a sign. It logs the count with the summary now. The case was not provoked in a run.

--- a/dev/run.go
+++ b/dev/run.go
@@ -201,9 +201,18 @@
 	r.countEngines(&s)
 	seen := r.countPrompts(&s)
 	r.countRecords(&s, results, seen)
+	r.reportDropped()
 	return s
 }
 
+// reportDropped logs that prompts at the engines were not observed, so that the counters
+// may be too low.
+func (r *run) reportDropped() {
+	if n := r.cluster.dropped.Load(); n > 0 {
+		r.cluster.log.WithFields(logrus.Fields{"event": "observations_dropped", "count": n}).Warn("counters are incomplete; run fewer prompts")
+	}
+}
+
 func (r *run) countEngines(s *Summary) {
 	for _, e := range r.cluster.engines {
 		ledger := e.engine.Ledger()
