Ignore rows that arrive after a newer state of their table

What callers saw: not reported. Calls could be refused, or sent to an upstream that has left, until the process was restarted.

Cause: a reply of a peer that arrives after a newer read of the store was merged row by row. A process that has started after the removal of a row has no record of the removal, so that the row of the late reply came in force and remained.

Evidence: found by a randomised model of several processes; TestLateReplyDoesNotRestoreRemovedRow failed before: the removed evacuation was in force.

Change: an update whose position is not after that of the table is ignored.

--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -25,6 +25,8 @@
 		return true, true
 	case u.position.Generation != seen.Generation:
 		return false, false // lost content, or changes without the rows that they refer to
+	case u.position.Version <= seen.Version:
+		return false, false // delivered late; may have rows that were removed since
 	case u.complete:
 		return s.replace(now, u.table, u.rows, u.position.Version), false
 	}
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -349,3 +349,12 @@
 	_, restored = newRestoreTest(t, operatorTable).state.apply(t0, u)
 	require.False(t, restored, "a process that has started does not know the lost content")
 }
+
+// Guards against an evacuation, or an upstream that has left, that is in force again since
+// a peer's reply arrives after a newer read of the store that no longer has it.
+func TestLateReplyDoesNotRestoreRemovedRow(t *testing.T) {
+	r := newRestoreTest(t, operatorTable)
+	r.readTable(0, 0, 7, r.row("config", 5, config(1)))
+	require.Empty(t, r.changes(time.Second, 0, 6, r.row("config", 5, config(1)), r.row("z1", 6, DecodedRow{Evacuated: "z1"})).Evacuated)
+	require.Empty(t, r.readTable(time.Second, 0, 6, r.row("config", 5, config(1)), r.row("z1", 6, DecodedRow{Evacuated: "z1"})).Evacuated)
+}
