Remove rows that a peer's complete table has as removed earlier

What callers saw: not reported. An evacuation or an upstream's entry remained in force in a process that pulls.

Cause: a complete table of a peer contains records of removals. Such a record counted as a present row, and was then ignored since the local row is newer. The later removal of that row, which the peer learned from a complete read, is not recorded there.

Evidence: found by a randomised model of several processes; TestEarlierRemovalInCompleteTableRemovesRow failed before: the evacuation was in force.

Change: only rows that exist count as present in a complete table. The test passes.

--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -358,3 +358,11 @@
 	require.Empty(t, r.changes(time.Second, 0, 6, r.row("config", 5, config(1)), r.row("z1", 6, DecodedRow{Evacuated: "z1"})).Evacuated)
 	require.Empty(t, r.readTable(time.Second, 0, 6, r.row("config", 5, config(1)), r.row("z1", 6, DecodedRow{Evacuated: "z1"})).Evacuated)
 }
+
+// Guards against a row that remains in force although a peer's complete table lacks it,
+// since the peer sends an earlier removal of that row.
+func TestEarlierRemovalInCompleteTableRemovesRow(t *testing.T) {
+	r := newRestoreTest(t, operatorTable)
+	r.readTable(0, 0, 8, r.row("config", 5, config(1)), r.row("z1", 8, DecodedRow{Evacuated: "z1"}))
+	require.Empty(t, r.readTable(time.Second, 0, 9, r.row("config", 5, config(1)), r.row("z1", 7, nil)).Evacuated)
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -96,7 +96,7 @@
 func (s *state) replace(now time.Time, table Table, rows []Row, version uint64) (changed bool) {
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
-		present[row.Key] = true
+		present[row.Key] = !row.Removed // a peer may have an older removal than this row
 	}
 	for key, rs := range s.rows {
 		if key.table == table && !present[key.key] && !rs.row.Removed && rs.row.Version <= version {
