Send complete tables to peers that may have rows whose removal is unknown

What callers saw: not reported. An evacuation, or an upstream that had left, remained in force until the process read the store itself.

Cause: a process that has read the complete table knows what exists, not what was removed before. A peer that is behind that read received only the rows that changed, and kept rows that were removed in between. This happens when a front that others pull from has started, has read the complete table after its history was discarded, or after a restore.

Change: a process records the position of its last complete read. A peer that is before that position gets the complete table.

--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -114,8 +114,9 @@
 }
 
 // Pull implements the Pull call of the protocol between the system's processes. It
-// returns the rows that are newer than the positions in the request. A table of which
-// the requester has an older generation is returned completely.
+// returns the rows that are newer than the positions in the request. A table is returned
+// completely if the requester has an older generation of it, or may have rows whose
+// removal is unknown here.
 func (f *Fleet) Pull(ctx context.Context, request *wire.PullRequest) (*wire.PullReply, error) {
 	seen := make(map[Table]Position, len(request.Known))
 	for _, k := range request.Known {
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -19,6 +19,7 @@
 	switch {
 	case seen == Position{} && u.complete:
 		s.seen[u.table] = Position{Generation: u.position.Generation}
+		s.knowsRemovalsAfter[u.table] = u.position
 		return s.replace(now, u.table, u.rows, u.position.Version), false
 	case u.position.Generation > seen.Generation && u.complete:
 		s.restore(now, u)
@@ -28,6 +29,7 @@
 	case u.position.Version <= seen.Version:
 		return false, false // delivered late; may have rows that were removed since
 	case u.complete:
+		s.knowsRemovalsAfter[u.table] = u.position
 		return s.replace(now, u.table, u.rows, u.position.Version), false
 	}
 	return s.merge(now, u.table, u.rows, u.position.Version), false
@@ -57,7 +59,7 @@
 		s.finish(old, next)
 		s.rows[key] = next
 	}
-	s.seen[u.table] = u.position
+	s.seen[u.table], s.knowsRemovalsAfter[u.table] = u.position, u.position
 }
 
 // keepDecoded keeps the decoded value of an old row with the same content.
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -366,3 +366,18 @@
 	r.readTable(0, 0, 8, r.row("config", 5, config(1)), r.row("z1", 8, DecodedRow{Evacuated: "z1"}))
 	require.Empty(t, r.readTable(time.Second, 0, 9, r.row("config", 5, config(1)), r.row("z1", 7, nil)).Evacuated)
 }
+
+// Guards against an evacuation, or an upstream that has left, that remains in force in a
+// process that pulls from a peer which has started after the removal and does not know it.
+func TestPeerThatStartedAfterRemovalSendsCompleteTable(t *testing.T) {
+	behind, started := newRestoreTest(t, operatorTable), newRestoreTest(t, operatorTable)
+	behind.readTable(0, 0, 6, behind.row("config", 5, config(1)), behind.row("z1", 6, DecodedRow{Evacuated: "z1"}))
+	started.readTable(time.Second, 0, 7, started.row("config", 5, config(1)))
+
+	rows, complete := started.state.rowsAfter(behind.state.seen)
+	require.True(t, complete[operatorTable])
+	behind.state.apply(t0.Add(time.Second), update{table: operatorTable, rows: rows, position: started.state.seen[operatorTable], complete: true})
+	require.Empty(t, behind.state.view().Evacuated)
+	_, complete = started.state.rowsAfter(behind.state.seen)
+	require.False(t, complete[operatorTable], "nothing was removed since")
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -65,6 +65,9 @@
 	// seen contains, for each table, the position up to which all changes have been
 	// received. All rows of a table belong to the generation of its position.
 	seen map[Table]Position
+	// knowsRemovalsAfter contains, for each table, the position of the last complete read
+	// that was applied. Removals before it may be unknown.
+	knowsRemovalsAfter map[Table]Position
 	// upstreamsUnavailableSince is the time since which the upstreams table cannot be
 	// read from the store, zero while it can be read. upstreamsRecoveredAt is the end
 	// of the last such outage.
@@ -76,7 +79,10 @@
 }
 
 func newState(tables Tables, decoder Decoder) *state {
-	return &state{tables: tables, decoder: decoder, rows: make(map[rowKey]*rowState), seen: make(map[Table]Position)}
+	return &state{
+		tables: tables, decoder: decoder, rows: make(map[rowKey]*rowState),
+		seen: make(map[Table]Position), knowsRemovalsAfter: make(map[Table]Position),
+	}
 }
 
 // merge applies changed rows of a table and records that all its changes up to a
@@ -266,17 +272,17 @@
 }
 
 // rowsAfter returns the rows that changed after the positions that a peer has seen,
-// sorted by version, and the tables of which it returns all rows because the peer has
-// an older generation of them. It returns no rows of tables of which the peer has a
-// newer generation.
+// sorted by version, and the tables of which it returns all rows: those of which the
+// peer has an older generation, or may have rows whose removal is unknown here. It
+// returns no rows of tables of which the peer has a newer generation.
 func (s *state) rowsAfter(peerSeen map[Table]Position) (rows []Row, complete map[Table]bool) {
 	complete = make(map[Table]bool)
-	for table, own := range s.seen {
-		complete[table] = peerSeen[table].Generation < own.Generation
+	for table := range s.seen {
+		complete[table] = peerSeen[table].Compare(s.knowsRemovalsAfter[table]) < 0
 	}
 	for key, rs := range s.rows {
 		own := Position{s.seen[key.table].Generation, rs.row.Version}
-		if own.Compare(peerSeen[key.table]) > 0 {
+		if complete[key.table] || own.Compare(peerSeen[key.table]) > 0 {
 			rows = append(rows, rs.row)
 		}
 	}
