Remove rows of expired members in the generation that they were read in

What callers saw: not reported. Limits could be divided among too few processes, and the removed process was asked for no rows, until it renewed its registration within a minute.

Cause: the removal was conditional on the version of the expired row only. After a restore of the store's content, a process that registers again may get that version.

Evidence: TestRemovalOfExpiredMemberSparesRowsOfOtherGenerations failed before in its three cases with a restore.

Change: before removals the members table is read. Nothing is removed if it is of another generation than the expired rows. The removal is also conditional on the local row, which is newer than the expired one: a copy that has the local row has the expired one as it was read. This costs a read only if there are rows to remove. The test passes.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -138,6 +138,8 @@
 	Weights   map[core.ModelID]catalog.WeightHistory
 	Rollouts  map[core.ServiceID]ActiveRollout
 	Members   []Member
+	// MembersGeneration is the generation of the members table.
+	MembersGeneration core.Generation
 	// ExpiredMembers are the rows of processes that no longer renew them, or that are
 	// known to have left although restored content of the store lists them.
 	ExpiredMembers []Row
--- a/fleet/registration.go
+++ b/fleet/registration.go
@@ -98,17 +98,21 @@
 // hashing selects one live process for each row.
 func (f *Fleet) removeExpired(ctx context.Context) {
 	v := f.View()
-	nodes := make([]core.NodeID, len(v.Members))
-	for i, m := range v.Members {
-		nodes[i] = m.Node
+	owned := f.ownedExpired(v)
+	if len(owned) == 0 {
+		return
 	}
-	for _, row := range v.ExpiredMembers {
-		if rendezvous.Owner(nodes, row.Key) != f.opts.Self.Node {
-			continue
+	localVersion, err := f.localRowVersion(ctx, v.MembersGeneration)
+	if err != nil {
+		f.opts.Log.WithField("event", "members_unread").WithError(err).Warn("local row was not read; rows of expired members are not removed")
+		return
+	}
+	for _, row := range owned {
+		if row.Version >= localVersion {
+			continue // see removalOf
 		}
 		log := f.opts.Log.WithFields(logrus.Fields{"event": "member_removed", "node": row.Key, "version": row.Version})
-		tx := Transaction{Conditions: []Row{{Table: MembersTable, Key: row.Key, Version: row.Version}}, Removes: []Row{{Table: MembersTable, Key: row.Key}}}
-		if _, err := f.opts.Store.Commit(ctx, tx); err != nil {
+		if _, err := f.opts.Store.Commit(ctx, f.removalOf(row, localVersion)); err != nil {
 			log.WithError(err).Warn("row of an expired member was not removed")
 			continue
 		}
@@ -116,6 +120,52 @@
 	}
 }
 
+// ownedExpired returns the rows of expired members that this process removes.
+func (f *Fleet) ownedExpired(v *View) (owned []Row) {
+	nodes := make([]core.NodeID, len(v.Members))
+	for i, m := range v.Members {
+		nodes[i] = m.Node
+	}
+	for _, row := range v.ExpiredMembers {
+		if rendezvous.Owner(nodes, row.Key) == f.opts.Self.Node {
+			owned = append(owned, row)
+		}
+	}
+	return owned
+}
+
+// localRowVersion returns the version of the local row in the store, or an error if the
+// store's content is of another generation.
+func (f *Fleet) localRowVersion(ctx context.Context, generation core.Generation) (uint64, error) {
+	response, err := f.opts.Store.Rows(ctx, MembersTable)
+	if err != nil {
+		return 0, err
+	}
+	if response.Generation != generation {
+		return 0, errs.New(errs.Conflict, "wait for the table", "the store's content was restored since the expired rows were read")
+	}
+	for _, row := range response.Rows {
+		if row.Key == string(f.opts.Self.Node) {
+			return row.Version, nil
+		}
+	}
+	return 0, errs.New(errs.Conflict, "register again", "the store has no local row")
+}
+
+// removalOf returns the transaction that removes the row of an expired member. The version
+// of that row may be assigned again after the store's content was restored. The local row
+// was written after it, so that content with the local row's version also has the row as
+// it was read.
+func (f *Fleet) removalOf(expired Row, localVersion uint64) Transaction {
+	return Transaction{
+		Conditions: []Row{
+			{Table: MembersTable, Key: expired.Key, Version: expired.Version},
+			{Table: MembersTable, Key: string(f.opts.Self.Node), Version: localVersion},
+		},
+		Removes: []Row{{Table: MembersTable, Key: expired.Key}},
+	}
+}
+
 // RegistrationExpired reports whether other processes may already have stopped
 // counting this one as a member, so that it must not use its shares of limits. It is false for a
 // process that was never registered, since no other process has counted it.
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -296,6 +296,8 @@
 		Evacuated: make(map[core.FailureDomain]bool),
 		Weights:   make(map[core.ModelID]catalog.WeightHistory),
 		Rollouts:  s.rollouts(),
+
+		MembersGeneration: s.seen[MembersTable].Generation,
 	}
 	for key, rs := range s.rows {
 		// Removed rows do not contribute to the epoch, since processes may record a
