End an outage of the store when a reader provides the rows

What callers saw: not reported. Calls could be sent to upstreams that have left, and limits divided among processes that are gone.

Cause: a process without a reader reads the store itself. If a read failed and a reader served again before the next read succeeded, the feeds stopped and the tables counted as unavailable from then on: removed upstreams were retained without end, members did not expire, and the process queried two peers every 0.3 s.

Change: a feed that stops while its reads fail tells the state duty, which ends the outage.

--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -93,6 +93,9 @@
 	// complete is set when rows is the full table, not only its changes.
 	complete bool
 	err      error
+	// stopped is set when the store is no longer read for this table, because a peer
+	// provides its rows. Earlier failures no longer apply.
+	stopped bool
 }
 
 // rowQuery requests rows from the state duty: those that are newer than the positions
@@ -220,6 +223,9 @@
 		}
 		duty.Pause(ctx, pause)
 	}
+	if failing {
+		_ = f.updates.Send(ctx, update{source: "store", table: table, stopped: true}) // fails only if the process is stopping
+	}
 	return nil
 }
 
@@ -288,6 +294,11 @@
 		f.recordFailure(now, s, failing, u.table)
 		return
 	}
+	if u.stopped {
+		log.WithField("event", "store_reading_stopped").Info("table is received from a peer; failed reads no longer count as an outage")
+		f.recordRecovery(now, s, failing, u.table)
+		return
+	}
 	if u.source == "store" && failing[u.table] {
 		log.WithFields(logrus.Fields{"event": "store_regained", "version": u.position.Version, "generation": u.position.Generation}).Info("table can be read from the platform store again")
 		f.recordRecovery(now, s, failing, u.table)
