Send orders and imports to engines over new connections

Other operators reported a server that writes an earlier refusal once more on a kept connection. An engine's responses carry no id. When an engine did so after it had read an order, the agent took an earlier 503, 412 or 507 for the result: an order that was carried out counted as not taken, as refused by its fence, or, for an import, as failed for lack of room.

Cause: only completions used a connection each; Load, SetRole and Import shared net/http's pool with the reads. net/http closes a connection on which bytes arrive while it is idle, but not one on which they arrive after the next request was written.

Change: every request whose result must be its own is sent over a new connection. Reads keep connections, since the next read replaces them.

--- a/engine/client.go
+++ b/engine/client.go
@@ -50,10 +50,10 @@
 type Client struct {
 	base string
 	http *http.Client
-	// runs performs the requests for completions. It keeps no connections: an engine's
-	// refusal carries no id, so on a kept connection an earlier one that arrives late
-	// would appear to prove that a run has not started.
-	runs *http.Client
+	// single performs completions and orders, each over a connection of its own: an
+	// engine's responses to them carry no id, so on a kept connection an earlier one that
+	// arrives late would be taken for the result.
+	single *http.Client
 }
 
 // New returns a client for the engine at the base URL.
@@ -61,7 +61,7 @@
 	if o.HTTP == nil {
 		o.HTTP = http.DefaultClient
 	}
-	return &Client{base: strings.TrimRight(o.BaseURL, "/"), http: o.HTTP, runs: withoutKeptConnections(o.HTTP)}
+	return &Client{base: strings.TrimRight(o.BaseURL, "/"), http: o.HTTP, single: withoutKeptConnections(o.HTTP)}
 }
 
 // withoutKeptConnections returns a client that opens a connection for each request. A
@@ -128,18 +128,18 @@
 
 // Import commits blocks to the engine's cache, all or none.
 func (c *Client) Import(ctx context.Context, req ImportRequest) error {
-	return c.call(ctx, call{method: http.MethodPost, path: PathImport, in: req})
+	return c.call(ctx, call{method: http.MethodPost, path: PathImport, in: req, single: true})
 }
 
 // Load orders the engine to load a weight version and returns when it serves
 // it.
 func (c *Client) Load(ctx context.Context, fence core.Fence, modelName string) error {
-	return c.call(ctx, call{method: http.MethodPost, path: PathLoad, in: LoadRequest{Model: modelName}, fence: fence})
+	return c.call(ctx, call{method: http.MethodPost, path: PathLoad, in: LoadRequest{Model: modelName}, fence: fence, single: true})
 }
 
 // SetRole orders the engine to change its role.
 func (c *Client) SetRole(ctx context.Context, fence core.Fence, role string) error {
-	return c.call(ctx, call{method: http.MethodPost, path: PathRole, in: RoleRequest{Role: role}, fence: fence})
+	return c.call(ctx, call{method: http.MethodPost, path: PathRole, in: RoleRequest{Role: role}, fence: fence, single: true})
 }
 
 // Sample reads the load metrics.
@@ -174,8 +174,9 @@
 	raw    *[]byte
 	fence  core.Fence
 	limit  int64
-	// isRun is set for a completion.
-	isRun bool
+	// single is set for a request whose result must not be that of an earlier one:
+	// completions and orders.
+	single bool
 }
 
 func (c *Client) call(ctx context.Context, req call) error {
@@ -227,8 +228,8 @@
 		request.Header.Set(HeaderFence, strconv.FormatUint(uint64(req.fence), 10))
 	}
 	client := c.http
-	if req.isRun {
-		client = c.runs
+	if req.single {
+		client = c.single
 	}
 	resp, err := client.Do(request)
 	if err != nil {
--- a/engine/complete.go
+++ b/engine/complete.go
@@ -39,7 +39,7 @@
 	ctx context.Context, req CompletionRequest, onToken func(position int, text string) error,
 ) (usage Usage, finishReason string, err error) {
 	req.Stream = true
-	resp, err := c.send(ctx, call{method: http.MethodPost, path: PathCompletions, in: req, isRun: true})
+	resp, err := c.send(ctx, call{method: http.MethodPost, path: PathCompletions, in: req, single: true})
 	if err != nil {
 		return Usage{}, "", err
 	}
