Forward no response that a server writes into a framed stream

An earlier refusal that a server wrote into a stream with a length or chunks was forwarded to the caller as a part of the stream, with its whole head; a resumable stream was then resumed and ended as complete.

Cause: events were searched for the head of another response only in streams that end with their connection. The length or the chunk still covers the bytes that were inserted; the framing is found wrong only after the events before its end have been forwarded.

Change: the events of each stream are searched, however it is framed. An event is rejected if a line begins with a status line, or if a status line inside a line is followed by a line that is no field of an event.

Evidence: TestRefusalInsideAnswerIsNotForwarded inserts a refusal at each byte of an answer. Before, its five cases with framed streams failed, for example with a refusal before the first event, and inside an id; they pass now. The case of a stream until the end of the connection passed before.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -142,7 +142,7 @@
 			pace.recordEvent(time.Now())
 			err = order.check(event, s.lastEventID)
 		}
-		if !x.HasKnownEnd() && event.containsResponse() {
+		if event.containsResponse() {
 			err = errs.New(errs.Corrupt, remedyResume, "stream contains another response")
 		}
 		if errors.Is(err, io.EOF) && (event.isPartial() || pace.events == 0 && !x.HasKnownEnd()) {
