Forward no buffered body that contains another response

A refusal that a server wrote inside the body of an answer reached the caller in a 200. With a length, the first bytes of the refusal stood in the body and the end of the body was lost; without one, the whole refusal stood in it.

Cause: the length and the end of the connection were the only checks of a buffered body. Chunks fail by themselves, since their framing is broken.

Change: if bytes follow a body of a stated length, the body is incomplete if a status line begins in it and continues or ends behind it. A body without a length is incomplete if a status line in it is directly followed by a header. Complete bodies with bytes behind them, and bodies that quote a status line, are forwarded as before. Bytes that arrive later than the body are not seen.

Evidence: the cases 'length' and 'until close' of TestRefusalInsideAnswerIsNotForwarded failed before and pass; 'chunks' passed before. The check of empty bodies moved to gateway/body.go unchanged.

--- a/frontend/garbled_test.go
+++ b/frontend/garbled_test.go
@@ -23,6 +23,7 @@
 func garbledAnswers() map[string]garbledAnswer {
 	const head = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n"
 	const length, chunks = head + "Content-Length: %d\r\n\r\n", head + "Transfer-Encoding: chunked\r\n\r\n"
+	const text = "twelve bytes"
 	events := eventOne + eventTwo + eventThree + "id: 4\ndata: " + strings.Repeat("d", 60) + "\n\n"
 	withLength := func(body string) string { return strings.Replace(length, "%d", fmt.Sprint(len(body)), 1) }
 	inChunks := func(parts ...string) string {
@@ -33,6 +34,9 @@
 		return framed + "0\r\n\r\n"
 	}
 	return map[string]garbledAnswer{
+		"length":              {"/log/x", withLength(text), text, text},
+		"chunks":              {"/log/x", chunks, inChunks("twelve", " bytes"), text},
+		"until close":         {"/log/x", head + "\r\n", text, text},
 		"stream, length":      {"/draft/x", withLength(events), events, events},
 		"stream, one chunk":   {"/draft/x", chunks, inChunks(events), events},
 		"stream, chunks":      {"/draft/x", chunks, inChunks(events[:20], events[20:]), events},
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -73,6 +73,7 @@
 func (s *callState) relayBuffered(x *upstreamhttp.Exchange, response UpstreamResponse) attemptOutcome {
 	body, release, err := s.gateway.bodies.read(x.Response.Body)
 	defer release()
+	surplus := x.Surplus()
 	x.Finish(err == nil && !response.Close, response.KeepAlive)
 	switch {
 	case err != nil:
@@ -86,8 +87,8 @@
 	case !response.FromUpstream:
 		return attemptOutcome{result: placement.Incomplete, err: errors.New("response lacks the header with which upstreams mark their responses")}
 	}
-	if len(body) == 0 && response.Success() && !x.HasKnownEnd() {
-		return attemptOutcome{result: placement.Incomplete, err: errors.New("connection ended after the head of a response without a length")}
+	if err := checkBody(x, response, body, surplus); err != nil {
+		return attemptOutcome{result: placement.Incomplete, err: err}
 	}
 	buffered := &bufferedResponse{header: x.Response.Header, status: response.Status, body: body, length: x.ForwardedLength(len(body))}
 	switch {
--- a/upstreamhttp/upstreamhttp.go
+++ b/upstreamhttp/upstreamhttp.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -280,6 +281,14 @@
 	return int64(bodyBytes)
 }
 
+// Surplus returns the bytes that were received behind the response. It must be called
+// after the body was read and before Finish.
+func (x *Exchange) Surplus() []byte {
+	reader := x.conn.reader
+	surplus, _ := reader.Peek(reader.Buffered()) // does not read, so it cannot fail
+	return slices.Clone(surplus)
+}
+
 // Finish ends the exchange. reusable is set if the complete response was read and the
 // upstream does not close the connection. The connection is then pooled, unless
 // further bytes are expected on it. An idleTimeout of 0 means that the upstream has
