Resume no stream behind a section without an id

A stream that broke off behind a section without an id was resumed after the last id, so that a server that goes on there sends that section again and the caller receives it twice. An event with the id of the last one was accepted if that id is no number.

Cause: the position of a stream is the last id alone; and ids that are no numbers were not compared at all.

Change: a stream is resumed only if nothing but comments followed the last id; otherwise it is broken off, and the caller may resume it. The same id is never a continuation. A gap in the ids stays allowed: ids increase, but need not be consecutive, so that a gap proves no loss.

Evidence: two cases of TestStreamIsResumedAtCertainPositionsOnly failed before (a second attempt, and an event that came twice) and pass; the other six fix the behaviour that stays.

--- a/frontend/resume_test.go
+++ b/frontend/resume_test.go
@@ -137,3 +137,44 @@
 		})
 	}
 }
+
+// Guards against events that are missing or sent twice when a stream is resumed although
+// its position is not certain. Ids increase, but need not be consecutive.
+func TestStreamIsResumedAtCertainPositionsOnly(t *testing.T) {
+	const unnumbered, named, comment, five = "data: x\n\n", "id: a\ndata: a\n\n", ": wait\n\n", "id: 5\ndata: e\n\n"
+	cases := map[string]struct {
+		first, resumed, want string
+		attempts             int64
+		complete             bool
+	}{
+		"after an id":                  {eventOne, eventTwo, eventOne + eventTwo, 2, true},
+		"after a comment":              {eventOne + comment, eventTwo, eventOne + comment + eventTwo, 2, true},
+		"later id":                     {eventOne, five, eventOne + five, 2, true},
+		"after a section without id":   {eventOne + unnumbered, unnumbered + eventTwo, eventOne + unnumbered, 1, false},
+		"after an id behind one":       {eventOne + unnumbered + eventTwo, eventThree, eventOne + unnumbered + eventTwo + eventThree, 2, true},
+		"same id that is no number":    {named, named, named, 2, false},
+		"another id that is no number": {named, "id: b\ndata: b\n\n", named + "id: b\ndata: b\n\n", 2, true},
+		"changed last event":           {eventOne, "id: 1\ndata: z\n\n" + eventTwo, eventOne, 2, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			var attempts atomic.Int64
+			answer := func(conn net.Conn, r rawRequest) bool {
+				if attempts.Add(1) == 1 {
+					write(t, conn, fmt.Sprintf(streamHead+"Content-Length: 1000\r\n\r\n", r.id)+c.first)
+					return false
+				}
+				write(t, conn, fmt.Sprintf(framed(streamHead, c.resumed), r.id))
+				return false
+			}
+			d.startRawUpstream("i-1", answer)
+			d.startRawUpstream("i-2", answer)
+			got := d.startReadyFront("front-1").call(http.MethodPost, "/verdict/x", "r", nil)
+			require.Equal(t, c.want, got.body)
+			require.Equal(t, c.complete, got.err == nil, "%v", got.err)
+			require.Equal(t, c.attempts, attempts.Load())
+		})
+	}
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -57,12 +57,12 @@
 }
 
 // isAfter reports whether the event follows the one with the given id. Ids are increasing
-// numbers; if that of the earlier event is none, the order is unknown, and any id is
+// numbers; if that of the earlier event is none, the order is unknown, and any other id is
 // accepted.
 func (e event) isAfter(id string) bool {
 	last, err := strconv.ParseInt(id, 10, 64)
 	if err != nil {
-		return true
+		return e.id != id
 	}
 	current, err := strconv.ParseInt(e.id, 10, 64)
 	return err == nil && current > last
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -153,7 +153,9 @@
 	headerSent bool
 	// lastEventID is the id of the last event that was sent to the caller.
 	lastEventID string
-	status      int
+	// unnumbered is set when a section without an id followed that event.
+	unnumbered bool
+	status     int
 }
 
 // resolve checks the size of the headers, finds the route of the call, sets its
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -201,7 +201,9 @@
 		}
 	}
 	if e.id != "" {
-		s.lastEventID = e.id
+		s.lastEventID, s.unnumbered = e.id, false
+	} else if e.hasFields {
+		s.unnumbered = true
 	}
 	if moreBuffered {
 		return nil
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -163,8 +163,14 @@
 func (s *callState) Send(ctx context.Context) attempts.Result {
 	s.lastOutcome = s.attempt(ctx, s.nextPlacement)
 	s.gateway.metrics.attemptFinished(string(s.service), s.lastOutcome.result)
-	cannotResume := s.headerSent && (!s.route.Resumable || s.lastEventID == "")
-	return attempts.Result{Outcome: s.lastOutcome.callOutcome(), Final: cannotResume || s.lastOutcome.result == placement.Abandoned}
+	return attempts.Result{Outcome: s.lastOutcome.callOutcome(), Final: s.headerSent && !s.canResume() || s.lastOutcome.result == placement.Abandoned}
+}
+
+// canResume reports whether the stream that the caller receives can be resumed. The id of
+// the last event must be known, and no section without an id may follow that event, since
+// another upstream would send it again.
+func (s *callState) canResume() bool {
+	return s.route.Resumable && s.lastEventID != "" && !s.unnumbered
 }
 
 // attempt sends the call to an upstream and relays its response.
