Skip the last event when an upstream repeats it in a resumed stream

A resumed stream was broken off if the next server went on at the last event instead of behind it, although that event was the same. Callers lost a stream that could be completed, and the attempt was spent.

Cause: each event with an id that the caller had counted as a run that begins again, which may differ from the first one.

Change: the first event of a response that resumes a stream is skipped if it is the last one that the caller has received, byte for byte. Events behind it must follow as before. A response that contains nothing else does not end the stream as complete; a changed event, and earlier events, are still rejected.

Evidence: the case 'last event, then the next' of TestStreamIsResumedAtCertainPositionsOnly failed before and passes; 'last event twice', 'only the last event', 'last two events' and 'changed last event' fix that nothing is sent twice or ended early.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,8 +151,10 @@
 	// headerSent is set when status and headers of the response were sent to the
 	// caller.
 	headerSent bool
-	// lastEventID is the id of the last event that was sent to the caller.
-	lastEventID string
+	// lastEventID is the id of the last event that was sent to the caller. lastEventText
+	// contains its bytes if the stream can be resumed.
+	lastEventID   string
+	lastEventText []byte
 	// unnumbered is set when a section without an id followed that event.
 	unnumbered bool
 	status     int
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -141,6 +141,9 @@
 		event, err := events.next()
 		if err == nil {
 			pace.recordEvent(time.Now())
+			if order.isRepetition(event, s.lastEventText) {
+				continue
+			}
 			err = order.check(event, s.lastEventID)
 		}
 		if event.containsResponse() {
@@ -149,6 +152,9 @@
 		if errors.Is(err, io.EOF) && (event.isPartial() || pace.events == 0 && !x.HasKnownEnd()) {
 			err = errs.New(errs.Corrupt, remedyResume, "stream ended inside an event or without any")
 		}
+		if errors.Is(err, io.EOF) && order.onlyRepeated() {
+			err = errs.New(errs.Corrupt, remedyResume, "stream repeated the last event and ended")
+		}
 		if err == nil || errors.Is(err, io.EOF) {
 			if writeErr := s.writeEvent(control, x.Response, event, events.hasBuffered()); writeErr != nil {
 				x.Finish(false, 0)
@@ -202,6 +208,9 @@
 	}
 	if e.id != "" {
 		s.lastEventID, s.unnumbered = e.id, false
+		if s.route.Resumable {
+			s.lastEventText = e.text
+		}
 	} else if e.hasFields {
 		s.unnumbered = true
 	}
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"mime"
 	"net/http"
 
@@ -31,8 +32,25 @@
 	resumed bool
 	// continued is set when an event has followed those that the caller had received.
 	continued bool
+	// repeated is set when the response began with the last event that the caller has.
+	repeated bool
 }
 
+// isRepetition reports whether the response begins with the last event that the caller has
+// received, byte for byte. An upstream may resume at the last event instead of behind it;
+// the event is then skipped, and those behind it continue the same run.
+func (c *continuation) isRepetition(e event, lastText []byte) bool {
+	if !c.resumed || c.continued || c.repeated || e.id == "" || !bytes.Equal(e.text, lastText) {
+		return false
+	}
+	c.repeated = true
+	return true
+}
+
+// onlyRepeated reports whether the response repeated the last event and did not continue
+// the stream.
+func (c *continuation) onlyRepeated() bool { return c.repeated && !c.continued }
+
 // check returns an error if the event does not follow the one with the id lastID.
 func (c *continuation) check(e event, lastID string) error {
 	if !c.resumed || !e.hasFields {
