Forward no JSON body without a length that ends inside a value

An answer without a length that was cut inside its body and closed cleanly was forwarded as complete, with a length of its own.

Cause: the end of the connection is the only framing of such a body.

Change: if the stated type is JSON and the body ends inside a value, the answer is incomplete, and the call may have run. Sequences of values, and texts that are no JSON, are forwarded as before. Bodies of other types, and cuts between two values, cannot be distinguished from complete ones.

TestQuotedResponseIsForwarded fixes that whole bodies which quote a response, or are followed by one, are still forwarded.

--- a/frontend/truncated_test.go
+++ b/frontend/truncated_test.go
@@ -71,3 +71,65 @@
 		})
 	}
 }
+
+// Guards against a JSON answer without a length that is cut inside a value, closed cleanly
+// and forwarded as complete.
+func TestCutJSONAnswerIsNotComplete(t *testing.T) {
+	const jsonHead = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nContent-Type: "
+	cases := map[string]struct {
+		mediaType, body string
+		complete        bool
+	}{
+		"whole":             {"application/json", `{"a": [1, "b"]}` + "\n", true},
+		"several values":    {"application/json; charset=utf-8", "{\"a\": 1}\n{\"a\": 2}\n", true},
+		"no JSON":           {"application/json", "done", true},
+		"cut in an object":  {"application/json", `{"a": [1, "b"]`, false},
+		"cut in a string":   {"application/json; charset=utf-8", `{"a": [1, "b`, false},
+		"cut behind values": {"application/problem+json", "{\"a\": 1}\n{\"a\"", false},
+		"another type":      {"text/plain", `{"a": [1, "b"]`, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.startRawUpstream("i-1", func(conn net.Conn, r rawRequest) bool {
+				write(t, conn, fmt.Sprintf(jsonHead, r.id)+c.mediaType+"\r\n\r\n"+c.body)
+				return false
+			})
+			got := d.startReadyFront("front-1").call(http.MethodPost, "/log/x", "r", nil)
+			require.NoError(t, got.err)
+			if !c.complete {
+				require.Equal(t, http.StatusBadGateway, got.status)
+				return
+			}
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, c.body, got.body)
+		})
+	}
+}
+
+// Guards against whole answers that are taken as joined with another response, because
+// they quote one or because further bytes follow them.
+func TestQuotedResponseIsForwarded(t *testing.T) {
+	const quote = "got HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n"
+	withLength := "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nResponse-Seal: s\r\n"
+	cases := map[string]struct{ answer, body string }{
+		"quoted":          {framed(withLength, quote), quote},
+		"followed by one": {framed(withLength, "done") + "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n\r\n", "done"},
+		"quoted line":     {withLength + "\r\ngot HTTP/1.1 404 Not Found\r\nnothing else", "got HTTP/1.1 404 Not Found\r\nnothing else"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.startRawUpstream("i-1", func(conn net.Conn, _ rawRequest) bool {
+				write(t, conn, c.answer)
+				return false
+			})
+			got := d.startReadyFront("front-1").call(http.MethodPost, "/log/x", "r", nil)
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, c.body, got.body)
+		})
+	}
+}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -2,7 +2,13 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
 	"slices"
+	"strings"
 
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
@@ -23,10 +29,30 @@
 		return errs.New(errs.Corrupt, remedyUnknown, "connection ended after the head of a response without a length")
 	case containsHead(body):
 		return errs.New(errs.Corrupt, remedyUnknown, "body without a length contains another response")
+	case isJSON(x.Response.Header) && endsInsideValue(body):
+		return errs.New(errs.Corrupt, remedyUnknown, "connection ended inside a JSON value")
 	}
 	return nil
 }
 
+// isJSON reports whether the stated type of a response is JSON or based on it.
+func isJSON(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && (mediaType == "application/json" || strings.HasSuffix(mediaType, "+json"))
+}
+
+// endsInsideValue reports whether a sequence of JSON values was cut. A text that is no
+// JSON was not.
+func endsInsideValue(body []byte) bool {
+	values := json.NewDecoder(bytes.NewReader(body))
+	for {
+		var value json.RawMessage
+		if err := values.Decode(&value); err != nil {
+			return errors.Is(err, io.ErrUnexpectedEOF)
+		}
+	}
+}
+
 // isDisplaced reports whether a response that was written inside the body has moved the
 // end of the body behind its stated length. Bytes that follow a whole body are no part of
 // the response, and a body without such bytes may quote a status line.
