--- /dev/null
+++ b/gateway/body.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"slices"
+	"strings"
+
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/upstreamhttp"
+)
+
+// remedyUnknown is the remedy for a response whose body is not that of the call.
+const remedyUnknown = "do not resend a call that may run only once"
+
+// checkBody returns an error if the body of a response is incomplete or contains bytes of
+// another response. surplus contains the bytes that followed the response.
+func checkBody(x *upstreamhttp.Exchange, response UpstreamResponse, body, surplus []byte) error {
+	switch {
+	case x.HasKnownEnd():
+		if isDisplaced(x, body, surplus) {
+			return errs.New(errs.Corrupt, remedyUnknown, "body contains another response, which moves its end out of its length")
+		}
+	case len(body) == 0 && response.Success():
+		return errs.New(errs.Corrupt, remedyUnknown, "connection ended after the head of a response without a length")
+	case containsHead(body):
+		return errs.New(errs.Corrupt, remedyUnknown, "body without a length contains another response")
+	case isJSON(x.Response.Header) && endsInsideValue(body):
+		return errs.New(errs.Corrupt, remedyUnknown, "connection ended inside a JSON value")
+	}
+	return nil
+}
+
+// isJSON reports whether the stated type of a response is JSON or based on it.
+func isJSON(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && (mediaType == "application/json" || strings.HasSuffix(mediaType, "+json"))
+}
+
+// endsInsideValue reports whether a sequence of JSON values was cut. A text that is no
+// JSON was not.
+func endsInsideValue(body []byte) bool {
+	values := json.NewDecoder(bytes.NewReader(body))
+	for {
+		var value json.RawMessage
+		if err := values.Decode(&value); err != nil {
+			return errors.Is(err, io.ErrUnexpectedEOF)
+		}
+	}
+}
+
+// isDisplaced reports whether a response that was written inside the body has moved the
+// end of the body behind its stated length. Bytes that follow a whole body are no part of
+// the response, and a body without such bytes may quote a status line.
+func isDisplaced(x *upstreamhttp.Exchange, body, surplus []byte) bool {
+	if x.Response.ContentLength < 0 || len(surplus) == 0 {
+		return false
+	}
+	at := upstreamhttp.FindStatusLine(slices.Concat(body, surplus))
+	return at >= 0 && at < len(body)
+}
+
+// containsHead reports whether a text contains a status line that is directly followed by
+// a header.
+func containsHead(text []byte) bool {
+	afterStatusLine := false
+	for line := range bytes.Lines(text) {
+		if afterStatusLine && isHeader(line) {
+			return true
+		}
+		afterStatusLine = upstreamhttp.FindStatusLine(line) >= 0
+	}
+	return false
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -73,6 +73,7 @@
 func (s *callState) relayBuffered(x *upstreamhttp.Exchange, response UpstreamResponse) attemptOutcome {
 	body, release, err := s.gateway.bodies.read(x.Response.Body)
 	defer release()
+	surplus := x.Surplus()
 	x.Finish(err == nil && !response.Close, response.KeepAlive)
 	switch {
 	case err != nil:
@@ -86,8 +87,8 @@
 	case !response.FromUpstream:
 		return attemptOutcome{result: placement.Incomplete, err: errors.New("response lacks the header with which upstreams mark their responses")}
 	}
-	if len(body) == 0 && response.Success() && !x.HasKnownEnd() {
-		return attemptOutcome{result: placement.Incomplete, err: errors.New("connection ended after the head of a response without a length")}
+	if err := checkBody(x, response, body, surplus); err != nil {
+		return attemptOutcome{result: placement.Incomplete, err: err}
 	}
 	buffered := &bufferedResponse{header: x.Response.Header, status: response.Status, body: body, length: x.ForwardedLength(len(body))}
 	switch {
@@ -140,14 +141,20 @@
 		event, err := events.next()
 		if err == nil {
 			pace.recordEvent(time.Now())
+			if order.isRepetition(event, s.lastEventText) {
+				continue
+			}
 			err = order.check(event, s.lastEventID)
 		}
-		if !x.HasKnownEnd() && event.containsResponse() {
+		if event.containsResponse() {
 			err = errs.New(errs.Corrupt, remedyResume, "stream contains another response")
 		}
 		if errors.Is(err, io.EOF) && (event.isPartial() || pace.events == 0 && !x.HasKnownEnd()) {
 			err = errs.New(errs.Corrupt, remedyResume, "stream ended inside an event or without any")
 		}
+		if errors.Is(err, io.EOF) && order.onlyRepeated() {
+			err = errs.New(errs.Corrupt, remedyResume, "stream repeated the last event and ended")
+		}
 		if err == nil || errors.Is(err, io.EOF) {
 			if writeErr := s.writeEvent(control, x.Response, event, events.hasBuffered()); writeErr != nil {
 				x.Finish(false, 0)
@@ -200,7 +207,12 @@
 		}
 	}
 	if e.id != "" {
-		s.lastEventID = e.id
+		s.lastEventID, s.unnumbered = e.id, false
+		if s.route.Resumable {
+			s.lastEventText = e.text
+		}
+	} else if e.hasFields {
+		s.unnumbered = true
 	}
 	if moreBuffered {
 		return nil
