Read no cache events of a server within the time for which it wants nothing

Cause: the sources of cache events depended on the list of upstreams alone, and were computed only when it changed.

Change: a server that has asked for a pause is no source of cache events until the end of the pause. The router computes the sources again when a pause starts or ends. Orders for weights and their reports go on; decision 0012 says why. EventSources has the time as an argument, also in its existing test.

--- a/frontend/pause_test.go
+++ b/frontend/pause_test.go
@@ -1,7 +1,10 @@
 package frontend_test
 
 import (
+	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -100,3 +103,53 @@
 		})
 	}
 }
+
+// pollCounter counts the requests for cache events that reach a server.
+type pollCounter struct {
+	server *standin.PlatformServer
+	polls  atomic.Int64
+}
+
+// ServeHTTP implements http.Handler.
+func (c *pollCounter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/-/kv-events" {
+		c.polls.Add(1)
+		_, _ = io.WriteString(w, `{"boot-epoch":1,"next":0,"lost":false,"events":[]}`)
+		return
+	}
+	c.server.ServeHTTP(w, r)
+}
+
+// Guards against requests for cache events that reach a model server within the time for
+// which it wants nothing, and against a model server whose events are no longer read after
+// that time.
+func TestCacheEventsAreNotReadDuringPause(t *testing.T) {
+	const pause = 3 * time.Second
+	d := newDeployment(t)
+	d.configure(func(config map[string]any) {
+		config["services"] = []any{
+			map[string]any{"name": "svc", "engine": map[string]any{"slots": 8, "kv-capacity-tokens": 1000, "kv-token-bytes": 10, "link-mbps": 1000}},
+			map[string]any{"name": "other"},
+		}
+	})
+	counter := &pollCounter{server: standin.NewPlatformServer("i-1")}
+	counter.server.Script = func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+		w.Header().Set("Retry-After", fmt.Sprint(pause.Seconds()))
+		counter.server.Reject(w)
+	}
+	httpServer := httptest.NewServer(counter)
+	t.Cleanup(func() {
+		httpServer.CloseClientConnections()
+		httpServer.Close()
+	})
+	d.putUpstreamRow("i-1", "svc", httpServer.Listener.Addr().String(), "ready")
+	f := d.startReadyFront("front-1")
+	d.eventually(func() bool { return counter.polls.Load() > 0 }, "the cache events are not read")
+	refusedAt := time.Now()
+	require.Equal(t, http.StatusServiceUnavailable, f.call(http.MethodPost, "/log/x", "r-1", nil).status)
+	time.Sleep(pause / 6)
+	before := counter.polls.Load()
+	time.Sleep(pause - time.Since(refusedAt) - pause/6)
+	require.Equal(t, before, counter.polls.Load(), "requests within the pause")
+	d.eventually(func() bool { return counter.polls.Load() > before }, "the cache events are not read after the pause")
+}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -174,6 +174,9 @@
 	}
 	r.logRateChanges()
 	r.logRestrictions()
+	if r.placer.EventSourcesOutdated(now) {
+		r.cacheFeed.SetSources(r.placer.EventSources(now))
+	}
 	r.applyVerdicts(now)
 	r.updateQuarantine(now)
 	for pending, ok := r.placeRequests.TryReceive(); ok; pending, ok = r.placeRequests.TryReceive() {
@@ -283,7 +286,7 @@
 	r.placer.SetInputs(now, inputs)
 	r.quarantine.SetFronts(inputs.Fronts)
 	r.rollouts.SetInputs(now, canary.Inputs{Rollouts: v.Rollouts, Upstreams: v.Upstreams, Fronts: inputs.Fronts})
-	r.cacheFeed.SetSources(r.placer.EventSources())
+	r.cacheFeed.SetSources(r.placer.EventSources(now))
 	updated := make(map[core.UpstreamID]*connections, len(v.Upstreams))
 	for _, u := range v.Upstreams {
 		conns := r.connections[u.ID]
--- a/placement/caches.go
+++ b/placement/caches.go
@@ -37,8 +37,10 @@
 // are more processes than a source allows readers, the processes at the first
 // positions of the rendezvous ranking read its events. The other processes receive
 // the events of stores from these processes and do not use the events of servers.
-func (pl *Placer) EventSources() []cacheevents.Source {
+// The events of a server that has asked for a pause are not read until its end.
+func (pl *Placer) EventSources(now time.Time) []cacheevents.Source {
 	var out []cacheevents.Source
+	pl.sourcesOutdated, pl.sourcesValidUntil = false, time.Time{}
 	pl.serverByAddress = make(map[string]core.UpstreamID)
 	for _, s := range pl.cacheStores {
 		source := cacheevents.Source{Address: s.Address, IsStore: true}
@@ -53,6 +55,10 @@
 		}
 		for _, u := range pl.byService[id] {
 			pl.serverByAddress[u.row.Address] = u.row.ID
+			if u.restriction.paused(now) {
+				pl.limitSourcesValidity(u.restriction.pausedUntil)
+				continue
+			}
 			if !u.row.Draining && pl.readsEvents(u.row.Address, service.Engine.EventReaders) {
 				out = append(out, cacheevents.Source{Address: u.row.Address})
 			}
@@ -61,6 +67,19 @@
 	return out
 }
 
+// EventSourcesOutdated reports whether a pause has started or ended since the last call of
+// EventSources.
+func (pl *Placer) EventSourcesOutdated(now time.Time) bool {
+	return pl.sourcesOutdated || !pl.sourcesValidUntil.IsZero() && !now.Before(pl.sourcesValidUntil)
+}
+
+// limitSourcesValidity records the end of a pause for EventSourcesOutdated.
+func (pl *Placer) limitSourcesValidity(end time.Time) {
+	if pl.sourcesValidUntil.IsZero() || end.Before(pl.sourcesValidUntil) {
+		pl.sourcesValidUntil = end
+	}
+}
+
 // relays returns the addresses of the processes that read a source's events and
 // pass them to other processes. The order differs between the requesting
 // processes, which distributes their requests.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -335,7 +335,7 @@
 func TestPlanFetchesFromServers(t *testing.T) {
 	part := cacheindex.Key{Salt: Salt(model, 1, nil), ID: "a"}
 	placer := newPlacer(newInputs(1))
-	placer.EventSources() // records the addresses of the servers
+	placer.EventSources(t0) // records the addresses of the servers
 	req := Request{Service: engines, Prompt: newPrompt("a"), TriedUpstreams: []core.UpstreamID{"engines-1", "engines-2", "engines-3"}}
 
 	choice, _ := placer.Choose(t0, req)
--- a/placement/restrictions.go
+++ b/placement/restrictions.go
@@ -97,6 +97,7 @@
 func (pl *Placer) recordPause(now time.Time, incarnation quarantine.Incarnation, pauseFor time.Duration) {
 	r := pl.restrictionOf(incarnation)
 	if !r.paused(now) {
+		pl.sourcesOutdated = true
 		pl.restrictionChanges = append(pl.restrictionChanges, RestrictionChange{Incarnation: incarnation, PauseFor: pauseFor})
 	}
 	if until := now.Add(pauseFor + pauseMargin); until.After(r.pausedUntil) {
--- a/placement/table.go
+++ b/placement/table.go
@@ -57,6 +57,10 @@
 	// the new ones since TakeRestrictionChanges.
 	restrictions       map[quarantine.Incarnation]*restriction
 	restrictionChanges []RestrictionChange
+	// sourcesOutdated is set when a pause has started since the last call of EventSources.
+	// sourcesValidUntil is the first end of a pause that the call has considered, or zero.
+	sourcesOutdated   bool
+	sourcesValidUntil time.Time
 	// registrationExpired is set while other processes may have stopped counting this
 	// process as a member. The process then uses no share of any limit.
 	registrationExpired bool
