Take responses and changes of the view while many calls wait

While calls arrived as fast as the router placed them, as when many calls wait for an upstream and ask again every 25 ms, callers' requests went on to servers that had already said that they leave or want no calls (DRAIN, BUDGET), and changes of the view were not applied either.

Cause: the router took the reports and the changes once, and then placed calls until its ring was empty.

Change: the reports are taken before each call is placed, and a turn of the router places at most 64 calls before it takes the changes again.

--- a/gateway/router.go
+++ b/gateway/router.go
@@ -28,6 +28,9 @@
 	// reportRingSize is the capacity for reports to the router. Senders block when the
 	// ring is full.
 	reportRingSize = 1024
+	// maxPlacementsPerTurn is the number of calls that are placed before the router takes
+	// changes of the view again.
+	maxPlacementsPerTurn = 64
 	// maxIdleConnsPerUpstream is the maximum number of idle connections to one upstream.
 	maxIdleConnsPerUpstream = 24
 	// sweepInterval is the interval between two calls of sweep.
@@ -143,8 +146,8 @@
 	}
 }
 
-// handlePending processes all queued elements. Changes and reports are processed
-// before calls are placed, so that placement uses the newest state.
+// handlePending processes all queued changes and reports, then queued calls. Changes are
+// processed first, so that placement uses the newest state.
 func (r *router) handlePending() {
 	if gap := r.suspensionWatch.SuspendedFor(clock.SinceBoot(), clock.SinceProcessStart()); gap > 0 {
 		r.log.WithFields(logrus.Fields{"event": "suspended", "for_ms": gap.Milliseconds()}).Warn("VM was suspended; cache contents are not used until their next update")
@@ -166,31 +169,53 @@
 			r.placer.ApplyObservation(now, o)
 		}
 	}
+	r.takeReports(now)
+	r.applyVerdicts(now)
+	r.updateQuarantine(now)
+	r.placeCalls(now)
+	r.logRateChanges()
+	r.logRestrictions()
+	if r.placer.EventSourcesOutdated(now) {
+		r.cacheFeed.SetSources(r.placer.EventSources(now))
+	}
+}
+
+// placeCalls places queued calls, up to maxPlacementsPerTurn. Calls may arrive as fast as
+// they are placed, and a report may exclude an upstream, so that reports are processed
+// before each call.
+func (r *router) placeCalls(now time.Time) {
+	for range maxPlacementsPerTurn {
+		pending, ok := r.placeRequests.TryReceive()
+		if !ok {
+			return
+		}
+		r.takeReports(now)
+		r.placeCall(now, pending)
+	}
+}
+
+// takeReports processes all queued reports.
+func (r *router) takeReports(now time.Time) {
 	for report, ok := r.reports.TryReceive(); ok; report, ok = r.reports.TryReceive() {
 		r.recordSample(now, report.Report)
 		r.placer.RecordReport(now, report.Report)
 		r.publishObservation(now, report.Report)
 		r.recordEnd(now, report)
 	}
-	r.logRateChanges()
-	r.logRestrictions()
-	if r.placer.EventSourcesOutdated(now) {
-		r.cacheFeed.SetSources(r.placer.EventSources(now))
+}
+
+// placeCall places a call and sends the result to its handler.
+func (r *router) placeCall(now time.Time, pending placeRequest) {
+	result := r.choose(now, pending.req)
+	choice, refusal := result.choice, result.refusal
+	if refusal == placement.NotRefused {
+		result.idleConns = r.connections[choice.Upstream.ID].idle
 	}
-	r.applyVerdicts(now)
-	r.updateQuarantine(now)
-	for pending, ok := r.placeRequests.TryReceive(); ok; pending, ok = r.placeRequests.TryReceive() {
-		result := r.choose(now, pending.req)
-		choice, refusal := result.choice, result.refusal
-		if refusal == placement.NotRefused {
-			result.idleConns = r.connections[choice.Upstream.ID].idle
-		}
-		if !pending.reply.Offer(result) && refusal == placement.NotRefused {
-			// The call ended before the handler received its placement.
-			r.placer.RecordReport(now, placement.Report{
-				AttemptID: choice.AttemptID, Upstream: choice.Upstream.ID, Final: true, Result: placement.Abandoned,
-			})
-		}
+	if !pending.reply.Offer(result) && refusal == placement.NotRefused {
+		// The call ended before the handler received its placement.
+		r.placer.RecordReport(now, placement.Report{
+			AttemptID: choice.AttemptID, Upstream: choice.Upstream.ID, Final: true, Result: placement.Abandoned,
+		})
 	}
 }
 
--- /dev/null
+++ b/gateway/router_test.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/cacheevents"
+	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/fleet"
+	"waxwingtide.example/waxwingtide/placement"
+	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/sharing"
+	"waxwingtide.example/waxwingtide/upstreamhttp"
+)
+
+const testService = core.ServiceID("svc")
+
+// newTestRouter returns a router, which has not started, with one service and its
+// upstreams.
+func newTestRouter(random func() float64, upstreams ...core.UpstreamID) *router {
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	r := newRouter(Options{
+		Fleet: fleet.New(fleet.Options{}), CacheFeed: cacheevents.New(nil, nil, cacheevents.NewRelay(1), nil, log),
+		Observations: sharing.New(sharing.Options{}), Client: upstreamhttp.NewClient(nil),
+		Placement: placement.Options{RetryWindow: time.Second}, Log: log, Random: random,
+	})
+	config := &catalog.Config{Services: map[core.ServiceID]*catalog.Service{testService: {ID: testService}}}
+	inputs := placement.Inputs{Config: config.Index()}
+	for _, id := range upstreams {
+		inputs.Upstreams = append(inputs.Upstreams, catalog.UpstreamRow{Upstream: &catalog.Upstream{ID: id, Service: testService, Slots: 8}})
+		r.connections[id] = &connections{idle: upstreamhttp.NewIdlePool(1)}
+	}
+	r.placer.SetInputs(time.Now(), inputs)
+	return r
+}
+
+// queueCall queues a call of the test service and returns the ring of its placement.
+func queueCall(t *testing.T, r *router) *ring.Ring[placementResult] {
+	t.Helper()
+	reply := ring.New[placementResult](1)
+	require.True(t, r.placeRequests.Offer(placeRequest{req: placement.Request{Service: testService}, reply: reply}))
+	return reply
+}
+
+func placementOf(t *testing.T, reply *ring.Ring[placementResult]) placementResult {
+	t.Helper()
+	result, ok := reply.TryReceive()
+	require.True(t, ok)
+	return result
+}
+
+// Guards against calls that are placed at an upstream after it has announced that it
+// leaves or wants no calls, because the router places all waiting calls, and those that
+// arrive meanwhile, before it takes the response.
+func TestResponseAppliesToCallsThatWait(t *testing.T) {
+	announcements := map[string]placement.Report{
+		"departure": {Upstream: "i-1", Leaving: true},
+		"pause":     {Upstream: "i-1", PauseFor: time.Minute},
+	}
+	for name, announcement := range announcements {
+		t.Run(name, func(t *testing.T) {
+			var r *router
+			var reported bool
+			reportOnce := func() float64 { // called while the first call is placed
+				if !reported {
+					reported = true
+					require.True(t, r.reports.Offer(attemptReport{Report: announcement}))
+				}
+				return 0
+			}
+			r = newTestRouter(reportOnce, "i-1")
+			first, second := queueCall(t, r), queueCall(t, r)
+			r.handlePending()
+			require.Equal(t, placement.NotRefused, placementOf(t, first).refusal)
+			require.NotEqual(t, placement.NotRefused, placementOf(t, second).refusal)
+		})
+	}
+}
+
+// Guards against changes of the view that are not applied while calls arrive as fast as
+// they are placed, as when many calls wait for an upstream.
+func TestRouterPlacesBoundedNumberOfCallsPerTurn(t *testing.T) {
+	const endlessCalls = 20 * maxPlacementsPerTurn
+	var r *router
+	placed := 0
+	queueNext := func() float64 { // called while a call is placed
+		if placed++; placed < endlessCalls {
+			queueCall(t, r)
+		}
+		return 0
+	}
+	r = newTestRouter(queueNext, "i-1")
+	queueCall(t, r)
+	r.handlePending()
+	require.Equal(t, maxPlacementsPerTurn, placed)
+	r.handlePending()
+	require.Equal(t, 2*maxPlacementsPerTurn, placed)
+}
