Count the time of a pause from the response

Cause: the router read its clock once before it processed its queues, and counted the time of a response that arrived meanwhile from then. The margin of 50 ms only covers a shorter delay.

Change: the clock is read after each report is received, and before each call is placed.

Result: TestPauseIsCountedFromResponse failed on the code before (0.80 s of 1 s remained at the response) and passes.

--- a/gateway/router.go
+++ b/gateway/router.go
@@ -169,10 +169,10 @@
 			r.placer.ApplyObservation(now, o)
 		}
 	}
-	r.takeReports(now)
+	r.takeReports()
 	r.applyVerdicts(now)
 	r.updateQuarantine(now)
-	r.placeCalls(now)
+	r.placeCalls()
 	r.logRateChanges()
 	r.logRestrictions()
 	if r.placer.EventSourcesOutdated(now) {
@@ -183,20 +183,22 @@
 // placeCalls places queued calls, up to maxPlacementsPerTurn. Calls may arrive as fast as
 // they are placed, and a report may exclude an upstream, so that reports are processed
 // before each call.
-func (r *router) placeCalls(now time.Time) {
+func (r *router) placeCalls() {
 	for range maxPlacementsPerTurn {
 		pending, ok := r.placeRequests.TryReceive()
 		if !ok {
 			return
 		}
-		r.takeReports(now)
-		r.placeCall(now, pending)
+		r.takeReports()
+		r.placeCall(time.Now(), pending)
 	}
 }
 
-// takeReports processes all queued reports.
-func (r *router) takeReports(now time.Time) {
+// takeReports processes all queued reports. It reads the clock after it has received a
+// report, since the times that a response announces begin with the response.
+func (r *router) takeReports() {
 	for report, ok := r.reports.TryReceive(); ok; report, ok = r.reports.TryReceive() {
+		now := time.Now()
 		r.recordSample(now, report.Report)
 		r.placer.RecordReport(now, report.Report)
 		r.publishObservation(now, report.Report)
--- a/gateway/router_test.go
+++ b/gateway/router_test.go
@@ -101,3 +101,26 @@
 	r.handlePending()
 	require.Equal(t, 2*maxPlacementsPerTurn, placed)
 }
+
+// Guards against a pause that ends too early because it is counted from the time at which
+// the router began to process its queues, and not from the response.
+func TestPauseIsCountedFromResponse(t *testing.T) {
+	const pause = time.Second
+	var r *router
+	var respondedAt time.Time
+	respond := func() float64 { // called while the first call is placed
+		if respondedAt.IsZero() {
+			time.Sleep(pause / 4)
+			respondedAt = time.Now()
+			require.True(t, r.reports.Offer(attemptReport{Report: placement.Report{Upstream: "i-1", PauseFor: pause}}))
+		}
+		return 0
+	}
+	r = newTestRouter(respond, "i-1")
+	queueCall(t, r)
+	queueCall(t, r)
+	r.handlePending()
+	remaining, paused := r.placer.PauseRemaining(respondedAt, placement.Request{Service: testService})
+	require.True(t, paused)
+	require.GreaterOrEqual(t, remaining, pause)
+}
--- a/placement/restrictions.go
+++ b/placement/restrictions.go
@@ -13,9 +13,8 @@
 // the metadata store was restored from a copy.
 const restrictionRetention = 2 * time.Minute
 
-// pauseMargin is added to the time for which an upstream wants no calls. The router reads
-// its clock before it takes the reports that have arrived, so that its time may be earlier
-// than the response.
+// pauseMargin is added to the time for which an upstream wants no calls. That time is
+// counted from the head of the response, while the upstream may count it from the end.
 const pauseMargin = 50 * time.Millisecond
 
 // restriction is what an incarnation of an upstream has announced about new calls.
