Apply announcements of a server while an older row of it is listed

Callers' requests reached a server that had said that it leaves, or wants no calls, while its row was that of its previous incarnation or lacked the start (DRAIN, BUDGET). This can be so for some seconds after the store was restored from a copy.

Cause: an announcement applied only while the listed row had exactly the start of the incarnation that made it. The incarnations of a server have the same id, so that calls according to the older row reach the newer incarnation.

Change: an announcement applies to rows with the same start or an earlier one, and what is announced under an older row is recorded for the newest incarnation with a restriction. A row with a later start ends it, as before.

Result: TestRestrictionAppliesToOlderRow (both cases) and TestAnnouncementUnderOlderRowAppliesToNewestIncarnation failed on the code before and pass.

--- a/placement/restrictions.go
+++ b/placement/restrictions.go
@@ -18,8 +18,9 @@
 const pauseMargin = 50 * time.Millisecond
 
 // restriction is what an incarnation of an upstream has announced about new calls.
-// Restrictions are stored apart from the state of the upstream, which is removed as soon
-// as the upstream is not listed.
+// It also applies while a row of an earlier incarnation is listed. Restrictions are stored
+// apart from the state of the upstream, which is removed as soon as the upstream is not
+// listed.
 type restriction struct {
 	// leavingSince is the time of the announcement that the incarnation leaves, or zero.
 	// The announcement has no end: no later response without it and no row revokes it.
@@ -123,20 +124,40 @@
 	return remaining, paused
 }
 
-// restrictionOf returns the restriction of an incarnation, which may not be listed. It
-// creates one without an effect if there is none.
+// restrictionOf returns the restriction that applies to an incarnation, which may not be
+// listed. It creates one without an effect if there is none.
 func (pl *Placer) restrictionOf(incarnation quarantine.Incarnation) *restriction {
+	incarnation = pl.newestRestricted(incarnation)
 	r := pl.restrictions[incarnation]
 	if r == nil {
 		r = new(restriction)
 		pl.restrictions[incarnation] = r
-		if u := pl.upstreams[incarnation.Upstream]; u != nil && u.incarnation() == incarnation {
+		if u := pl.upstreams[incarnation.Upstream]; isListed(u, incarnation) {
 			u.restriction = r
 		}
 	}
 	return r
 }
 
+// newestRestricted returns the newest incarnation of the same upstream that has a
+// restriction and is not older than the given one, or the given one if there is none. A
+// row with an earlier start is outdated, and a call according to it reaches the newest
+// incarnation, since the incarnations of an upstream have the same id.
+func (pl *Placer) newestRestricted(incarnation quarantine.Incarnation) quarantine.Incarnation {
+	for other := range pl.restrictions {
+		if other.Upstream == incarnation.Upstream && other.StartedAtMs > incarnation.StartedAtMs {
+			incarnation = other
+		}
+	}
+	return incarnation
+}
+
+// isListed reports whether the row of an upstream is that of an incarnation or of an
+// earlier one.
+func isListed(u *upstream, incarnation quarantine.Incarnation) bool {
+	return u != nil && u.row.StartedAtMs <= incarnation.StartedAtMs
+}
+
 // updateRestrictions applies the restrictions to the listed upstreams. It removes those
 // that have ended and those of incarnations that have not been listed for
 // restrictionRetention.
@@ -146,7 +167,7 @@
 		switch {
 		case !r.leaving() && !r.paused(now):
 			delete(pl.restrictions, incarnation)
-		case u != nil && u.incarnation() == incarnation:
+		case isListed(u, incarnation):
 			r.unlistedSince = time.Time{}
 		case r.unlistedSince.IsZero():
 			r.unlistedSince = now
@@ -154,7 +175,16 @@
 			delete(pl.restrictions, incarnation)
 		}
 	}
-	for _, u := range pl.upstreams {
-		u.restriction = pl.restrictions[u.incarnation()]
+	newest := make(map[core.UpstreamID]quarantine.Incarnation, len(pl.restrictions))
+	for incarnation := range pl.restrictions {
+		if other, ok := newest[incarnation.Upstream]; !ok || incarnation.StartedAtMs > other.StartedAtMs {
+			newest[incarnation.Upstream] = incarnation
+		}
+	}
+	for id, u := range pl.upstreams {
+		u.restriction = nil
+		if incarnation, ok := newest[id]; ok && isListed(u, incarnation) {
+			u.restriction = pl.restrictions[incarnation]
+		}
 	}
 }
--- a/placement/restrictions_test.go
+++ b/placement/restrictions_test.go
@@ -190,3 +190,44 @@
 	pl.RecordReport(t0, Report{Upstream: "records-1", Leaving: true})
 	require.Zero(t, remaining(), "no pause ends")
 }
+
+// Guards against calls to an upstream that leaves or wants no calls, because its row is
+// that of a previous incarnation, as after a restore of the metadata store, or lacks the
+// start. The calls reach the newer incarnation, which has the same id.
+func TestRestrictionAppliesToOlderRow(t *testing.T) {
+	const started = 7
+	announcements := map[string]Report{
+		"departure": {Upstream: restricted, StartedAtMs: started, Leaving: true},
+		"pause":     {Upstream: restricted, StartedAtMs: started, PauseFor: time.Hour},
+	}
+	for name, announcement := range announcements {
+		t.Run(name, func(t *testing.T) {
+			in := newInputs(1)
+			pl := newPlacer(in)
+			relist(pl, t0, in, restricted, started, true)
+			pl.RecordReport(t0, announcement)
+			for i, older := range []int64{started - 1, 0} {
+				now := t0.Add(time.Duration(i+1) * time.Second)
+				relist(pl, now, in, restricted, older, true)
+				require.Zero(t, callsPlaced(pl, now), "start %d", older)
+			}
+			relist(pl, t0.Add(time.Minute), in, restricted, started+1, true)
+			require.Positive(t, callsPlaced(pl, t0.Add(time.Minute)))
+		})
+	}
+}
+
+// Guards against an announcement that is stored for a previous incarnation, and so ends
+// when the row of the present one is listed again.
+func TestAnnouncementUnderOlderRowAppliesToNewestIncarnation(t *testing.T) {
+	const started = 7
+	in := newInputs(1)
+	pl := newPlacer(in)
+	relist(pl, t0, in, restricted, started, true)
+	pl.RecordReport(t0, Report{Upstream: restricted, StartedAtMs: started, PauseFor: time.Minute})
+	relist(pl, t0.Add(time.Second), in, restricted, started-1, true)
+	pl.RecordReport(t0.Add(time.Second), Report{Upstream: restricted, StartedAtMs: started - 1, Leaving: true})
+	relist(pl, t0.Add(2*time.Second), in, restricted, started, true)
+	require.Zero(t, callsPlaced(pl, t0.Add(time.Hour)))
+	require.Len(t, pl.Departures(time.Time{}), 1)
+}
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -10,7 +10,6 @@
 	"waxwingtide.example/waxwingtide/cacheindex"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
-	"waxwingtide.example/waxwingtide/quarantine"
 )
 
 const (
@@ -145,11 +144,6 @@
 	}
 }
 
-// incarnation returns the listed incarnation.
-func (u *upstream) incarnation() quarantine.Incarnation {
-	return quarantine.Incarnation{Upstream: u.row.ID, StartedAtMs: u.row.StartedAtMs}
-}
-
 // leaving reports whether the upstream's row or the upstream itself announces that it
 // leaves.
 func (u *upstream) leaving() bool { return u.row.Draining || u.restriction.leaving() }
