Let callers return over a time after a pause

Callers that were refused while all servers of a service wanted no calls were all told to return in the instant at which the first server may be used again, however long before they had come, and so met a full server.

Cause: each got exactly the time until the end of the pause.

Change: up to a quarter of that time, at most 1 s, is added at random.

--- a/gateway/router.go
+++ b/gateway/router.go
@@ -41,6 +41,11 @@
 	// maxPausedRetryAfter is the maximum Retry-After value of a call whose upstreams have
 	// asked for a pause. Other processes may still use them, and others may be started.
 	maxPausedRetryAfter = 10 * time.Second
+	// maxReturnSpread is the maximum time over which the callers return that were refused
+	// during a pause, and returnSpreadShare that time as a share of the rest of the pause.
+	// They would otherwise all return at its end.
+	maxReturnSpread   = time.Second
+	returnSpreadShare = 0.25
 )
 
 // placeRequest is a handler's request to place a call.
@@ -232,12 +237,19 @@
 		r.rollouts.RecordPlaced(choice.Upstream)
 	case placement.NoUpstream:
 		if wait, paused := r.placer.PauseRemaining(now, request); paused {
-			return placementResult{refusal: placement.Paused, retryAfter: min(wait, maxPausedRetryAfter)}
+			return placementResult{refusal: placement.Paused, retryAfter: r.returnTime(wait)}
 		}
 	}
 	return placementResult{choice: choice, refusal: refusal}
 }
 
+// returnTime returns the Retry-After value of a call that is refused during a pause.
+func (r *router) returnTime(remaining time.Duration) time.Duration {
+	remaining = min(remaining, maxPausedRetryAfter)
+	spread := min(time.Duration(returnSpreadShare*float64(remaining)), maxReturnSpread)
+	return remaining + time.Duration(r.random()*float64(spread))
+}
+
 // chooseVersion places a call at the upstreams that a rollout allows. If no upstream of
 // the new version can take the call, it tries the old version.
 func (r *router) chooseVersion(now time.Time, request placement.Request) (placement.Choice, placement.Refusal) {
--- a/gateway/router_test.go
+++ b/gateway/router_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -124,3 +125,31 @@
 	require.True(t, paused)
 	require.GreaterOrEqual(t, remaining, pause)
 }
+
+// Guards against callers that all return in the instant at which the only upstream may be
+// used again, and against one that is told to return before.
+func TestCallersReturnOverTimeAfterPause(t *testing.T) {
+	const pause, calls = 8 * time.Second, 40
+	r := newTestRouter(rand.New(rand.NewPCG(1, 1)).Float64, "i-1")
+	r.placer.RecordReport(time.Now(), placement.Report{Upstream: "i-1", PauseFor: pause})
+	var replies []*ring.Ring[placementResult]
+	for range calls {
+		replies = append(replies, queueCall(t, r))
+	}
+	queuedAt := time.Now()
+	r.handlePending()
+	remaining, paused := r.placer.PauseRemaining(queuedAt, placement.Request{Service: testService})
+	require.True(t, paused)
+	placedWithin := time.Since(queuedAt)
+	perQuarter := make(map[int]int)
+	for _, reply := range replies {
+		result := placementOf(t, reply)
+		require.Equal(t, placement.Paused, result.refusal)
+		late := result.retryAfter + placedWithin - remaining
+		require.GreaterOrEqual(t, late, time.Duration(0))
+		perQuarter[int(4*late/maxReturnSpread)]++
+	}
+	for quarter, callers := range perQuarter {
+		require.Less(t, callers, calls/2, "quarter %d", quarter)
+	}
+}
