Read cache events on from the same event after a pause

After each pause the recorded cache of a model server was dropped, so that calls whose prompts it has cached were placed elsewhere and read again.

Cause: the duty that reads the server's events was stopped for the pause, and the new one took the first answer for that of a restarted server.

Change: the duty waits during the pause and keeps its position. A source of cache events has a field for it instead of being removed.

Result: TestCacheEventsAreNotReadDuringPause with the added check failed on the code before (two reads from the first event) and passes.

--- a/cacheevents/cacheevents.go
+++ b/cacheevents/cacheevents.go
@@ -86,9 +86,11 @@
 	// Relays are the addresses of the relays that are queried instead of the source,
 	// sorted by preference.
 	Relays []string
+	// Paused is set while the source wants no requests.
+	Paused bool
 }
 
-// same reports whether two sources have the same settings.
+// same reports whether two sources have the same settings, except for Paused.
 func (s Source) same(other Source) bool {
 	return s.Address == other.Address && s.IsStore == other.IsStore && slices.Equal(s.Relays, other.Relays)
 }
@@ -138,14 +140,29 @@
 // SetSources sets the sources whose events are read.
 func (f *Feed) SetSources(sources []Source) { f.sources.Push(sources) }
 
+// sourceDuty is the duty of a source.
+type sourceDuty struct {
+	source Source
+	// paused contains the newest value of Source.Paused until the duty receives it.
+	paused *ring.Ring[bool]
+	cancel context.CancelFunc
+}
+
+// waitWhilePaused returns when the source is no longer paused or the context has ended.
+func (d sourceDuty) waitWhilePaused(ctx context.Context) {
+	paused, _ := d.paused.TryReceive()
+	for paused {
+		var err error
+		if paused, err = d.paused.Receive(ctx); err != nil {
+			return
+		}
+	}
+}
+
 // Run starts a duty for each added source and stops the duties of removed ones.
 func (f *Feed) Run(ctx context.Context) error {
 	group := duty.NewGroup(ctx, f.log)
 	group.Go("cache frees", f.runFreeOrders)
-	type sourceDuty struct {
-		source Source
-		cancel context.CancelFunc
-	}
 	duties := make(map[string]sourceDuty)
 	for {
 		sources, err := f.sources.Receive(ctx)
@@ -157,13 +174,16 @@
 			configured[s.Address] = true
 			if d, ok := duties[s.Address]; ok {
 				if d.source.same(s) {
+					d.paused.Push(s.Paused)
 					continue
 				}
 				d.cancel()
 			}
 			sourceCtx, cancel := context.WithCancel(group.Context())
-			duties[s.Address] = sourceDuty{source: s, cancel: cancel}
-			group.Go("cache events "+s.Address, func(context.Context) error { return f.watchSource(sourceCtx, s) })
+			d := sourceDuty{source: s, paused: ring.New[bool](1), cancel: cancel}
+			d.paused.Push(s.Paused)
+			duties[s.Address] = d
+			group.Go("cache events "+s.Address, func(context.Context) error { return f.watchSource(sourceCtx, d) })
 		}
 		for address, d := range duties {
 			if !configured[address] {
@@ -180,10 +200,15 @@
 }
 
 // watchSource is the loop of a source's duty.
-func (f *Feed) watchSource(ctx context.Context, source Source) error {
+func (f *Feed) watchSource(ctx context.Context, d sourceDuty) error {
+	source := d.source
 	step, interval := f.stepAndInterval(source)
 	unavailable := false
-	for ctx.Err() == nil {
+	for {
+		d.waitWhilePaused(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
 		pause := interval
 		err := step(ctx)
 		if err != nil && ctx.Err() == nil {
@@ -198,7 +223,6 @@
 		unavailable = err != nil
 		duty.Pause(ctx, pause)
 	}
-	return nil
 }
 
 // stepAndInterval returns the function that reads a source, and the pause between
--- a/frontend/pause_test.go
+++ b/frontend/pause_test.go
@@ -104,17 +104,22 @@
 	}
 }
 
-// pollCounter counts the requests for cache events that reach a server.
+// pollCounter counts the requests for cache events that reach a server, and those that
+// begin with the first event.
 type pollCounter struct {
 	server *standin.PlatformServer
 	polls  atomic.Int64
+	starts atomic.Int64
 }
 
 // ServeHTTP implements http.Handler.
 func (c *pollCounter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/-/kv-events" {
 		c.polls.Add(1)
-		_, _ = io.WriteString(w, `{"boot-epoch":1,"next":0,"lost":false,"events":[]}`)
+		if r.URL.Query().Get("since") == "0" {
+			c.starts.Add(1)
+		}
+		_, _ = io.WriteString(w, `{"boot-epoch":1,"next":7,"lost":false,"events":[]}`)
 		return
 	}
 	c.server.ServeHTTP(w, r)
@@ -122,7 +127,7 @@
 
 // Guards against requests for cache events that reach a model server within the time for
 // which it wants nothing, and against a model server whose events are no longer read after
-// that time.
+// that time, or are read anew, so that what is recorded of its cache is lost.
 func TestCacheEventsAreNotReadDuringPause(t *testing.T) {
 	const pause = 3 * time.Second
 	d := newDeployment(t)
@@ -152,4 +157,5 @@
 	time.Sleep(pause - time.Since(refusedAt) - pause/6)
 	require.Equal(t, before, counter.polls.Load(), "requests within the pause")
 	d.eventually(func() bool { return counter.polls.Load() > before }, "the cache events are not read after the pause")
+	require.Equal(t, int64(1), counter.starts.Load())
 }
--- a/placement/caches.go
+++ b/placement/caches.go
@@ -37,7 +37,7 @@
 // are more processes than a source allows readers, the processes at the first
 // positions of the rendezvous ranking read its events. The other processes receive
 // the events of stores from these processes and do not use the events of servers.
-// The events of a server that has asked for a pause are not read until its end.
+// A server that has asked for a pause is a paused source until the end of the pause.
 func (pl *Placer) EventSources(now time.Time) []cacheevents.Source {
 	var out []cacheevents.Source
 	pl.sourcesOutdated, pl.sourcesValidUntil = false, time.Time{}
@@ -55,13 +55,14 @@
 		}
 		for _, u := range pl.byService[id] {
 			pl.serverByAddress[u.row.Address] = u.row.ID
-			if u.restriction.paused(now) {
-				pl.limitSourcesValidity(u.restriction.pausedUntil)
+			if u.row.Draining || !pl.readsEvents(u.row.Address, service.Engine.EventReaders) {
 				continue
 			}
-			if !u.row.Draining && pl.readsEvents(u.row.Address, service.Engine.EventReaders) {
-				out = append(out, cacheevents.Source{Address: u.row.Address})
+			paused := u.restriction.paused(now)
+			if paused {
+				pl.limitSourcesValidity(u.restriction.pausedUntil)
 			}
+			out = append(out, cacheevents.Source{Address: u.row.Address, Paused: paused})
 		}
 	}
 	return out
--- a/placement/restrictions_model_test.go
+++ b/placement/restrictions_model_test.go
@@ -184,7 +184,7 @@
 func (m *restrictionModel) readEvents(t *rapid.T) {
 	sources := m.placer.EventSources(m.now)
 	for _, s := range m.servers {
-		read := slices.ContainsFunc(sources, func(source cacheevents.Source) bool { return source.Address == s.row.Address })
+		read := slices.ContainsFunc(sources, func(source cacheevents.Source) bool { return source.Address == s.row.Address && !source.Paused })
 		if s.certainlyFree(m.now) {
 			require.True(t, read, "events of %s are not read", s.row.ID)
 		}
