Combine the announcements of several incarnations of a server

Cause: the announcement of the newest incarnation replaced those of the listed one.

Change: all announcements that apply to the listed row are combined.

Its model took an announcement as stored again after it had been removed with its row missing for more than two minutes, which is allowed; this is corrected.

--- a/placement/restrictions.go
+++ b/placement/restrictions.go
@@ -32,9 +32,19 @@
 	unlistedSince time.Time
 }
 
-func (r *restriction) leaving() bool { return r != nil && !r.leavingSince.IsZero() }
+func (r *restriction) leaving() bool { return !r.leavingSince.IsZero() }
 
-func (r *restriction) paused(now time.Time) bool { return r != nil && now.Before(r.pausedUntil) }
+func (r *restriction) paused(now time.Time) bool { return now.Before(r.pausedUntil) }
+
+// add adds another restriction of the same upstream.
+func (r *restriction) add(other *restriction) {
+	if other.leaving() {
+		r.leavingSince = other.leavingSince
+	}
+	if other.pausedUntil.After(r.pausedUntil) {
+		r.pausedUntil = other.pausedUntil
+	}
+}
 
 // RestrictionChange is a new restriction of an incarnation of an upstream.
 type RestrictionChange struct {
@@ -84,17 +94,20 @@
 
 // recordDeparture records that an incarnation leaves.
 func (pl *Placer) recordDeparture(now, observedAt time.Time, incarnation quarantine.Incarnation, reporter core.NodeID) {
+	incarnation = pl.newestRestricted(incarnation)
 	r := pl.restrictionOf(incarnation)
 	if r.leaving() {
 		return
 	}
 	r.leavingSince = observedAt
+	pl.applyRestriction(incarnation, r)
 	pl.restrictionChanges = append(pl.restrictionChanges, RestrictionChange{Incarnation: incarnation, Leaving: true, Age: now.Sub(observedAt), Reporter: reporter})
 }
 
 // recordPause records that an incarnation wants no calls from this process for a time.
 // A later response does not shorten a pause, since responses overtake one another.
 func (pl *Placer) recordPause(now time.Time, incarnation quarantine.Incarnation, pauseFor time.Duration) {
+	incarnation = pl.newestRestricted(incarnation)
 	r := pl.restrictionOf(incarnation)
 	if !r.paused(now) {
 		pl.sourcesOutdated = true
@@ -103,6 +116,7 @@
 	if until := now.Add(pauseFor + pauseMargin); until.After(r.pausedUntil) {
 		r.pausedUntil = until
 	}
+	pl.applyRestriction(incarnation, r)
 }
 
 // PauseRemaining returns the time until the first pause ends, if all upstreams that could
@@ -124,17 +138,13 @@
 	return remaining, paused
 }
 
-// restrictionOf returns the restriction that applies to an incarnation, which may not be
-// listed. It creates one without an effect if there is none.
+// restrictionOf returns the restriction of an incarnation, which may not be listed. It
+// creates one without an effect if there is none.
 func (pl *Placer) restrictionOf(incarnation quarantine.Incarnation) *restriction {
-	incarnation = pl.newestRestricted(incarnation)
 	r := pl.restrictions[incarnation]
 	if r == nil {
 		r = new(restriction)
 		pl.restrictions[incarnation] = r
-		if u := pl.upstreams[incarnation.Upstream]; isListed(u, incarnation) {
-			u.restriction = r
-		}
 	}
 	return r
 }
@@ -175,16 +185,18 @@
 			delete(pl.restrictions, incarnation)
 		}
 	}
-	newest := make(map[core.UpstreamID]quarantine.Incarnation, len(pl.restrictions))
-	for incarnation := range pl.restrictions {
-		if other, ok := newest[incarnation.Upstream]; !ok || incarnation.StartedAtMs > other.StartedAtMs {
-			newest[incarnation.Upstream] = incarnation
-		}
+	for _, u := range pl.upstreams {
+		u.restriction = restriction{}
 	}
-	for id, u := range pl.upstreams {
-		u.restriction = nil
-		if incarnation, ok := newest[id]; ok && isListed(u, incarnation) {
-			u.restriction = pl.restrictions[incarnation]
-		}
+	for incarnation, r := range pl.restrictions {
+		pl.applyRestriction(incarnation, r)
+	}
+}
+
+// applyRestriction applies the restriction of an incarnation to its upstream if that is
+// listed.
+func (pl *Placer) applyRestriction(incarnation quarantine.Incarnation, r *restriction) {
+	if u := pl.upstreams[incarnation.Upstream]; isListed(u, incarnation) {
+		u.restriction.add(r)
 	}
 }
--- a/placement/restrictions_model_test.go
+++ b/placement/restrictions_model_test.go
@@ -24,6 +24,11 @@
 	appliedAt time.Time
 }
 
+// stored reports whether the announcement must still be stored.
+func (a *announcement) stored(now time.Time) bool {
+	return now.Sub(a.appliedAt) <= restrictionRetention
+}
+
 func (a *announcement) ended(now time.Time) bool {
 	return !a.pausedUntil.IsZero() && !now.Before(a.pausedUntil)
 }
@@ -39,8 +44,7 @@
 // excluded reports whether no call may be placed at the server.
 func (s *modelServer) excluded(now time.Time) bool {
 	return slices.ContainsFunc(s.announcements, func(a *announcement) bool {
-		recent := now.Sub(a.appliedAt) <= restrictionRetention
-		return s.row.StartedAtMs <= a.startedAtMs && recent && !a.ended(now)
+		return s.row.StartedAtMs <= a.startedAtMs && a.stored(now) && !a.ended(now)
 	})
 }
 
@@ -87,7 +91,7 @@
 
 func (m *restrictionModel) recordApplied(s *modelServer) {
 	for _, a := range s.announcements {
-		if s.row.StartedAtMs <= a.startedAtMs {
+		if s.row.StartedAtMs <= a.startedAtMs && a.stored(m.now) {
 			a.appliedAt = m.now
 		}
 	}
@@ -196,8 +200,7 @@
 
 func (m *restrictionModel) isPaused(s *modelServer) bool {
 	return slices.ContainsFunc(s.announcements, func(a *announcement) bool {
-		recent := m.now.Sub(a.appliedAt) <= restrictionRetention
-		return !a.pausedUntil.IsZero() && !a.ended(m.now) && s.row.StartedAtMs <= a.startedAtMs && recent
+		return !a.pausedUntil.IsZero() && !a.ended(m.now) && s.row.StartedAtMs <= a.startedAtMs && a.stored(m.now)
 	})
 }
 
--- a/placement/restrictions_test.go
+++ b/placement/restrictions_test.go
@@ -231,3 +231,16 @@
 	require.Zero(t, callsPlaced(pl, t0.Add(time.Hour)))
 	require.Len(t, pl.Departures(time.Time{}), 1)
 }
+
+// Guards against a pause of the listed incarnation that no longer applies because a later
+// one, whose row was listed in between, has announced something else.
+func TestAnnouncementsOfIncarnationsAreCombined(t *testing.T) {
+	const started = 7
+	in := newInputs(1)
+	pl := newPlacer(in)
+	pl.RecordReport(t0, Report{Upstream: restricted, PauseFor: time.Hour})
+	relist(pl, t0, in, restricted, started, true)
+	pl.RecordReport(t0, Report{Upstream: restricted, StartedAtMs: started, PauseFor: time.Second})
+	relist(pl, t0.Add(500*time.Millisecond), in, restricted, 0, true)
+	require.Zero(t, callsPlaced(pl, t0.Add(time.Minute)))
+}
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -98,8 +98,8 @@
 	rejectionCostUntil time.Time
 	gate               admit.Gate
 	rate               announcedRate
-	// restriction is nil while the upstream has announced none.
-	restriction *restriction
+	// restriction combines the restrictions of the listed incarnation and of later ones.
+	restriction restriction
 	// rank is this process's rank among the fronts over which the upstream's limits
 	// are divided, computed for the generation rankGeneration of the fronts.
 	rank           int
