--- a/frontend/pause_test.go
+++ b/frontend/pause_test.go
@@ -1,7 +1,11 @@
 package frontend_test
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -9,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/standin"
 )
 
@@ -100,3 +105,83 @@
 		})
 	}
 }
+
+// pollRecorder records the requests for cache events that reach a server.
+type pollRecorder struct {
+	server *standin.PlatformServer
+	polls  *ring.Ring[poll]
+	// refusedAt receives the time at which the server refuses a call.
+	refusedAt *ring.Ring[time.Time]
+}
+
+// poll is a request for cache events.
+type poll struct {
+	receivedAt time.Time
+	since      string
+}
+
+// ServeHTTP implements http.Handler.
+func (p *pollRecorder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/-/kv-events" {
+		p.polls.Push(poll{receivedAt: time.Now(), since: r.URL.Query().Get("since")})
+		_, _ = io.WriteString(w, `{"boot-epoch":1,"next":7,"lost":false,"events":[]}`)
+		return
+	}
+	p.server.ServeHTTP(w, r)
+}
+
+// Guards against requests for cache events that reach a model server within the time for
+// which it wants nothing, and against a model server whose events are no longer read after
+// that time, or are read anew, so that what is recorded of its cache is lost.
+func TestCacheEventsAreNotReadDuringPause(t *testing.T) {
+	const (
+		pause = 3 * time.Second
+		// settleTime is the time after the refusal from which at most maxLate requests may
+		// reach the server.
+		settleTime = 500 * time.Millisecond
+		maxLate    = 2
+		maxPolls   = 256
+	)
+	d := newDeployment(t)
+	d.configure(func(config map[string]any) {
+		config["services"] = []any{
+			map[string]any{"name": "svc", "engine": map[string]any{"slots": 8, "kv-capacity-tokens": 1000, "kv-token-bytes": 10, "link-mbps": 1000}},
+			map[string]any{"name": "other"},
+		}
+	})
+	recorder := &pollRecorder{server: standin.NewPlatformServer("i-1"), polls: ring.New[poll](maxPolls), refusedAt: ring.New[time.Time](1)}
+	recorder.server.Script = func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+		recorder.refusedAt.Push(time.Now())
+		w.Header().Set("Retry-After", fmt.Sprint(pause.Seconds()))
+		recorder.server.Reject(w)
+	}
+	httpServer := httptest.NewServer(recorder)
+	t.Cleanup(func() {
+		httpServer.CloseClientConnections()
+		httpServer.Close()
+	})
+	d.putUpstreamRow("i-1", "svc", httpServer.Listener.Addr().String(), "ready")
+	f := d.startReadyFront("front-1")
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	first, err := recorder.polls.Receive(ctx)
+	require.NoError(t, err)
+	require.Equal(t, "0", first.since)
+	require.Equal(t, http.StatusServiceUnavailable, f.call(http.MethodPost, "/log/x", "r-1", nil).status)
+	refusedAt, ok := recorder.refusedAt.TryReceive()
+	require.True(t, ok)
+	late := 0
+	for {
+		p, err := recorder.polls.Receive(ctx)
+		require.NoError(t, err, "the cache events are not read after the pause")
+		require.Equal(t, "7", p.since)
+		age := p.receivedAt.Sub(refusedAt)
+		if age >= pause {
+			break
+		}
+		if age >= settleTime {
+			late++
+		}
+	}
+	require.LessOrEqual(t, late, maxLate)
+}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -28,6 +28,9 @@
 	// reportRingSize is the capacity for reports to the router. Senders block when the
 	// ring is full.
 	reportRingSize = 1024
+	// maxPlacementsPerTurn is the number of calls that are placed before the router takes
+	// changes of the view again.
+	maxPlacementsPerTurn = 64
 	// maxIdleConnsPerUpstream is the maximum number of idle connections to one upstream.
 	maxIdleConnsPerUpstream = 24
 	// sweepInterval is the interval between two calls of sweep.
@@ -38,6 +41,11 @@
 	// maxPausedRetryAfter is the maximum Retry-After value of a call whose upstreams have
 	// asked for a pause. Other processes may still use them, and others may be started.
 	maxPausedRetryAfter = 10 * time.Second
+	// maxReturnSpread is the maximum time over which the callers return that were refused
+	// during a pause, and returnSpreadShare that time as a share of the rest of the pause.
+	// They would otherwise all return at its end.
+	maxReturnSpread   = time.Second
+	returnSpreadShare = 0.25
 )
 
 // placeRequest is a handler's request to place a call.
@@ -143,8 +151,8 @@
 	}
 }
 
-// handlePending processes all queued elements. Changes and reports are processed
-// before calls are placed, so that placement uses the newest state.
+// handlePending processes all queued changes and reports, then queued calls. Changes are
+// processed first, so that placement uses the newest state.
 func (r *router) handlePending() {
 	if gap := r.suspensionWatch.SuspendedFor(clock.SinceBoot(), clock.SinceProcessStart()); gap > 0 {
 		r.log.WithFields(logrus.Fields{"event": "suspended", "for_ms": gap.Milliseconds()}).Warn("VM was suspended; cache contents are not used until their next update")
@@ -166,28 +174,55 @@
 			r.placer.ApplyObservation(now, o)
 		}
 	}
+	r.takeReports()
+	r.applyVerdicts(now)
+	r.updateQuarantine(now)
+	r.placeCalls()
+	r.logRateChanges()
+	r.logRestrictions()
+	if r.placer.EventSourcesOutdated(now) {
+		r.cacheFeed.SetSources(r.placer.EventSources(now))
+	}
+}
+
+// placeCalls places queued calls, up to maxPlacementsPerTurn. Calls may arrive as fast as
+// they are placed, and a report may exclude an upstream, so that reports are processed
+// before each call.
+func (r *router) placeCalls() {
+	for range maxPlacementsPerTurn {
+		pending, ok := r.placeRequests.TryReceive()
+		if !ok {
+			return
+		}
+		r.takeReports()
+		r.placeCall(time.Now(), pending)
+	}
+}
+
+// takeReports processes all queued reports. It reads the clock after it has received a
+// report, since the times that a response announces begin with the response.
+func (r *router) takeReports() {
 	for report, ok := r.reports.TryReceive(); ok; report, ok = r.reports.TryReceive() {
+		now := time.Now()
 		r.recordSample(now, report.Report)
 		r.placer.RecordReport(now, report.Report)
 		r.publishObservation(now, report.Report)
 		r.recordEnd(now, report)
 	}
-	r.logRateChanges()
-	r.logRestrictions()
-	r.applyVerdicts(now)
-	r.updateQuarantine(now)
-	for pending, ok := r.placeRequests.TryReceive(); ok; pending, ok = r.placeRequests.TryReceive() {
-		result := r.choose(now, pending.req)
-		choice, refusal := result.choice, result.refusal
-		if refusal == placement.NotRefused {
-			result.idleConns = r.connections[choice.Upstream.ID].idle
-		}
-		if !pending.reply.Offer(result) && refusal == placement.NotRefused {
-			// The call ended before the handler received its placement.
-			r.placer.RecordReport(now, placement.Report{
-				AttemptID: choice.AttemptID, Upstream: choice.Upstream.ID, Final: true, Result: placement.Abandoned,
-			})
-		}
+}
+
+// placeCall places a call and sends the result to its handler.
+func (r *router) placeCall(now time.Time, pending placeRequest) {
+	result := r.choose(now, pending.req)
+	choice, refusal := result.choice, result.refusal
+	if refusal == placement.NotRefused {
+		result.idleConns = r.connections[choice.Upstream.ID].idle
+	}
+	if !pending.reply.Offer(result) && refusal == placement.NotRefused {
+		// The call ended before the handler received its placement.
+		r.placer.RecordReport(now, placement.Report{
+			AttemptID: choice.AttemptID, Upstream: choice.Upstream.ID, Final: true, Result: placement.Abandoned,
+		})
 	}
 }
 
@@ -202,12 +237,19 @@
 		r.rollouts.RecordPlaced(choice.Upstream)
 	case placement.NoUpstream:
 		if wait, paused := r.placer.PauseRemaining(now, request); paused {
-			return placementResult{refusal: placement.Paused, retryAfter: min(wait, maxPausedRetryAfter)}
+			return placementResult{refusal: placement.Paused, retryAfter: r.returnTime(wait)}
 		}
 	}
 	return placementResult{choice: choice, refusal: refusal}
 }
 
+// returnTime returns the Retry-After value of a call that is refused during a pause.
+func (r *router) returnTime(remaining time.Duration) time.Duration {
+	remaining = min(remaining, maxPausedRetryAfter)
+	spread := min(time.Duration(returnSpreadShare*float64(remaining)), maxReturnSpread)
+	return remaining + time.Duration(r.random()*float64(spread))
+}
+
 // chooseVersion places a call at the upstreams that a rollout allows. If no upstream of
 // the new version can take the call, it tries the old version.
 func (r *router) chooseVersion(now time.Time, request placement.Request) (placement.Choice, placement.Refusal) {
@@ -283,7 +325,7 @@
 	r.placer.SetInputs(now, inputs)
 	r.quarantine.SetFronts(inputs.Fronts)
 	r.rollouts.SetInputs(now, canary.Inputs{Rollouts: v.Rollouts, Upstreams: v.Upstreams, Fronts: inputs.Fronts})
-	r.cacheFeed.SetSources(r.placer.EventSources())
+	r.cacheFeed.SetSources(r.placer.EventSources(now))
 	updated := make(map[core.UpstreamID]*connections, len(v.Upstreams))
 	for _, u := range v.Upstreams {
 		conns := r.connections[u.ID]
--- a/placement/restrictions.go
+++ b/placement/restrictions.go
@@ -13,14 +13,14 @@
 // the metadata store was restored from a copy.
 const restrictionRetention = 2 * time.Minute
 
-// pauseMargin is added to the time for which an upstream wants no calls. The router reads
-// its clock before it takes the reports that have arrived, so that its time may be earlier
-// than the response.
+// pauseMargin is added to the time for which an upstream wants no calls. That time is
+// counted from the head of the response, while the upstream may count it from the end.
 const pauseMargin = 50 * time.Millisecond
 
 // restriction is what an incarnation of an upstream has announced about new calls.
-// Restrictions are stored apart from the state of the upstream, which is removed as soon
-// as the upstream is not listed.
+// It also applies while a row of an earlier incarnation is listed. Restrictions are stored
+// apart from the state of the upstream, which is removed as soon as the upstream is not
+// listed.
 type restriction struct {
 	// leavingSince is the time of the announcement that the incarnation leaves, or zero.
 	// The announcement has no end: no later response without it and no row revokes it.
@@ -32,9 +32,19 @@
 	unlistedSince time.Time
 }
 
-func (r *restriction) leaving() bool { return r != nil && !r.leavingSince.IsZero() }
+func (r *restriction) leaving() bool { return !r.leavingSince.IsZero() }
 
-func (r *restriction) paused(now time.Time) bool { return r != nil && now.Before(r.pausedUntil) }
+func (r *restriction) paused(now time.Time) bool { return now.Before(r.pausedUntil) }
+
+// add adds another restriction of the same upstream.
+func (r *restriction) add(other *restriction) {
+	if other.leaving() {
+		r.leavingSince = other.leavingSince
+	}
+	if other.pausedUntil.After(r.pausedUntil) {
+		r.pausedUntil = other.pausedUntil
+	}
+}
 
 // RestrictionChange is a new restriction of an incarnation of an upstream.
 type RestrictionChange struct {
@@ -84,24 +94,29 @@
 
 // recordDeparture records that an incarnation leaves.
 func (pl *Placer) recordDeparture(now, observedAt time.Time, incarnation quarantine.Incarnation, reporter core.NodeID) {
+	incarnation = pl.newestRestricted(incarnation)
 	r := pl.restrictionOf(incarnation)
 	if r.leaving() {
 		return
 	}
 	r.leavingSince = observedAt
+	pl.applyRestriction(incarnation, r)
 	pl.restrictionChanges = append(pl.restrictionChanges, RestrictionChange{Incarnation: incarnation, Leaving: true, Age: now.Sub(observedAt), Reporter: reporter})
 }
 
 // recordPause records that an incarnation wants no calls from this process for a time.
 // A later response does not shorten a pause, since responses overtake one another.
 func (pl *Placer) recordPause(now time.Time, incarnation quarantine.Incarnation, pauseFor time.Duration) {
+	incarnation = pl.newestRestricted(incarnation)
 	r := pl.restrictionOf(incarnation)
 	if !r.paused(now) {
+		pl.sourcesOutdated = true
 		pl.restrictionChanges = append(pl.restrictionChanges, RestrictionChange{Incarnation: incarnation, PauseFor: pauseFor})
 	}
 	if until := now.Add(pauseFor + pauseMargin); until.After(r.pausedUntil) {
 		r.pausedUntil = until
 	}
+	pl.applyRestriction(incarnation, r)
 }
 
 // PauseRemaining returns the time until the first pause ends, if all upstreams that could
@@ -130,13 +145,29 @@
 	if r == nil {
 		r = new(restriction)
 		pl.restrictions[incarnation] = r
-		if u := pl.upstreams[incarnation.Upstream]; u != nil && u.incarnation() == incarnation {
-			u.restriction = r
-		}
 	}
 	return r
 }
 
+// newestRestricted returns the newest incarnation of the same upstream that has a
+// restriction and is not older than the given one, or the given one if there is none. A
+// row with an earlier start is outdated, and a call according to it reaches the newest
+// incarnation, since the incarnations of an upstream have the same id.
+func (pl *Placer) newestRestricted(incarnation quarantine.Incarnation) quarantine.Incarnation {
+	for other := range pl.restrictions {
+		if other.Upstream == incarnation.Upstream && other.StartedAtMs > incarnation.StartedAtMs {
+			incarnation = other
+		}
+	}
+	return incarnation
+}
+
+// isListed reports whether the row of an upstream is that of an incarnation or of an
+// earlier one.
+func isListed(u *upstream, incarnation quarantine.Incarnation) bool {
+	return u != nil && u.row.StartedAtMs <= incarnation.StartedAtMs
+}
+
 // updateRestrictions applies the restrictions to the listed upstreams. It removes those
 // that have ended and those of incarnations that have not been listed for
 // restrictionRetention.
@@ -146,7 +177,7 @@
 		switch {
 		case !r.leaving() && !r.paused(now):
 			delete(pl.restrictions, incarnation)
-		case u != nil && u.incarnation() == incarnation:
+		case isListed(u, incarnation):
 			r.unlistedSince = time.Time{}
 		case r.unlistedSince.IsZero():
 			r.unlistedSince = now
@@ -155,6 +186,17 @@
 		}
 	}
 	for _, u := range pl.upstreams {
-		u.restriction = pl.restrictions[u.incarnation()]
+		u.restriction = restriction{}
+	}
+	for incarnation, r := range pl.restrictions {
+		pl.applyRestriction(incarnation, r)
+	}
+}
+
+// applyRestriction applies the restriction of an incarnation to its upstream if that is
+// listed.
+func (pl *Placer) applyRestriction(incarnation quarantine.Incarnation, r *restriction) {
+	if u := pl.upstreams[incarnation.Upstream]; isListed(u, incarnation) {
+		u.restriction.add(r)
 	}
 }
