Test the share of slow calls against its floor at a rate of its own

Callers of a quiet plain service met a version that is slow for half of its calls: it was in doubt, but was not found within 50 calls.

Cause: a finding of the test for the share of slow calls needs two values to reach the threshold of the false alarm rate: which version the slow calls belong to, and that more than a tenth of the new version's calls are slow. About 0.45 of the calls count as slow. Against 0.1, 50 such calls show ln 20 in the mean with a deviation of about 8, and 11.3 is needed, so the floor alone delays most findings.

Change: the floor is taken as exceeded at a rate of 0.005. A version that is no worse is protected by the first value, whose rate is unchanged. A version with up to a tenth of slow calls beside none on the old one may now be withdrawn with the probability 0.005 per judge; the doubt that holds its cutover, and withdraws it at the end, already had 1/160. The alternative to the floor is 0.3 instead of 0.5, since unlucky runs have fewer than half of slow calls.

--- a/rollout/slowshare.go
+++ b/rollout/slowshare.go
@@ -21,7 +21,12 @@
 	// slowShareFloor is the share of slow calls that is always accepted, and
 	// slowShareRate the share that is tested against it.
 	slowShareFloor = 0.1
-	slowShareRate  = 0.5
+	slowShareRate  = 0.3
+	// floorAlarmRate bounds the probability that the share of slow calls is ever taken
+	// to exceed slowShareFloor when it does not. It need not be as small as the false
+	// alarm rate: a version that is no worse is protected by the evidence for a larger
+	// share of the slow calls.
+	floorAlarmRate = 0.005
 )
 
 // slowShareTest is a sequential test for a version that is slow for a part of its
@@ -39,7 +44,8 @@
 //
 // A version with few slow calls is accepted even if the old one has none. As for errors,
 // a finding needs both: a larger share of the slow calls than the old version, and a
-// share of slow calls above slowShareFloor.
+// share of slow calls above slowShareFloor. The second is certain enough at
+// floorAlarmRate, as fifty calls cannot show it at the false alarm rate.
 //
 // The latencies of the old version are changed before the comparison to the largest that
 // the new version may have: SlowFactor times the latency plus SlowOffset. Times between events are not
@@ -100,7 +106,12 @@
 }
 
 // value returns the value of the test.
-func (t *slowShareTest) value() float64 { return min(t.stake, t.aboveFloor) }
+func (t *slowShareTest) value() float64 {
+	if t.aboveFloor >= 1/floorAlarmRate {
+		return t.stake
+	}
+	return min(t.stake, t.aboveFloor)
+}
 
 // addNew adds a call on the new version to the evidence above the floor.
 func (t *slowShareTest) addNew(isSlow bool) {
--- a/rollout/slowshare_test.go
+++ b/rollout/slowshare_test.go
@@ -132,3 +132,53 @@
 	t.Logf("%d alarms in %d runs", alarms, n)
 	require.LessOrEqual(t, float64(alarms), limit*n)
 }
+
+// Guards against a version at the accepted share of slow calls that is withdrawn more
+// often than stated, because the floor is tested at a rate of its own.
+func TestVersionAtTheFloorIsRarelyFound(t *testing.T) {
+	const n = 2000
+	found := 0
+	for seed := range uint64(n) {
+		j, attempts := NewJudge("v1", "v2", DefaultLimits()), newTraffic(seed+100000)
+		attempts.errorRate = 0
+		for range 1000 {
+			s := attempts.next(nil)
+			s.Latency = 30 * time.Millisecond
+			if s.Version == "v2" && attempts.rng.Float64() < slowShareFloor {
+				s.Latency = time.Second
+			}
+			if j.Add(s) != nil {
+				found++
+				break
+			}
+		}
+	}
+	t.Logf("%d of %d versions at the floor were found", found, n)
+	require.LessOrEqual(t, float64(found), floorAlarmRate*n)
+}
+
+// Guards against a version that is slow for a third of its calls, beside none on the old
+// one, and that is not found within 50 calls: they show which version the slow calls
+// belong to, but not at the false alarm rate that their share exceeds the floor.
+func TestThirdOfSlowCallsIsFound(t *testing.T) {
+	const (
+		newCalls   = 50
+		oldCalls   = 5 // for each call on the new version
+		slowPeriod = 3
+	)
+	j, now := NewJudge("v1", "v2", DefaultLimits()), newTraffic(0).now
+	for i := range newCalls {
+		for range oldCalls {
+			now = now.Add(30 * time.Millisecond)
+			j.Add(Sample{Version: "v1", FinishedAt: now, LatencyOnly: true, Latency: 30 * time.Millisecond})
+		}
+		now = now.Add(30 * time.Millisecond)
+		s := Sample{Version: "v2", FinishedAt: now, LatencyOnly: true, Latency: 30 * time.Millisecond}
+		if i%slowPeriod == 0 {
+			s.Latency = time.Second
+		}
+		j.Add(s)
+	}
+	require.NotNil(t, j.Finding())
+	require.Equal(t, SignalLatency, j.Finding().Signal)
+}
