Test the odds of a slow call instead of a fixed fraction

Callers of a quiet plain service met a version that is slow for half of its calls: while its first calls are sent at a share of 0.6, the judge learns little from them.

Cause: the alternative of the test for the share of slow calls lay halfway between the share of the new version and 1. At a share of 0.6 that is 0.8, so that a slow call multiplies the evidence by 1.33 only, though nearly all slow calls are on a version that is much slower.

Change: the alternative is an odds ratio of 10 between the versions, whatever the share is: 0.66 at a share of 0.16, 0.94 at 0.6. The hypothesis and thus the rate of false alarms are as before.

TestHalfSlowVersionIsFoundAtALargeShare failed before and passes.

--- a/rollout/slowshare.go
+++ b/rollout/slowshare.go
@@ -15,9 +15,9 @@
 	// minSlowReference is the minimum number of latencies of the old version in a series
 	// before its calls can count as slow.
 	minSlowReference = 8
-	// slowShareFraction selects the alternative that is tested: a slow call is on the new
-	// version with the probability p0 + slowShareFraction*(1-p0).
-	slowShareFraction = 0.5
+	// slowOddsRatio selects the alternative that is tested: the odds of a slow call on the
+	// new version, divided by those on the old one.
+	slowOddsRatio = 10
 	// slowShareFloor is the share of slow calls that is always accepted, and
 	// slowShareRate the share that is tested against it.
 	slowShareFloor = 0.1
@@ -147,9 +147,10 @@
 // addSlow adds a slow call that is on the new version with the probability p0 under the
 // hypothesis.
 func (t *slowShareTest) addSlow(isNew bool, p0 float64) {
-	factor := 1 - slowShareFraction
+	p1 := slowOddsRatio * p0 / (slowOddsRatio*p0 + 1 - p0)
+	factor := (1 - p1) / (1 - p0)
 	if isNew {
-		factor = (p0 + slowShareFraction*(1-p0)) / p0
+		factor = p1 / p0
 	}
 	t.stake = min(t.stake*factor, math.MaxFloat32)
 }
--- a/rollout/slowshare_test.go
+++ b/rollout/slowshare_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/core"
 )
 
 // Guards against slow calls of both versions that are counted against the new one: the
@@ -182,3 +184,25 @@
 	require.NotNil(t, j.Finding())
 	require.Equal(t, SignalLatency, j.Finding().Signal)
 }
+
+// Guards against a version that is slow for half of its calls and that is not found within
+// 50 calls because three fifths of the calls are on it: a slow call then tells little,
+// unless the alternative takes the share of the new version into account.
+func TestHalfSlowVersionIsFoundAtALargeShare(t *testing.T) {
+	const newCalls = 50
+	pattern := []core.WeightVersion{"v2", "v1", "v2", "v1", "v2"}
+	j, now := NewJudge("v1", "v2", DefaultLimits()), newTraffic(0).now
+	for range minSlowReference {
+		j.Add(Sample{Version: "v1", FinishedAt: now, LatencyOnly: true, Latency: 30 * time.Millisecond})
+	}
+	for i := 0; j.Samples() < newCalls; i++ {
+		now = now.Add(100 * time.Millisecond)
+		s := Sample{Version: pattern[i%len(pattern)], FinishedAt: now, LatencyOnly: true, Latency: 30 * time.Millisecond}
+		if s.Version == "v2" && j.Samples()%2 == 0 {
+			s.Latency = time.Second
+		}
+		j.Add(s)
+	}
+	require.NotNil(t, j.Finding())
+	require.Equal(t, SignalLatency, j.Finding().Signal)
+}
