Test heads that are cut at any byte on further kinds of answers

TestCutHeadIsNotComplete cuts the answer to a HEAD request, answers behind interim ones, answers of HTTP/1.0, without a reason, with bare LF and behind an earlier refusal at each byte.

--- a/frontend/truncated_test.go
+++ b/frontend/truncated_test.go
@@ -133,3 +133,53 @@
 		})
 	}
 }
+
+// Guards against a head that is cut at any byte and counts as whole: the head of the
+// response to a HEAD request, of one behind interim responses, and of an older version
+// of the protocol.
+func TestCutHeadIsNotComplete(t *testing.T) {
+	const fields = "Request-Id: r\r\nResponse-Seal: s\r\nContent-Length: 4\r\n\r\n"
+	cases := map[string]struct{ method, head, body string }{
+		"HEAD":            {http.MethodHead, "HTTP/1.1 200 OK\r\n" + fields, ""},
+		"interim":         {http.MethodPost, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n" + fields, "done"},
+		"HEAD, interim":   {http.MethodHead, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + fields, ""},
+		"older version":   {http.MethodPost, "HTTP/1.0 200 OK\r\n" + fields, "done"},
+		"without reason":  {http.MethodPost, "HTTP/1.1 200\r\n" + fields, "done"},
+		"lines of LF":     {http.MethodPost, "HTTP/1.1 200 OK\n" + "Request-Id: r\nResponse-Seal: s\nContent-Length: 4\n\n", "done"},
+		"earlier refusal": {http.MethodPost, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\n" + fields, "done"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			var length, sent atomic.Int64
+			answer := func(conn net.Conn, _ rawRequest) bool {
+				sent.Add(1)
+				write(t, conn, (c.head + c.body)[:length.Load()])
+				return false
+			}
+			for i := range 4 {
+				d.startRawUpstream(fmt.Sprintf("i-%d", i), answer)
+			}
+			f := d.startReadyFront("front-1")
+			whole := len(c.head) + len(c.body)
+			reached := 0
+			for cut := range whole + 1 {
+				length.Store(int64(cut))
+				before := sent.Load()
+				got := f.call(c.method, "/log/x", "r", nil)
+				if sent.Load() == before {
+					continue
+				}
+				reached++
+				require.Equal(t, before+1, sent.Load(), "cut after %d bytes: sent again", cut)
+				if cut == whole {
+					require.Equal(t, http.StatusOK, got.status)
+					continue
+				}
+				require.Equal(t, http.StatusBadGateway, got.status, "cut after %d bytes: %v, body %q", cut, got.err, got.body)
+			}
+			require.GreaterOrEqual(t, reached, whole/2, "too few calls reach the server")
+		})
+	}
+}
