--- a/rollout/slowshare.go
+++ b/rollout/slowshare.go
@@ -45,7 +45,7 @@
 // A version with few slow calls is accepted even if the old one has none. As for errors,
 // a finding needs both: a larger share of the slow calls than the old version, and a
 // share of slow calls above slowShareFloor. The second is certain enough at
-// floorAlarmRate, as fifty calls cannot show it at the false alarm rate.
+// floorAlarmRate, as fifty calls rarely show it at the false alarm rate.
 //
 // The latencies of the old version are changed before the comparison to the largest that
 // the new version may have: SlowFactor times the latency plus SlowOffset. Times between events are not
