Take no answer of a plain service from an earlier call

Callers of a plain service behind an agent could get the answer of an earlier call, also of another workspace, and a success with an empty body when the service ended after the head of its answer.

Cause: repeatable calls shared kept connections. Answers of a plain service carry no id, so that an earlier one that is written once more counts as that to the next call. An answer without a length ends with its connection, which also ends when the service does.

Change: each call uses a new connection, as calls that run at most once already did. An empty body without a length is an error of kind Unknown.

Not measured: the time of the additional connections; an agent runs on the VM of its service.

--- a/record/service.go
+++ b/record/service.go
@@ -29,9 +29,6 @@
 	// maxResponseBytes is the maximum size of a service's response body. It equals
 	// the limit on request bodies of callers.
 	maxResponseBytes = 4 << 20
-	// maxIdleServiceConns is the maximum number of idle connections for repeatable
-	// calls.
-	maxIdleServiceConns = 64
 )
 
 // ServiceInvoker sends calls to the plain service of the agent's upstream. An error has one
@@ -45,9 +42,8 @@
 
 // ServiceClient is a ServiceInvoker that sends calls over HTTP.
 type ServiceClient struct {
-	baseURL          *url.URL
-	repeatableClient *http.Client
-	atMostOnceClient *http.Client
+	baseURL    *url.URL
+	httpClient *http.Client
 }
 
 var _ ServiceInvoker = (*ServiceClient)(nil)
@@ -59,25 +55,20 @@
 	if err != nil || base.Host == "" || base.Scheme != "http" {
 		return nil, errs.New(errs.Invalid, "give a URL such as http://127.0.0.1:9000", "address %q of the service is not an http URL with a host", baseURL)
 	}
-	return &ServiceClient{
-		baseURL:          base,
-		repeatableClient: newHTTPClient(false),
-		atMostOnceClient: newHTTPClient(true),
-	}, nil
+	return &ServiceClient{baseURL: base, httpClient: newHTTPClient()}, nil
 }
 
-// newHTTPClient returns a client that uses no proxy and follows no redirects. If a
-// reused connection breaks, the transport of net/http resends a request that has an
-// Idempotency-Key header. Each at-most-once call therefore uses a new connection.
-func newHTTPClient(atMostOnce bool) *http.Client {
+// newHTTPClient returns a client that uses no proxy and follows no redirects. Each call
+// uses a new connection. On a reused one, a service may send an earlier response once
+// more, which is not distinguishable from the response to the call, and net/http resends
+// a request that has an Idempotency-Key header if the connection breaks.
+func newHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: serviceDialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			DisableKeepAlives:   atMostOnce,
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: maxIdleServiceConns,
-			IdleConnTimeout:     time.Minute,
+			DialContext:        dialer.DialContext,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -89,11 +80,7 @@
 	if err != nil {
 		return claim.Response{}, err
 	}
-	client := s.repeatableClient
-	if c.AtMostOnce() {
-		client = s.atMostOnceClient
-	}
-	response, err := client.Do(req)
+	response, err := s.httpClient.Do(req)
 	if err != nil {
 		return claim.Response{}, serviceError(err)
 	}
@@ -105,9 +92,21 @@
 	if len(body) > maxResponseBytes {
 		return claim.Response{}, errs.New(errs.Unknown, "make the service's answer smaller", "answer of the service is larger than %d bytes", maxResponseBytes)
 	}
+	if len(body) == 0 && !hasKnownEnd(response) {
+		return claim.Response{}, errs.New(errs.Unknown, "ask again with the same key", "connection of the service ended after the head of an answer without a length")
+	}
 	return claim.Response{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// hasKnownEnd reports whether a response states its length or is sent in chunks. Otherwise
+// it ends with its connection, and the end of a failed service looks like that of a
+// complete response. A response without a body, such as that to a HEAD request, is
+// complete with its head.
+func hasKnownEnd(r *http.Response) bool {
+	isHead := r.Request.Method == http.MethodHead
+	return isHead || r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+}
+
 func (s *ServiceClient) newRequest(ctx context.Context, c *Call) (*http.Request, error) {
 	targetURL := *s.baseURL
 	targetURL.Path = strings.TrimSuffix(targetURL.Path, "/") + c.Path
--- a/record/service_test.go
+++ b/record/service_test.go
@@ -35,8 +35,8 @@
 			defer server.Close()
 			client, err := record.NewServiceClient(server.URL)
 			require.NoError(t, err)
-			// The first call creates an idle connection. If the client reused it and
-			// it broke, net/http would resend a request with an idempotency key.
+			// If the client reused the connection of an earlier call and it broke,
+			// net/http would resend a request with an idempotency key.
 			_, err = client.Do(t.Context(), &record.Call{Call: core.Call{Method: "GET", Path: "/lots"}, Workspace: "w"})
 			require.NoError(t, err)
 			_, err = client.Do(t.Context(), &record.Call{Call: core.Call{Method: "POST", Path: "/lots"}, Workspace: "w", IdempotencyKey: "other"})
