--- a/engine/kept_test.go
+++ b/engine/kept_test.go
@@ -1,7 +1,6 @@
 package engine_test
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -11,41 +10,23 @@
 
 	"waxwingtide.example/waxwingtide/engine"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/standin"
 )
 
 // startRepeatingEngine starts an engine that answers each request with an empty object.
 // On a kept connection, it writes an earlier response before that to each POST request.
 func startRepeatingEngine(t *testing.T, earlier string) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go answerRepeatedly(conn, earlier)
-		}
-	}()
-	return listener.Addr().String()
-}
-
-func answerRepeatedly(conn net.Conn, earlier string) {
-	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
-	for kept := false; ; kept = true {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		if kept && request.Method == http.MethodPost {
+	server, err := standin.StartRaw(func(conn net.Conn, r *http.Request, number int) bool {
+		if number > 1 && r.Method == http.MethodPost {
 			_, _ = io.WriteString(conn, earlier)
 		}
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
-	}
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+		return err == nil
+	})
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	return server.Address()
 }
 
 // Guards against a run that counts as refused, because the engine writes an earlier
--- a/record/answers_test.go
+++ b/record/answers_test.go
@@ -1,7 +1,6 @@
 package record_test
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -12,41 +11,21 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/record"
+	"waxwingtide.example/waxwingtide/standin"
 )
 
-// startRawService starts a service that answers each request with the bytes that answer
-// returns for its path. earlier are the paths of the requests before it on the connection.
-// It closes the connection after an answer without a length.
-func startRawService(t *testing.T, answer func(earlier []string, path string) (text string, hasLength bool)) (baseURL string) {
+// startRawService starts a service that writes the answers to the paths of a connection's
+// requests. It closes the connection after an answer without a length.
+func startRawService(t *testing.T, answer func(path string, number int) (text string, hasLength bool)) (baseURL string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := standin.StartRaw(func(conn net.Conn, r *http.Request, number int) bool {
+		text, hasLength := answer(r.URL.Path, number)
+		_, err := io.WriteString(conn, text)
+		return err == nil && hasLength
+	})
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				var earlier []string
-				for {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					text, hasLength := answer(earlier, r.URL.Path)
-					if _, err := io.WriteString(conn, text); err != nil || !hasLength {
-						return
-					}
-					earlier = append(earlier, r.URL.Path)
-				}
-			}()
-		}
-	}()
-	return "http://" + listener.Addr().String()
+	t.Cleanup(server.Close)
+	return "http://" + server.Address()
 }
 
 func get(t *testing.T, client *record.ServiceClient, workspace, path string) (body string, err error) {
@@ -61,12 +40,11 @@
 	response := func(path string) string {
 		return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + path
 	}
-	baseURL := startRawService(t, func(earlier []string, path string) (string, bool) {
-		text := ""
-		for _, p := range earlier {
-			text += response(p)
+	baseURL := startRawService(t, func(path string, number int) (string, bool) {
+		if number > 1 {
+			return response("/z") + response(path), true
 		}
-		return text + response(path), true
+		return response(path), true
 	})
 	client, err := record.NewServiceClient(baseURL)
 	require.NoError(t, err)
@@ -80,7 +58,7 @@
 // Guards against an answer that counts as complete although the service ended after its
 // head, so that a caller receives a success with an empty body.
 func TestHeadWithoutLengthOrBodyIsNoAnswer(t *testing.T) {
-	baseURL := startRawService(t, func(_ []string, path string) (string, bool) {
+	baseURL := startRawService(t, func(path string, _ int) (string, bool) {
 		if path == "/cut" {
 			return "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n", false
 		}
