Read no source of cache events within the pause of its refusal

Cause: the time in refusals was read for callers' requests only.

Refused orders and reports of weights still start no pause.

--- a/cacheevents/cacheevents.go
+++ b/cacheevents/cacheevents.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"waxwingtide.example/waxwingtide/cacheindex"
@@ -32,7 +33,8 @@
 	// read corrects the effects of dropped events.
 	listInterval = 6 * time.Second
 	listTimeout  = 1500 * time.Millisecond
-	retryAfter   = 150 * time.Millisecond
+	// minRetryDelay is the time after a failed read in which the source is not read.
+	minRetryDelay = 150 * time.Millisecond
 	// updateCapacity is the capacity of the ring of updates. Senders wait when it is
 	// full.
 	updateCapacity = 256
@@ -90,6 +92,20 @@
 	Paused bool
 }
 
+// PauseError is the error of a source that wants no requests for a time.
+type PauseError struct {
+	For   time.Duration
+	Cause error
+}
+
+// Error implements error.
+func (e *PauseError) Error() string {
+	return e.Cause.Error() + "; it wants no requests for " + e.For.String()
+}
+
+// Unwrap returns the cause.
+func (e *PauseError) Unwrap() error { return e.Cause }
+
 // same reports whether two sources have the same settings, except for Paused.
 func (s Source) same(other Source) bool {
 	return s.Address == other.Address && s.IsStore == other.IsStore && slices.Equal(s.Relays, other.Relays)
@@ -216,7 +232,7 @@
 				f.log.WithFields(logrus.Fields{"event": "cache_events_lost", "source": source.Address, "relays": len(source.Relays)}).WithError(err).Warn("source of cache events is unavailable")
 			}
 			_ = f.send(ctx, source, Update{Address: source.Address, Unavailable: true}) // fails only when the duty is stopped
-			pause = retryAfter
+			pause = retryDelay(err)
 		} else if unavailable && err == nil {
 			f.log.WithFields(logrus.Fields{"event": "cache_events_regained", "source": source.Address}).Info("source of cache events is available again")
 		}
@@ -225,6 +241,15 @@
 	}
 }
 
+// retryDelay returns the time after which a source is read again after an error.
+func retryDelay(err error) time.Duration {
+	var paused *PauseError
+	if errors.As(err, &paused) {
+		return max(paused.For, minRetryDelay)
+	}
+	return minRetryDelay
+}
+
 // stepAndInterval returns the function that reads a source, and the pause between
 // reads.
 func (f *Feed) stepAndInterval(source Source) (step func(context.Context) error, interval time.Duration) {
