Let calls wait for a pause that ends within the time for placement

A caller was refused with 503 although the only server of its service could be used again some ten milliseconds later.

Cause: a pause counted as a refusal that does not change while the call waits for placement.

Change: the call waits if the pause ends before the time for placement does.

Result: TestCallWaitsForPauseThatEndsSoon failed on the code before (503) and passes.

--- a/frontend/pause_test.go
+++ b/frontend/pause_test.go
@@ -106,6 +106,31 @@
 	}
 }
 
+// Guards against a call that is refused although the only server of its service may be used
+// again within the time in which calls wait for placement.
+func TestCallWaitsForPauseThatEndsSoon(t *testing.T) {
+	d := newDeployment(t)
+	var busy atomic.Bool
+	d.startServer("i-1", "svc", func(s *standin.PlatformServer) func(http.ResponseWriter, *http.Request, []byte) {
+		return func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+			if busy.CompareAndSwap(true, false) {
+				w.Header().Set("Retry-After", "0.04")
+				s.Reject(w)
+				return
+			}
+			s.Answer(w, http.StatusOK, "served")
+		}
+	})
+	f := d.startReadyFront("front-1")
+	for range 5 {
+		busy.Store(true)
+		require.Equal(t, http.StatusServiceUnavailable, f.call(http.MethodPost, "/log/x", "r-1", nil).status)
+		got := f.call(http.MethodPost, "/log/x", "r-2", nil)
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusOK, got.status, got.body)
+	}
+}
+
 // pollRecorder records the requests for cache events that reach a server.
 type pollRecorder struct {
 	server *standin.PlatformServer
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -61,14 +61,25 @@
 			s.nextPlacement = p
 			return nil
 		}
-		mayChange := p.refusal == placement.NoUpstream || p.refusal == placement.Limited
-		retry := err == nil && mayChange && !s.headerSent && time.Now().Add(placeRetryInterval).Before(retryUntil)
+		retry := err == nil && p.mayChange(retryUntil) && !s.headerSent && time.Now().Add(placeRetryInterval).Before(retryUntil)
 		if !retry || !duty.Pause(ctx, placeRetryInterval) {
 			return &placementError{refusal: p.refusal, retryAfter: p.retryAfter, cause: err}
 		}
 	}
 }
 
+// mayChange reports whether a call that was refused may be placed before a point in time.
+func (p placementResult) mayChange(until time.Time) bool {
+	switch p.refusal {
+	case placement.NoUpstream, placement.Limited:
+		return true
+	case placement.Paused:
+		return time.Now().Add(p.retryAfter).Before(until)
+	default:
+		return false
+	}
+}
+
 // placementError is the error of a call that could not be placed.
 type placementError struct {
 	refusal placement.Refusal
