Log which response announced a departure or a pause

upstream_leaving and upstream_paused have no request id, so that the response behind them could not be found.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -219,7 +219,7 @@
 	report.Final, report.Result, report.Unframed = true, o.result, o.unframed
 	report.AnswerAge = time.Since(sentAt) - firstByte
 	s.gateway.router.report(report)
-	s.logAttempt(p, attemptTimes{sentAt: sentAt, firstByte: firstByte}, x.Reused, response.Status, o)
+	s.logAttempt(p, attemptTimes{sentAt: sentAt, firstByte: firstByte}, x.Reused, response, o)
 	return o
 }
 
@@ -264,7 +264,7 @@
 	}
 	report.Final, report.Result = true, o.result
 	s.gateway.router.report(report)
-	s.logAttempt(p, attemptTimes{sentAt: sentAt}, false, 0, o)
+	s.logAttempt(p, attemptTimes{sentAt: sentAt}, false, UpstreamResponse{}, o)
 	return o
 }
 
@@ -275,12 +275,12 @@
 	firstByte time.Duration
 }
 
-func (s *callState) logAttempt(p placementResult, times attemptTimes, reused bool, status int, o attemptOutcome) {
+func (s *callState) logAttempt(p placementResult, times attemptTimes, reused bool, response UpstreamResponse, o attemptOutcome) {
 	entry := s.log("attempt").WithFields(logrus.Fields{
 		"upstream": p.choice.Upstream.ID, "service": s.service, "list_revision": p.choice.Upstream.RowVersion,
 		"weights": p.choice.Weights, "fetched": p.choice.FetchedTokens, "read": p.choice.ReadTokens,
 		"expected_ms": p.choice.ExpectedFirstByte.Milliseconds(), "first_ms": times.firstByte.Milliseconds(), "took_ms": time.Since(times.sentAt).Milliseconds(),
-		"reused": reused, "status": status, "result": o.result, "not_run": o.notRun, "number": len(s.attemptedUpstreams),
+		"reused": reused, "status": response.Status, "result": o.result, "not_run": o.notRun, "number": len(s.attemptedUpstreams),
 	})
 	if o.err != nil {
 		entry = entry.WithError(o.err)
@@ -288,6 +288,12 @@
 	if o.result == placement.Incomplete {
 		entry = entry.WithField("parts", s.call.Prompt.PartIDs())
 	}
+	if response.announcesDeparture() {
+		entry = entry.WithField("leaving", true)
+	}
+	if pause := response.requestedPause(); pause > 0 {
+		entry = entry.WithField("pause_ms", pause.Milliseconds())
+	}
 	entry.Info("attempt finished")
 }
 
