--- a/frontend/stop_test.go
+++ b/frontend/stop_test.go
@@ -92,6 +92,28 @@
 	require.Equal(t, http.StatusGatewayTimeout, readResponse(t, bufio.NewReader(conn)).StatusCode)
 }
 
+// Guards against kept connections on which callers send further calls to a stopping
+// front until it closes them: responses of upstreams did not ask callers to close.
+func TestPlannedStopClosesConnectionsWithForwardedResponses(t *testing.T) {
+	d := newDeployment(t)
+	d.startServer("i-1", "svc", nil)
+	f := newFront()
+	f.grace = 3 * time.Second
+	d.runFront("front-1", f)
+	d.eventually(f.ready, "front is not ready")
+	conn := f.dial(t)
+	reader := bufio.NewReader(conn)
+	const request = "GET /open/x HTTP/1.1\r\nHost: gates.example\r\nRequest-Id: r\r\nDeadline-Ms: 500\r\n\r\n"
+	send(t, conn, request)
+	require.False(t, readResponse(t, reader).Close)
+	f.stop()
+	d.eventually(func() bool { return !f.ready() }, "the front does not stop")
+	send(t, conn, request)
+	resp := readResponse(t, reader)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.True(t, resp.Close)
+}
+
 // dial opens a connection of a caller.
 func (f *front) dial(t *testing.T) net.Conn {
 	t.Helper()
