Print the faults of a soak run that broke a promise

The summary of a run with broken promises now has a line for each fault. A run without broken promises prints what it printed before. The tests of tools/soak pass.

--- a/tools/soak/world.go
+++ b/tools/soak/world.go
@@ -61,11 +61,14 @@
 	Logs          string
 }
 
-// String returns a summary.
+// String returns a summary. It names the faults if a promise was broken.
 func (r Result) String() string {
-	lines := append([]string{fmt.Sprintf("seed %d: %d calls, %d served, %d faults, %d promises broken",
-		r.Seed, r.Tried, r.Served, len(r.Faults), len(r.Broken))}, r.Broken...)
-	return strings.Join(lines, "\n")
+	lines := []string{fmt.Sprintf("seed %d: %d calls, %d served, %d faults, %d promises broken",
+		r.Seed, r.Tried, r.Served, len(r.Faults), len(r.Broken))}
+	if len(r.Broken) > 0 {
+		lines = append(lines, r.Faults...)
+	}
+	return strings.Join(append(lines, r.Broken...), "\n")
 }
 
 // world is one run: stand-ins, links, fronts and callers.
