Count members that renew their rows before a restored table is read

What callers saw: not reported. Limits could be divided among too few processes for up to a minute: a live member was removed from the store and counted as having left.

Cause: when the table of a newer generation lists a member in its known incarnation, the member kept its expiry from before the restore. A member that was expired, or about to be, and that has registered again before this process reads the table was then expired, and its new row, whose version is current, met the conditions for removal.

Evidence: TestMemberThatRenewsBeforeTableIsReadAfterRestoreIsCounted/renewed failed before: the member was listed as expired, not as a member.

Change: a row whose version differs from the known one counts as renewed. A row that is the copied one keeps its expiry. The versions are compared for equality only. At worst a process that is gone is counted for another 200 s. The test passes.

--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -157,7 +157,8 @@
 		next.receivedAt, next.expired = time.Time{}, false
 	case listed == nil || listed.Incarnation < before.Incarnation:
 		next.decoded = old.decoded
-	case listed.Incarnation > before.Incarnation:
+	case listed.Incarnation > before.Incarnation || next.row.Version != old.row.Version:
+		// Another version may be a renewal in this generation.
 		next.renewedAt, next.expired = next.receivedAt, false
 	}
 }
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -381,3 +381,22 @@
 	_, complete = started.state.rowsAfter(behind.state.seen)
 	require.False(t, complete[operatorTable], "nothing was removed since")
 }
+
+// Guards against the removal of a live member: one whose row had expired when the store's
+// content was restored, and that has renewed it before the table is read again.
+func TestMemberThatRenewsBeforeTableIsReadAfterRestoreIsCounted(t *testing.T) {
+	a := Member{Node: "a", Incarnation: 1}
+	for name, c := range map[string]struct {
+		version uint64
+		counted bool
+	}{"renewed": {9, true}, "as copied": {3, false}} {
+		t.Run(name, func(t *testing.T) {
+			r := newRestoreTest(t, MembersTable)
+			r.readTable(0, 0, 5, r.row("a", 3, a))
+			require.Len(t, r.expire(memberExpiry).ExpiredMembers, 1)
+			v := r.readTable(memberExpiry, 1, 9, r.row("a", c.version, a))
+			require.Equal(t, c.counted, len(v.Members) == 1)
+			require.Equal(t, c.counted, len(v.ExpiredMembers) == 0)
+		})
+	}
+}
