Leave removals out of complete tables for peers

What callers saw: not reported. The answer for a peer that needs the complete table grows with each upstream that has ever left, until it exceeds the maximum size of a message or the time of a pull.

Cause: a complete table had the records of removed rows too, which are never discarded. The receiver takes rows that are missing as removed, so that it does not need them. Since peers that are behind a complete read get the complete table, it is sent more often.

Evidence: TestCompleteTableHasNoRemovedRows failed before: the removed row was sent. That a message gets too large was not run.

Change: a complete table has the rows that exist. Changes have removals as before. The test and the model of processes (TestRowsInTransitAcrossRestores) pass.

--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -400,3 +400,17 @@
 		})
 	}
 }
+
+// Guards against complete tables that grow with each row that was ever removed, such as
+// those of upstreams that have left.
+func TestCompleteTableHasNoRemovedRows(t *testing.T) {
+	r := newRestoreTest(t, upstreamsTable)
+	r.readTable(0, 0, 5, r.row("u1", 4, entry("u1", 1, 1, false)), r.row("u2", 5, entry("u2", 1, 1, false)))
+	r.changes(time.Second, 0, 6, r.row("u1", 6, nil))
+	rows, complete := r.state.rowsAfter(nil)
+	require.True(t, complete[upstreamsTable])
+	require.Len(t, rows, 1)
+	rows, complete = r.state.rowsAfter(map[Table]Position{upstreamsTable: {0, 5}})
+	require.False(t, complete[upstreamsTable])
+	require.Len(t, rows, 1, "a peer that is not behind the complete read gets the removal")
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -272,9 +272,9 @@
 }
 
 // rowsAfter returns the rows that changed after the positions that a peer has seen,
-// sorted by version, and the tables of which it returns all rows: those of which the
-// peer has an older generation, or may have rows whose removal is unknown here. It
-// returns no rows of tables of which the peer has a newer generation.
+// sorted by version, and the tables of which it returns exactly the rows that exist:
+// those of which the peer has an older generation, or may have rows whose removal is
+// unknown here. It returns no rows of tables of which the peer has a newer generation.
 func (s *state) rowsAfter(peerSeen map[Table]Position) (rows []Row, complete map[Table]bool) {
 	complete = make(map[Table]bool)
 	for table := range s.seen {
@@ -282,7 +282,11 @@
 	}
 	for key, rs := range s.rows {
 		own := Position{s.seen[key.table].Generation, rs.row.Version}
-		if complete[key.table] || own.Compare(peerSeen[key.table]) > 0 {
+		included := own.Compare(peerSeen[key.table]) > 0
+		if complete[key.table] {
+			included = !rs.row.Removed
+		}
+		if included {
 			rows = append(rows, rs.row)
 		}
 	}
