Apply complete reads at the version that is known

What callers saw: not reported. An evacuation, or an upstream that had left, could remain in force beside processes with older software.

Cause: a process of older software sends changes to a peer that is behind its complete read, without the removals that it does not know. The receiver then takes the rows up to that version as known. A complete read of the store at the same version was ignored, as if it had arrived late, although it shows which rows exist.

Evidence: TestCompleteReadAtSameVersionRemovesRow failed before: the removed evacuation was in force after the read.

Change: only changes are ignored at an equal version; a complete table of that position cannot be older than what is known. The test and the model of processes pass.

--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -26,7 +26,7 @@
 		return true, true
 	case u.position.Generation != seen.Generation:
 		return false, false // lost content, or changes without the rows that they refer to
-	case u.position.Version <= seen.Version:
+	case u.position.Version < seen.Version, u.position.Version == seen.Version && !u.complete:
 		return false, false // delivered late; may have rows that were removed since
 	case u.complete:
 		s.knowsRemovalsAfter[u.table] = u.position
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -414,3 +414,12 @@
 	require.False(t, complete[upstreamsTable])
 	require.Len(t, rows, 1, "a peer that is not behind the complete read gets the removal")
 }
+
+// Guards against a removed row that remains in force although the table was read
+// completely, since a process with older software has sent changes without the removal.
+func TestCompleteReadAtSameVersionRemovesRow(t *testing.T) {
+	r := newRestoreTest(t, operatorTable)
+	r.readTable(0, 1, 6, r.row("z1", 6, DecodedRow{Evacuated: "z1"}))
+	require.True(t, r.changes(time.Second, 1, 9, r.row("config", 9, config(1))).Evacuated["z1"])
+	require.Empty(t, r.readTable(2*time.Second, 1, 9, r.row("config", 9, config(1))).Evacuated)
+}
