Record when rows were received that follow an empty table

What callers saw: not reported. Calls could be sent to old weights for too long, since the time of the request for newer ones was unknown.

Cause: rows that are received while the known version of their table is 0 count as older than the process. After the store was empty, or restored from an empty copy, the version is 0 although the table was read.

Evidence: TestRequestAfterRestoreFromEmptyCopyHasTime failed before: the request had no time.

Change: rows are older than the process only until the first complete read was applied. The test passes.

--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -19,8 +19,9 @@
 	switch {
 	case seen == Position{} && u.complete:
 		s.seen[u.table] = Position{Generation: u.position.Generation}
+		changed = s.replace(now, u.table, u.rows, u.position.Version)
 		s.knowsRemovalsAfter[u.table] = u.position
-		return s.replace(now, u.table, u.rows, u.position.Version), false
+		return changed, false
 	case u.position.Generation > seen.Generation && u.complete:
 		s.restore(now, u)
 		return true, true
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -423,3 +423,13 @@
 	require.True(t, r.changes(time.Second, 1, 9, r.row("config", 9, config(1))).Evacuated["z1"])
 	require.Empty(t, r.readTable(2*time.Second, 1, 9, r.row("config", 9, config(1))).Evacuated)
 }
+
+// Guards against a rollout or weight version that counts as requested before the process
+// started, since it is the first that is written after a restore from an empty copy.
+func TestRequestAfterRestoreFromEmptyCopyHasTime(t *testing.T) {
+	r := newRestoreTest(t, operatorTable)
+	r.readTable(0, 0, 5, r.row("w", 5, weightsOf(1)))
+	r.readTable(time.Second, 1, 0)
+	v := r.changes(2*time.Second, 1, 1, r.row("w", 1, weightsOf(2)))
+	require.Equal(t, t0.Add(2*time.Second), v.Weights["m"].Newest().RequestedAt)
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -135,7 +135,8 @@
 // newRowState decodes a row.
 func (s *state) newRowState(now time.Time, row Row) *rowState {
 	next := &rowState{row: row, receivedAt: now, renewedAt: now}
-	if s.seen[row.Table].Version == 0 {
+	// The content of an empty store has version 0, also after it was read.
+	if _, readBefore := s.knowsRemovalsAfter[row.Table]; !readBefore && s.seen[row.Table].Version == 0 {
 		next.receivedAt = time.Time{} // older than this process
 	}
 	if row.Removed {
