Identify a retained rollout by the row that it was read from

Fronts could go on sending calls to a withdrawn version until the operator had written its rollout again or the status row was read.

Cause: a rollout that restored content lacks had the version at which the process read the table. Processes that read it at different versions dropped the verdicts of others, which are sent once.

Evidence: TestRetainedRolloutHasSameIdentityInAllProcesses failed before: 5 in one process, 7 in the other.

Change: the retained rollout keeps the version of its row, which all processes have read that retain it. The test passes.

--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"time"
 
 	"waxwingtide.example/waxwingtide/core"
@@ -118,6 +119,9 @@
 	case before.Rollout != nil:
 		next.receivedAt = old.receivedAt
 		next.retain(before, now, restoreGracePeriod)
+		if listed.Rollout == nil || *listed.Rollout != *before.Rollout {
+			next.requestVersion = cmp.Or(old.requestVersion, old.row.Version)
+		}
 	case listed.Rollout != nil:
 		next.retain(DecodedRow{}, now, restoreGracePeriod) // withdrawn since the copy
 	}
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -433,3 +433,17 @@
 	v := r.changes(2*time.Second, 1, 1, r.row("w", 1, weightsOf(2)))
 	require.Equal(t, t0.Add(2*time.Second), v.Weights["m"].Newest().RequestedAt)
 }
+
+// Guards against verdicts on a version that other processes drop, since each process
+// identifies a request that the copy lacks by the time at which it read the table.
+func TestRetainedRolloutHasSameIdentityInAllProcesses(t *testing.T) {
+	request := DecodedRow{Rollout: &catalog.Rollout{Service: "s", Version: "v2", MaxDuration: time.Minute}}
+	var identities []uint64
+	for _, readAt := range []uint64{5, 7} {
+		r := newRestoreTest(t, operatorTable)
+		r.readTable(0, 0, 5)
+		r.changes(time.Second, 0, 6, r.row("r", 6, request))
+		identities = append(identities, r.readTable(2*time.Second, 1, readAt).Rollouts["s"].RequestRowVersion)
+	}
+	require.Equal(t, identities[0], identities[1])
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"sort"
 	"time"
 
@@ -49,6 +50,10 @@
 	// that time.
 	retainedUntil time.Time
 	gracePeriod   time.Duration
+	// requestVersion is the version of the row that a retained rollout was read from; 0
+	// if the row as the store has it requests the same rollout. It is the same in all
+	// processes that retain the rollout.
+	requestVersion uint64
 	// newestUpstream is the newest entry of the upstream, newestIncarnation the newest
 	// incarnation of the member. They remain when the row is removed.
 	newestUpstream    *catalog.Upstream
@@ -263,7 +268,7 @@
 		if rs.replacesRollout() {
 			rs.receivedAt = rs.retainedUntil
 		}
-		rs.decoded, rs.retainedUntil = rs.listed, time.Time{}
+		rs.decoded, rs.retainedUntil, rs.requestVersion = rs.listed, time.Time{}, 0
 		return
 	}
 	rs.expired = true
@@ -339,7 +344,7 @@
 	rollouts := make(map[core.ServiceID]ActiveRollout)
 	for _, rs := range s.rows {
 		if requested := rs.decoded.Rollout; requested != nil && requested.Version != "" {
-			rollouts[requested.Service] = ActiveRollout{Rollout: *requested, RequestRowVersion: rs.row.Version, RequestedAt: rs.receivedAt}
+			rollouts[requested.Service] = ActiveRollout{Rollout: *requested, RequestRowVersion: cmp.Or(rs.requestVersion, rs.row.Version), RequestedAt: rs.receivedAt}
 		}
 	}
 	for _, rs := range s.rows {
