--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -138,3 +138,33 @@
 	_, held = w.states[1].HeldFence(w.now + w.origins[1])
 	require.True(t, held)
 }
+
+// Guards against two holders of a lease with the same fence after a write that got no
+// response takes effect late: the store was restored, and the version that the write
+// replaces was assigned again.
+func TestLateWriteOfLostGenerationKeepsHoldersApart(t *testing.T) {
+	cfg := lease.StoreLeaseConfig{Duration: 1500 * time.Millisecond, Margin: 500 * time.Millisecond, Gap: 3 * time.Second, RenewInterval: 500 * time.Millisecond}
+	holder, contender := lease.NewStoreLease(cfg, "b", 1), lease.NewStoreLease(cfg, "c", 1)
+	holder.ObserveGeneration(1, 2)
+	contender.ObserveGeneration(1, 2)
+	now := 10 * time.Second
+	holder.RecordRead(now, lease.StoreLeaseRow{}, 0, now)
+	row, _, ok := holder.Proposal()
+	require.True(t, ok)
+	holder.RecordWrite(row)
+	fence, held := holder.HeldFence(now)
+	require.True(t, held)
+
+	// The row that node a wrote in generation 1 replaces that of the holder.
+	late := lease.StoreLeaseRow{Holder: "a", Incarnation: 1, Fence: 1<<24 + 7, Expiry: 2 * time.Second}
+	now += 100 * time.Millisecond
+	contender.RecordRead(now, late, 51, now)
+	if next, _, ok := contender.Proposal(); ok {
+		contender.RecordWrite(next)
+	}
+	if other, held := contender.HeldFence(now); held {
+		_, stillHeld := holder.HeldFence(now)
+		require.False(t, stillHeld, "two holders")
+		require.Greater(t, other, fence)
+	}
+}
