--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"time"
 
 	"waxwingtide.example/waxwingtide/core"
@@ -19,14 +20,15 @@
 	switch {
 	case seen == Position{} && u.complete:
 		s.seen[u.table] = Position{Generation: u.position.Generation}
+		changed = s.replace(now, u.table, u.rows, u.position.Version)
 		s.knowsRemovalsAfter[u.table] = u.position
-		return s.replace(now, u.table, u.rows, u.position.Version), false
+		return changed, false
 	case u.position.Generation > seen.Generation && u.complete:
 		s.restore(now, u)
 		return true, true
 	case u.position.Generation != seen.Generation:
 		return false, false // lost content, or changes without the rows that they refer to
-	case u.position.Version <= seen.Version:
+	case u.position.Version < seen.Version, u.position.Version == seen.Version && !u.complete:
 		return false, false // delivered late; may have rows that were removed since
 	case u.complete:
 		s.knowsRemovalsAfter[u.table] = u.position
@@ -117,6 +119,9 @@
 	case before.Rollout != nil:
 		next.receivedAt = old.receivedAt
 		next.retain(before, now, restoreGracePeriod)
+		if listed.Rollout == nil || *listed.Rollout != *before.Rollout {
+			next.requestVersion = cmp.Or(old.requestVersion, old.row.Version)
+		}
 	case listed.Rollout != nil:
 		next.retain(DecodedRow{}, now, restoreGracePeriod) // withdrawn since the copy
 	}
@@ -157,7 +162,8 @@
 		next.receivedAt, next.expired = time.Time{}, false
 	case listed == nil || listed.Incarnation < before.Incarnation:
 		next.decoded = old.decoded
-	case listed.Incarnation > before.Incarnation:
+	case listed.Incarnation > before.Incarnation || next.row.Version != old.row.Version:
+		// Another version may be a renewal in this generation.
 		next.renewedAt, next.expired = next.receivedAt, false
 	}
 }
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -381,3 +381,69 @@
 	_, complete = started.state.rowsAfter(behind.state.seen)
 	require.False(t, complete[operatorTable], "nothing was removed since")
 }
+
+// Guards against the removal of a live member: one whose row had expired when the store's
+// content was restored, and that has renewed it before the table is read again.
+func TestMemberThatRenewsBeforeTableIsReadAfterRestoreIsCounted(t *testing.T) {
+	a := Member{Node: "a", Incarnation: 1}
+	for name, c := range map[string]struct {
+		version uint64
+		counted bool
+	}{"renewed": {9, true}, "as copied": {3, false}} {
+		t.Run(name, func(t *testing.T) {
+			r := newRestoreTest(t, MembersTable)
+			r.readTable(0, 0, 5, r.row("a", 3, a))
+			require.Len(t, r.expire(memberExpiry).ExpiredMembers, 1)
+			v := r.readTable(memberExpiry, 1, 9, r.row("a", c.version, a))
+			require.Equal(t, c.counted, len(v.Members) == 1)
+			require.Equal(t, c.counted, len(v.ExpiredMembers) == 0)
+		})
+	}
+}
+
+// Guards against complete tables that grow with each row that was ever removed, such as
+// those of upstreams that have left.
+func TestCompleteTableHasNoRemovedRows(t *testing.T) {
+	r := newRestoreTest(t, upstreamsTable)
+	r.readTable(0, 0, 5, r.row("u1", 4, entry("u1", 1, 1, false)), r.row("u2", 5, entry("u2", 1, 1, false)))
+	r.changes(time.Second, 0, 6, r.row("u1", 6, nil))
+	rows, complete := r.state.rowsAfter(nil)
+	require.True(t, complete[upstreamsTable])
+	require.Len(t, rows, 1)
+	rows, complete = r.state.rowsAfter(map[Table]Position{upstreamsTable: {0, 5}})
+	require.False(t, complete[upstreamsTable])
+	require.Len(t, rows, 1, "a peer that is not behind the complete read gets the removal")
+}
+
+// Guards against a removed row that remains in force although the table was read
+// completely, since a process with older software has sent changes without the removal.
+func TestCompleteReadAtSameVersionRemovesRow(t *testing.T) {
+	r := newRestoreTest(t, operatorTable)
+	r.readTable(0, 1, 6, r.row("z1", 6, DecodedRow{Evacuated: "z1"}))
+	require.True(t, r.changes(time.Second, 1, 9, r.row("config", 9, config(1))).Evacuated["z1"])
+	require.Empty(t, r.readTable(2*time.Second, 1, 9, r.row("config", 9, config(1))).Evacuated)
+}
+
+// Guards against a rollout or weight version that counts as requested before the process
+// started, since it is the first that is written after a restore from an empty copy.
+func TestRequestAfterRestoreFromEmptyCopyHasTime(t *testing.T) {
+	r := newRestoreTest(t, operatorTable)
+	r.readTable(0, 0, 5, r.row("w", 5, weightsOf(1)))
+	r.readTable(time.Second, 1, 0)
+	v := r.changes(2*time.Second, 1, 1, r.row("w", 1, weightsOf(2)))
+	require.Equal(t, t0.Add(2*time.Second), v.Weights["m"].Newest().RequestedAt)
+}
+
+// Guards against verdicts on a version that other processes drop, since each process
+// identifies a request that the copy lacks by the time at which it read the table.
+func TestRetainedRolloutHasSameIdentityInAllProcesses(t *testing.T) {
+	request := DecodedRow{Rollout: &catalog.Rollout{Service: "s", Version: "v2", MaxDuration: time.Minute}}
+	var identities []uint64
+	for _, readAt := range []uint64{5, 7} {
+		r := newRestoreTest(t, operatorTable)
+		r.readTable(0, 0, 5)
+		r.changes(time.Second, 0, 6, r.row("r", 6, request))
+		identities = append(identities, r.readTable(2*time.Second, 1, readAt).Rollouts["s"].RequestRowVersion)
+	}
+	require.Equal(t, identities[0], identities[1])
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"sort"
 	"time"
 
@@ -49,6 +50,10 @@
 	// that time.
 	retainedUntil time.Time
 	gracePeriod   time.Duration
+	// requestVersion is the version of the row that a retained rollout was read from; 0
+	// if the row as the store has it requests the same rollout. It is the same in all
+	// processes that retain the rollout.
+	requestVersion uint64
 	// newestUpstream is the newest entry of the upstream, newestIncarnation the newest
 	// incarnation of the member. They remain when the row is removed.
 	newestUpstream    *catalog.Upstream
@@ -135,7 +140,8 @@
 // newRowState decodes a row.
 func (s *state) newRowState(now time.Time, row Row) *rowState {
 	next := &rowState{row: row, receivedAt: now, renewedAt: now}
-	if s.seen[row.Table].Version == 0 {
+	// The content of an empty store has version 0, also after it was read.
+	if _, readBefore := s.knowsRemovalsAfter[row.Table]; !readBefore && s.seen[row.Table].Version == 0 {
 		next.receivedAt = time.Time{} // older than this process
 	}
 	if row.Removed {
@@ -262,7 +268,7 @@
 		if rs.replacesRollout() {
 			rs.receivedAt = rs.retainedUntil
 		}
-		rs.decoded, rs.retainedUntil = rs.listed, time.Time{}
+		rs.decoded, rs.retainedUntil, rs.requestVersion = rs.listed, time.Time{}, 0
 		return
 	}
 	rs.expired = true
@@ -272,9 +278,9 @@
 }
 
 // rowsAfter returns the rows that changed after the positions that a peer has seen,
-// sorted by version, and the tables of which it returns all rows: those of which the
-// peer has an older generation, or may have rows whose removal is unknown here. It
-// returns no rows of tables of which the peer has a newer generation.
+// sorted by version, and the tables of which it returns exactly the rows that exist:
+// those of which the peer has an older generation, or may have rows whose removal is
+// unknown here. It returns no rows of tables of which the peer has a newer generation.
 func (s *state) rowsAfter(peerSeen map[Table]Position) (rows []Row, complete map[Table]bool) {
 	complete = make(map[Table]bool)
 	for table := range s.seen {
@@ -282,7 +288,11 @@
 	}
 	for key, rs := range s.rows {
 		own := Position{s.seen[key.table].Generation, rs.row.Version}
-		if complete[key.table] || own.Compare(peerSeen[key.table]) > 0 {
+		included := own.Compare(peerSeen[key.table]) > 0
+		if complete[key.table] {
+			included = !rs.row.Removed
+		}
+		if included {
 			rows = append(rows, rs.row)
 		}
 	}
@@ -334,7 +344,7 @@
 	rollouts := make(map[core.ServiceID]ActiveRollout)
 	for _, rs := range s.rows {
 		if requested := rs.decoded.Rollout; requested != nil && requested.Version != "" {
-			rollouts[requested.Service] = ActiveRollout{Rollout: *requested, RequestRowVersion: rs.row.Version, RequestedAt: rs.receivedAt}
+			rollouts[requested.Service] = ActiveRollout{Rollout: *requested, RequestRowVersion: cmp.Or(rs.requestVersion, rs.row.Version), RequestedAt: rs.receivedAt}
 		}
 	}
 	for _, rs := range s.rows {
