Count no outage of the store while a peer that reads it serves the rows

A front that the store rejected while it served the others kept removed upstreams in use without end and sent them calls, and counted members that had left.

Cause: the front's own failed reads alone decided whether the store was available; its rows from peers that read the store were not considered. A reader never stops its feeds, so that the end of reading did not help either.

Pulls go first to the peer that served in the last round.

TestOutageBeginsWhenPeersStopServing is new. Names and comments that the review stumbled over are clearer.

--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -94,8 +94,10 @@
 	complete bool
 	err      error
 	// stopped is set when the store is no longer read for this table, because a peer
-	// provides its rows. Earlier failures no longer apply.
+	// provides its rows or they are not needed. Earlier failures no longer apply.
 	stopped bool
+	// served is set when the rows come from a peer that reads the store without failures.
+	served bool
 }
 
 // rowQuery requests rows from the state duty: those that are newer than the positions
@@ -295,7 +297,7 @@
 		return
 	}
 	if u.stopped {
-		log.WithField("event", "store_reading_stopped").Info("table is received from a peer; failed reads no longer count as an outage")
+		log.WithField("event", "store_reading_stopped").Info("table is no longer read from the store; earlier failures do not count as an outage")
 		f.recordRecovery(now, s, failing, u.table)
 		return
 	}
@@ -303,6 +305,9 @@
 		log.WithFields(logrus.Fields{"event": "store_regained", "version": u.position.Version, "generation": u.position.Generation}).Info("table can be read from the platform store again")
 		f.recordRecovery(now, s, failing, u.table)
 	}
+	if u.served {
+		s.recordServed(now)
+	}
 	before, newest := s.seen[u.table], s.newestGeneration()
 	changed, restored := s.apply(now, u)
 	mayLackLocalRow := s.newestGeneration() > max(newest, core.Generation(f.registeredIn.Load()))
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,12 +21,17 @@
 	pullTimeout  = 600 * time.Millisecond
 	// pullFanout is the maximum number of peers queried in one round.
 	pullFanout = 2
+	// servedValidity is the time after a pull from a peer that reads the store in which
+	// the store counts as available although this process cannot read it. It covers one
+	// failed pull.
+	servedValidity = pullInterval + pullTimeout + 100*time.Millisecond
 )
 
 // runPeers is the duty that pulls rows from peers while the store is unavailable to
 // this process.
 func (f *Fleet) runPeers(ctx context.Context) error {
 	unavailable := false
+	serving := ""
 	for {
 		if !unavailable {
 			next, err := f.tablesUnavailable.Receive(ctx)
@@ -35,7 +41,7 @@
 			unavailable = next
 			continue
 		}
-		f.pullOnce(ctx)
+		serving = f.pullOnce(ctx, serving)
 		if !duty.Pause(ctx, pullInterval) {
 			return nil
 		}
@@ -45,13 +51,22 @@
 	}
 }
 
-func (f *Fleet) pullOnce(ctx context.Context) {
+// pullOnce pulls from pullFanout peers: the one that served rows from the store in the last
+// round, if any, and random ones. It returns the address of a peer that serves them now,
+// or an empty one.
+func (f *Fleet) pullOnce(ctx context.Context, serving string) (nowServing string) {
 	request := f.newPullRequest(ctx)
 	addresses := f.peerAddresses()
 	f.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	if i := slices.Index(addresses, serving); i > 0 {
+		addresses[0], addresses[i] = addresses[i], addresses[0]
+	}
 	for _, address := range addresses[:min(pullFanout, len(addresses))] {
-		f.pullFrom(ctx, address, request)
+		if f.pullFrom(ctx, address, request) && nowServing == "" {
+			nowServing = address
+		}
 	}
+	return nowServing
 }
 
 // newPullRequest returns a request with the positions that this process has seen.
@@ -104,7 +119,7 @@
 		table := Table(tableVersion.Table)
 		u := update{
 			source: "peer " + address, table: table, rows: byTable[table], complete: tableVersion.Complete,
-			position: Position{core.Generation(tableVersion.Generation), tableVersion.Version},
+			position: Position{core.Generation(tableVersion.Generation), tableVersion.Version}, served: reply.Served,
 		}
 		if err := f.updates.Send(ctx, u); err != nil {
 			return false
--- a/fleet/registration.go
+++ b/fleet/registration.go
@@ -109,7 +109,7 @@
 	}
 	for _, row := range owned {
 		if row.Version >= localVersion {
-			continue // see removalOf
+			continue // the conditions of removalOf need an older row; removed after the next renewal
 		}
 		log := f.opts.Log.WithFields(logrus.Fields{"event": "member_removed", "node": row.Key, "version": row.Version})
 		if _, err := f.opts.Store.Commit(ctx, f.removalOf(row, localVersion)); err != nil {
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -21,7 +21,7 @@
 	case seen == Position{} && u.complete:
 		s.seen[u.table] = Position{Generation: u.position.Generation}
 		changed = s.replace(now, u.table, u.rows, u.position.Version)
-		s.knowsRemovalsAfter[u.table] = u.position
+		s.completeAt[u.table] = u.position
 		return changed, false
 	case u.position.Generation > seen.Generation && u.complete:
 		s.restore(now, u)
@@ -31,7 +31,7 @@
 	case u.position.Version < seen.Version, u.position.Version == seen.Version && !u.complete:
 		return false, false // delivered late; may have rows that were removed since
 	case u.complete:
-		s.knowsRemovalsAfter[u.table] = u.position
+		s.completeAt[u.table] = u.position
 		return s.replace(now, u.table, u.rows, u.position.Version), false
 	}
 	return s.merge(now, u.table, u.rows, u.position.Version), false
@@ -61,7 +61,7 @@
 		s.finish(old, next)
 		s.rows[key] = next
 	}
-	s.seen[u.table], s.knowsRemovalsAfter[u.table] = u.position, u.position
+	s.seen[u.table], s.completeAt[u.table] = u.position, u.position
 }
 
 // keepDecoded keeps the decoded value of an old row with the same content.
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -70,14 +70,18 @@
 	// seen contains, for each table, the position up to which all changes have been
 	// received. All rows of a table belong to the generation of its position.
 	seen map[Table]Position
-	// knowsRemovalsAfter contains, for each table, the position of the last complete read
-	// that was applied. Removals before it may be unknown.
-	knowsRemovalsAfter map[Table]Position
+	// completeAt contains, for each table, the position of the last complete read that was
+	// applied. Records of removals before it may be missing, so that a peer that has seen
+	// less receives the complete table.
+	completeAt map[Table]Position
 	// upstreamsUnavailableSince is the time since which the upstreams table cannot be
 	// read from the store, zero while it can be read. upstreamsRecoveredAt is the end
 	// of the last such outage.
 	upstreamsUnavailableSince time.Time
 	upstreamsRecoveredAt      time.Time
+	// servedAt is the time at which rows were last received from a peer that reads the
+	// store without failures.
+	servedAt time.Time
 	// decodeErrors collects the errors of rows that could not be decoded, for the
 	// log.
 	decodeErrors []error
@@ -86,7 +90,7 @@
 func newState(tables Tables, decoder Decoder) *state {
 	return &state{
 		tables: tables, decoder: decoder, rows: make(map[rowKey]*rowState),
-		seen: make(map[Table]Position), knowsRemovalsAfter: make(map[Table]Position),
+		seen: make(map[Table]Position), completeAt: make(map[Table]Position),
 	}
 }
 
@@ -141,7 +145,7 @@
 func (s *state) newRowState(now time.Time, row Row) *rowState {
 	next := &rowState{row: row, receivedAt: now, renewedAt: now}
 	// The content of an empty store has version 0, also after it was read.
-	if _, readBefore := s.knowsRemovalsAfter[row.Table]; !readBefore && s.seen[row.Table].Version == 0 {
+	if _, readBefore := s.completeAt[row.Table]; !readBefore && s.seen[row.Table].Version == 0 {
 		next.receivedAt = time.Time{} // older than this process
 	}
 	if row.Removed {
@@ -211,13 +215,21 @@
 }
 
 // setUpstreamsUnavailable records that the upstreams table cannot be read from the
-// store.
+// store. It has no effect while a peer provides the rows: the store then rejects this
+// process only.
 func (s *state) setUpstreamsUnavailable(now time.Time) {
-	if s.upstreamsUnavailableSince.IsZero() {
+	isServed := !s.servedAt.IsZero() && now.Sub(s.servedAt) < servedValidity
+	if s.upstreamsUnavailableSince.IsZero() && !isServed {
 		s.upstreamsUnavailableSince = now
 	}
 }
 
+// recordServed records that a peer that reads the store has provided rows.
+func (s *state) recordServed(now time.Time) {
+	s.servedAt = now
+	s.setUpstreamsRecovered(now)
+}
+
 // setUpstreamsRecovered records that the upstreams table can be read from the store
 // again.
 func (s *state) setUpstreamsRecovered(now time.Time) {
@@ -284,7 +296,7 @@
 func (s *state) rowsAfter(peerSeen map[Table]Position) (rows []Row, complete map[Table]bool) {
 	complete = make(map[Table]bool)
 	for table := range s.seen {
-		complete[table] = peerSeen[table].Compare(s.knowsRemovalsAfter[table]) < 0
+		complete[table] = peerSeen[table].Compare(s.completeAt[table]) < 0
 	}
 	for key, rs := range s.rows {
 		own := Position{s.seen[key.table].Generation, rs.row.Version}
--- a/fleet/state_test.go
+++ b/fleet/state_test.go
@@ -201,3 +201,19 @@
 	require.Empty(t, s.view().ExpiredMembers)
 	require.Less(t, localRegistrationExpiry, memberExpiry)
 }
+
+// Guards against a process that the store rejects and that counts this as an outage while
+// peers provide the rows, and against one that misses an outage that follows.
+func TestOutageBeginsWhenPeersStopServing(t *testing.T) {
+	s := testState()
+	s.merge(t0, upstreamsTable, []Row{row(upstreamsTable, "a", "ready", 1), row(upstreamsTable, "b", "ready", 2)}, 2)
+	s.setUpstreamsUnavailable(t0)
+	s.recordServed(t0.Add(time.Second))
+	s.setUpstreamsUnavailable(t0.Add(time.Second + servedValidity/2))
+	s.replace(t0.Add(5*time.Second), upstreamsTable, []Row{row(upstreamsTable, "a", "ready", 1)}, 3)
+	require.Equal(t, []string{"a"}, listedUpstreams(s.view()), "b was removed long after the outage")
+
+	s.setUpstreamsUnavailable(t0.Add(time.Second + servedValidity))
+	s.replace(t0.Add(6*time.Second), upstreamsTable, nil, 4)
+	require.Equal(t, []string{"a"}, listedUpstreams(s.view()), "a was removed during an outage")
+}
