Attribute late announcements to the incarnation that made them

A server that had started again under its id could get no calls until its next start: at the front that received a late departure of the previous incarnation, and at all others, to which that front reported it as the new one's.

Cause: an announcement was attributed to the newest incarnation with a restriction, also when the listed row was that of this incarnation or a later one. It suffices that the new incarnation had once asked for a short pause. Late departures are usual: boards store them for a minute, and a front that has started gets them all. The reason for the attribution, that a call under an outdated row reaches the newest incarnation, does not apply then.

Evidence: TestLateAnnouncementOfPreviousIncarnationDoesNotApply failed in its three cases (none of 60 calls a minute later).

Change: only incarnations later than the listed row are considered.

Result: the test passes, as do the other tests of placement with the race detector, including the property test with its standard number of cases.

--- a/placement/restrictions.go
+++ b/placement/restrictions.go
@@ -149,13 +149,17 @@
 	return r
 }
 
-// newestRestricted returns the newest incarnation of the same upstream that has a
-// restriction and is not older than the given one, or the given one if there is none. A
-// row with an earlier start is outdated, and a call according to it reaches the newest
-// incarnation, since the incarnations of an upstream have the same id.
+// newestRestricted returns the incarnation to which an announcement is attributed. If the
+// listed row is outdated, because a later incarnation of the upstream has a restriction,
+// that is the newest of these: the call reached it, since the incarnations of an upstream
+// have the same id. Otherwise it is the given one, whose announcement may arrive late.
 func (pl *Placer) newestRestricted(incarnation quarantine.Incarnation) quarantine.Incarnation {
+	u := pl.upstreams[incarnation.Upstream]
+	if u == nil {
+		return incarnation
+	}
 	for other := range pl.restrictions {
-		if other.Upstream == incarnation.Upstream && other.StartedAtMs > incarnation.StartedAtMs {
+		if other.Upstream == incarnation.Upstream && other.StartedAtMs > max(incarnation.StartedAtMs, u.row.StartedAtMs) {
 			incarnation = other
 		}
 	}
--- a/placement/restrictions_test.go
+++ b/placement/restrictions_test.go
@@ -244,3 +244,33 @@
 	relist(pl, t0.Add(500*time.Millisecond), in, restricted, 0, true)
 	require.Zero(t, callsPlaced(pl, t0.Add(time.Minute)))
 }
+
+// Guards against a new incarnation that gets no calls because a departure or a pause of
+// the previous one is received late, after the new one has asked for a short pause.
+func TestLateAnnouncementOfPreviousIncarnationDoesNotApply(t *testing.T) {
+	const started = 7
+	announcements := map[string]func(pl *Placer, now time.Time){
+		"departure": func(pl *Placer, now time.Time) {
+			pl.RecordReport(now, Report{Upstream: restricted, StartedAtMs: started, Leaving: true})
+		},
+		"pause": func(pl *Placer, now time.Time) {
+			pl.RecordReport(now, Report{Upstream: restricted, StartedAtMs: started, PauseFor: time.Hour})
+		},
+		"departure that another process has observed": func(pl *Placer, now time.Time) {
+			pl.ApplyObservation(now, sharing.Observation{Upstream: restricted, StartedAtMs: started, Leaving: true, ObservedAt: t0})
+		},
+	}
+	for name, announce := range announcements {
+		t.Run(name, func(t *testing.T) {
+			in := newInputs(1)
+			pl := newPlacer(in)
+			relist(pl, t0, in, restricted, started+1, true)
+			pl.RecordReport(t0, Report{Upstream: restricted, StartedAtMs: started + 1, PauseFor: time.Second})
+			announce(pl, t0.Add(500*time.Millisecond))
+			require.Positive(t, callsPlaced(pl, t0.Add(time.Minute)))
+			for _, departure := range pl.Departures(time.Time{}) {
+				require.EqualValues(t, started, departure.StartedAtMs, "other processes would exclude the new incarnation, too")
+			}
+		})
+	}
+}
