Forward bodies that quote a status line before a line with a colon

A sound answer without a length was replaced by 502 (DENIED, or a lost answer) if a line of its body quoted a status line and the next one had a colon anywhere, as every line of indented JSON has.

Cause: each line with a colon counted as a header, so that the quote looked like the head of another response. The check came with the search for responses in bodies that are buffered.

Evidence: TestQuotedResponseIsForwarded, case "quoted in JSON", failed with 502.

Change: the name of a header must be a token, as RFC 9110 has it.

Result: the test passes, as do the tests of frontend and gateway on cut, joined and inserted responses with the race detector. Text whose next line begins with a word and a colon, such as YAML, is still rejected.

--- a/frontend/truncated_test.go
+++ b/frontend/truncated_test.go
@@ -113,7 +113,9 @@
 func TestQuotedResponseIsForwarded(t *testing.T) {
 	const quote = "got HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n"
 	withLength := "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nResponse-Seal: s\r\n"
+	const quotingJSON = "{\n  \"log\": \"HTTP/1.1 404 Not Found\",\n  \"path\": \"/x\"\n}\n"
 	cases := map[string]struct{ answer, body string }{
+		"quoted in JSON":  {withLength + "Content-Type: application/json\r\n\r\n" + quotingJSON, quotingJSON},
 		"quoted":          {framed(withLength, quote), quote},
 		"followed by one": {framed(withLength, "done") + "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n\r\n", "done"},
 		"quoted line":     {withLength + "\r\ngot HTTP/1.1 404 Not Found\r\nnothing else", "got HTTP/1.1 404 Not Found\r\nnothing else"},
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"strings"
 
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
@@ -45,15 +46,21 @@
 	return false
 }
 
-// isHeader reports whether a line is a header of a response and not a comment or a field
-// of an event.
+// isHeader reports whether a line is a header of a response and not a comment, a field of
+// an event or other text with a colon.
 func isHeader(line []byte) bool {
 	name, _, found := bytes.Cut(line, []byte(":"))
 	switch string(name) {
 	case "", "data", "event", "id", "retry":
 		return false
 	}
-	return found
+	return found && !bytes.ContainsFunc(name, isNoNameCharacter)
+}
+
+// isNoNameCharacter reports whether a character cannot be part of the name of a header,
+// which is a token according to RFC 9110.
+func isNoNameCharacter(r rune) bool {
+	return r <= ' ' || r >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, r)
 }
 
 // isAfter reports whether the event follows the one with the given id. Ids are increasing
