Rank the readers of cache events only when the view changes

Each start and each end of a pause occupied the router with a new ranking of all fronts for each server, also for servers whose events this front does not read. While many servers refuse calls with a short Retry-After, calls, reports and changes wait for that.

Change: only the pauses are updated in the last list.

--- a/gateway/router.go
+++ b/gateway/router.go
@@ -181,7 +181,7 @@
 	r.logRateChanges()
 	r.logRestrictions()
 	if r.placer.EventSourcesOutdated(now) {
-		r.cacheFeed.SetSources(r.placer.EventSources(now))
+		r.cacheFeed.SetSources(r.placer.RefreshEventSources(now))
 	}
 }
 
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -55,3 +55,21 @@
 		})
 	}
 }
+
+// BenchmarkPauseOfSource measures the list of sources of cache events after a pause has
+// started or ended, by number of fronts and upstreams. Each pause needs two such lists.
+func BenchmarkPauseOfSource(b *testing.B) {
+	for _, c := range []struct{ fronts, upstreams int }{{20, 60}, {60, 200}, {1800, 476}, {1800, 10_000}} {
+		b.Run(fmt.Sprintf("fronts=%d,upstreams=%d", c.fronts, c.upstreams), func(b *testing.B) {
+			in := newInputs(c.fronts)
+			in.Config.Services[engines].Engine.EventReaders = 8
+			in.Upstreams = newUpstreams(engines, c.upstreams)
+			placer := newPlacer(in)
+			placer.EventSources(t0)
+			b.ReportAllocs()
+			for b.Loop() {
+				placer.RefreshEventSources(t0)
+			}
+		})
+	}
+}
--- a/placement/caches.go
+++ b/placement/caches.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"waxwingtide.example/waxwingtide/cacheevents"
@@ -40,7 +41,6 @@
 // A server that has asked for a pause is a paused source until the end of the pause.
 func (pl *Placer) EventSources(now time.Time) []cacheevents.Source {
 	var out []cacheevents.Source
-	pl.sourcesOutdated, pl.sourcesValidUntil = false, time.Time{}
 	pl.serverByAddress = make(map[string]core.UpstreamID)
 	for _, s := range pl.cacheStores {
 		source := cacheevents.Source{Address: s.Address, IsStore: true}
@@ -58,18 +58,30 @@
 			if u.row.Draining || !pl.readsEvents(u.row.Address, service.Engine.EventReaders) {
 				continue
 			}
-			paused := u.restriction.paused(now)
-			if paused {
-				pl.limitSourcesValidity(u.restriction.pausedUntil)
-			}
-			out = append(out, cacheevents.Source{Address: u.row.Address, Paused: paused})
+			out = append(out, cacheevents.Source{Address: u.row.Address})
+		}
+	}
+	pl.eventSources = out
+	return pl.RefreshEventSources(now)
+}
+
+// RefreshEventSources returns the result of the last call of EventSources with the present
+// pauses. Pauses start and end often, and the ranking of the processes takes much longer.
+func (pl *Placer) RefreshEventSources(now time.Time) []cacheevents.Source {
+	pl.sourcesOutdated, pl.sourcesValidUntil = false, time.Time{}
+	out := slices.Clone(pl.eventSources)
+	for i := range out {
+		u := pl.upstreams[pl.serverByAddress[out[i].Address]]
+		if u != nil && u.restriction.paused(now) {
+			out[i].Paused = true
+			pl.limitSourcesValidity(u.restriction.pausedUntil)
 		}
 	}
 	return out
 }
 
 // EventSourcesOutdated reports whether a pause has started or ended since the last call of
-// EventSources.
+// EventSources or RefreshEventSources.
 func (pl *Placer) EventSourcesOutdated(now time.Time) bool {
 	return pl.sourcesOutdated || !pl.sourcesValidUntil.IsZero() && !now.Before(pl.sourcesValidUntil)
 }
--- a/placement/restrictions_model_test.go
+++ b/placement/restrictions_model_test.go
@@ -62,6 +62,8 @@
 	placer  *Placer
 	inputs  Inputs
 	servers []*modelServer
+	// sources are the sources of cache events, as the router has set them.
+	sources []cacheevents.Source
 }
 
 func newRestrictionModel() *restrictionModel {
@@ -87,6 +89,7 @@
 		m.recordApplied(s)
 	}
 	m.placer.SetInputs(m.now, m.inputs)
+	m.sources = m.placer.EventSources(m.now)
 }
 
 func (m *restrictionModel) recordApplied(s *modelServer) {
@@ -186,7 +189,11 @@
 
 // readEvents checks from which servers cache events are read.
 func (m *restrictionModel) readEvents(t *rapid.T) {
-	sources := m.placer.EventSources(m.now)
+	if m.placer.EventSourcesOutdated(m.now) {
+		m.sources = m.placer.RefreshEventSources(m.now)
+	}
+	sources := m.sources
+	require.ElementsMatch(t, m.placer.EventSources(m.now), sources)
 	for _, s := range m.servers {
 		read := slices.ContainsFunc(sources, func(source cacheevents.Source) bool { return source.Address == s.row.Address && !source.Paused })
 		if s.certainlyFree(m.now) {
--- a/placement/table.go
+++ b/placement/table.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"waxwingtide.example/waxwingtide/cacheevents"
 	"waxwingtide.example/waxwingtide/cacheindex"
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
@@ -57,8 +58,11 @@
 	// the new ones since TakeRestrictionChanges.
 	restrictions       map[quarantine.Incarnation]*restriction
 	restrictionChanges []RestrictionChange
-	// sourcesOutdated is set when a pause has started since the last call of EventSources.
-	// sourcesValidUntil is the first end of a pause that the call has considered, or zero.
+	// eventSources is the result of the last call of EventSources without the pauses.
+	eventSources []cacheevents.Source
+	// sourcesOutdated is set when a pause has started since the last call of
+	// RefreshEventSources. sourcesValidUntil is the first end of a pause that the call has
+	// considered, or zero.
 	sourcesOutdated   bool
 	sourcesValidUntil time.Time
 	// registrationExpired is set while other processes may have stopped counting this
