Retry refused calls without waiting for the body of the refusal

A call that a server had refused waited until its deadline and was answered 503, although another server was free, if the server sent the head of the refusal, stopped in its body and left the connection open.

Cause: the body of a refusal was read before the proof in its head was used. The body is not forwarded; reading it only serves to keep the connection.

Evidence: TestRefusalWithoutItsBodyIsRetried failed in its six cases (503 after 3 s).

Change: the body of a refusal is awaited for 100 ms. If it is late, the connection is closed and the call counts as refused. A body that breaks off otherwise is handled as before.

Result: the test passes, as do all tests of gateway, frontend, platform and placement with the race detector.

--- a/frontend/refusal_test.go
+++ b/frontend/refusal_test.go
@@ -121,3 +121,36 @@
 		})
 	}
 }
+
+// Guards against a call that waits until its deadline and is lost, because a server that
+// has refused it does not send the body of the refusal, although another server is free.
+func TestRefusalWithoutItsBodyIsRetried(t *testing.T) {
+	const head = "HTTP/1.1 %s\r\nNot-Executed: 1\r\nRequest-Id: %s\r\n"
+	statuses := map[string]string{"busy": "503 Service Unavailable", "wrong server": "421 Misdirected Request"}
+	framings := map[string]string{
+		"length": "Content-Length: 9\r\n\r\nbus", "chunks": "Transfer-Encoding: chunked\r\n\r\n9\r\nbus", "until close": "\r\nbus",
+	}
+	for statusName, status := range statuses {
+		for framingName, framing := range framings {
+			t.Run(statusName+", "+framingName, func(t *testing.T) {
+				t.Parallel()
+				d := newDeployment(t)
+				var refused atomic.Int64
+				answer := func(conn net.Conn, r rawRequest) bool {
+					if refused.Add(1) == 1 {
+						write(t, conn, fmt.Sprintf(head, status, r.id)+framing)
+						return true // the connection stays open
+					}
+					write(t, conn, fmt.Sprintf(successHead, r.id)+"done")
+					return true
+				}
+				d.startRawUpstream("i-1", answer)
+				d.startRawUpstream("i-2", answer)
+				got := d.startReadyFront("front-1").call(http.MethodPost, "/log/x", "r", nil)
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, "done", got.body)
+			})
+		}
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,9 @@
 	// maxBufferedBytes, which bounds the buffered bodies of all calls together.
 	smallResponseBytes = 64 << 10
 	maxBufferedBytes   = 24 << 20
+	// refusalBodyTimeout is the maximum time for which the body of a refusal is awaited.
+	// The body is not needed, except that the connection is kept after it.
+	refusalBodyTimeout = 100 * time.Millisecond
 )
 
 // bodyBudget bounds the memory of buffered bodies.
@@ -71,13 +75,18 @@
 // relayBuffered reads the response before it forwards it. A body that is too large is an
 // incomplete response.
 func (s *callState) relayBuffered(x *upstreamhttp.Exchange, response UpstreamResponse) attemptOutcome {
+	refused := provesNotRun(response)
+	if refused {
+		x.LimitBodyTime(refusalBodyTimeout)
+	}
 	body, release, err := s.gateway.bodies.read(x.Response.Body)
 	defer release()
 	surplus := x.Surplus()
 	x.Finish(err == nil && !response.Close, response.KeepAlive)
+	bodyIsLate := refused && errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
-	case err != nil:
-		return attemptOutcome{result: placement.Incomplete, notRun: provesNotRun(response), err: err}
+	case err != nil && !bodyIsLate:
+		return attemptOutcome{result: placement.Incomplete, notRun: refused, err: err}
 	case isContradictory(response):
 		return attemptOutcome{result: placement.Incomplete, err: errors.New("successful response states that the call has not run")}
 	case response.Status == http.StatusMisdirectedRequest:
--- a/upstreamhttp/upstreamhttp.go
+++ b/upstreamhttp/upstreamhttp.go
@@ -281,6 +281,12 @@
 	return int64(bodyBytes)
 }
 
+// LimitBodyTime limits the time in which the body is read. After it, reads fail with
+// os.ErrDeadlineExceeded.
+func (x *Exchange) LimitBodyTime(timeout time.Duration) {
+	_ = x.conn.SetReadDeadline(time.Now().Add(timeout)) // fails only on a closed connection, on which reads fail, too
+}
+
 // Surplus returns the bytes that were received behind the response. It must be called
 // after the body was read and before Finish.
 func (x *Exchange) Surplus() []byte {
