Take Not-Executed as proof only with the status of a refusal

A call that its server had answered with 500 or 504 and the header Not-Executed was sent to a second server (TWICE) and answered 503 in the end (REFUSED), also when the answer had the server's mark.

Cause: the header was believed with each status but a success. Servers refuse with 503, 429, 421 and 400 only; their own 500 and 504 count as run.

Evidence: TestFailureIsNoProofOfNotRun failed in its eight cases (two sends, 503).

Change: with another status the two statements contradict each other, and the call may have run.

Result: the test passes, as do those of frontend on refusals, proofs, retries, resumed streams, pauses and departures with the race detector.

--- a/frontend/refusal_test.go
+++ b/frontend/refusal_test.go
@@ -122,6 +122,31 @@
 	}
 }
 
+// Guards against a call that is answered as not run, or sent to a second server, although
+// the status of its server says that it has failed there.
+func TestFailureIsNoProofOfNotRun(t *testing.T) {
+	for _, status := range []string{"500 Internal Server Error", "504 Gateway Timeout", "502 Bad Gateway", "404 Not Found"} {
+		for _, seal := range []string{"Response-Seal: s\r\n", ""} {
+			t.Run(status+" "+seal, func(t *testing.T) {
+				t.Parallel()
+				d := newDeployment(t)
+				var runs atomic.Int64
+				answer := func(conn net.Conn, r rawRequest) bool {
+					runs.Add(1)
+					write(t, conn, fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\n%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, r.id, seal))
+					return false
+				}
+				d.startRawUpstream("i-1", answer)
+				d.startRawUpstream("i-2", answer)
+				got := d.startReadyFront("front-1").call(http.MethodPost, "/log/x", "r", nil)
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusBadGateway, got.status)
+				require.Equal(t, int64(1), runs.Load())
+			})
+		}
+	}
+}
+
 // Guards against a call that waits until its deadline and is lost, because a server that
 // has refused it does not send the body of the refusal, although another server is free.
 func TestRefusalWithoutItsBodyIsRetried(t *testing.T) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -88,7 +88,7 @@
 	case err != nil && !bodyIsLate:
 		return attemptOutcome{result: placement.Incomplete, notRun: refused, err: err}
 	case isContradictory(response):
-		return attemptOutcome{result: placement.Incomplete, err: errors.New("successful response states that the call has not run")}
+		return attemptOutcome{result: placement.Incomplete, err: errors.New("response states that the call has not run, which its status contradicts")}
 	case response.Status == http.StatusMisdirectedRequest:
 		return attemptOutcome{result: placement.Misdirected, notRun: true}
 	case response.NotRun:
@@ -111,9 +111,15 @@
 	return attemptOutcome{result: placement.Completed}
 }
 
-// isContradictory reports whether a response states both that the call was served and
-// that it has not run.
-func isContradictory(r UpstreamResponse) bool { return r.NotRun && r.Success() }
+// isContradictory reports whether a response states that the call has not run, with a
+// status of calls that were served or have failed.
+func isContradictory(r UpstreamResponse) bool {
+	switch r.Status {
+	case http.StatusBadRequest, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return false
+	}
+	return r.NotRun
+}
 
 // provesNotRun reports whether a response proves that the call has not run.
 func provesNotRun(r UpstreamResponse) bool { return r.NotRun && !isContradictory(r) }
