End the pause of a source of cache events with its incarnation

The cache events of a server were not read, and nothing was fetched from its memory, long after it had started again at its address, if its previous incarnation had refused a read with a long Retry-After.

Cause: the duty of a source waits for the time of the refusal and is the same one for all incarnations at an address.

Evidence: TestPauseOfRefusalEndsWithIncarnation failed (one read instead of two).

Change: a source names its incarnation, and a new incarnation has a new duty, which reads its events from the first one. If the store was restored and an older row is listed for a moment, the events are read from the first one as well.

Result: the test passes, as do those of cacheevents, placement and gateway with the race detector. The property test of announcements also checks the incarnation of each source. Kept-cache stores have no rows and so no incarnation that ends a pause.

--- a/cacheevents/cacheevents.go
+++ b/cacheevents/cacheevents.go
@@ -81,6 +81,8 @@
 // Source is a kept-cache store or a model server whose events are read.
 type Source struct {
 	Address string
+	// StartedAtMs identifies the incarnation of a model server. It is 0 for stores.
+	StartedAtMs int64
 	// IsStore is set for stores. Their full content is read at the start, after gaps
 	// and at intervals. Of a model server only the events are read, because reading
 	// its full content stalls it. Its recorded content is therefore only a hint.
@@ -108,7 +110,7 @@
 
 // same reports whether two sources have the same settings, except for Paused.
 func (s Source) same(other Source) bool {
-	return s.Address == other.Address && s.IsStore == other.IsStore && slices.Equal(s.Relays, other.Relays)
+	return s.Address == other.Address && s.StartedAtMs == other.StartedAtMs && s.IsStore == other.IsStore && slices.Equal(s.Relays, other.Relays)
 }
 
 // Update is a change of a source's content or availability.
--- a/cacheevents/pause_test.go
+++ b/cacheevents/pause_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,3 +45,38 @@
 		}
 	})
 }
+
+// countedSource is the client of a source that wants no requests for an hour.
+type countedSource struct {
+	Client
+	reads atomic.Int64
+}
+
+func (s *countedSource) Events(context.Context, string, uint64, time.Duration) (Events, error) {
+	s.reads.Add(1)
+	return Events{}, &PauseError{For: time.Hour, Cause: errs.New(errs.Unavailable, "retry later", "source is busy")}
+}
+
+// Guards against a source that is not read again after it has restarted, because its
+// previous incarnation wanted no requests for a long time.
+func TestPauseOfRefusalEndsWithIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		client := new(countedSource)
+		f := New(client, nil, NewRelay(1), nil, log)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		f.SetSources([]Source{{Address: "10.0.0.2:80", StartedAtMs: 1}})
+		time.Sleep(time.Second)
+		f.SetSources([]Source{{Address: "10.0.0.2:80", StartedAtMs: 1}})
+		time.Sleep(time.Second)
+		require.EqualValues(t, 1, client.reads.Load())
+		f.SetSources([]Source{{Address: "10.0.0.2:80", StartedAtMs: 2}})
+		time.Sleep(time.Second)
+		cancel()
+		require.NoError(t, <-done)
+		require.EqualValues(t, 2, client.reads.Load())
+	})
+}
--- a/placement/caches.go
+++ b/placement/caches.go
@@ -58,7 +58,7 @@
 			if u.row.Draining || !pl.readsEvents(u.row.Address, service.Engine.EventReaders) {
 				continue
 			}
-			out = append(out, cacheevents.Source{Address: u.row.Address})
+			out = append(out, cacheevents.Source{Address: u.row.Address, StartedAtMs: u.row.StartedAtMs})
 		}
 	}
 	pl.eventSources = out
--- a/placement/restrictions_model_test.go
+++ b/placement/restrictions_model_test.go
@@ -196,6 +196,9 @@
 	require.ElementsMatch(t, m.placer.EventSources(m.now), sources)
 	for _, s := range m.servers {
 		read := slices.ContainsFunc(sources, func(source cacheevents.Source) bool { return source.Address == s.row.Address && !source.Paused })
+		for _, source := range sources {
+			require.True(t, source.Address != s.row.Address || source.StartedAtMs == s.row.StartedAtMs, "%s: another incarnation", s.row.ID)
+		}
 		if s.certainlyFree(m.now) {
 			require.True(t, read, "events of %s are not read", s.row.ID)
 		}
