--- a/frontend/refusal_test.go
+++ b/frontend/refusal_test.go
@@ -121,3 +121,61 @@
 		})
 	}
 }
+
+// Guards against a call that is answered as not run, or sent to a second server, although
+// the status of its server says that it has failed there.
+func TestFailureIsNoProofOfNotRun(t *testing.T) {
+	for _, status := range []string{"500 Internal Server Error", "504 Gateway Timeout", "502 Bad Gateway", "404 Not Found"} {
+		for _, seal := range []string{"Response-Seal: s\r\n", ""} {
+			t.Run(status+" "+seal, func(t *testing.T) {
+				t.Parallel()
+				d := newDeployment(t)
+				var runs atomic.Int64
+				answer := func(conn net.Conn, r rawRequest) bool {
+					runs.Add(1)
+					write(t, conn, fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\n%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, r.id, seal))
+					return false
+				}
+				d.startRawUpstream("i-1", answer)
+				d.startRawUpstream("i-2", answer)
+				got := d.startReadyFront("front-1").call(http.MethodPost, "/log/x", "r", nil)
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusBadGateway, got.status)
+				require.Equal(t, int64(1), runs.Load())
+			})
+		}
+	}
+}
+
+// Guards against a call that waits until its deadline and is lost, because a server that
+// has refused it does not send the body of the refusal, although another server is free.
+func TestRefusalWithoutItsBodyIsRetried(t *testing.T) {
+	const head = "HTTP/1.1 %s\r\nNot-Executed: 1\r\nRequest-Id: %s\r\n"
+	statuses := map[string]string{"busy": "503 Service Unavailable", "wrong server": "421 Misdirected Request"}
+	framings := map[string]string{
+		"length": "Content-Length: 9\r\n\r\nbus", "chunks": "Transfer-Encoding: chunked\r\n\r\n9\r\nbus", "until close": "\r\nbus",
+	}
+	for statusName, status := range statuses {
+		for framingName, framing := range framings {
+			t.Run(statusName+", "+framingName, func(t *testing.T) {
+				t.Parallel()
+				d := newDeployment(t)
+				var refused atomic.Int64
+				answer := func(conn net.Conn, r rawRequest) bool {
+					if refused.Add(1) == 1 {
+						write(t, conn, fmt.Sprintf(head, status, r.id)+framing)
+						return true // the connection stays open
+					}
+					write(t, conn, fmt.Sprintf(successHead, r.id)+"done")
+					return true
+				}
+				d.startRawUpstream("i-1", answer)
+				d.startRawUpstream("i-2", answer)
+				got := d.startReadyFront("front-1").call(http.MethodPost, "/log/x", "r", nil)
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, "done", got.body)
+			})
+		}
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,9 @@
 	// maxBufferedBytes, which bounds the buffered bodies of all calls together.
 	smallResponseBytes = 64 << 10
 	maxBufferedBytes   = 24 << 20
+	// refusalBodyTimeout is the maximum time for which the body of a refusal is awaited.
+	// The body is not needed, except that the connection is kept after it.
+	refusalBodyTimeout = 100 * time.Millisecond
 )
 
 // bodyBudget bounds the memory of buffered bodies.
@@ -71,15 +75,20 @@
 // relayBuffered reads the response before it forwards it. A body that is too large is an
 // incomplete response.
 func (s *callState) relayBuffered(x *upstreamhttp.Exchange, response UpstreamResponse) attemptOutcome {
+	refused := provesNotRun(response)
+	if refused {
+		x.LimitBodyTime(refusalBodyTimeout)
+	}
 	body, release, err := s.gateway.bodies.read(x.Response.Body)
 	defer release()
 	surplus := x.Surplus()
 	x.Finish(err == nil && !response.Close, response.KeepAlive)
+	bodyIsLate := refused && errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
-	case err != nil:
-		return attemptOutcome{result: placement.Incomplete, notRun: provesNotRun(response), err: err}
+	case err != nil && !bodyIsLate:
+		return attemptOutcome{result: placement.Incomplete, notRun: refused, err: err}
 	case isContradictory(response):
-		return attemptOutcome{result: placement.Incomplete, err: errors.New("successful response states that the call has not run")}
+		return attemptOutcome{result: placement.Incomplete, err: errors.New("response states that the call has not run, which its status contradicts")}
 	case response.Status == http.StatusMisdirectedRequest:
 		return attemptOutcome{result: placement.Misdirected, notRun: true}
 	case response.NotRun:
@@ -102,9 +111,15 @@
 	return attemptOutcome{result: placement.Completed}
 }
 
-// isContradictory reports whether a response states both that the call was served and
-// that it has not run.
-func isContradictory(r UpstreamResponse) bool { return r.NotRun && r.Success() }
+// isContradictory reports whether a response states that the call has not run, with a
+// status of calls that were served or have failed.
+func isContradictory(r UpstreamResponse) bool {
+	switch r.Status {
+	case http.StatusBadRequest, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return false
+	}
+	return r.NotRun
+}
 
 // provesNotRun reports whether a response proves that the call has not run.
 func provesNotRun(r UpstreamResponse) bool { return r.NotRun && !isContradictory(r) }
