Log member rows without a node name

A member row without a node name was ignored, without a line in the log.

Cause: the error was wrapped from a decoding error that is nil in this case.

Change: such a row has an error of its own.

Result: TestMemberRowWithoutNodeNameIsAnError failed on the code before and passes.

--- a/fleet/state.go
+++ b/fleet/state.go
@@ -374,9 +374,12 @@
 
 func decodeMemberRow(row Row) (DecodedRow, error) {
 	var m wire.MemberRow
-	if err := proto.Unmarshal(row.Value, &m); err != nil || m.Node == "" {
+	if err := proto.Unmarshal(row.Value, &m); err != nil {
 		return DecodedRow{}, errs.Wrap(err, errs.Corrupt, "ignore the row", "member row cannot be decoded")
 	}
+	if m.Node == "" {
+		return DecodedRow{}, errs.New(errs.Corrupt, "ignore the row", "member row has no node name")
+	}
 	return DecodedRow{Member: &Member{
 		Node: core.NodeID(m.Node), Address: m.Address, Domain: core.FailureDomain(m.FailureDomain),
 		Incarnation: core.Incarnation(m.Incarnation),
--- a/fleet/state_test.go
+++ b/fleet/state_test.go
@@ -217,3 +217,13 @@
 	s.replace(t0.Add(6*time.Second), upstreamsTable, nil, 4)
 	require.Equal(t, []string{"a"}, listedUpstreams(s.view()), "a was removed during an outage")
 }
+
+// Guards against a member row without a node name that is ignored without a sign in the log.
+func TestMemberRowWithoutNodeNameIsAnError(t *testing.T) {
+	value, err := encodeMember(Member{Address: "10.0.0.1:80"})
+	require.NoError(t, err)
+	s := testState()
+	s.merge(t0, MembersTable, []Row{{Table: MembersTable, Key: "n-1", Value: value, Version: 1}}, 1)
+	require.Empty(t, s.view().Members)
+	require.Len(t, s.decodeErrors, 1)
+}
