Separate the checks of a stream's events from their relay

Readers stopped at four places that overwrite one error in relayStream, at the name of the incarnation to which an announcement belongs, and at displaced bodies. The checks have a function of their own, the name says attribution, and an example shows the bytes. No logic changes.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -54,8 +54,9 @@
 }
 
 // isDisplaced reports whether a response that was written inside the body has moved the
-// end of the body behind its stated length. Bytes that follow a whole body are no part of
-// the response, and a body without such bytes may quote a status line.
+// end of the body behind its stated length: of a body "served" with a length of 6, the
+// client reads "seHTTP" and the surplus "/1.1 503 ...rved". Bytes that follow a whole body
+// are no part of the response, and a body without such bytes may quote a status line.
 func isDisplaced(x *upstreamhttp.Exchange, body, surplus []byte) bool {
 	if x.Response.ContentLength < 0 || len(surplus) == 0 {
 		return false
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -144,6 +144,22 @@
 	_, _ = s.writer.Write(response.body) // the caller may have disconnected
 }
 
+// checkStream returns the error with which the stream is broken off after an event. err is
+// the error of the event, which is io.EOF at the end of the stream. The end is certain
+// if the stream had events or states where it ends.
+func checkStream(e event, err error, isEndCertain bool, order continuation) error {
+	atEnd := errors.Is(err, io.EOF)
+	switch {
+	case e.containsResponse():
+		return errs.New(errs.Corrupt, remedyResume, "stream contains another response")
+	case atEnd && (e.isPartial() || !isEndCertain):
+		return errs.New(errs.Corrupt, remedyResume, "stream ended inside an event or without any")
+	case atEnd && order.onlyRepeated():
+		return errs.New(errs.Corrupt, remedyResume, "stream repeated the last event and ended")
+	}
+	return err
+}
+
 // relayStream forwards events as they are received. It forwards complete events only,
 // so that the stream can be resumed at another upstream. reportPace is called once with
 // the mean time between the first events.
@@ -161,15 +177,7 @@
 			}
 			err = order.check(event, s.lastEventID)
 		}
-		if event.containsResponse() {
-			err = errs.New(errs.Corrupt, remedyResume, "stream contains another response")
-		}
-		if errors.Is(err, io.EOF) && (event.isPartial() || pace.events == 0 && !x.HasKnownEnd()) {
-			err = errs.New(errs.Corrupt, remedyResume, "stream ended inside an event or without any")
-		}
-		if errors.Is(err, io.EOF) && order.onlyRepeated() {
-			err = errs.New(errs.Corrupt, remedyResume, "stream repeated the last event and ended")
-		}
+		err = checkStream(event, err, pace.events > 0 || x.HasKnownEnd(), order)
 		if err == nil || errors.Is(err, io.EOF) {
 			if writeErr := s.writeEvent(control, x.Response, event, events.hasBuffered()); writeErr != nil {
 				x.Finish(false, 0)
--- a/placement/restrictions.go
+++ b/placement/restrictions.go
@@ -94,7 +94,7 @@
 
 // recordDeparture records that an incarnation leaves.
 func (pl *Placer) recordDeparture(now, observedAt time.Time, incarnation quarantine.Incarnation, reporter core.NodeID) {
-	incarnation = pl.newestRestricted(incarnation)
+	incarnation = pl.attributedIncarnation(incarnation)
 	r := pl.restrictionOf(incarnation)
 	if r.leaving() {
 		return
@@ -107,7 +107,7 @@
 // recordPause records that an incarnation wants no calls from this process for a time.
 // A later response does not shorten a pause, since responses overtake one another.
 func (pl *Placer) recordPause(now time.Time, incarnation quarantine.Incarnation, pauseFor time.Duration) {
-	incarnation = pl.newestRestricted(incarnation)
+	incarnation = pl.attributedIncarnation(incarnation)
 	r := pl.restrictionOf(incarnation)
 	if !r.paused(now) {
 		pl.sourcesOutdated = true
@@ -149,11 +149,11 @@
 	return r
 }
 
-// newestRestricted returns the incarnation to which an announcement is attributed. If the
+// attributedIncarnation returns the incarnation to which an announcement is attributed. If the
 // listed row is outdated, because a later incarnation of the upstream has a restriction,
 // that is the newest of these: the call reached it, since the incarnations of an upstream
 // have the same id. Otherwise it is the given one, whose announcement may arrive late.
-func (pl *Placer) newestRestricted(incarnation quarantine.Incarnation) quarantine.Incarnation {
+func (pl *Placer) attributedIncarnation(incarnation quarantine.Incarnation) quarantine.Incarnation {
 	u := pl.upstreams[incarnation.Upstream]
 	if u == nil {
 		return incarnation
