Reject calls in an agent's planned stop until entries have disconnected

Calls that arrived at an agent after its drain and had not run ended with "context canceled", EOF or "connection reset by peer", which an entry reported as outcome_unknown instead of "not run".

Cause: at the end of the stop the duties of admission and of the inner protocol were cancelled together, and connections were closed while calls arrived.

Change: - transport.Server closes its listener in a drain, after it has accepted the waiting connections, and serves open connections until they end. A call that needs a new connection is then known not to be sent. transport.Serve and Dialer.Dial are unchanged. - The agent closes its listener before it rejects calls, ends its watch streams, and after its drain waits until no connection of the inner protocol is open, at most 2 s: gossip peers keep theirs. - An entry closes its idle connections to an agent (Dialer.CloseIdle) after a rejection with the reason draining, after a run whose last frame says that the agent is draining, and after the end of a watch stream. An upstream that is only restricted gives the same reason; entries reconnect to it.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -111,6 +111,8 @@
 	// prefillRate is the measured rate in bytes of prompt text per second. It is 0 before
 	// the first measurement.
 	prefillRate uint64
+	// stopping is set during a planned stop of the agent.
+	stopping bool
 }
 
 // admission is the duty that owns the admission window, the queues and the credits.
@@ -321,7 +323,7 @@
 // their next regular message. Watchers without unused credits are also notified when the
 // number of running and waiting calls decreases.
 func (a *admission) publish(now time.Time) {
-	next := &snapshot{State: a.controller.State(now), engineInfo: a.engineInfo, prefillRate: uint64(a.prefillRate)}
+	next := &snapshot{State: a.controller.State(now), engineInfo: a.engineInfo, prefillRate: uint64(a.prefillRate), stopping: a.stopping}
 	previous := a.latestSnapshot.Swap(next)
 	if a.idleSignal != nil && next.Running == 0 && next.Queued == 0 {
 		a.idleSignal.Offer(struct{}{})
@@ -341,6 +343,6 @@
 // that has become full or is no longer full.
 func (s *snapshot) differsForWatchers(next *snapshot) bool {
 	windowFull := func(s *snapshot) bool { return s.Running >= s.Window }
-	return s.Window != next.Window || s.Cold != next.Cold || s.Draining != next.Draining ||
+	return s.Window != next.Window || s.Cold != next.Cold || s.Draining != next.Draining || s.stopping != next.stopping ||
 		windowFull(s) != windowFull(next) || s.engineInfo.CacheEpoch != next.engineInfo.CacheEpoch
 }
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -16,7 +16,8 @@
 	watchMaxInterval = time.Second
 )
 
-// Watch streams the state of the upstream and new credits to an entry.
+// Watch streams the state of the upstream and new credits to an entry. It ends after a state
+// that was sent in a planned stop.
 func (s *server) Watch(req *wire.WatchRequest, out wire.DRPCAgent_WatchStream) error {
 	if req.GetUpstream() != string(s.opts.Upstream) {
 		return errs.New(errs.NotFound, "dial the address in the bundle in force", "this agent serves %s, not %s", s.opts.Upstream, req.GetUpstream())
@@ -32,6 +33,7 @@
 		_ = events.Send(context.Background(), watchEvent{watcher: watcher, notifications: notifications, streamEnded: true})
 	}()
 	for {
+		stopping := s.admission.latestSnapshot.Load().stopping
 		grant, err := s.requestGrant(ctx, watcher)
 		if err != nil {
 			return err
@@ -39,6 +41,9 @@
 		if err := out.Send(s.upstreamState(grant)); err != nil {
 			return err
 		}
+		if stopping {
+			return nil
+		}
 		if err := waitForChange(ctx, notifications); err != nil {
 			return err
 		}
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -71,6 +71,9 @@
 		if cacheTransfer != nil {
 			p.log.WithFields(logrus.Fields{"event": "kept_cache", "node": s.Node, "stats": cacheTransfer.Stats()}).Info("kept-cache statistics at the stop")
 		}
+		// Calls are rejected only after the listener is closed, so that entries which then
+		// close their connections open no new ones.
+		p.innerServer.CloseListener(ctx)
 		err := a.Drain(ctx)
 		if executor != nil && err == nil {
 			err = executor.Drain(ctx)
@@ -78,6 +81,7 @@
 		if err != nil {
 			p.log.WithFields(logrus.Fields{"event": "drain", "node": s.Node}).WithError(err).Warn("drain did not finish; active runs are interrupted")
 		}
+		p.drainInner(ctx)
 	})
 }
 
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -43,6 +43,7 @@
 		FailureDomain:    s.FailureDomain,
 		Control:          p.control,
 		Dial:             p.dialer.Dial,
+		CloseIdle:        p.dialer.CloseIdle,
 		RegisterServices: services.Register,
 		EntryCount:       func() int { return countLiveEntries(p.control.Members()) },
 		Judge:            o.judge,
@@ -129,10 +130,14 @@
 type callSender struct{ dialer *transport.Dialer }
 
 // Call implements record.AgentClient. It returns errs.Unavailable only after a failure
-// to connect, when the request was certainly not sent.
+// to connect, when the request was certainly not sent. It closes the idle connections to an
+// agent that rejects the call because it is draining, since the agent may be stopping.
 func (s callSender) Call(ctx context.Context, u *bundle.Upstream, req *wire.CallRequest) (*wire.CallReply, error) {
 	reply, err := wire.NewDRPCAgentClient(s.dialer.Dial(ctx, u.Agent)).Call(ctx, req)
 	if err == nil {
+		if reply.GetReason() == wire.RejectReason_REJECT_DRAINING {
+			s.dialer.CloseIdle(u.Agent)
+		}
 		return reply, nil
 	}
 	var typedErr *errs.Error
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -39,6 +39,10 @@
 	// adminDrainTimeout is the maximum time for the drain of the administration API in a
 	// planned stop, within the stop timeout.
 	adminDrainTimeout = 2 * time.Second
+	// innerDrainTimeout is the maximum time that a planned stop of an agent waits for the end
+	// of open connections of the inner protocol, within the stop timeout. Gossip peers keep
+	// their connections for longer.
+	innerDrainTimeout = 2 * time.Second
 )
 
 // Deps are dependencies that replace the defaults of a daemon. The zero value selects
@@ -82,6 +86,8 @@
 	mux     *drpcmux.Mux
 	// adminServer serves the administration API, health checks and metrics.
 	adminServer *callerhttp.Server
+	// innerServer serves the inner protocol.
+	innerServer *transport.Server
 
 	table   stores.Table
 	objects stores.ObjectStore
@@ -242,7 +248,7 @@
 	for _, start := range p.dutyStarters {
 		start(p.group)
 	}
-	inner, err := listen(p.deps.InnerListener, p.common.Inner.Address)
+	inner, err := listen("inner protocol", p.deps.InnerListener, p.common.Inner.Address)
 	if err != nil {
 		return err
 	}
@@ -251,39 +257,42 @@
 		config = p.innerIdentity.ServerConfig()
 		p.group.Go("inner certificates", p.innerIdentity.FileWatchDuty())
 	}
-	p.group.Go("inner protocol", func(ctx context.Context) error {
-		return transport.Serve(ctx, inner, config, p.mux)
-	})
+	p.innerServer = transport.NewServer(inner, config, p.mux)
+	p.group.Go("inner protocol", p.innerServer.Run)
 	p.adminServer, err = p.serveHTTP("administration", p.deps.AdminListener, p.common.Admin, admin)
 	return err
 }
 
 // listen returns the replacement, or a new listener on the address if the replacement
 // is nil.
-func listen(replacement net.Listener, address string) (net.Listener, error) {
-	if replacement != nil {
-		return replacement, nil
+func listen(name string, replacement net.Listener, address string) (*net.TCPListener, error) {
+	listener := replacement
+	if listener == nil {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, errs.Wrap(err, errs.Invalid, "set a free address of this VM", "cannot listen on %s", address)
+		}
+		listener = l
+	}
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		return nil, errs.New(errs.Invalid, "use a TCP listener", "%s cannot be served on a %T", name, listener)
 	}
-	l, err := net.Listen("tcp", address)
-	return l, errs.Wrap(err, errs.Invalid, "set a free address of this VM", "cannot listen on %s", address)
+	return tcp, nil
 }
 
 // serveHTTP starts the duties of a server for callers or for the administration API.
 func (p *process) serveHTTP(name string, replacement net.Listener, s settings.Listener, handler http.Handler) (*callerhttp.Server, error) {
-	listener, err := listen(replacement, s.Address)
+	listener, err := listen(name, replacement, s.Address)
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := listener.(*net.TCPListener)
-	if !ok {
-		return nil, errs.New(errs.Invalid, "use a TCP listener", "%s cannot be served on a %T", name, listener)
-	}
 	config, err := p.serverTLS(name, s.TLS)
 	if err != nil {
 		return nil, err
 	}
 	server := callerhttp.New(callerhttp.Options{
-		Name: name, Listener: tcp, TLS: config, Handler: handler,
+		Name: name, Listener: listener, TLS: config, Handler: handler,
 		Timeouts: func() callerhttp.Timeouts {
 			return callerhttp.Timeouts{Header: readHeaderTimeout, Idle: idleTimeout}
 		},
@@ -338,6 +347,16 @@
 	}
 }
 
+// drainInner waits until no connections of the inner protocol are open. Calls that arrive on
+// them meanwhile are rejected.
+func (p *process) drainInner(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, innerDrainTimeout)
+	defer cancel()
+	if err := p.innerServer.Drain(ctx); err != nil {
+		p.log.WithFields(logrus.Fields{"event": "drain", "node": p.common.Node}).WithError(err).Info("open connections of the inner protocol are closed")
+	}
+}
+
 // waitAndStop blocks until the context ends or a duty fails. If the context has ended,
 // it calls drain with the stop timeout. It then stops all duties and returns the first
 // error of a duty.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -22,7 +22,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	resumeFrom := c.response.AddAttempt(a.attemptID)
-	c.lastResult = rollout.NotDispatched
+	c.lastResult, c.agentDraining = rollout.NotDispatched, false
 	client := wire.NewDRPCAgentClient(c.opts.Dial(ctx, a.address))
 	frames, err := client.Run(ctx, c.newRunRequest(a, resumeFrom))
 	if err != nil {
@@ -33,8 +33,13 @@
 		}
 		return core.OutcomeUnknown
 	}
-	defer func() { _ = frames.Close() }()
-	return c.receiveFrames(a, frames)
+	outcome := c.receiveFrames(a, frames)
+	_ = frames.Close() // the stream is abandoned even if closing it fails
+	if c.agentDraining {
+		<-frames.Context().Done() // its connection is idle then
+		c.opts.CloseIdle(a.address)
+	}
+	return outcome
 }
 
 func (c *call) newRunRequest(a placementResult, resumeFrom uint32) *wire.RunRequest {
@@ -80,6 +85,7 @@
 			}
 		case stream.VerdictComplete:
 			c.endFrame, c.lastResult = f.GetEnd(), rollout.Complete
+			c.agentDraining = c.endFrame.GetState().GetDraining()
 			c.dispatcher.stateUpdates.Push(stateUpdate{upstream: a.choice.Upstream, state: c.endFrame.GetState()})
 			return core.OutcomeFinished
 		case stream.VerdictRejected:
@@ -94,6 +100,7 @@
 
 func (c *call) handleReject(r *wire.Reject) core.Outcome {
 	c.lastReason = "agent rejected the attempt (" + r.GetReason().String() + ") " + r.GetDetail()
+	c.agentDraining = r.GetReason() == wire.RejectReason_REJECT_DRAINING
 	c.opts.Control.ObserveEpoch(core.Epoch(r.GetEpoch()))
 	return core.OutcomeRejected
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -42,6 +42,9 @@
 	firstTokenAt time.Time
 	lastTokenAt  time.Time
 	endFrame     *wire.End
+	// agentDraining is set if the agent of the last attempt rejected it because it is
+	// draining, or drained when it finished.
+	agentDraining bool
 	// lastReason is the reason, for errors and logs, why the last attempt did not finish.
 	// lastResult is the classification of the last attempt for the judge.
 	lastReason string
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,6 +79,8 @@
 	Control       Control
 	// Dial returns a connection of the inner protocol to an agent.
 	Dial func(ctx context.Context, address string) drpc.Conn
+	// CloseIdle, if set, closes the idle connections to an agent that may be stopping.
+	CloseIdle func(address string)
 	// RegisterServices adds the routes of plain services. It may be nil.
 	RegisterServices func(router *httprouter.Router)
 	// EntryCount returns the number of entries that serve callers, including this one.
@@ -115,6 +117,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.CloseIdle == nil {
+		o.CloseIdle = func(string) {}
+	}
 	if o.EntryCount == nil {
 		o.EntryCount = func() int { return 1 }
 	}
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -58,6 +58,8 @@
 	url     string
 	engines []*standin.Engine
 	agents  []*agent.Agent
+	// servers serve the inner protocol of the agents.
+	servers []*transport.Server
 	control *fakeControl
 }
 
@@ -102,20 +104,22 @@
 
 func (cl *cluster) startAgent(t *testing.T, group *duty.Group, id core.UpstreamID, listener net.Listener, options standin.EngineOptions) {
 	e := standin.NewEngine(options)
-	server := httptest.NewServer(e)
+	engineServer := httptest.NewServer(e)
 	t.Cleanup(func() {
 		e.Close()
-		server.Close()
+		engineServer.Close()
 	})
 	a, err := agent.New(agent.Options{
 		Node: core.NodeID("agent-" + id), Incarnation: 1, Upstream: id, Control: cl.control,
-		Engine: engine.New(engine.Options{BaseURL: server.URL, HTTP: server.Client()}), Log: discardLog(),
+		Engine: engine.New(engine.Options{BaseURL: engineServer.URL, HTTP: engineServer.Client()}), Log: discardLog(),
 	})
 	require.NoError(t, err)
 	mux := drpcmux.New()
 	require.NoError(t, a.Register(mux))
 	a.Start(group)
-	group.Go("inner "+string(id), func(ctx context.Context) error { return transport.Serve(ctx, listener, nil, mux) })
+	server := transport.NewServer(listener.(*net.TCPListener), nil, mux)
+	group.Go("inner "+string(id), server.Run)
+	cl.servers = append(cl.servers, server)
 	cl.engines = append(cl.engines, e)
 	cl.agents = append(cl.agents, a)
 }
@@ -124,7 +128,7 @@
 	dialer := transport.NewDialer(nil, nil)
 	t.Cleanup(func() { _ = dialer.Close() })
 	e, err := entry.New(entry.Options{
-		Node: "entry-1", Incarnation: 1, Control: cl.control, Dial: dialer.Dial, Log: discardLog(), Seed: 7,
+		Node: "entry-1", Incarnation: 1, Control: cl.control, Dial: dialer.Dial, CloseIdle: dialer.CloseIdle, Log: discardLog(), Seed: 7,
 		Limits:  settings.Limits{BodyBytes: 1 << 20, Waiting: 64, Timeout: time.Minute},
 		Routing: settings.Routing{MaxWatched: 64},
 	})
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -148,7 +148,7 @@
 	if err != nil {
 		return false, err
 	}
-	defer func() { _ = stream.Close() }()
+	defer w.closeStream(stream)
 	for {
 		state, err := stream.Recv()
 		if err != nil {
@@ -167,6 +167,14 @@
 	}
 }
 
+// closeStream ends a watch stream. It also closes the idle connections to the agent, since an
+// agent that is stopping ends the stream and waits until no connection is open.
+func (w *watch) closeStream(stream wire.DRPCAgent_WatchClient) {
+	_ = stream.Close() // the stream is abandoned even if closing it fails
+	<-stream.Context().Done()
+	w.opts.CloseIdle(w.target.address)
+}
+
 // markUnavailable reports to the dispatch duty and the listener that the watch stream of the
 // upstream has failed.
 func (w *watch) markUnavailable(err error) {
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -83,6 +83,15 @@
 	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
+// CloseIdle closes the idle connections to an address. An entry calls it after a rejection by
+// an agent that is stopping: the agent accepts no new connections, so the next call fails
+// before it is sent, and the agent ends when no connections are left.
+func (d *Dialer) CloseIdle(address string) {
+	for conn, ok := d.pool.Take(address); ok; conn, ok = d.pool.Take(address) {
+		_ = conn.Close() // the connection is abandoned even if closing it fails
+	}
+}
+
 // Close closes all idle connections in the pool.
 func (d *Dialer) Close() error { return d.pool.Close() }
 
