Resume no stream with the first event of a run that may have started again

A caller that had received one event of a stream could get the events of two runs joined (ORDER): a server that starts the run again instead of resuming it sends the same first event.

Cause: a response that begins with the last event was taken as a resumption at that event. The first event does not tell the two apart.

Change: the first event is never a repetition; the next server is used, or the stream broken off, as before that rule.

Result: the case 'first event, then the next' of TestStreamIsResumedAtCertainPositionsOnly failed before and passes. Its cases of repetitions have two events before them now; 'last event, then the next' expected the joined stream.

--- a/frontend/resume_test.go
+++ b/frontend/resume_test.go
@@ -154,9 +154,10 @@
 		"after an id behind one":       {eventOne + unnumbered + eventTwo, eventThree, eventOne + unnumbered + eventTwo + eventThree, 2, true},
 		"same id that is no number":    {named, named, named, 2, false},
 		"another id that is no number": {named, "id: b\ndata: b\n\n", named + "id: b\ndata: b\n\n", 2, true},
-		"last event, then the next":    {eventOne, eventOne + eventTwo, eventOne + eventTwo, 2, true},
-		"last event twice":             {eventOne, eventOne + eventOne + eventTwo, eventOne, 2, false},
-		"only the last event":          {eventOne, eventOne, eventOne, 2, false},
+		"last event, then the next":    {eventOne + eventTwo, eventTwo + eventThree, eventOne + eventTwo + eventThree, 2, true},
+		"last event twice":             {eventOne + eventTwo, eventTwo + eventTwo + eventThree, eventOne + eventTwo, 2, false},
+		"only the last event":          {eventOne + eventTwo, eventTwo, eventOne + eventTwo, 2, false},
+		"first event, then the next":   {eventOne, eventOne + eventTwo, eventOne, 2, false},
 		"last two events":              {eventOne + eventTwo, eventOne + eventTwo + eventThree, eventOne + eventTwo, 2, false},
 		"changed last event":           {eventOne, "id: 1\ndata: z\n\n" + eventTwo, eventOne, 2, false},
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,7 +152,8 @@
 	// caller.
 	headerSent bool
 	// lastEventID is the id of the last event that was sent to the caller. lastEventText
-	// contains its bytes if the stream can be resumed.
+	// contains its bytes if the stream can be resumed and it is not the first one, which a
+	// run that starts again would also send.
 	lastEventID   string
 	lastEventText []byte
 	// unnumbered is set when a section without an id followed that event.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -230,10 +230,10 @@
 		}
 	}
 	if e.id != "" {
-		s.lastEventID, s.unnumbered = e.id, false
-		if s.route.Resumable {
+		if s.route.Resumable && s.lastEventID != "" {
 			s.lastEventText = e.text
 		}
+		s.lastEventID, s.unnumbered = e.id, false
 	} else if e.hasFields {
 		s.unnumbered = true
 	}
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -38,7 +38,8 @@
 
 // isRepetition reports whether the response begins with the last event that the caller has
 // received, byte for byte. An upstream may resume at the last event instead of behind it;
-// the event is then skipped, and those behind it continue the same run.
+// the event is then skipped, and those behind it continue the same run. lastText is empty
+// if that event was the first one.
 func (c *continuation) isRepetition(e event, lastText []byte) bool {
 	if !c.resumed || c.continued || c.repeated || e.id == "" || !bytes.Equal(e.text, lastText) {
 		return false
