Show two fronts with one fencing token after a late write of the lease

A renewal of the weights lease gets no answer, the store comes back from a copy, and the renewal is performed about 4.9 s late on a row whose version was assigned again. Two fronts then order the same servers within 0.2 s, both with the fencing token.

It takes the place of the case on isolated tenants, which remains as a scenario. The other cases move by one.

--- a/review/5/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/waxwing-front ] && [ -x target/review-lab ] || { echo "build waxwing-front and run review/build.sh first" >&2; exit 2; }
 export TROUBLE="${TROUBLE:-1}" FRONT="$PWD/target/waxwing-front"
-exec target/review-lab isolation review/5
+exec target/review-lab quarantine review/4
--- a/review/main.go
+++ b/review/main.go
@@ -31,6 +31,7 @@
 	"pause":      pauseCase,
 	"unframed":   unframedCase,
 	"isolation":  isolationCase,
+	"lease":      oneCase,
 	"dark":       darkCase,
 }
 
