Log requests that are given up outside a planned stop

The line closed_unanswered was written during the drain of a planned stop only, so that the log could not tell a connection that this front closes outside a stop from one that its caller closes.

The line is now written whenever a front closes a connection with an unanswered request. It states whether a stop is draining connections and whether the caller left first. Outside a stop, callers that leave first are not logged. TestGivenUpRequestIsLogged fails without the change (no line).

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -35,6 +35,9 @@
 	readDeadline time.Time
 	// quietTime is set while closeIfQuiet wakes the reader.
 	quietTime time.Duration
+	// clientLeft is set when the client has closed or reset the connection, closed when
+	// this process has closed it.
+	clientLeft, closed bool
 }
 
 func newConn(accepted *net.TCPConn, duty *connDuty) *conn {
@@ -51,12 +54,24 @@
 			c.recordBytes(n, len(p), time.Now())
 			return n, err
 		}
-		if !isTimeout(err) || !c.continueReading(time.Now()) {
+		if !isTimeout(err) {
+			c.recordEnd(err)
+			return n, err
+		}
+		if !c.continueReading(time.Now()) {
 			return n, err
 		}
 	}
 }
 
+// recordEnd records the error of a read that found the connection ended. A connection
+// that this process has closed itself was not left by its client.
+func (c *conn) recordEnd(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.clientLeft = !errors.Is(err, net.ErrClosed)
+}
+
 // recordBytes records bytes that were read into a buffer.
 func (c *conn) recordBytes(n, bufferSize int, now time.Time) {
 	c.mu.Lock()
@@ -128,11 +143,9 @@
 	return n, err
 }
 
-// Close implements net.Conn. During a drain it logs an unanswered request.
+// Close implements net.Conn. It logs an unanswered request that it gives up.
 func (c *conn) Close() error {
-	if c.duty.isDraining() {
-		c.logUnanswered()
-	}
+	c.logUnanswered()
 	return c.TCPConn.Close()
 }
 
@@ -180,16 +193,22 @@
 }
 
 // logUnanswered logs that the connection ends with bytes of an unanswered request, if
-// it has any.
+// it has any. Outside a drain, clients that leave first are not logged.
 func (c *conn) logUnanswered() {
-	unread := unreadBytes(c.TCPConn)
+	draining := c.duty.isDraining()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.written > 0 || c.received == 0 && unread == 0 {
+	if c.written > 0 || c.closed || c.clientLeft && !draining {
+		return
+	}
+	c.closed = true
+	unread := unreadBytes(c.TCPConn)
+	if c.received == 0 && unread == 0 {
 		return
 	}
 	fields := logrus.Fields{
 		"event": "closed_unanswered", "caller": c.RemoteAddr().String(), "state": c.httpState.String(), "received": c.received, "unread": unread,
+		"draining": draining, "caller_left": c.clientLeft,
 	}
 	if c.received > 0 {
 		fields["last_byte_ms"] = time.Since(c.lastByteAt).Milliseconds()
--- a/callerhttp/drain_test.go
+++ b/callerhttp/drain_test.go
@@ -325,3 +325,34 @@
 		})
 	}
 }
+
+// Guards against a request that is given up without a trace while no stop is in progress,
+// and against a line for each client that leaves first.
+func TestGivenUpRequestIsLogged(t *testing.T) {
+	left := make(chan struct{})
+	s := newServed(t, nil, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/leaves" {
+			<-r.Context().Done()
+			close(left)
+		}
+		panic(http.ErrAbortHandler)
+	}).start()
+	leaving := s.dial().send("GET /leaves HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	s.awaitPhase(notWaiting, 1)
+	require.NoError(t, leaving.Close())
+	<-left
+	s.dial().send(requestBegin + requestEnd).requireClosed()
+	lines := func() (unanswered []*logrus.Entry) {
+		for _, entry := range s.logs.AllEntries() {
+			if entry.Data["event"] == "closed_unanswered" {
+				unanswered = append(unanswered, entry)
+			}
+		}
+		return unanswered
+	}
+	require.Eventually(t, func() bool { return len(lines()) > 0 }, testTimeout, time.Millisecond)
+	require.Len(t, lines(), 1)
+	require.Equal(t, "active", lines()[0].Data["state"])
+	require.Equal(t, false, lines()[0].Data["draining"])
+	require.Equal(t, false, lines()[0].Data["caller_left"])
+}
