Answer calls that are in progress at the end of a planned stop

What callers saw: a call that a front had received before SIGTERM, and whose upstream did not respond until the end of the grace time, ended with a closed connection instead of a response.

Cause: the start of the stop reserve limits the deadlines of the calls that are accepted during the stop. Calls that were in progress kept their own deadline, and the end of the drain closed their connections.

Change: the contexts of all calls reach their deadline when the stop reserve begins. A call without a response gets a 504, which promises nothing. The cause of the context tells this from a caller that has disconnected.

--- a/attempts/attempts.go
+++ b/attempts/attempts.go
@@ -79,7 +79,8 @@
 const (
 	// Responded means that the caller has received its response.
 	Responded Cause = iota
-	// CallerCanceled means that the caller no longer waits for a response.
+	// CallerCanceled means that the caller no longer waits for a response: the cause of
+	// the context is context.Canceled.
 	CallerCanceled
 	// NotRun means that every attempt is proved not to have run.
 	NotRun
@@ -144,7 +145,7 @@
 	switch {
 	case e.Outcome == core.OutcomeFinished:
 		e.Cause = Responded
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(context.Cause(ctx), context.Canceled):
 		e.Cause = CallerCanceled
 	case e.Outcome.ProvesNotRun():
 		e.Cause = NotRun
--- a/frontend/stop_test.go
+++ b/frontend/stop_test.go
@@ -92,6 +92,28 @@
 	require.Equal(t, http.StatusGatewayTimeout, readResponse(t, bufio.NewReader(conn)).StatusCode)
 }
 
+// Guards against calls that were received before a planned stop and are cut at its end
+// without a response: their upstreams do not respond.
+func TestPlannedStopAnswersCallsThatBeganBeforeIt(t *testing.T) {
+	d := newDeployment(t)
+	reached := make(chan struct{})
+	d.startServer("i-1", "svc", func(*standin.PlatformServer) func(http.ResponseWriter, *http.Request, []byte) {
+		return func(_ http.ResponseWriter, r *http.Request, _ []byte) {
+			close(reached)
+			<-r.Context().Done()
+		}
+	})
+	f := newFront()
+	f.grace = 2 * time.Second // the route allows 3 s
+	d.runFront("front-1", f)
+	d.eventually(f.ready, "front is not ready")
+	conn := f.dial(t)
+	send(t, conn, "POST /log/x HTTP/1.1\r\nHost: gates.example\r\nX-Api-Key: key-1\r\nRequest-Id: r\r\nContent-Length: 0\r\n\r\n")
+	<-reached
+	f.stop()
+	require.Equal(t, http.StatusGatewayTimeout, readResponse(t, bufio.NewReader(conn)).StatusCode)
+}
+
 // Guards against kept connections on which callers send further calls to a stopping
 // front until it closes them: responses of upstreams did not ask callers to close.
 func TestPlannedStopClosesConnectionsWithForwardedResponses(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -61,6 +62,9 @@
 	router      *router
 	metrics     *metrics
 	plannedStop atomic.Pointer[plannedStop]
+	// callsEnd ends when the stop reserve of a planned stop begins.
+	callsEnd context.Context
+	endCalls context.CancelFunc
 	// streams is the number of active streams.
 	streams atomic.Int64
 	bodies  bodyBudget
@@ -72,7 +76,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Gateway{opts: opts, router: newRouter(opts), metrics: m}, nil
+	callsEnd, endCalls := context.WithCancel(context.Background())
+	return &Gateway{opts: opts, router: newRouter(opts), metrics: m, callsEnd: callsEnd, endCalls: endCalls}, nil
 }
 
 // Start starts the duties in a group.
@@ -91,9 +96,12 @@
 
 // BeginStop records that a planned stop has started. The connection to the caller is
 // closed after each further response, and new calls are refused according to
-// plannedStop.accepts.
+// plannedStop.accepts. Calls that are in progress when the stop reserve begins reach
+// their deadline then.
 func (g *Gateway) BeginStop(startedAt time.Time, grace time.Duration) {
-	g.plannedStop.Store(&plannedStop{startedAt: startedAt, grace: grace})
+	stop := &plannedStop{startedAt: startedAt, grace: grace}
+	g.plannedStop.Store(stop)
+	time.AfterFunc(time.Until(stop.reserveStart()), g.endCalls)
 }
 
 // ServeHTTP serves one call.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -47,7 +47,7 @@
 // serve places and sends the call until it is completed or no further attempt is
 // allowed.
 func (s *callState) serve() {
-	ctx, cancel := context.WithDeadline(s.request.Context(), s.deadline.Add(-responseMargin))
+	ctx, cancel := s.callContext()
 	defer cancel()
 	s.finish(attempts.Run(ctx, attempts.Rules{
 		Repeatable: s.route.Repeatable(), MaxRuns: s.route.MaxRuns, MaxSends: maxSends, Deadline: s.deadline, MinRemaining: minAttemptTime,
@@ -271,7 +271,7 @@
 	if errs.Is(err, errs.Unavailable) {
 		o.result, o.notRun = placement.Unreachable, true
 	}
-	if errors.Is(ctx.Err(), context.Canceled) || ctx.Err() != nil && o.notRun {
+	if errors.Is(context.Cause(ctx), context.Canceled) || ctx.Err() != nil && o.notRun {
 		o.result = placement.Abandoned
 	}
 	report.Final, report.Result = true, o.result
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"waxwingtide.example/waxwingtide/core"
@@ -44,12 +45,29 @@
 	if s == nil {
 		return deadline
 	}
-	if end := s.startedAt.Add(s.grace - stopReserve); end.Before(deadline) {
+	if end := s.reserveStart(); end.Before(deadline) {
 		return end
 	}
 	return deadline
 }
 
+// reserveStart returns the start of the stop reserve.
+func (s *plannedStop) reserveStart() time.Time { return s.startedAt.Add(s.grace - stopReserve) }
+
+// callContext returns the context of a call. It ends at the deadline of the call, when the
+// stop reserve of a planned stop begins, or when the caller disconnects. Its cause is
+// context.Canceled only if the caller has disconnected.
+func (s *callState) callContext() (context.Context, context.CancelFunc) {
+	ctx, cancelCause := context.WithCancelCause(s.request.Context())
+	ctx, cancel := context.WithDeadline(ctx, s.deadline.Add(-responseMargin))
+	detach := context.AfterFunc(s.gateway.callsEnd, func() { cancelCause(context.DeadlineExceeded) })
+	return ctx, func() {
+		detach()
+		cancel()
+		cancelCause(nil)
+	}
+}
+
 // acceptPeriod returns the period after the start of the stop in which calls of a kind
 // are accepted. It is never shorter than that of streams.
 func (s *plannedStop) acceptPeriod(kind core.CallKind, remaining time.Duration) time.Duration {
