Close connections of calls that were received before a planned stop

What callers saw: a front that had received SIGTERM answered calls that were in progress without Connection: close. Callers sent their next requests on these connections, until the front closed them as quiet ones at half of the grace time; a request that crosses the close is reset.

Cause: the header was set when a call was received, not when its response is sent.

Evidence: TestPlannedStopClosesConnectionsOfCallsThatBeganBeforeIt failed before in its three cases (response, stream, refusal); it passes now.

Change: the header is set just before the response is sent, for forwarded responses, streams and error responses alike.

--- a/frontend/stop_test.go
+++ b/frontend/stop_test.go
@@ -114,6 +114,44 @@
 	require.Equal(t, http.StatusGatewayTimeout, readResponse(t, bufio.NewReader(conn)).StatusCode)
 }
 
+// Guards against kept connections that a stopping front leaves open after responses to
+// calls that it had received before the stop, so that it later closes them over the next
+// request.
+func TestPlannedStopClosesConnectionsOfCallsThatBeganBeforeIt(t *testing.T) {
+	responses := map[string]struct {
+		path   string
+		answer func(s *standin.PlatformServer, w http.ResponseWriter)
+	}{
+		"response": {"/log/x", func(s *standin.PlatformServer, w http.ResponseWriter) { s.Answer(w, http.StatusOK, "served") }},
+		"stream":   {"/draft/x", func(s *standin.PlatformServer, w http.ResponseWriter) { s.Events(w, 1, 2, 0) }},
+		"refusal":  {"/log/x", func(s *standin.PlatformServer, w http.ResponseWriter) { s.Reject(w) }},
+	}
+	for name, c := range responses {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			reached, release := make(chan struct{}, 8), make(chan struct{})
+			d.startServer("i-1", "svc", func(s *standin.PlatformServer) func(http.ResponseWriter, *http.Request, []byte) {
+				return func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+					reached <- struct{}{}
+					<-release
+					c.answer(s, w)
+				}
+			})
+			f := newFront()
+			f.grace = 3 * time.Second
+			d.runFront("front-1", f)
+			d.eventually(f.ready, "front is not ready")
+			conn := f.dial(t)
+			send(t, conn, "POST "+c.path+" HTTP/1.1\r\nHost: gates.example\r\nX-Api-Key: key-1\r\nRequest-Id: r\r\nContent-Length: 0\r\n\r\n")
+			<-reached
+			f.stop()
+			d.eventually(func() bool { return !f.ready() }, "the front does not stop")
+			close(release)
+			require.True(t, readResponse(t, bufio.NewReader(conn)).Close)
+		})
+	}
+}
+
 // Guards against kept connections on which callers send further calls to a stopping
 // front until it closes them: responses of upstreams did not ask callers to close.
 func TestPlannedStopClosesConnectionsWithForwardedResponses(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,9 +106,6 @@
 
 // ServeHTTP serves one call.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.plannedStop.Load() != nil {
-		w.Header().Set("Connection", "close")
-	}
 	call, err := g.opts.Codec.DecodeCall(r, time.Now())
 	s := &callState{gateway: g, writer: w, call: call, request: r}
 	if err != nil {
@@ -280,7 +277,7 @@
 // Statuses 429 and 503 guarantee that the call has not run and will not run.
 func (s *callState) respondWithError(status int, reason string, retryAfter time.Duration, cause error) {
 	s.status = status
-	h := s.writer.Header()
+	h := s.responseHeader()
 	s.gateway.opts.Codec.SetErrorHeader(h, s.call.ID, retryAfter)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	s.writer.WriteHeader(status)
@@ -293,6 +290,16 @@
 	s.gateway.metrics.errorSent(status, reason)
 }
 
+// responseHeader returns the header of the response to the caller, just before it is sent.
+// During a planned stop it closes the connection.
+func (s *callState) responseHeader() http.Header {
+	h := s.writer.Header()
+	if s.gateway.plannedStop.Load() != nil {
+		h.Set("Connection", "close")
+	}
+	return h
+}
+
 // log returns a logger with the fields of the call.
 func (s *callState) log(event string) logrus.FieldLogger {
 	fields := logrus.Fields{"event": event, "request": s.call.ID, "elapsed_ms": time.Since(s.call.ReceivedAt).Milliseconds()}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -134,7 +134,7 @@
 
 // writeResponse sends a buffered response to the caller.
 func (s *callState) writeResponse(response *bufferedResponse) {
-	h := s.writer.Header()
+	h := s.responseHeader()
 	s.gateway.opts.Codec.CopyResponseHeader(h, response.header)
 	if response.length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(response.length, 10))
@@ -220,7 +220,7 @@
 // first one. The writer is flushed unless more bytes are buffered.
 func (s *callState) writeEvent(control *http.ResponseController, resp *http.Response, e event, moreBuffered bool) error {
 	if !s.headerSent {
-		s.gateway.opts.Codec.CopyResponseHeader(s.writer.Header(), resp.Header)
+		s.gateway.opts.Codec.CopyResponseHeader(s.responseHeader(), resp.Header)
 		s.writer.WriteHeader(resp.StatusCode)
 		s.headerSent, s.status = true, resp.StatusCode
 	}
