Bear servers that are silent for two seconds while they serve a call

What callers saw: a call whose server acknowledged nothing for 1.2 s was given up and ended with 502, or broke off as a stream, although the server went on with it.

Cause: connections to servers had the same limits as those to the store and to other fronts: 1.2 s for unacknowledged bytes, which also ends idle connections at the second keep-alive probe, after 1.5 s. A request to the store is repeated; a call that has been sent may not be.

Change: connections that carry calls to servers bear 2.5 s of silence. Those to the store, to other fronts and to control interfaces keep 1.2 s. A server that is gone is noticed by its calls later by as much.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -154,7 +154,7 @@
 	g, err := gateway.New(gateway.Options{
 		Fleet: p.fleet, CacheFeed: cacheevents.New(engines, p.ownsFrees, p.relay, relayClient{p.dialer}, p.log), Codec: platform.CallCodec{},
 		Observations: p.exchanger,
-		Client:       upstreamhttp.NewClient(platform.NewDialer(connectTimeout)),
+		Client:       upstreamhttp.NewClient(platform.NewUpstreamDialer(connectTimeout)),
 		CanaryShare:  s.Rollout.CanaryShare, StatusWriter: canary.NewStatusWriter(store, platform.RowCodec{}, p.log),
 		Placement: placementOptions(s), Log: p.log, Meter: p.metrics.Meter("gateway"), Random: rand.Float64,
 	})
