--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -207,7 +207,7 @@
 		return
 	}
 	fields := logrus.Fields{
-		"event": "closed_unanswered", "caller": c.RemoteAddr().String(), "state": c.httpState.String(), "received": c.received, "unread": unread,
+		"event": "closed_unanswered", "listener": c.duty.listener, "caller": c.RemoteAddr().String(), "state": c.httpState.String(), "received": c.received, "unread": unread,
 		"draining": draining, "caller_left": c.clientLeft,
 	}
 	if c.received > 0 {
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -49,7 +49,7 @@
 
 // New returns a server that serves nothing before Start.
 func New(o Options) *Server {
-	d := newConnDuty(o.Timeouts, o.Log)
+	d := newConnDuty(o.Name, o.Timeouts, o.Log)
 	s := &Server{name: o.Name, duty: d, log: o.Log}
 	s.listener = &listener{TCPListener: o.Listener, duty: d}
 	s.accepts = s.listener
--- a/callerhttp/waiting.go
+++ b/callerhttp/waiting.go
@@ -79,6 +79,8 @@
 // connDuty is the duty that closes connections whose clients exceed the timeouts and,
 // during a drain, quiet connections.
 type connDuty struct {
+	// listener is the name of the listener in log lines.
+	listener string
 	changes  *ring.Ring[connChange]
 	drains   *ring.Ring[drainRequest]
 	timeouts func() Timeouts
@@ -98,9 +100,9 @@
 // none left and the listener has ended.
 type drainRequest struct{ replies *ring.Ring[struct{}] }
 
-func newConnDuty(timeouts func() Timeouts, log logrus.FieldLogger) *connDuty {
+func newConnDuty(listener string, timeouts func() Timeouts, log logrus.FieldLogger) *connDuty {
 	return &connDuty{
-		changes: ring.New[connChange](connChangeCapacity), drains: ring.New[drainRequest](1), timeouts: timeouts, log: log,
+		listener: listener, changes: ring.New[connChange](connChangeCapacity), drains: ring.New[drainRequest](1), timeouts: timeouts, log: log,
 		draining: make(chan struct{}),
 	}
 }
--- a/callerhttp/waiting_test.go
+++ b/callerhttp/waiting_test.go
@@ -23,7 +23,7 @@
 	require.NoError(t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	c := newConn(accepted.(*net.TCPConn), newConnDuty(func() Timeouts { return Timeouts{} }, log))
+	c := newConn(accepted.(*net.TCPConn), newConnDuty("callers", func() Timeouts { return Timeouts{} }, log))
 	t.Cleanup(func() { _ = c.Close() })
 	return c, client
 }
