Exclude no upstream that responds, and count connections that fail together once

What callers saw: sound calls were refused with 503, no_upstream, because connections to a busy upstream had timed out, although it responded to other calls meanwhile.

Cause: each failed connection excluded its upstream, and each one doubled the time, also those that were opened at the same moment: eight connections that time out together excluded it for 1.6 s. Other fronts excluded it as well.

Evidence: TestConnectionsThatFailTogetherExcludeOnce and TestRespondingUpstreamIsNotExcluded failed before (no upstream instead of a placement). They pass now, and TestRepeatedFailedConnectionsExcludeLonger shows that the time still grows for an upstream that has ended; it passed before.

Change: a connection that was opened before the last response or the last failure tells nothing new. The other fronts are told only of an upstream that is excluded here.

--- a/gateway/router.go
+++ b/gateway/router.go
@@ -292,7 +292,7 @@
 func (r *router) publishObservation(now time.Time, report placement.Report) {
 	o := sharing.Observation{Upstream: report.Upstream, Load: report.Load, ObservedAt: now}
 	if report.Final {
-		o.Unreachable = report.Result == placement.Unreachable
+		o.Unreachable = report.Result == placement.Unreachable && r.placer.Excluded(now, report.Upstream)
 	} else {
 		o.HasLoad = report.HasLoad
 		o.Leaving, o.StartedAtMs = report.Leaving, report.StartedAtMs
--- a/placement/table.go
+++ b/placement/table.go
@@ -359,11 +359,11 @@
 		if r.Result == Completed && a.memoryTokens > 0 {
 			pl.observeResidency(u.row.Service, a.memoryTokens, now.Sub(a.sentAt))
 		}
-		pl.recordResult(now, u, r)
+		pl.recordResult(now, u, a.sentAt, r)
 	}
 }
 
-func (pl *Placer) recordResult(now time.Time, u *upstream, r Report) {
+func (pl *Placer) recordResult(now time.Time, u *upstream, sentAt time.Time, r Report) {
 	switch r.Result {
 	case Completed:
 		u.failedConnects = 0
@@ -373,9 +373,7 @@
 	case Rejected, Misdirected:
 		u.rejectionCostUntil = now.Add(rejectionCostDuration)
 	case Unreachable:
-		delay := min(unreachableDelay<<min(u.failedConnects, 4), maxUnreachableDelay)
-		u.failedConnects++
-		u.excludedUntil = now.Add(delay)
+		u.recordFailedConnect(now, sentAt)
 	case Abandoned:
 	}
 }
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -91,8 +91,11 @@
 	failureShare   float64
 	failureShareAt time.Time
 	lastTrialAt    time.Time
-	// failedConnects is the number of consecutive failed connections.
-	failedConnects int
+	// failedConnects is the number of consecutive failed connections, lastFailedConnect
+	// the time of the last one. Those that were opened before that time and fail as well
+	// count as the same one.
+	failedConnects    int
+	lastFailedConnect time.Time
 	// lastResponseAt is when the upstream last responded to this process.
 	lastResponseAt     time.Time
 	excludedUntil      time.Time
@@ -147,6 +150,26 @@
 	}
 }
 
+// recordFailedConnect excludes the upstream for a time after a connection that was opened
+// at openedAt has failed. If the upstream has responded to another call since then, it can
+// be reached and is not excluded.
+func (u *upstream) recordFailedConnect(now, openedAt time.Time) {
+	if u.lastResponseAt.After(openedAt) || u.failedConnects > 0 && u.lastFailedConnect.After(openedAt) {
+		return
+	}
+	delay := min(unreachableDelay<<min(u.failedConnects, 4), maxUnreachableDelay)
+	u.failedConnects++
+	u.lastFailedConnect = now
+	u.excludedUntil = now.Add(delay)
+}
+
+// Excluded reports whether an upstream gets no calls for a time because connections to it
+// have failed.
+func (pl *Placer) Excluded(now time.Time, id core.UpstreamID) bool {
+	u := pl.upstreams[id]
+	return u != nil && now.Before(u.excludedUntil)
+}
+
 // leaving reports whether the upstream's row or the upstream itself announces that it
 // leaves.
 func (u *upstream) leaving() bool { return u.row.Draining || u.restriction.leaving() }
