Place calls again at an upstream that a connection did not reach

What callers saw: 503, no_upstream, though the only upstream that was left responded to all other calls (TestLeavingServerGetsNoFurtherCalls beside load, cases failure and refusal in the known failures, also success and stream).

Cause: a connection that timed out after 300 ms made the upstream one that the call had tried, and a call is not sent to an upstream twice. Nothing of the call had been sent. The log of a failed run shows 39 attempts completed at i-other and one that was "unreachable: i/o timeout", whose call is then refused; the answer's reason stands in the test's message now.

Evidence: TestFailedConnectionLeavesItsUpstreamUsable failed before.

Change: an upstream counts as tried only if bytes of the call may have been sent to it.

--- a/frontend/leaving_test.go
+++ b/frontend/leaving_test.go
@@ -77,7 +77,7 @@
 			}, "no call reached the server")
 			for _, got := range fronts[0].callConcurrently(c.method, c.path, 40) {
 				require.NoError(t, got.err)
-				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, http.StatusOK, got.status, got.body)
 			}
 			require.Empty(t, leaving.Seen(), "calls of the front that received the announcement")
 			time.Sleep(sharedAfter)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -277,6 +277,10 @@
 	report.Final, report.Result = true, o.result
 	s.gateway.router.report(report)
 	s.logAttempt(p, attemptTimes{sentAt: sentAt}, false, UpstreamResponse{}, o)
+	if o.notRun {
+		// Nothing was sent, so that the call may be placed at this upstream again.
+		s.attemptedUpstreams = s.attemptedUpstreams[:len(s.attemptedUpstreams)-1]
+	}
 	return o
 }
 
