Count complete answers that end with their connections

Cause: the end of such an answer looks like a crash, so that it counted as a broken attempt and never as an answer, also after the check of the upstream had shown that it still accepts connections. No part was cleared and no quarantine ended, and sound calls were suspects of each crash.

The tracker now keeps such answers until the check: after a confirmed crash the calls are suspects, otherwise, also without a result within a second, they are answers with the time at which they came.

--- a/frontend/crash_test.go
+++ b/frontend/crash_test.go
@@ -34,6 +34,10 @@
 
 // crashingCluster counts what the crashing servers of a test receive.
 type crashingCluster struct {
+	// unframed lets answers end with their connections.
+	unframed atomic.Bool
+	servers  []*crashingServer
+
 	mu          sync.Mutex
 	crashes     int
 	fifthAt     time.Time
@@ -47,6 +51,7 @@
 	for i := range n {
 		s := &crashingServer{d: d, id: fmt.Sprintf("i-%d", i), address: freeAddress(), cluster: c}
 		s.start()
+		c.servers = append(c.servers, s)
 		d.t.Cleanup(s.stop)
 	}
 	return c
@@ -85,6 +90,9 @@
 func (s *crashingServer) serve(standIn *standin.PlatformServer) func(http.ResponseWriter, *http.Request, []byte) {
 	return func(w http.ResponseWriter, r *http.Request, _ []byte) {
 		const prefill, eventPause = 20 * time.Millisecond, 5 * time.Millisecond
+		if s.cluster.unframed.Load() {
+			w.Header().Set("Transfer-Encoding", "identity") // neither a length nor chunks
+		}
 		bad := strings.Contains(r.Header.Get("Prompt-Prefix"), ",bad:")
 		if bad {
 			s.cluster.recordArrival()
--- a/frontend/unframed_test.go
+++ b/frontend/unframed_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -65,3 +67,48 @@
 		return resumed.Load()
 	}, "the broken stream is not resumed")
 }
+
+// Guards against the refusal of all prompts of a route whose streams end with their
+// connections: a few ordinary crashes quarantined the part that they share, and no answer
+// released it.
+func TestSharedPartIsServedWhereStreamsEndWithConnections(t *testing.T) {
+	const (
+		knownParts    = 10500 * time.Millisecond // a front then knows which parts are in use
+		crashesEnd    = knownParts + 3*time.Second
+		duration      = crashesEnd + 2*time.Second
+		soundInterval = 5 * time.Millisecond
+		crashInterval = 350 * time.Millisecond
+	)
+	d := newDeployment(t)
+	cluster := d.startCrashingServers(8)
+	cluster.unframed.Store(true)
+	fronts := []*front{d.startReadyFront("front-1"), d.startReadyFront("front-2")}
+	var calls sync.WaitGroup
+	var lateSent, lateServed atomic.Int32
+	start := time.Now()
+	nextCrash, crashes := start.Add(knownParts), 0
+	for i := 0; time.Since(start) < duration; i++ {
+		late := time.Since(start) > crashesEnd
+		calls.Go(func() {
+			got := fronts[i%len(fronts)].call(http.MethodPost, "/verdict/x", fmt.Sprint("r-", i), func(r *http.Request) {
+				r.Header.Set("Model", "m1")
+				r.Header.Set("Token-Usage", "100,10")
+				r.Header.Set("Prompt-Prefix", fmt.Sprintf("common:50,own-%d:5", i))
+			})
+			if late {
+				lateSent.Add(1)
+			}
+			if late && got.err == nil && got.status == http.StatusOK {
+				lateServed.Add(1)
+			}
+		})
+		if now := time.Now(); now.After(nextCrash) && now.Before(start.Add(crashesEnd)) {
+			cluster.servers[crashes%len(cluster.servers)].crash()
+			crashes++
+			nextCrash = nextCrash.Add(crashInterval)
+		}
+		time.Sleep(soundInterval)
+	}
+	calls.Wait()
+	require.GreaterOrEqual(t, float64(lateServed.Load()), 0.9*float64(lateSent.Load()), "sound calls are not served after %d crashes", crashes)
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -32,11 +32,11 @@
 	incarnation := quarantine.Incarnation{Upstream: report.Upstream, StartedAtMs: report.StartedAtMs}
 	mayHaveCrashed := r.quarantine.RecordEnd(now, quarantine.AttemptEnd{
 		Incarnation: incarnation, Prompt: report.Prompt, AnswerAge: report.AnswerAge,
-		Broken:    report.Result == placement.Incomplete || report.Unframed,
-		Completed: report.Result == placement.Completed && !report.Unframed,
+		Broken:    report.Result == placement.Incomplete,
+		Completed: report.Result == placement.Completed, Unframed: report.Unframed,
 	})
 	if mayHaveCrashed && !r.crashChecker.checks.Offer(crashCheck{incarnation: incarnation, address: report.Address}) {
-		r.quarantine.DismissCrash(incarnation)
+		r.quarantine.DismissCrash(now, incarnation)
 	}
 }
 
@@ -45,7 +45,7 @@
 func (r *router) updateQuarantine(now time.Time) {
 	for result, ok := r.crashChecker.results.TryReceive(); ok; result, ok = r.crashChecker.results.TryReceive() {
 		if !result.crashed {
-			r.quarantine.DismissCrash(result.incarnation)
+			r.quarantine.DismissCrash(now, result.incarnation)
 			continue
 		}
 		r.quarantine.ConfirmCrash(now, result.incarnation)
--- a/quarantine/answers.go
+++ b/quarantine/answers.go
@@ -33,6 +33,9 @@
 	return answerLog{last: lru}
 }
 
+// recordCall counts a local answer.
+func (l *answerLog) recordCall(time.Time) { l.count++ }
+
 // record records an answer. shared is set for an answer that another process has
 // reported.
 func (l *answerLog) record(part Part, at time.Time, shared bool) {
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -26,7 +26,7 @@
 		}
 		t.Merge(c.ObservedAt, Evidence{Crashes: []Crash{c}})
 		for j := range 4 {
-			t.recordAnswer(c.ObservedAt.Add(time.Millisecond), Part{"m", core.PartID(fmt.Sprint("common-", j))})
+			t.recordAnswer(c.ObservedAt.Add(time.Millisecond), c.ObservedAt.Add(time.Millisecond), Part{"m", core.PartID(fmt.Sprint("common-", j))})
 		}
 	}
 	return t
@@ -61,7 +61,7 @@
 		before := heapBytes()
 		t := fullTracker()
 		for i := range maxAnswers {
-			t.recordAnswer(benchStart, Part{"m", core.PartID(fmt.Sprintf("%012x", i))})
+			t.recordAnswer(benchStart, benchStart, Part{"m", core.PartID(fmt.Sprintf("%012x", i))})
 		}
 		b.ReportMetric(float64(heapBytes()-before)/(1<<20), "MB")
 		runtime.KeepAlive(t)
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -16,6 +16,9 @@
 	confirmWindow = time.Second
 	// maxUnconfirmed bounds the upstreams with broken attempts and no confirmation.
 	maxUnconfirmed = 64
+	// maxUnconfirmedAnswers bounds the unframed answers of one such upstream. Further ones
+	// are not recorded.
+	maxUnconfirmedAnswers = 64
 )
 
 // AttemptEnd is the end of an attempt at an upstream.
@@ -26,32 +29,49 @@
 	// when the answer was complete.
 	Broken    bool
 	Completed bool
+	// Unframed is set for a complete answer that ended with its connection. The crash of
+	// the upstream looks the same.
+	Unframed bool
 	// AnswerAge is the time since the answer began, or 0 if it has not begun.
 	AnswerAge time.Duration
 }
 
-// unconfirmed contains the suspects of an upstream that may have crashed.
+// unconfirmed contains the suspects and the unframed answers of an upstream that may have
+// crashed. Of the two, only the suspects count after a crash and only the answers
+// otherwise.
 type unconfirmed struct {
 	since    time.Time
 	suspects []Suspect
+	answers  []unframedAnswer
+}
+
+// unframedAnswer is a complete answer that ended with its connection.
+type unframedAnswer struct {
+	at     time.Time
+	prompt core.Prompt
 }
 
 // RecordEnd records the end of an attempt. It returns true if the caller should find
 // out whether the upstream has crashed, and report it with ConfirmCrash or
 // DismissCrash.
 func (t *Tracker) RecordEnd(now time.Time, end AttemptEnd) bool {
-	shared := end.Prompt.ShareableParts()
+	framed := end.Completed && !end.Unframed
 	switch {
-	case end.Completed || end.AnswerAge >= clearWindow:
-		t.answers.count++
-		for _, part := range shared {
-			t.recordAnswer(now, Part{end.Prompt.Model, part.ID})
-		}
-		return false
-	case !end.Broken || end.AnswerAge >= beginWindow || len(shared) == 0:
+	case framed || end.AnswerAge >= clearWindow:
+		t.recordAnswers(now, now, end.Prompt)
 		return false
+	case end.Completed || end.Broken && end.AnswerAge < beginWindow:
+		return len(end.Prompt.ShareableParts()) > 0 && t.recordUnconfirmed(now, end)
+	}
+	return false
+}
+
+// recordAnswers records a complete answer that was received at answeredAt.
+func (t *Tracker) recordAnswers(now, answeredAt time.Time, p core.Prompt) {
+	t.answers.recordCall(answeredAt)
+	for _, part := range p.ShareableParts() {
+		t.recordAnswer(now, answeredAt, Part{p.Model, part.ID})
 	}
-	return t.recordSuspect(now, end.Incarnation, newSuspect(end.Prompt))
 }
 
 func newSuspect(p core.Prompt) Suspect {
@@ -64,26 +84,54 @@
 	return s
 }
 
-func (t *Tracker) recordSuspect(now time.Time, incarnation Incarnation, s Suspect) bool {
-	if record := t.crashes.records[incarnation]; record != nil {
-		if local, ok := record.reports[t.self]; ok {
-			t.addCrash(now, Crash{Incarnation: incarnation, Reporter: t.self, ObservedAt: local.ObservedAt, Suspects: appendSuspect(local.Suspects, s)})
-			return false
-		}
+// recordUnconfirmed records the end of an attempt after which the upstream may have
+// crashed. It returns true for the first one.
+func (t *Tracker) recordUnconfirmed(now time.Time, end AttemptEnd) bool {
+	if t.addToCrash(now, end) {
+		return false
 	}
-	u := t.broken[incarnation]
+	u := t.broken[end.Incarnation]
 	first := u == nil
 	if first {
 		if len(t.broken) >= maxUnconfirmed {
+			t.recordDismissed(now, &unconfirmed{answers: unframedAnswers(now, end)})
 			return false
 		}
 		u = &unconfirmed{since: now}
-		t.broken[incarnation] = u
+		t.broken[end.Incarnation] = u
+	}
+	if end.AnswerAge < beginWindow {
+		u.suspects = appendSuspect(u.suspects, newSuspect(end.Prompt))
+	}
+	if len(u.answers) < maxUnconfirmedAnswers {
+		u.answers = append(u.answers, unframedAnswers(now, end)...)
 	}
-	u.suspects = appendSuspect(u.suspects, s)
 	return first
 }
 
+// addToCrash adds a suspect to a crash that this process has observed, and returns false
+// if there is none.
+func (t *Tracker) addToCrash(now time.Time, end AttemptEnd) bool {
+	record := t.crashes.records[end.Incarnation]
+	if record == nil {
+		return false
+	}
+	local, ok := record.reports[t.self]
+	if ok && end.AnswerAge < beginWindow {
+		local.Suspects = appendSuspect(local.Suspects, newSuspect(end.Prompt))
+		t.addCrash(now, local)
+	}
+	return ok
+}
+
+// unframedAnswers returns the answer of an attempt, if it has one.
+func unframedAnswers(now time.Time, end AttemptEnd) []unframedAnswer {
+	if !end.Completed {
+		return nil
+	}
+	return []unframedAnswer{{at: now, prompt: end.Prompt}}
+}
+
 // appendSuspect returns a new list with one more suspect, up to maxSuspects.
 func appendSuspect(suspects []Suspect, s Suspect) []Suspect {
 	if len(suspects) >= maxSuspects {
@@ -101,5 +149,19 @@
 	}
 }
 
-// DismissCrash records that an upstream with broken attempts has not crashed.
-func (t *Tracker) DismissCrash(incarnation Incarnation) { delete(t.broken, incarnation) }
+// DismissCrash records that an upstream with broken attempts has not crashed, or that it
+// is not known. Its unframed answers are then complete.
+func (t *Tracker) DismissCrash(now time.Time, incarnation Incarnation) {
+	u := t.broken[incarnation]
+	delete(t.broken, incarnation)
+	if u != nil {
+		t.recordDismissed(now, u)
+	}
+}
+
+// recordDismissed records the unframed answers of an upstream that has not crashed.
+func (t *Tracker) recordDismissed(now time.Time, u *unconfirmed) {
+	for _, answer := range u.answers {
+		t.recordAnswers(now, answer.at, answer.prompt)
+	}
+}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -39,8 +39,9 @@
 // SetFronts sets the processes among which trials are distributed.
 func (t *Tracker) SetFronts(fronts []core.NodeID) { t.fronts = fronts }
 
-func (t *Tracker) recordAnswer(now time.Time, part Part) {
-	t.answers.record(part, now, false)
+// recordAnswer records a local answer to a prompt with a part. It releases the part.
+func (t *Tracker) recordAnswer(now, answeredAt time.Time, part Part) {
+	t.answers.record(part, answeredAt, false)
 	if state := t.states[part]; state.Quarantined() {
 		t.setState(State{Part: part, Version: state.Version + 1, Until: now})
 	}
@@ -129,7 +130,7 @@
 	t.crashes.prune(now)
 	for incarnation, u := range t.broken {
 		if now.Sub(u.since) > confirmWindow {
-			delete(t.broken, incarnation)
+			t.DismissCrash(now, incarnation)
 		}
 	}
 	for part, s := range t.states {
