Show quarantines in force in the log and the metrics

Callers whose prompts had a part in quarantine got 503 for as long as it lasted, and the front logged its beginning and its trials only: nothing showed that it went on, since when, or how many calls it had refused.

The tracker now keeps for each quarantine when this process learned of it and how many calls it has refused, also over failed trials. The router logs the quarantines in force every 30 s and those that have ended, and exports gateway_quarantine_refused and gateway_quarantine_since_seconds.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -1,15 +1,26 @@
 package gateway
 
 import (
+	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
 
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/quarantine"
 )
 
+const (
+	// quarantineLogInterval is the interval at which quarantines in force are logged
+	// again, and maxLoggedQuarantines bounds them each time.
+	quarantineLogInterval = 30 * time.Second
+	maxLoggedQuarantines  = 16
+)
+
 // attemptReport is a report of an attempt, with what the quarantine needs of a final
 // one.
 type attemptReport struct {
@@ -86,3 +97,52 @@
 func (r *router) logQuarantine(part quarantine.Part, remaining time.Duration) *logrus.Entry {
 	return r.log.WithFields(logrus.Fields{"event": "quarantine", "part": part.ID, "model": part.Model, "remaining_ms": remaining.Milliseconds()})
 }
+
+// reportQuarantines logs the quarantines that have ended and, at intervals, those in
+// force. It also provides the latter to the metrics.
+func (r *router) reportQuarantines(now time.Time) {
+	active := r.quarantine.Active()
+	r.activeQuarantines.Store(&active)
+	for _, ended := range r.quarantine.TakeEnded() {
+		r.logActive(now, ended).Info("quarantine of a part of prompts has ended")
+	}
+	if now.Sub(r.quarantinesLoggedAt) < quarantineLogInterval {
+		return
+	}
+	r.quarantinesLoggedAt = now
+	for _, a := range active[:min(len(active), maxLoggedQuarantines)] {
+		r.logActive(now, a).Warn("part of prompts is still in quarantine")
+	}
+}
+
+func (r *router) logActive(now time.Time, a quarantine.Active) *logrus.Entry {
+	return r.logQuarantine(a.Part, max(a.Until.Sub(now), 0)).WithFields(logrus.Fields{
+		"version": a.Version, "since": a.Since.UTC().Format(time.RFC3339), "refused": a.Refused,
+	})
+}
+
+// observeQuarantines creates the metrics of the quarantines in force, whose number
+// maxLoggedQuarantines bounds. The list is replaced as a whole.
+func observeQuarantines(meter metric.Meter, active *atomic.Pointer[[]quarantine.Active]) error {
+	refused, err := meter.Int64ObservableGauge("gateway_quarantine_refused", metric.WithDescription("Calls that this process has refused because of a part in quarantine"))
+	if err != nil {
+		return err
+	}
+	since, err := meter.Int64ObservableGauge("gateway_quarantine_since_seconds", metric.WithUnit("s"), metric.WithDescription("Unix time since which a part is in quarantine"))
+	if err != nil {
+		return err
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		list := active.Load()
+		if list == nil {
+			return nil
+		}
+		for _, a := range (*list)[:min(len(*list), maxLoggedQuarantines)] {
+			labels := metric.WithAttributes(attribute.String("part", string(a.ID)), attribute.String("model", string(a.Model)))
+			o.ObserveInt64(refused, int64(a.Refused), labels) //nolint:gosec // a count of calls
+			o.ObserveInt64(since, a.Since.Unix(), labels)
+		}
+		return nil
+	}, refused, since)
+	return err
+}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -80,35 +81,45 @@
 // router is the duty that owns the state of the upstreams and the index of the prompt
 // parts whose KV cache is saved in kept-cache stores (see Attempt).
 type router struct {
-	fleet           *fleet.Fleet
-	viewChanged     *ring.Ring[struct{}]
-	cacheFeed       *cacheevents.Feed
-	observations    *sharing.Exchanger
-	cacheIndex      *cacheindex.Index
-	placer          *placement.Placer
-	rollouts        *canary.Controller
-	statusWriter    *canary.StatusWriter
-	random          func() float64
-	connections     map[core.UpstreamID]*connections
-	placeRequests   *ring.Ring[placeRequest]
-	waiting         waitingCalls
-	reports         *ring.Ring[attemptReport]
-	quarantine      *quarantine.Tracker
-	crashChecker    *crashChecker
-	options         *ring.Ring[placement.Options]
-	log             logrus.FieldLogger
-	suspensionWatch clock.SuspensionDetector
+	fleet         *fleet.Fleet
+	viewChanged   *ring.Ring[struct{}]
+	cacheFeed     *cacheevents.Feed
+	observations  *sharing.Exchanger
+	cacheIndex    *cacheindex.Index
+	placer        *placement.Placer
+	rollouts      *canary.Controller
+	statusWriter  *canary.StatusWriter
+	random        func() float64
+	connections   map[core.UpstreamID]*connections
+	placeRequests *ring.Ring[placeRequest]
+	waiting       waitingCalls
+	reports       *ring.Ring[attemptReport]
+	quarantine    *quarantine.Tracker
+	// activeQuarantines is read by the metrics.
+	activeQuarantines   atomic.Pointer[[]quarantine.Active]
+	quarantinesLoggedAt time.Time
+	crashChecker        *crashChecker
+	options             *ring.Ring[placement.Options]
+	log                 logrus.FieldLogger
+	suspensionWatch     clock.SuspensionDetector
 }
 
 func newRouter(opts Options) *router {
 	index := cacheindex.New()
-	return &router{
+	r := &router{
 		fleet: opts.Fleet, viewChanged: opts.Fleet.Subscribe(), cacheFeed: opts.CacheFeed, observations: opts.Observations, cacheIndex: index, placer: placement.New(opts.Placement, index),
 		connections: make(map[core.UpstreamID]*connections), placeRequests: ring.New[placeRequest](placeRingSize), waiting: newWaitingCalls(),
 		rollouts: canary.New(opts.Placement.Node, opts.CanaryShare), statusWriter: opts.StatusWriter, random: opts.Random,
 		reports:    ring.New[attemptReport](reportRingSize),
 		quarantine: quarantine.New(opts.Placement.Node, time.Now()), crashChecker: newCrashChecker(opts.Client.Refuses), options: ring.New[placement.Options](1), log: opts.Log,
 	}
+	if opts.Meter == nil {
+		return r
+	}
+	if err := observeQuarantines(opts.Meter, &r.activeQuarantines); err != nil {
+		r.log.WithField("event", "metrics_missing").WithError(err).Warn("metrics of quarantines cannot be created")
+	}
+	return r
 }
 
 // run is the duty's loop.
@@ -151,6 +162,7 @@
 	r.placer.SetRegistrationExpired(r.fleet.RegistrationExpired())
 	r.sweepRollouts(now)
 	r.quarantine.Sweep(now)
+	r.reportQuarantines(now)
 	r.repeatDepartures(now.Add(-departureRepeat))
 	for _, store := range r.placer.CacheStores() {
 		obsolete := func(salt string) bool { return r.placer.Obsolete(now, salt) }
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -46,7 +46,7 @@
 func BenchmarkCheck(b *testing.B) {
 	t := New("front-0", time.Unix(0, 0))
 	for i := range maxStates {
-		t.storeState(State{Part: Part{Model: "m", ID: core.PartID(fmt.Sprint("bad-", i))}, Version: 1, Until: benchStart.Add(time.Hour)})
+		t.storeState(benchStart, State{Part: Part{Model: "m", ID: core.PartID(fmt.Sprint("bad-", i))}, Version: 1, Until: benchStart.Add(time.Hour)})
 	}
 	prompt := core.Prompt{Model: "m", Parts: []core.Part{{ID: "common"}, {ID: "history"}, {ID: "own"}}}
 	for b.Loop() {
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -49,7 +49,7 @@
 		// The version after a release or without a state is odd.
 		version := t.states[worst.part].Version + 1
 		state := State{Part: worst.part, Version: version, Until: now.Add(duration(version))}
-		t.setState(state)
+		t.setState(now, state)
 		quarantined = append(quarantined, state)
 	}
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -17,6 +17,9 @@
 	crashes   crashLog
 	answers   answerLog
 	states    map[Part]State
+	// active contains the quarantines in force, ended those that TakeEnded returns.
+	active map[Part]*Active
+	ended  []Active
 	// implicated are the parts of which one more crash would complete the evidence.
 	implicated map[Part]bool
 	outgoing   Evidence
@@ -32,7 +35,7 @@
 func New(self core.NodeID, now time.Time) *Tracker {
 	return &Tracker{
 		self: self, startedAt: now, broken: make(map[Incarnation]*unconfirmed), crashes: newCrashLog(), answers: newAnswerLog(),
-		states: make(map[Part]State), implicated: make(map[Part]bool),
+		states: make(map[Part]State), active: make(map[Part]*Active), implicated: make(map[Part]bool),
 	}
 }
 
@@ -43,7 +46,7 @@
 func (t *Tracker) recordAnswer(now, answeredAt time.Time, part Part) {
 	t.answers.record(part, answeredAt, false)
 	if state := t.states[part]; state.Quarantined() {
-		t.setState(State{Part: part, Version: state.Version + 1, Until: now})
+		t.setState(now, State{Part: part, Version: state.Version + 1, Until: now})
 	}
 	if crashedAt, ok := t.crashes.watched[part]; ok {
 		t.shareAnswer(now, part, crashedAt)
@@ -76,7 +79,7 @@
 		t.changed = true
 	}
 	for _, s := range e.States {
-		t.mergeState(s)
+		t.mergeState(now, s)
 	}
 	for _, c := range e.Crashes {
 		if !t.crashes.add(now, c, t.answers.count) {
@@ -93,24 +96,25 @@
 
 // mergeState applies the state of another process, or repeats the local one if that
 // is newer.
-func (t *Tracker) mergeState(s State) {
+func (t *Tracker) mergeState(now time.Time, s State) {
 	local, ok := t.states[s.Part]
 	switch {
 	case s.Supersedes(local):
-		t.storeState(s)
+		t.storeState(now, s)
 	case ok && local.Supersedes(s):
 		t.outgoing.States = append(t.outgoing.States, local)
 	}
 }
 
 // setState records a state of this process.
-func (t *Tracker) setState(s State) {
-	t.storeState(s)
+func (t *Tracker) setState(now time.Time, s State) {
+	t.storeState(now, s)
 	t.outgoing.States = append(t.outgoing.States, s)
 }
 
-func (t *Tracker) storeState(s State) {
+func (t *Tracker) storeState(now time.Time, s State) {
 	t.states[s.Part] = s
+	t.updateActive(now, s)
 	t.changed = true
 	if len(t.states) <= maxStates {
 		return
@@ -121,7 +125,7 @@
 			oldest = other
 		}
 	}
-	delete(t.states, oldest.Part)
+	t.removeState(oldest)
 }
 
 // Sweep removes what has expired and repeats quarantines for processes that have not
@@ -133,9 +137,9 @@
 			t.DismissCrash(now, incarnation)
 		}
 	}
-	for part, s := range t.states {
+	for _, s := range t.states {
 		if now.Sub(s.Until) > stateRetention {
-			delete(t.states, part)
+			t.removeState(s)
 		}
 	}
 	if now.Sub(t.repeatedAt) >= repeatInterval {
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -34,6 +34,7 @@
 			continue
 		}
 		if wait := t.trialTime(state).Sub(now); retry || wait > 0 || trial.Trial {
+			t.active[part].Refused++
 			return Decision{Refused: true, Part: part, RetryAfter: max(wait, 0)}
 		}
 		trial = Decision{Trial: true, Part: part}
@@ -41,7 +42,7 @@
 	if trial.Trial {
 		// The next trial is delayed before the result of this one is known.
 		version := t.states[trial.Part].Version + 2
-		t.setState(State{Part: trial.Part, Version: version, Until: now.Add(duration(version))})
+		t.setState(now, State{Part: trial.Part, Version: version, Until: now.Add(duration(version))})
 	}
 	return trial
 }
