Quarantine only parts that stand out against sound calls

Cause: the share of the crashes that a part needs was the same for three crashes as for many, and fixed counts (six crashes, 20 other answers) stood for the comparison with answered calls, however rare the part is in them.

A part must now occur in all crashes of its period, or in more than one in three tenths of them does by chance; and for a part in use, its crashes and missing answers must be improbable for its share of the recent answers.

A guilty part that was not answered before is known 0.7 s after its fifth crash at the latest.

--- a/quarantine/answers.go
+++ b/quarantine/answers.go
@@ -18,14 +18,47 @@
 // processes have.
 type answerLog struct {
 	last *simplelru.LRU[Part, answerTimes]
-	// count is the number of local answers.
-	count uint64
+	// count is the number of local answers, recent that of the last ones.
+	count  uint64
+	recent windowCount
 }
 
 type answerTimes struct {
 	answeredAt time.Time
 	// sharedAt is the newest answer that the other processes have.
 	sharedAt time.Time
+	// recent counts the local answers.
+	recent windowCount
+}
+
+// windowCount counts events of the last one to two answerMemory.
+type windowCount struct {
+	window            int64
+	current, previous uint64
+}
+
+func (c *windowCount) add(at time.Time) {
+	c.advance(at)
+	c.current++
+}
+
+func (c *windowCount) total(now time.Time) uint64 {
+	c.advance(now)
+	return c.current + c.previous
+}
+
+// advance begins a new window if the last one has ended. Time that goes back is ignored.
+func (c *windowCount) advance(now time.Time) {
+	window := now.UnixNano() / int64(answerMemory)
+	switch {
+	case window <= c.window:
+		return
+	case window == c.window+1:
+		c.previous = c.current
+	default:
+		c.previous = 0
+	}
+	c.window, c.current = window, 0
 }
 
 func newAnswerLog() answerLog {
@@ -34,7 +67,10 @@
 }
 
 // recordCall counts a local answer.
-func (l *answerLog) recordCall(time.Time) { l.count++ }
+func (l *answerLog) recordCall(at time.Time) {
+	l.count++
+	l.recent.add(at)
+}
 
 // record records an answer. shared is set for an answer that another process has
 // reported.
@@ -43,7 +79,9 @@
 	if at.After(times.answeredAt) {
 		times.answeredAt = at
 	}
-	if shared && at.After(times.sharedAt) {
+	if !shared {
+		times.recent.add(at)
+	} else if at.After(times.sharedAt) {
 		times.sharedAt = at
 	}
 	l.last.Add(part, times)
@@ -55,6 +93,13 @@
 	return times.answeredAt
 }
 
+// share returns the share of a part in the local answers of the last minutes. It is not
+// zero for a part without any, which may only be rare.
+func (l *answerLog) share(now time.Time, part Part) float64 {
+	times, _ := l.last.Peek(part)
+	return float64(times.recent.total(now)+1) / float64(l.recent.total(now)+1)
+}
+
 // unshared returns the last answer of a part if it tells the other processes something:
 // that the part was answered after its last crash, or that it is in use.
 func (l *answerLog) unshared(now time.Time, part Part, crashedAt time.Time) (Answer, bool) {
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -130,8 +130,7 @@
 }
 
 // unexplainedEvents returns the number of crashes between two times of which no suspect
-// has a part in quarantine. Crashes within eventWindow count once, since a failure of
-// many upstreams at once has one cause.
+// has a part in quarantine, as countEvents counts them.
 func (l *crashLog) unexplainedEvents(first, last time.Time) int {
 	var times []time.Time
 	for _, record := range l.records {
@@ -139,6 +138,12 @@
 			times = append(times, record.observedAt)
 		}
 	}
+	return countEvents(times)
+}
+
+// countEvents returns the number of crashes. Those within eventWindow count once, since a
+// failure of many upstreams at once has one cause.
+func countEvents(times []time.Time) int {
 	slices.SortFunc(times, time.Time.Compare)
 	events := 0
 	var eventAt time.Time
@@ -151,6 +156,15 @@
 	return events
 }
 
+// suspects returns the number of suspects of a crash.
+func (r *crashRecord) suspects() int {
+	n := 0
+	for _, report := range r.reports {
+		n += len(report.Suspects)
+	}
+	return n
+}
+
 // tally counts the evidence against one part since its last answer.
 type tally struct {
 	part Part
@@ -204,6 +218,24 @@
 // attempts of one prompt cannot tell its parts apart.
 func (t *tally) support() int { return min(len(t.crashes), len(t.prompts)) }
 
+// events returns the number of crashes, as countEvents counts them.
+func (t *tally) events() int {
+	times := make([]time.Time, len(t.crashes))
+	for i, record := range t.crashes {
+		times[i] = record.observedAt
+	}
+	return countEvents(times)
+}
+
+// meanSuspects returns the mean number of suspects of a crash.
+func (t *tally) meanSuspects() float64 {
+	sum := 0
+	for _, record := range t.crashes {
+		sum += record.suspects()
+	}
+	return float64(sum) / float64(len(t.crashes))
+}
+
 // period returns the times of the first and the last crash.
 func (t *tally) period() (first, last time.Time) {
 	first, last = t.crashes[0].observedAt, t.crashes[0].observedAt
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math"
 	"time"
 )
 
@@ -18,10 +19,14 @@
 	minSupportAnswered = 6
 	minSpanAnswered    = time.Second
 	minOtherAnswers    = 20
-	// minCrashShare is the ratio that a part's crashes must have to all crashes between
-	// its first and its last one, where simultaneous ones count once. Among many crashes
-	// with other causes, some parts occur several times by chance.
-	minCrashShare = 0.3
+	// maxChanceAnswered is the maximum probability with which the crashes and the missing
+	// answers of a sound part with recent answers may occur by chance.
+	maxChanceAnswered = 1e-5
+	// soundCrashShare is the share of the crashes in which a sound part may occur, and
+	// maxChance the maximum probability of as many crashes with it as there are. Among
+	// many crashes with other causes, some parts occur several times.
+	soundCrashShare = 0.3
+	maxChance       = 0.15
 	// settleTime is the time after a crash in which answers that other processes have
 	// received can still clear a part.
 	settleTime = 700 * time.Millisecond
@@ -71,10 +76,10 @@
 			t.implicated[part] = true
 		}
 		repeated := !answered && len(candidate.prompts) > 1 && len(candidate.crashes) >= manyCrashes
-		if candidate.support() < required && !repeated || answered && !t.excludesOutage(candidate) {
+		if candidate.support() < required && !repeated || !t.standsOut(candidate) {
 			continue
 		}
-		if first, last := candidate.period(); float64(len(candidate.crashes)) < minCrashShare*float64(t.crashes.unexplainedEvents(first, last)) {
+		if answered && (!t.excludesOutage(candidate) || t.chance(now, candidate) > maxChanceAnswered) {
 			continue
 		}
 		if now.Sub(candidate.crashes[required-1].receivedAt) < settleTime {
@@ -94,6 +99,26 @@
 	return now.Sub(t.startedAt) < warmUp || now.Sub(t.answers.lastAnswer(part)) < answerMemory
 }
 
+// standsOut reports whether the part occurs in more of the crashes between its first and
+// its last one than a sound part does. A part that occurs in all of them does.
+func (t *Tracker) standsOut(candidate *tally) bool {
+	first, last := candidate.period()
+	all := t.crashes.unexplainedEvents(first, last)
+	events := candidate.events()
+	return events >= all || binomialTail(all, events, soundCrashShare) <= maxChance
+}
+
+// chance returns the probability with which a sound part that has the candidate's share
+// of the answers occurs in its crashes and in none of the answers since the first one.
+func (t *Tracker) chance(now time.Time, candidate *tally) float64 {
+	share := t.answers.share(now, candidate.part)
+	first, last := candidate.period()
+	all := t.crashes.unexplainedEvents(first, last)
+	inCrashes := binomialTail(all, min(candidate.events(), all), anyOf(candidate.meanSuspects(), share))
+	others := t.answers.count - candidate.crashes[0].answersBefore
+	return inCrashes * math.Pow(1-share, float64(others))
+}
+
 // excludesOutage reports whether other calls were answered between the crashes, so
 // that a failure of all upstreams at once does not explain them.
 func (t *Tracker) excludesOutage(candidate *tally) bool {
