Use a new incarnation as proof of a crash

Cause: the only proof of a crash was a connection refused within 100 ms after an attempt broke. A silent server refuses none, and once its connections are reset it is back, so that the suspects were dismissed. Its new start time was not used. The age of an answer included the silence, so that an answer that had just begun cleared the parts of its prompt.

Broken attempts at an upstream that does not refuse connections are now retained for 20 s, bounded like the unconfirmed ones; a new incarnation in the view makes them a crash, listed before or after the attempt ends. An answer more than a second after the break shows that the upstream was only silent. The age of an answer ends with its last bytes.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
 	"time"
 
@@ -27,8 +28,8 @@
 	placement.Report
 	Address string
 	Prompt  core.Prompt
-	// AnswerAge is the time since the first byte of the answer, or 0 if there was
-	// none.
+	// AnswerAge is the time from the first byte of the answer to its last one, or 0 if
+	// there was none.
 	AnswerAge time.Duration
 	// Unframed is set when the answer ended with its connection, as it also does when
 	// the upstream crashes.
@@ -41,27 +42,56 @@
 		return
 	}
 	incarnation := quarantine.Incarnation{Upstream: report.Upstream, StartedAtMs: report.StartedAtMs}
+	replaced := r.isReplaced(incarnation)
 	mayHaveCrashed := r.quarantine.RecordEnd(now, quarantine.AttemptEnd{
 		Incarnation: incarnation, Prompt: report.Prompt, AnswerAge: report.AnswerAge,
-		Broken:    report.Result == placement.Incomplete,
+		// The attempts of a silent upstream may end with their callers' patience.
+		Broken:    report.Result == placement.Incomplete || report.Result == placement.Abandoned && replaced,
 		Completed: report.Result == placement.Completed, Unframed: report.Unframed,
 	})
-	if mayHaveCrashed && !r.crashChecker.checks.Offer(crashCheck{incarnation: incarnation, address: report.Address}) {
+	switch {
+	case !mayHaveCrashed:
+	case replaced:
+		r.confirmCrash(now, incarnation)
+	case !r.crashChecker.checks.Offer(crashCheck{incarnation: incarnation, address: report.Address}):
 		r.quarantine.DismissCrash(now, incarnation)
 	}
 }
 
+// isReplaced reports whether the view lists a later incarnation of an upstream.
+func (r *router) isReplaced(incarnation quarantine.Incarnation) bool {
+	listed := r.connections[incarnation.Upstream]
+	return listed != nil && listed.startedAtMs > incarnation.StartedAtMs
+}
+
+// confirmCrash records the crash of an upstream whose attempts broke. Its unframed answers
+// are then not complete.
+func (r *router) confirmCrash(now time.Time, incarnation quarantine.Incarnation) {
+	r.quarantine.ConfirmCrash(now, incarnation)
+	r.logCrash(incarnation).Warn("upstream refuses connections or has started again after its attempts broke")
+}
+
+// confirmRestart records the crashes that the listed incarnation of an upstream proves.
+func (r *router) confirmRestart(now time.Time, upstream core.UpstreamID) {
+	current := quarantine.Incarnation{Upstream: upstream, StartedAtMs: r.connections[upstream].startedAtMs}
+	for _, crashed := range r.quarantine.ConfirmRestart(now, current) {
+		r.logCrash(crashed).WithField("started", current.StartedAtMs).Warn("upstream has started again after its attempts broke")
+	}
+}
+
+func (r *router) logCrash(incarnation quarantine.Incarnation) *logrus.Entry {
+	return r.log.WithFields(logrus.Fields{"event": "upstream_crashed", "upstream": incarnation.Upstream, "born": incarnation.StartedAtMs})
+}
+
 // updateQuarantine applies the results of crash checks and the evidence of other
 // processes, quarantines parts and sends the local evidence.
 func (r *router) updateQuarantine(now time.Time) {
 	for result, ok := r.crashChecker.results.TryReceive(); ok; result, ok = r.crashChecker.results.TryReceive() {
-		if !result.crashed {
+		if result.crashed || r.isReplaced(result.incarnation) {
+			r.confirmCrash(now, result.incarnation)
+		} else {
 			r.quarantine.DismissCrash(now, result.incarnation)
-			continue
 		}
-		r.quarantine.ConfirmCrash(now, result.incarnation)
-		r.log.WithFields(logrus.Fields{"event": "upstream_crashed", "upstream": result.incarnation.Upstream, "born": result.incarnation.StartedAtMs}).
-			Warn("upstream refuses connections after its attempts broke")
 	}
 	for evidence, ok := r.observations.RemoteEvidence().TryReceive(); ok; evidence, ok = r.observations.RemoteEvidence().TryReceive() {
 		r.quarantine.Merge(now, evidence)
@@ -146,3 +176,22 @@
 	}, refused, since)
 	return err
 }
+
+// timedBody records when the last bytes of a body arrived. An upstream that falls silent
+// within an answer does not make the answer longer.
+type timedBody struct {
+	io.ReadCloser
+	lastRead time.Time
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.lastRead = time.Now()
+	}
+	return n, err
+}
+
+// age returns the time from the beginning of the answer to its last bytes.
+func (b *timedBody) age(begunAt time.Time) time.Duration { return max(b.lastRead.Sub(begunAt), 1) }
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"go.opentelemetry.io/otel/sdk/metric/metricdata"
 
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/quarantine"
 )
 
@@ -51,3 +53,50 @@
 	require.Contains(t, log.String(), "has ended")
 	require.Empty(t, *r.activeQuarantines.Load())
 }
+
+// Guards against a crash that is not noticed because the upstream refused no connection:
+// the new incarnation in the view proves it, whether it is listed before or after the
+// attempt breaks, or its caller gives up.
+func TestNewIncarnationInViewIsACrash(t *testing.T) {
+	for name, result := range map[string]placement.UpstreamResult{"broken": placement.Incomplete, "given up": placement.Abandoned} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRouter(func() float64 { return 0 }, "u")
+			now := time.Now()
+			report := attemptReport{
+				Report: placement.Report{Upstream: "u", StartedAtMs: 1, Final: true, Result: result},
+				Prompt: core.Prompt{Model: "m", Parts: []core.Part{{ID: "bad"}, {ID: "own"}}},
+			}
+			r.connections["u"].startedAtMs = 2
+			r.recordEnd(now, report)
+			require.Len(t, r.quarantine.TakeOutgoing().Crashes, 1)
+		})
+	}
+	r := newTestRouter(func() float64 { return 0 }, "u")
+	now := time.Now()
+	report := attemptReport{
+		Report: placement.Report{Upstream: "u", StartedAtMs: 1, Final: true, Result: placement.Incomplete},
+		Prompt: core.Prompt{Model: "m", Parts: []core.Part{{ID: "bad"}, {ID: "own"}}},
+	}
+	r.connections["u"].startedAtMs = 1
+	r.recordEnd(now, report)
+	incarnation := quarantine.Incarnation{Upstream: "u", StartedAtMs: 1}
+	require.True(t, r.crashChecker.results.Offer(crashCheckResult{incarnation: incarnation}))
+	r.updateQuarantine(now)
+	require.Empty(t, r.quarantine.TakeOutgoing().Crashes, "the upstream was only silent")
+	r.connections["u"].startedAtMs = 2
+	r.confirmRestart(now.Add(3*time.Second), "u")
+	require.Len(t, r.quarantine.TakeOutgoing().Crashes, 1)
+}
+
+// Guards against an answer that seems to have lasted while its upstream was silent, and
+// that therefore clears the part on which the upstream crashed.
+func TestSilenceIsNoPartOfAnAnswer(t *testing.T) {
+	begunAt := time.Now()
+	body := &timedBody{ReadCloser: io.NopCloser(strings.NewReader("data"))}
+	_, err := io.ReadAll(body)
+	require.NoError(t, err)
+	read := time.Now()
+	time.Sleep(10 * time.Millisecond)
+	require.LessOrEqual(t, body.age(begunAt), read.Sub(begunAt))
+	require.Positive(t, (&timedBody{}).age(begunAt), "an answer without a body has begun")
+}
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -370,6 +370,9 @@
 		updated[u.ID] = conns
 	}
 	r.connections = updated
+	for _, u := range v.Upstreams {
+		r.confirmRestart(now, u.ID)
+	}
 }
 
 // applyCacheUpdate applies an update of a model server's cache to the placer. An update
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -215,6 +215,8 @@
 	}
 	s.gateway.router.report(report)
 	s.gateway.metrics.firstByteReceived(string(s.service), firstByte)
+	body := &timedBody{ReadCloser: x.Response.Body}
+	x.Response.Body = body
 	var o attemptOutcome
 	if s.isStream(x, response) {
 		o = s.relayStream(x, response, func(pace time.Duration) {
@@ -229,7 +231,7 @@
 		o.result = placement.Abandoned
 	}
 	report.Final, report.Result, report.Unframed = true, o.result, o.unframed
-	report.AnswerAge = time.Since(sentAt) - firstByte
+	report.AnswerAge = body.age(sentAt.Add(firstByte))
 	s.gateway.router.report(report)
 	s.logAttempt(p, attemptTimes{sentAt: sentAt, firstByte: firstByte}, x.Reused, response, o)
 	return o
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -3,7 +3,8 @@
 // each evaluates all of it, so that a part is found although its calls and the crashes
 // are distributed over many processes. The package performs no I/O and reads no clock.
 //
-// A crash makes suspects of the calls whose answer had not begun, or had just begun.
+// A crash is a refused connection or a new incarnation after attempts at an upstream
+// broke. It makes suspects of the calls whose answer had not begun, or had just begun.
 // A part is quarantined when calls with it were suspects of several crashes and none
 // of its calls was answered in between. Calls that only share other parts or the
 // caller with it are answered meanwhile, which clears their parts.
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -14,6 +14,9 @@
 	// confirmWindow is the time within which a broken attempt and the confirmation of
 	// the crash belong together.
 	confirmWindow = time.Second
+	// restartWindow is the time within which broken attempts and a new incarnation of
+	// their upstream belong together. An upstream may be silent for 14 s before.
+	restartWindow = 20 * time.Second
 	// maxUnconfirmed bounds the upstreams with broken attempts and no confirmation.
 	maxUnconfirmed = 64
 	// maxUnconfirmedAnswers bounds the unframed answers of one such upstream. Further ones
@@ -49,6 +52,8 @@
 type unframedAnswer struct {
 	at     time.Time
 	prompt core.Prompt
+	// age is the time since the answer began.
+	age time.Duration
 }
 
 // RecordEnd records the end of an attempt. It returns true if the caller should find
@@ -56,6 +61,9 @@
 // DismissCrash.
 func (t *Tracker) RecordEnd(now time.Time, end AttemptEnd) bool {
 	framed := end.Completed && !end.Unframed
+	if u := t.awaiting[end.Incarnation]; end.Completed && u != nil && now.Sub(u.since) > confirmWindow {
+		delete(t.awaiting, end.Incarnation) // it was only silent for a while
+	}
 	switch {
 	case framed || end.AnswerAge >= clearWindow:
 		t.recordAnswers(now, now, end.Prompt)
@@ -100,7 +108,7 @@
 		u = &unconfirmed{since: now}
 		t.broken[end.Incarnation] = u
 	}
-	if end.AnswerAge < beginWindow {
+	if end.Broken {
 		u.suspects = appendSuspect(u.suspects, newSuspect(end.Prompt))
 	}
 	if len(u.answers) < maxUnconfirmedAnswers {
@@ -129,7 +137,7 @@
 	if !end.Completed {
 		return nil
 	}
-	return []unframedAnswer{{at: now, prompt: end.Prompt}}
+	return []unframedAnswer{{at: now, prompt: end.Prompt, age: end.AnswerAge}}
 }
 
 // appendSuspect returns a new list with one more suspect, up to maxSuspects.
@@ -145,18 +153,68 @@
 	u := t.broken[incarnation]
 	delete(t.broken, incarnation)
 	if u != nil && now.Sub(u.since) <= confirmWindow {
-		t.addCrash(now, Crash{Incarnation: incarnation, Reporter: t.self, ObservedAt: u.since, Suspects: u.suspects})
+		t.addCrash(now, Crash{Incarnation: incarnation, Reporter: t.self, ObservedAt: u.since, Suspects: u.allSuspects()})
 	}
 }
 
-// DismissCrash records that an upstream with broken attempts has not crashed, or that it
-// is not known. Its unframed answers are then complete.
+// allSuspects returns the suspects of a crash, with the calls whose unframed answer had
+// just begun.
+func (u *unconfirmed) allSuspects() []Suspect {
+	suspects := u.suspects
+	for _, answer := range u.answers {
+		if answer.age < beginWindow {
+			suspects = appendSuspect(suspects, newSuspect(answer.prompt))
+		}
+	}
+	return suspects
+}
+
+// DismissCrash records that an upstream with broken attempts does not refuse connections,
+// or that it is not known. Its unframed answers are then complete. A new incarnation
+// within restartWindow still proves a crash; see ConfirmRestart.
 func (t *Tracker) DismissCrash(now time.Time, incarnation Incarnation) {
 	u := t.broken[incarnation]
 	delete(t.broken, incarnation)
-	if u != nil {
-		t.recordDismissed(now, u)
+	if u == nil {
+		return
+	}
+	t.recordDismissed(now, u)
+	if len(u.suspects) > 0 {
+		t.awaitRestart(incarnation, u)
+	}
+}
+
+// awaitRestart retains the suspects of an upstream that may have been silent after a
+// crash, or may have started again before it was checked.
+func (t *Tracker) awaitRestart(incarnation Incarnation, u *unconfirmed) {
+	waiting := t.awaiting[incarnation]
+	if waiting == nil {
+		if len(t.awaiting) >= maxUnconfirmed {
+			return
+		}
+		waiting = &unconfirmed{since: u.since}
+		t.awaiting[incarnation] = waiting
+	}
+	for _, s := range u.suspects {
+		waiting.suspects = appendSuspect(waiting.suspects, s)
+	}
+}
+
+// ConfirmRestart records that an upstream has started again as the given incarnation.
+// Earlier ones whose attempts broke have crashed. It returns those.
+func (t *Tracker) ConfirmRestart(now time.Time, current Incarnation) []Incarnation {
+	var crashed []Incarnation
+	for incarnation, u := range t.awaiting {
+		if incarnation.Upstream != current.Upstream || incarnation.StartedAtMs >= current.StartedAtMs {
+			continue
+		}
+		delete(t.awaiting, incarnation)
+		if now.Sub(u.since) <= restartWindow {
+			t.addCrash(now, Crash{Incarnation: incarnation, Reporter: t.self, ObservedAt: u.since, Suspects: u.suspects})
+			crashed = append(crashed, incarnation)
+		}
 	}
+	return crashed
 }
 
 // recordDismissed records the unframed answers of an upstream that has not crashed.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -14,9 +14,11 @@
 	fronts    []core.NodeID
 	startedAt time.Time
 	broken    map[Incarnation]*unconfirmed
-	crashes   crashLog
-	answers   answerLog
-	states    map[Part]State
+	// awaiting contains broken attempts of upstreams that did not refuse connections.
+	awaiting map[Incarnation]*unconfirmed
+	crashes  crashLog
+	answers  answerLog
+	states   map[Part]State
 	// active contains the quarantines in force, ended those that TakeEnded returns.
 	active map[Part]*Active
 	ended  []Active
@@ -34,7 +36,7 @@
 // New returns a Tracker without evidence.
 func New(self core.NodeID, now time.Time) *Tracker {
 	return &Tracker{
-		self: self, startedAt: now, broken: make(map[Incarnation]*unconfirmed), crashes: newCrashLog(), answers: newAnswerLog(),
+		self: self, startedAt: now, broken: make(map[Incarnation]*unconfirmed), awaiting: make(map[Incarnation]*unconfirmed), crashes: newCrashLog(), answers: newAnswerLog(),
 		states: make(map[Part]State), active: make(map[Part]*Active), implicated: make(map[Part]bool),
 	}
 }
@@ -137,6 +139,11 @@
 			t.DismissCrash(now, incarnation)
 		}
 	}
+	for incarnation, u := range t.awaiting {
+		if now.Sub(u.since) > restartWindow {
+			delete(t.awaiting, incarnation)
+		}
+	}
 	for _, s := range t.states {
 		if now.Sub(s.Until) > stateRetention {
 			t.removeState(s)
