--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -35,7 +35,8 @@
 	// Unframed is set for a complete answer that ended with its connection. The crash of
 	// the upstream looks the same.
 	Unframed bool
-	// AnswerAge is the time since the answer began, or 0 if it has not begun.
+	// AnswerAge is the time from the first byte of the answer to its last one, or 0 if it
+	// has not begun.
 	AnswerAge time.Duration
 }
 
@@ -60,10 +61,10 @@
 // out whether the upstream has crashed, and report it with ConfirmCrash or
 // DismissCrash.
 func (t *Tracker) RecordEnd(now time.Time, end AttemptEnd) bool {
-	framed := end.Completed && !end.Unframed
-	if u := t.awaiting[end.Incarnation]; end.Completed && u != nil && now.Sub(u.since) > confirmWindow {
-		delete(t.awaiting, end.Incarnation) // it was only silent for a while
+	if end.Completed {
+		t.dismissSilence(now, end.Incarnation)
 	}
+	framed := end.Completed && !end.Unframed
 	switch {
 	case framed || end.AnswerAge >= clearWindow:
 		t.recordAnswers(now, now, end.Prompt)
@@ -200,6 +201,14 @@
 	}
 }
 
+// dismissSilence forgets the broken attempts of an upstream that has completed an answer
+// since. Answers from before the break may be recorded within confirmWindow.
+func (t *Tracker) dismissSilence(now time.Time, incarnation Incarnation) {
+	if u := t.awaiting[incarnation]; u != nil && now.Sub(u.since) > confirmWindow {
+		delete(t.awaiting, incarnation)
+	}
+}
+
 // ConfirmRestart records that an upstream has started again as the given incarnation.
 // Earlier ones whose attempts broke have crashed. It returns those.
 func (t *Tracker) ConfirmRestart(now time.Time, current Incarnation) []Incarnation {
