--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -26,7 +26,7 @@
 		}
 		t.Merge(c.ObservedAt, Evidence{Crashes: []Crash{c}})
 		for j := range 4 {
-			t.recordAnswer(c.ObservedAt.Add(time.Millisecond), Part{"m", core.PartID(fmt.Sprint("common-", j))})
+			t.recordAnswer(c.ObservedAt.Add(time.Millisecond), c.ObservedAt.Add(time.Millisecond), Part{"m", core.PartID(fmt.Sprint("common-", j))})
 		}
 	}
 	return t
@@ -46,7 +46,7 @@
 func BenchmarkCheck(b *testing.B) {
 	t := New("front-0", time.Unix(0, 0))
 	for i := range maxStates {
-		t.storeState(State{Part: Part{Model: "m", ID: core.PartID(fmt.Sprint("bad-", i))}, Version: 1, Until: benchStart.Add(time.Hour)})
+		t.storeState(benchStart, State{Part: Part{Model: "m", ID: core.PartID(fmt.Sprint("bad-", i))}, Version: 1, Until: benchStart.Add(time.Hour)})
 	}
 	prompt := core.Prompt{Model: "m", Parts: []core.Part{{ID: "common"}, {ID: "history"}, {ID: "own"}}}
 	for b.Loop() {
@@ -61,7 +61,7 @@
 		before := heapBytes()
 		t := fullTracker()
 		for i := range maxAnswers {
-			t.recordAnswer(benchStart, Part{"m", core.PartID(fmt.Sprintf("%012x", i))})
+			t.recordAnswer(benchStart, benchStart, Part{"m", core.PartID(fmt.Sprintf("%012x", i))})
 		}
 		b.ReportMetric(float64(heapBytes()-before)/(1<<20), "MB")
 		runtime.KeepAlive(t)
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -14,9 +14,14 @@
 	fronts    []core.NodeID
 	startedAt time.Time
 	broken    map[Incarnation]*unconfirmed
-	crashes   crashLog
-	answers   answerLog
-	states    map[Part]State
+	// awaiting contains broken attempts of upstreams that did not refuse connections.
+	awaiting map[Incarnation]*unconfirmed
+	crashes  crashLog
+	answers  answerLog
+	states   map[Part]State
+	// active contains the quarantines in force, ended those that TakeEnded returns.
+	active map[Part]*Active
+	ended  []Active
 	// implicated are the parts of which one more crash would complete the evidence.
 	implicated map[Part]bool
 	outgoing   Evidence
@@ -31,18 +36,19 @@
 // New returns a Tracker without evidence.
 func New(self core.NodeID, now time.Time) *Tracker {
 	return &Tracker{
-		self: self, startedAt: now, broken: make(map[Incarnation]*unconfirmed), crashes: newCrashLog(), answers: newAnswerLog(),
-		states: make(map[Part]State), implicated: make(map[Part]bool),
+		self: self, startedAt: now, broken: make(map[Incarnation]*unconfirmed), awaiting: make(map[Incarnation]*unconfirmed), crashes: newCrashLog(), answers: newAnswerLog(),
+		states: make(map[Part]State), active: make(map[Part]*Active), implicated: make(map[Part]bool),
 	}
 }
 
 // SetFronts sets the processes among which trials are distributed.
 func (t *Tracker) SetFronts(fronts []core.NodeID) { t.fronts = fronts }
 
-func (t *Tracker) recordAnswer(now time.Time, part Part) {
-	t.answers.record(part, now, false)
+// recordAnswer records a local answer to a prompt with a part. It releases the part.
+func (t *Tracker) recordAnswer(now, answeredAt time.Time, part Part) {
+	t.answers.record(part, answeredAt, false)
 	if state := t.states[part]; state.Quarantined() {
-		t.setState(State{Part: part, Version: state.Version + 1, Until: now})
+		t.setState(now, State{Part: part, Version: state.Version + 1, Until: now})
 	}
 	if crashedAt, ok := t.crashes.watched[part]; ok {
 		t.shareAnswer(now, part, crashedAt)
@@ -75,7 +81,7 @@
 		t.changed = true
 	}
 	for _, s := range e.States {
-		t.mergeState(s)
+		t.mergeState(now, s)
 	}
 	for _, c := range e.Crashes {
 		if !t.crashes.add(now, c, t.answers.count) {
@@ -92,24 +98,25 @@
 
 // mergeState applies the state of another process, or repeats the local one if that
 // is newer.
-func (t *Tracker) mergeState(s State) {
+func (t *Tracker) mergeState(now time.Time, s State) {
 	local, ok := t.states[s.Part]
 	switch {
 	case s.Supersedes(local):
-		t.storeState(s)
+		t.storeState(now, s)
 	case ok && local.Supersedes(s):
 		t.outgoing.States = append(t.outgoing.States, local)
 	}
 }
 
 // setState records a state of this process.
-func (t *Tracker) setState(s State) {
-	t.storeState(s)
+func (t *Tracker) setState(now time.Time, s State) {
+	t.storeState(now, s)
 	t.outgoing.States = append(t.outgoing.States, s)
 }
 
-func (t *Tracker) storeState(s State) {
+func (t *Tracker) storeState(now time.Time, s State) {
 	t.states[s.Part] = s
+	t.updateActive(now, s)
 	t.changed = true
 	if len(t.states) <= maxStates {
 		return
@@ -120,7 +127,7 @@
 			oldest = other
 		}
 	}
-	delete(t.states, oldest.Part)
+	t.removeState(oldest)
 }
 
 // Sweep removes what has expired and repeats quarantines for processes that have not
@@ -129,12 +136,17 @@
 	t.crashes.prune(now)
 	for incarnation, u := range t.broken {
 		if now.Sub(u.since) > confirmWindow {
-			delete(t.broken, incarnation)
+			t.DismissCrash(now, incarnation)
 		}
 	}
-	for part, s := range t.states {
+	for incarnation, u := range t.awaiting {
+		if now.Sub(u.since) > restartWindow {
+			delete(t.awaiting, incarnation)
+		}
+	}
+	for _, s := range t.states {
 		if now.Sub(s.Until) > stateRetention {
-			delete(t.states, part)
+			t.removeState(s)
 		}
 	}
 	if now.Sub(t.repeatedAt) >= repeatInterval {
