Bound the heads of responses in the clients of the product's own interface

Cause: engine, cachestore, record, stores, admin, cli and the agent daemon left http.Transport.MaxResponseHeaderBytes at net/http's default of 10 MiB for each response. A node has 128 MB for control.

Change: package httplimit has the bound, 64 KiB, and the transport that replaces http.DefaultTransport. All these clients use it.

With the change the tests pass with the race detector.

Not bounded here: the number of such heads at once, and the callers and the readiness probe of the command dev, which call processes of the same run.

--- a/admin/client.go
+++ b/admin/client.go
@@ -18,6 +18,7 @@
 	"waxwingtide.example/waxwingtide/bundle"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/httplimit"
 )
 
 // Client calls the API. Errors have the kinds that the server gave them, and
@@ -28,11 +29,14 @@
 	BaseURL string
 	// Token is the bearer token.
 	Token string
-	// HTTP sends the requests; nil means a client without a time limit, which
-	// leaves the limit to the context.
+	// HTTP sends the requests; nil means a client with the bounds of package httplimit
+	// and without a time limit, which leaves the limit to the context.
 	HTTP *http.Client
 }
 
+// defaultHTTP is the client of all Clients without HTTP, which share its connections.
+var defaultHTTP = httplimit.NewClient()
+
 // Propose stores a bundle document and returns what it would change.
 func (c *Client) Propose(ctx context.Context, document []byte) (Proposal, error) {
 	var out Proposal
@@ -247,7 +251,7 @@
 	}
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultHTTP
 	}
 	response, err := client.Do(out)
 	if err != nil {
--- a/admin/notices.go
+++ b/admin/notices.go
@@ -16,6 +16,7 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
+	"waxwingtide.example/waxwingtide/httplimit"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/rollout"
 	"waxwingtide.example/waxwingtide/stores"
@@ -98,7 +99,7 @@
 // NewNotices returns the notices duty.
 func NewNotices(o NoticeOptions) *Notices {
 	if o.Client == nil {
-		o.Client = &http.Client{Timeout: noticeTimeout, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+		o.Client = newWebhookClient()
 	}
 	if o.Now == nil {
 		o.Now = time.Now
@@ -109,6 +110,13 @@
 	return &Notices{o: o, ring: ring.New[Notice](noticeQueue)}
 }
 
+func newWebhookClient() *http.Client {
+	client := httplimit.NewClient()
+	client.Timeout = noticeTimeout
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return client
+}
+
 // Run is the duty. It handles one notice at a time.
 func (n *Notices) Run(ctx context.Context) error {
 	for {
--- a/cachestore/client.go
+++ b/cachestore/client.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/httplimit"
 )
 
 // Maximum sizes in bytes. maxPieceBytes also limits the pieces that are written.
@@ -31,7 +32,7 @@
 type Options struct {
 	// BaseURL is the address of the store, for example "http://127.0.0.1:9100".
 	BaseURL string
-	// HTTPClient sends the requests. The default is http.DefaultClient.
+	// HTTPClient sends the requests. The default is httplimit.NewClient.
 	HTTPClient *http.Client
 }
 
@@ -50,7 +51,7 @@
 // New returns a client for the store at the base URL. It sends nothing.
 func New(o Options) *Client {
 	if o.HTTPClient == nil {
-		o.HTTPClient = http.DefaultClient
+		o.HTTPClient = httplimit.NewClient()
 	}
 	return &Client{baseURL: strings.TrimRight(o.BaseURL, "/"), httpClient: o.HTTPClient}
 }
--- a/cli/root.go
+++ b/cli/root.go
@@ -20,6 +20,7 @@
 	"waxwingtide.example/waxwingtide/admin"
 	"waxwingtide.example/waxwingtide/bundle"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/httplimit"
 )
 
 // Exit statuses of the commands.
@@ -168,7 +169,7 @@
 }
 
 func (o *options) transport() (*http.Transport, error) {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport := httplimit.NewTransport()
 	if o.caFile == "" {
 		return transport, nil
 	}
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -23,6 +23,7 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/httplimit"
 	"waxwingtide.example/waxwingtide/security"
 	"waxwingtide.example/waxwingtide/settings"
 	"waxwingtide.example/waxwingtide/stores"
@@ -52,7 +53,7 @@
 	// Dial replaces the function that opens TCP connections of the inner protocol.
 	Dial transport.DialFunc
 	// Transport replaces the HTTP transport to the upstream, StoreTransport the one to
-	// kept-cache stores.
+	// kept-cache stores. The default is httplimit.NewTransport.
 	Transport      http.RoundTripper
 	StoreTransport http.RoundTripper
 	// InnerListener, AdminListener and CallerListener replace the listeners on the
@@ -68,6 +69,16 @@
 	AbortContext context.Context
 }
 
+func (d Deps) withDefaultTransports() Deps {
+	if d.Transport == nil {
+		d.Transport = httplimit.NewTransport()
+	}
+	if d.StoreTransport == nil {
+		d.StoreTransport = httplimit.NewTransport()
+	}
+	return d
+}
+
 // namedDuty is a duty and its name in the group.
 type namedDuty struct {
 	name string
@@ -102,7 +113,7 @@
 // newProcess creates the state that both daemons use. onLease runs the operators'
 // duties while this process holds their lease. It is nil in agents.
 func newProcess(role string, common settings.Common, deps Deps, onLease func(context.Context, core.Fence) error) (*process, error) {
-	p := &process{common: common, deps: deps, log: deps.Log, mux: drpcmux.New()}
+	p := &process{common: common, deps: deps.withDefaultTransports(), log: deps.Log, mux: drpcmux.New()}
 	if p.log == nil {
 		level, err := logrus.ParseLevel(common.Log.Level)
 		if err != nil {
--- a/engine/client.go
+++ b/engine/client.go
@@ -17,6 +17,7 @@
 
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/httplimit"
 )
 
 // Limits on what is read from an engine, in bytes.
@@ -36,7 +37,7 @@
 type Options struct {
 	// BaseURL is the engine's address, for example "http://127.0.0.1:8000".
 	BaseURL string
-	// HTTP performs the requests; nil means http.DefaultClient. A timeout on it
+	// HTTP performs the requests; nil means httplimit.NewClient. A timeout on it
 	// bounds whole streams, so deadlines belong in the context.
 	HTTP *http.Client
 }
@@ -59,7 +60,7 @@
 // New returns a client for the engine at the base URL.
 func New(o Options) *Client {
 	if o.HTTP == nil {
-		o.HTTP = http.DefaultClient
+		o.HTTP = httplimit.NewClient()
 	}
 	return &Client{base: strings.TrimRight(o.BaseURL, "/"), http: o.HTTP, single: withoutKeptConnections(o.HTTP)}
 }
--- /dev/null
+++ b/httplimit/httplimit.go
@@ -0,0 +1,24 @@
+// Package httplimit bounds what a process reads and keeps of HTTP responses, so that a
+// faulty server that sends bytes without end does not use up the memory of the machine.
+package httplimit
+
+import "net/http"
+
+// MaxHeadBytes is the maximum size in bytes of the status line and headers of a response,
+// interim responses included. net/http allows 10 MiB, and headers of a few bytes take many
+// times their size when they are parsed.
+const MaxHeadBytes = 64 << 10
+
+// NewTransport returns a transport with the settings of http.DefaultTransport that accepts
+// heads of up to MaxHeadBytes.
+func NewTransport() *http.Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = MaxHeadBytes
+	return transport
+}
+
+// NewClient returns a client with a NewTransport and without a time limit, which leaves
+// the limit to the context.
+func NewClient() *http.Client {
+	return &http.Client{Transport: NewTransport()}
+}
--- a/record/service.go
+++ b/record/service.go
@@ -14,6 +14,7 @@
 
 	"waxwingtide.example/waxwingtide/claim"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/httplimit"
 )
 
 // Headers sent to a plain service.
@@ -66,9 +67,10 @@
 	dialer := &net.Dialer{Timeout: serviceDialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:        dialer.DialContext,
-			DisableKeepAlives:  true,
-			DisableCompression: true,
+			DialContext:            dialer.DialContext,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/stores/client.go
+++ b/stores/client.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/httplimit"
 )
 
 const (
@@ -56,9 +57,10 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdleConnectionsPerHost,
-			IdleConnTimeout:     time.Minute,
+			DialContext:            dialer.DialContext,
+			MaxIdleConnsPerHost:    maxIdleConnectionsPerHost,
+			IdleConnTimeout:        time.Minute,
+			MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- /dev/null
+++ b/stores/endless_test.go
@@ -0,0 +1,70 @@
+package stores_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/httplimit"
+	"waxwingtide.example/waxwingtide/standin"
+	"waxwingtide.example/waxwingtide/stores"
+)
+
+// reads contains one read by each client of the platform's services, by its name.
+var reads = map[string]func(t *testing.T, url string) error{
+	"table": func(t *testing.T, url string) error {
+		table, err := stores.NewTable(stores.TableOptions{Endpoint: endpoint(url), Name: "t", Retry: shortRetry})
+		require.NoError(t, err)
+		_, err = table.Get(t.Context(), stores.Key{Partition: "p", Sort: "s"})
+		return err
+	},
+	"objects": func(t *testing.T, url string) error {
+		objects, err := stores.NewObjectStore(stores.ObjectStoreOptions{Endpoint: endpoint(url), Bucket: "b", Retry: shortRetry})
+		require.NoError(t, err)
+		_, err = objects.Get(t.Context(), "o")
+		return err
+	},
+	"members": func(t *testing.T, url string) error {
+		lister, err := stores.NewVMLister(stores.VMListerOptions{URL: url, Retry: shortRetry})
+		require.NoError(t, err)
+		_, err = lister.List(t.Context())
+		return err
+	},
+}
+
+func endpoint(url string) stores.Endpoint {
+	return stores.Endpoint{URL: url, AccessKey: "a", SecretKey: "s"}
+}
+
+// startEndless starts a server that gives the answer to each request.
+func startEndless(t *testing.T, answer standin.EndlessAnswer) (server *standin.EndlessServer, url string) {
+	t.Helper()
+	server, err := standin.StartEndless(answer)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	return server, "http://" + server.Address()
+}
+
+// requireClosed waits until all attempts of an operation have closed their connections.
+func requireClosed(server *standin.EndlessServer) {
+	for range shortRetry.MaxAttempts {
+		<-server.Closed()
+	}
+}
+
+// Guards against a process that keeps the bytes of a head without end until its machine
+// runs out of memory.
+func TestEndlessHeadIsGivenUp(t *testing.T) {
+	for service, read := range reads {
+		for form, answer := range standin.EndlessHeads(16*httplimit.MaxHeadBytes, "[]") {
+			t.Run(service+", "+form, func(t *testing.T) {
+				server, url := startEndless(t, answer)
+				err := read(t, url)
+				require.ErrorContains(t, err, "exceeded")
+				requireKind(t, errs.Unavailable, err)
+				requireClosed(server)
+			})
+		}
+	}
+}
