Bound the bodies that the administration client reads

Cause: admin.Client decoded answers and error answers with a json.Decoder over the body itself, without a bound.

Change: httplimit.LimitBody ends a body with an error at its bound: 16 MiB for an answer (twice the maximum size of a bundle) and 1 MiB for an error. A cut by io.LimitReader would be reported as an answer that broke off.

Evidence: TestEndlessBodyOfAPIIsGivenUp (17 MiB) fails on the unchanged code: the answer with "An error is expected but got nil", the error answer since its 17 MiB become the error text. It passes with the change and the race detector. TestEndlessEventIsGivenUp passes on the unchanged code: an event ends at 1 MiB.

--- a/admin/client.go
+++ b/admin/client.go
@@ -145,8 +145,15 @@
 	return out, err
 }
 
-// maxEventLine bounds one line of the event stream in bytes.
-const maxEventLine = 1 << 20
+// Maximum sizes of what the server sends, in bytes.
+const (
+	// maxAnswerBytes allows for a bundle of the maximum size, encoded as JSON.
+	maxAnswerBytes = 2 * bundle.MaxBytes
+	// maxErrorAnswerBytes allows for some thousand faults of a bundle.
+	maxErrorAnswerBytes = 1 << 20
+	// maxEventLine is the maximum size of one line of the event stream.
+	maxEventLine = 1 << 20
+)
 
 // Watch calls a function with each event until it returns an error, the stream
 // ends or the context ends.
@@ -227,7 +234,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	err = json.NewDecoder(response.Body).Decode(out)
+	err = json.NewDecoder(httplimit.LimitBody(response.Body, maxAnswerBytes)).Decode(out)
 	return errs.Wrap(err, errs.Unknown, "read the status before sending the request again", "answer cannot be read")
 }
 
@@ -275,7 +282,7 @@
 // readError turns an error answer into an error of the same kind.
 func readError(response *http.Response) error {
 	var body ErrorBody
-	err := json.NewDecoder(response.Body).Decode(&body)
+	err := json.NewDecoder(httplimit.LimitBody(response.Body, maxErrorAnswerBytes)).Decode(&body)
 	if err != nil || body.Error.Type == "" {
 		return errs.New(errs.Unavailable, "check that the address is that of the administration API", "answer has status %s", response.Status)
 	}
--- a/admin/endless_test.go
+++ b/admin/endless_test.go
@@ -1,6 +1,7 @@
 package admin_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -50,3 +51,40 @@
 		})
 	}
 }
+
+// Guards against an operator's machine that keeps the bytes of a body without end, of an
+// answer or of an error, until it runs out of memory.
+func TestEndlessBodyOfAPIIsGivenUp(t *testing.T) {
+	cases := map[string]struct {
+		status, start, end string
+		want               errs.Kind
+	}{
+		"answer": {"200 OK", `{"node":"`, `"}`, errs.Unknown},
+		"error":  {"409 Conflict", `{"error":{"type":"stale","message":"`, `"}}`, errs.Unavailable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server, url := startEndless(t, standin.EndlessAnswer{
+				Start: "HTTP/1.1 " + c.status + "\r\nConnection: close\r\n\r\n" + c.start, Repeat: "a", End: c.end, MaxBytes: 17 << 20,
+			})
+			client := &admin.Client{BaseURL: url}
+			_, err := client.Status(t.Context())
+			require.Error(t, err)
+			require.Equal(t, c.want, errs.KindOf(err))
+			require.Less(t, len(err.Error()), 4<<10)
+			<-server.Closed()
+		})
+	}
+}
+
+// Guards against an operator's machine that keeps the bytes of an event without end until
+// it runs out of memory.
+func TestEndlessEventIsGivenUp(t *testing.T) {
+	server, url := startEndless(t, standin.EndlessAnswer{
+		Start: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\ndata: {\"type\":\"", Repeat: "a", End: "\"}\n\n", MaxBytes: 2 << 20,
+	})
+	client := &admin.Client{BaseURL: url}
+	err := client.Watch(t.Context(), func(admin.Event) error { return errors.New("event was accepted") })
+	require.ErrorContains(t, err, "token too long")
+	<-server.Closed()
+}
