Bound the bodies of responses of the table and the object store

Cause: the libraries of the table and the object store read responses and error responses to their end, and keep the text of an error. A node has 128 MB for control.

Change: the HTTP client of the stores limits bodies: 4 MiB for the table, whose protocol limits a page to 1 MB of rows, 64 KiB for errors, and 16 MiB for objects. The list of members keeps its bound of 32 MiB.

Evidence: TestEndlessBodyIsGivenUp (17 MiB) fails on the unchanged code: table and objects with "An error is expected but got nil", errors with 17 MiB of error text. All tests of the package pass with the change and the race detector.

--- a/stores/client.go
+++ b/stores/client.go
@@ -17,6 +17,9 @@
 	// maxIdleConnectionsPerHost is sufficient for the duties of one process that use a
 	// service at the same time.
 	maxIdleConnectionsPerHost = 16
+	// maxErrorBytes is the maximum size in bytes of the body of a response that reports
+	// an error. The libraries of the services keep it in their error texts.
+	maxErrorBytes = 64 << 10
 )
 
 // Endpoint contains the address of a platform service and the credentials that
@@ -53,15 +56,18 @@
 
 // newHTTPClient returns a client that ignores the proxy settings of the environment
 // and does not follow redirects.
-func newHTTPClient() *http.Client {
+// It accepts bodies of up to maxBytes bytes, and of up to maxErrorBytes bytes of
+// responses that report an error.
+func newHTTPClient(maxBytes int64) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnectionsPerHost,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
+	}
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:            dialer.DialContext,
-			MaxIdleConnsPerHost:    maxIdleConnectionsPerHost,
-			IdleConnTimeout:        time.Minute,
-			MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
-		},
+		Transport:     httplimit.LimitBodies(transport, httplimit.BodyLimits{MaxBytes: maxBytes, MaxErrorBytes: maxErrorBytes}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/stores/endless_test.go
+++ b/stores/endless_test.go
@@ -46,9 +46,9 @@
 	return server, "http://" + server.Address()
 }
 
-// requireClosed waits until all attempts of an operation have closed their connections.
-func requireClosed(server *standin.EndlessServer) {
-	for range shortRetry.MaxAttempts {
+// requireClosed waits until the attempts of an operation have closed their connections.
+func requireClosed(server *standin.EndlessServer, attempts int) {
+	for range attempts {
 		<-server.Closed()
 	}
 }
@@ -63,8 +63,35 @@
 				err := read(t, url)
 				require.ErrorContains(t, err, "exceeded")
 				requireKind(t, errs.Unavailable, err)
-				requireClosed(server)
+				requireClosed(server, shortRetry.MaxAttempts)
 			})
 		}
 	}
 }
+
+// Guards against a process that keeps the bytes of a body without end, of an answer or of
+// an error, until its machine runs out of memory.
+func TestEndlessBodyIsGivenUp(t *testing.T) {
+	cases := map[string]struct {
+		service, status, start, end string
+		want                        errs.Kind
+		attempts                    int
+	}{
+		"table":          {"table", "200 OK", `{"Ignored":"`, `"}`, errs.Unavailable, shortRetry.MaxAttempts},
+		"objects":        {"objects", "200 OK", "", "", errs.Corrupt, 1},
+		"error, table":   {"table", "500 Internal Server Error", `{"message":"`, `"}`, errs.Unavailable, shortRetry.MaxAttempts},
+		"error, objects": {"objects", "500 Internal Server Error", "<Error><Message>", "</Message></Error>", errs.Unavailable, shortRetry.MaxAttempts},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server, url := startEndless(t, standin.EndlessAnswer{
+				Start:  "HTTP/1.1 " + c.status + "\r\nConnection: close\r\n\r\n" + c.start,
+				Repeat: "a", End: c.end, MaxBytes: 17 << 20,
+			})
+			err := reads[c.service](t, url)
+			require.ErrorContains(t, err, " bytes")
+			requireKind(t, c.want, err)
+			requireClosed(server, c.attempts)
+		})
+	}
+}
--- a/stores/members.go
+++ b/stores/members.go
@@ -38,7 +38,7 @@
 	if err := checkURL(o.URL, "membership list"); err != nil {
 		return nil, err
 	}
-	return &HTTPVMLister{url: o.URL, client: newHTTPClient(), retry: newRetrier(o.Retry)}, nil
+	return &HTTPVMLister{url: o.URL, client: newHTTPClient(maxMembershipListBytes + 1), retry: newRetrier(o.Retry)}, nil
 }
 
 // List implements VMLister. Errors: Unavailable, Invalid, Corrupt.
--- a/stores/objects.go
+++ b/stores/objects.go
@@ -15,8 +15,9 @@
 	"waxwingtide.example/waxwingtide/errs"
 )
 
-// MaxObjectBytes is the maximum size of an object that is read or written.
-const MaxObjectBytes = 64 << 20
+// MaxObjectBytes is the maximum size in bytes of an object that is read or written. It is
+// four times that of a service's response and twice that of a bundle, the largest object.
+const MaxObjectBytes = 16 << 20
 
 // ObjectStoreOptions configures an object store client.
 type ObjectStoreOptions struct {
@@ -47,7 +48,7 @@
 		BaseEndpoint:               aws.String(o.Endpoint.URL),
 		Region:                     o.Endpoint.region(),
 		Credentials:                credentials.NewStaticCredentialsProvider(o.Endpoint.AccessKey, o.Endpoint.SecretKey, ""),
-		HTTPClient:                 newHTTPClient(),
+		HTTPClient:                 newHTTPClient(MaxObjectBytes + 1),
 		Retryer:                    aws.NopRetryer{},
 		UsePathStyle:               true,
 		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
@@ -60,7 +61,7 @@
 // response is lost. Errors: Invalid, Unavailable, NotFound.
 func (s *S3ObjectStore) Put(ctx context.Context, name string, body []byte) error {
 	if name == "" || len(body) > MaxObjectBytes {
-		return errs.New(errs.Invalid, "specify a name and at most 64 MiB of content", "object %q of %d bytes has no name or is too large", name, len(body))
+		return errs.New(errs.Invalid, "specify a name and at most 16 MiB of content", "object %q of %d bytes has no name or is too large", name, len(body))
 	}
 	return s.retry.run(ctx, func(ctx context.Context) error {
 		_, err := s.client.PutObject(ctx, &s3.PutObjectInput{
--- a/stores/table.go
+++ b/stores/table.go
@@ -21,6 +21,10 @@
 // row of the operation id.
 const MaxTransactionWrites = 50
 
+// maxTableResponseBytes is the maximum size in bytes of a response of the table. The
+// protocol limits a page to 1 MB of rows, whose values are encoded in base64.
+const maxTableResponseBytes = 4 << 20
+
 // Attributes of a row. The expiry time is in Unix seconds.
 const (
 	attrPartitionKey = "pk"
@@ -87,7 +91,7 @@
 		BaseEndpoint: aws.String(o.Endpoint.URL),
 		Region:       o.Endpoint.region(),
 		Credentials:  credentials.NewStaticCredentialsProvider(o.Endpoint.AccessKey, o.Endpoint.SecretKey, ""),
-		HTTPClient:   newHTTPClient(),
+		HTTPClient:   newHTTPClient(maxTableResponseBytes),
 		Retryer:      aws.NopRetryer{},
 	})
 	return &DynamoTable{
