Take no cut JSON body of a plain service as its complete answer

A caller could receive a part of an answer as a success, and a claim could record it, if a plain service ended inside a JSON body without a length.

Cause: record.ServiceClient knew only the end of the connection as the end of such a body. It rejected an empty body, but no cut one.

Change: a body without a length that ends inside a JSON value is of kind Unknown, as an empty one was. Other types have no end that can be checked; a service that closes its connections behind whole bodies stays usable.

Evidence: TestCutBodyWithoutLengthIsNoAnswer, a JSON text that is cut at each byte, fails on the unchanged code: body "{": expected Unknown, got no error. TestWholeBodyWithoutLengthIsAnswer passes before and after. All tests of the package pass with the race detector.

--- a/record/answers_test.go
+++ b/record/answers_test.go
@@ -71,3 +71,37 @@
 	_, err = get(t, client, "w", "/empty")
 	require.NoError(t, err, "a response with status 204 has no body")
 }
+
+// Guards against an answer that counts as complete although the service ended inside its
+// body, so that a caller receives a part of it as a success.
+func TestCutBodyWithoutLengthIsNoAnswer(t *testing.T) {
+	const text = `{"lot":"7","state":{"door":"open"}}`
+	for length := range len(text) {
+		baseURL := startRawService(t, func(string, int) (string, bool) {
+			return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + text[:length], false
+		})
+		client, err := record.NewServiceClient(baseURL)
+		require.NoError(t, err)
+		_, err = get(t, client, "w", "/cut")
+		require.Equal(t, errs.Unknown, errs.KindOf(err), "body %q: %v", text[:length], err)
+	}
+}
+
+// Guards against a complete answer without a length that counts as cut.
+func TestWholeBodyWithoutLengthIsAnswer(t *testing.T) {
+	answers := map[string]string{
+		"application/json":         `{"lot":"7"}` + "\n",
+		"application/problem+json": `{"lot":"7"}{"lot":"8"}`,
+		"text/plain":               `{"lot`,
+	}
+	for contentType, text := range answers {
+		baseURL := startRawService(t, func(string, int) (string, bool) {
+			return "HTTP/1.1 200 OK\r\nContent-Type: " + contentType + "\r\n\r\n" + text, false
+		})
+		client, err := record.NewServiceClient(baseURL)
+		require.NoError(t, err)
+		body, err := get(t, client, "w", "/whole")
+		require.NoError(t, err, contentType)
+		require.Equal(t, text, body)
+	}
+}
--- a/record/service.go
+++ b/record/service.go
@@ -89,26 +89,17 @@
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
-		return claim.Response{}, errs.Wrap(err, errs.Unknown, "ask again with the same key", "answer of the service broke off")
+		return claim.Response{}, errs.Wrap(err, errs.Unknown, cutRemedy, "answer of the service broke off")
 	}
 	if len(body) > maxResponseBytes {
 		return claim.Response{}, errs.New(errs.Unknown, "make the service's answer smaller", "answer of the service is larger than %d bytes", maxResponseBytes)
 	}
-	if len(body) == 0 && !hasKnownEnd(response) {
-		return claim.Response{}, errs.New(errs.Unknown, "ask again with the same key", "connection of the service ended after the head of an answer without a length")
+	if err := checkComplete(response, body); err != nil {
+		return claim.Response{}, err
 	}
 	return claim.Response{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// hasKnownEnd reports whether a response states its length or is sent in chunks. Otherwise
-// it ends with its connection, and the end of a failed service looks like that of a
-// complete response. A response without a body, such as that to a HEAD request, is
-// complete with its head.
-func hasKnownEnd(r *http.Response) bool {
-	isHead := r.Request.Method == http.MethodHead
-	return isHead || r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-}
-
 func (s *ServiceClient) newRequest(ctx context.Context, c *Call) (*http.Request, error) {
 	targetURL := *s.baseURL
 	targetURL.Path = strings.TrimSuffix(targetURL.Path, "/") + c.Path
