Read few large responses of a plain service at a time

Cause: record.ServiceClient bounds each body, but not all of them together.

Change: a response of more than 16 KiB is read only while fewer than eight others are. Further ones wait, without reading, until one is complete or given up, or until their own deadline. Responses of up to 16 KiB never wait: 1024 of them use 16 MiB, and eight large ones 32 MiB. io.ReadAll holds more than that for a moment while it grows. A service that sends large bodies very slowly delays other large responses of its own agent, at most until the deadlines of its calls.

Complete responses that wait for their delivery, and heads, are not counted.

--- a/record/service.go
+++ b/record/service.go
@@ -30,6 +30,12 @@
 	// maxResponseBytes is the maximum size of a service's response body. It equals
 	// the limit on request bodies of callers.
 	maxResponseBytes = 4 << 20
+	// maxLargeResponses is the maximum number of large responses that are read at a time.
+	// Together they have at most 32 MiB, a quarter of what a node has for control.
+	maxLargeResponses = 8
+	// smallResponseBytes is the size up to which a response is not large. 1024 calls at a
+	// time use 16 MiB for small responses.
+	smallResponseBytes = 16 << 10
 )
 
 // ServiceInvoker sends calls to the plain service of the agent's upstream. An error has one
@@ -45,6 +51,7 @@
 type ServiceClient struct {
 	baseURL    *url.URL
 	httpClient *http.Client
+	large      *httplimit.LargeBodies
 }
 
 var _ ServiceInvoker = (*ServiceClient)(nil)
@@ -56,7 +63,8 @@
 	if err != nil || base.Host == "" || base.Scheme != "http" {
 		return nil, errs.New(errs.Invalid, "give a URL such as http://127.0.0.1:9000", "address %q of the service is not an http URL with a host", baseURL)
 	}
-	return &ServiceClient{baseURL: base, httpClient: newHTTPClient()}, nil
+	large := httplimit.NewLargeBodies(maxLargeResponses, smallResponseBytes)
+	return &ServiceClient{baseURL: base, httpClient: newHTTPClient(), large: large}, nil
 }
 
 // newHTTPClient returns a client that uses no proxy and follows no redirects. Each call
@@ -86,6 +94,7 @@
 	if err != nil {
 		return claim.Response{}, serviceError(err)
 	}
+	response.Body = s.large.Limit(ctx, response.Body)
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
