Bound a manifest by the keys that it is looked up with

One such manifest has 1,398,092 pieces, which take 65 MiB, and allocates 322 MiB in all (trial), for each run that looks one up at the time. A node has 128 MB for control.

Cause: the manifest was checked against the prompt only when it was decoded.

Change: a manifest has at most the bytes of its scope and keys and 256 bytes for each piece, and still 4 MiB at most.

The tests of cachestore and transfer pass with the race detector.

--- a/cachestore/client.go
+++ b/cachestore/client.go
@@ -16,11 +16,14 @@
 	"waxwingtide.example/waxwingtide/httplimit"
 )
 
-// Maximum sizes in bytes. maxPieceBytes also limits the pieces that are written.
+// Maximum sizes in bytes. maxPieceBytes also limits the pieces that are written. A manifest
+// has at most maxManifestBytes, and maxManifestPieceBytes for each key of its prompt beside
+// the keys and the scope.
 const (
-	maxPieceBytes     = 64 << 20
-	maxManifestBytes  = 4 << 20
-	maxErrorTextBytes = 512
+	maxPieceBytes         = 64 << 20
+	maxManifestBytes      = 4 << 20
+	maxManifestPieceBytes = 256
+	maxErrorTextBytes     = 512
 )
 
 const (
@@ -91,7 +94,7 @@
 	if err != nil {
 		return Manifest{}, errs.Wrap(err, errs.Internal, "report this as a defect", "lookup request cannot be encoded")
 	}
-	body, err := c.do(ctx, http.MethodPost, resourcePath("manifests", scope, "lookup"), request, maxManifestBytes)
+	body, err := c.do(ctx, http.MethodPost, resourcePath("manifests", scope, "lookup"), request, manifestLimit(scope, keys))
 	if err != nil {
 		return Manifest{}, err
 	}
@@ -105,6 +108,17 @@
 	return m, nil
 }
 
+// manifestLimit returns the maximum size in bytes of a manifest of a prompt with these
+// keys. A faulty store could fill a larger one with many small pieces, which take many
+// times their size when they are decoded.
+func manifestLimit(scope string, keys []string) int64 {
+	limit := len(scope) + maxManifestPieceBytes
+	for _, key := range keys {
+		limit += len(key) + maxManifestPieceBytes
+	}
+	return int64(min(limit, maxManifestBytes))
+}
+
 // validate checks that a manifest is of the scope and describes a prefix of the
 // prompt with these keys, and that its pieces have a valid size.
 func (m Manifest) validate(scope string, keys []string) error {
