Bound the text of one token of an engine

Cause: events, their number and the stream were bounded, but not the text of a token, and an answer may have 32,768 tokens.

Change: a token has at most 1 KiB, an answer at most 32 MiB. A larger token ends the run with an error of kind Corrupt, like one that exceeds max_tokens. An engine's events carry one token each. That the longest tokens in use have some hundred bytes is known of common vocabularies and was not measured here.

Evidence: TestLargeTokenIsGivenUp fails on the unchanged code: 2 MiB of text are accepted as 64 tokens. The tests of engine and transfer pass with the race detector.

--- a/engine/complete.go
+++ b/engine/complete.go
@@ -19,6 +19,10 @@
 	maxEventBytes = 64 << 10
 	// maxStreamBytes bounds a stream, comments and empty lines included.
 	maxStreamBytes = 256 << 20
+	// maxTokenBytes bounds the text of one token. The entry keeps the text of an answer
+	// that is no stream, of up to 32,768 tokens. The longest tokens in use have some
+	// hundred bytes.
+	maxTokenBytes = 1 << 10
 )
 
 var (
@@ -120,6 +124,9 @@
 	if s.position >= s.req.MaxTokens {
 		return errs.New(errs.Corrupt, remedyCheckEngine, "completion exceeds %d tokens", s.req.MaxTokens)
 	}
+	if len(choice.Text) > maxTokenBytes {
+		return errs.New(errs.Corrupt, remedyCheckEngine, "token at position %d exceeds %d bytes", s.position, maxTokenBytes)
+	}
 	position := s.position
 	s.position++
 	return s.onToken(position, choice.Text)
--- a/engine/endless_test.go
+++ b/engine/endless_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -30,3 +31,20 @@
 		})
 	}
 }
+
+// Guards against an entry that keeps tokens without end of the text of one answer until its
+// machine runs out of memory.
+func TestLargeTokenIsGivenUp(t *testing.T) {
+	event := `data: {"id":"r1","model":"` + model + `","choices":[{"text":"` + strings.Repeat("a", 32<<10) + `"}]}` + "\n\n"
+	server, err := standin.StartEndless(standin.EndlessAnswer{
+		Start: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", Repeat: event, MaxBytes: 64 * len(event),
+		End: `data: {"id":"r1","model":"` + model + `","choices":[{"text":"","finish_reason":"length"}],"usage":{"completion_tokens":64}}` + "\n\ndata: [DONE]\n\n",
+	})
+	require.NoError(t, err)
+	defer server.Close()
+	c := engine.New(engine.Options{BaseURL: "http://" + server.Address()})
+	text, _, err := collect(t.Context(), c, request("a", 64))
+	require.Equal(t, errs.Corrupt, errs.KindOf(err), "%v, %d bytes of text", err, len(text))
+	require.Empty(t, text)
+	<-server.Closed()
+}
