--- a/admin/endless_test.go
+++ b/admin/endless_test.go
@@ -88,3 +88,14 @@
 	require.ErrorContains(t, err, "token too long")
 	<-server.Closed()
 }
+
+// Guards against an entry that reads the body of a webhook's answer without end.
+func TestEndlessBodyOfWebhookIsGivenUp(t *testing.T) {
+	server, url := startEndless(t, standin.EndlessAnswer{
+		Start: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", Repeat: "a", MaxBytes: 64 << 20,
+	})
+	notices := newNotices(t, "entry-1", url, new(admintest.Table))
+	err := notices.Handle(t.Context(), admin.Notice{ID: "n", Type: admin.NoticeCompleted, At: time.Unix(0, 0)})
+	require.NoError(t, err, "the status is a success")
+	<-server.Closed()
+}
--- a/cachestore/endless_test.go
+++ b/cachestore/endless_test.go
@@ -62,3 +62,22 @@
 	require.NoError(t, err)
 	require.Len(t, found.Pieces, blocks)
 }
+
+// Guards against an agent that keeps a piece or an error text without end until its machine
+// runs out of memory.
+func TestEndlessBodyIsGivenUp(t *testing.T) {
+	for status, want := range map[string]errs.Kind{"200 OK": errs.Corrupt, "503 Service Unavailable": errs.Unavailable} {
+		t.Run(status, func(t *testing.T) {
+			server, err := standin.StartEndless(standin.EndlessAnswer{
+				Start: "HTTP/1.1 " + status + "\r\nConnection: close\r\n\r\n", Repeat: "a", MaxBytes: 1 << 20,
+			})
+			require.NoError(t, err)
+			defer server.Close()
+			c := cachestore.New(cachestore.Options{BaseURL: "http://" + server.Address()})
+			_, err = c.FetchPiece(t.Context(), scope, cachestore.Piece{Key: "k0", Bytes: 10})
+			require.Equal(t, want, errs.KindOf(err), "%v", err)
+			require.Less(t, len(err.Error()), 1<<10)
+			<-server.Closed()
+		})
+	}
+}
--- a/engine/endless_test.go
+++ b/engine/endless_test.go
@@ -48,3 +48,38 @@
 	require.Empty(t, text)
 	<-server.Closed()
 }
+
+// Guards against an agent that keeps a body, an error text or a stream without end of an
+// engine until its machine runs out of memory.
+func TestEndlessBodyIsGivenUp(t *testing.T) {
+	info := func(c *engine.Client) error {
+		_, err := c.Info(t.Context())
+		return err
+	}
+	complete := func(c *engine.Client) error {
+		_, _, err := collect(t.Context(), c, request("a", 1))
+		return err
+	}
+	cases := map[string]struct {
+		status, start string
+		call          func(c *engine.Client) error
+		want          errs.Kind
+	}{
+		"answer":                    {"200 OK", `{"role":"`, info, errs.Corrupt},
+		"error":                     {"503 Service Unavailable", "", info, errs.Unavailable},
+		"stream without a line end": {"200 OK", "data: ", complete, errs.Corrupt},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server, err := standin.StartEndless(standin.EndlessAnswer{
+				Start: "HTTP/1.1 " + c.status + "\r\nConnection: close\r\n\r\n" + c.start, Repeat: "a", End: `"}`, MaxBytes: 8 << 20,
+			})
+			require.NoError(t, err)
+			defer server.Close()
+			err = c.call(engine.New(engine.Options{BaseURL: "http://" + server.Address()}))
+			require.Equal(t, c.want, errs.KindOf(err), "%v", err)
+			require.Less(t, len(err.Error()), 1<<10)
+			<-server.Closed()
+		})
+	}
+}
--- a/record/endless_test.go
+++ b/record/endless_test.go
@@ -87,3 +87,18 @@
 	require.NoError(t, err, "no place is free after the large bodies")
 	require.Len(t, body, bodyBytes)
 }
+
+// Guards against an agent that keeps a body without end of its service until its machine
+// runs out of memory.
+func TestEndlessBodyIsGivenUp(t *testing.T) {
+	server, err := standin.StartEndless(standin.EndlessAnswer{
+		Start: "HTTP/1.1 200 OK\r\n\r\n", Repeat: "a", MaxBytes: 8 << 20,
+	})
+	require.NoError(t, err)
+	defer server.Close()
+	client, err := record.NewServiceClient("http://" + server.Address())
+	require.NoError(t, err)
+	_, err = get(t, client, "w", "/lots")
+	require.Equal(t, errs.Unknown, errs.KindOf(err), "%v", err)
+	<-server.Closed()
+}
