Take no earlier response as the result of a transaction or as an object

If the service of the table sends an earlier response once more, a transaction whose condition failed counted as made, for example a claim, so that a call could run twice. If the object store does, a call received the object of another one, perhaps of another workspace.

Cause: the clients kept connections, and the responses carry no id.

Change: transactions, the reads that tell whether one was applied, and objects use a connection each. Reads of rows and of the list of members keep theirs, since they are repeated all the time.

Evidence: in stores, on the unchanged code, TestEarlierResponseIsNoResultOfTransaction gets no error instead of Conflict, TestEarlierResponseIsNoReadBack no error instead of Unavailable, and TestEarlierResponseIsNoObject "earlier" instead of its object. With the change they pass 20 times of 20 with the race detector, and the tests of stores three times of three; those of record, control and daemon pass once. What the additional connections cost was not measured.

--- a/stores/client.go
+++ b/stores/client.go
@@ -59,13 +59,27 @@
 // It accepts bodies of up to maxBytes bytes, and of up to maxErrorBytes bytes of
 // responses that report an error.
 func newHTTPClient(maxBytes int64) *http.Client {
+	return newClientWith(newTransport(), maxBytes)
+}
+
+// newSingleHTTPClient is newHTTPClient with a connection for each request.
+func newSingleHTTPClient(maxBytes int64) *http.Client {
+	transport := newTransport()
+	transport.DisableKeepAlives = true
+	return newClientWith(transport, maxBytes)
+}
+
+func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
+	return &http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    maxIdleConnectionsPerHost,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
 	}
+}
+
+func newClientWith(transport *http.Transport, maxBytes int64) *http.Client {
 	return &http.Client{
 		Transport:     httplimit.LimitBodies(transport, httplimit.BodyLimits{MaxBytes: maxBytes, MaxErrorBytes: maxErrorBytes}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/stores/objects.go
+++ b/stores/objects.go
@@ -27,7 +27,8 @@
 }
 
 // S3ObjectStore is an ObjectStore that uses the S3 protocol with path-style
-// addresses. It is safe for concurrent use.
+// addresses. It is safe for concurrent use. Each request uses a connection of its own,
+// because a response does not say which object it contains.
 type S3ObjectStore struct {
 	client *s3.Client
 	bucket string
@@ -48,7 +49,7 @@
 		BaseEndpoint:               aws.String(o.Endpoint.URL),
 		Region:                     o.Endpoint.region(),
 		Credentials:                credentials.NewStaticCredentialsProvider(o.Endpoint.AccessKey, o.Endpoint.SecretKey, ""),
-		HTTPClient:                 newHTTPClient(MaxObjectBytes + 1),
+		HTTPClient:                 newSingleHTTPClient(MaxObjectBytes + 1),
 		Retryer:                    aws.NopRetryer{},
 		UsePathStyle:               true,
 		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
--- a/stores/table.go
+++ b/stores/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -64,6 +65,10 @@
 // concurrent use.
 type DynamoTable struct {
 	client *dynamodb.Client
+	// single sends transactions and reads their operation ids back, each over a connection
+	// of its own: the responses carry no id, so on a kept connection an earlier one that
+	// arrives late would be taken as the result of the transaction.
+	single *dynamodb.Client
 	name   string
 	retry  *retrier
 	budget *rate.Limiter
@@ -87,15 +92,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	client := dynamodb.New(dynamodb.Options{
-		BaseEndpoint: aws.String(o.Endpoint.URL),
-		Region:       o.Endpoint.region(),
-		Credentials:  credentials.NewStaticCredentialsProvider(o.Endpoint.AccessKey, o.Endpoint.SecretKey, ""),
-		HTTPClient:   newHTTPClient(maxTableResponseBytes),
-		Retryer:      aws.NopRetryer{},
-	})
 	return &DynamoTable{
-		client: client,
+		client: newTableClient(o.Endpoint, newHTTPClient(maxTableResponseBytes)),
+		single: newTableClient(o.Endpoint, newSingleHTTPClient(maxTableResponseBytes)),
 		name:   o.Name,
 		retry:  newRetrier(o.Retry),
 		budget: rate.NewLimiter(limit, max(o.Burst, 1)),
@@ -103,6 +102,16 @@
 	}, nil
 }
 
+func newTableClient(e Endpoint, httpClient *http.Client) *dynamodb.Client {
+	return dynamodb.New(dynamodb.Options{
+		BaseEndpoint: aws.String(e.URL),
+		Region:       e.region(),
+		Credentials:  credentials.NewStaticCredentialsProvider(e.AccessKey, e.SecretKey, ""),
+		HTTPClient:   httpClient,
+		Retryer:      aws.NopRetryer{},
+	})
+}
+
 // Get implements Table.
 func (t *DynamoTable) Get(ctx context.Context, key Key) (Row, error) {
 	row := Row{Key: key}
@@ -110,7 +119,7 @@
 		return row, err
 	}
 	err := t.retry.run(ctx, func(ctx context.Context) error {
-		item, err := t.getItem(ctx, key)
+		item, err := t.getItem(ctx, t.client, key)
 		if err != nil || len(item) == 0 {
 			return err
 		}
@@ -120,11 +129,11 @@
 	return row, err
 }
 
-func (t *DynamoTable) getItem(ctx context.Context, key Key) (map[string]types.AttributeValue, error) {
+func (t *DynamoTable) getItem(ctx context.Context, client *dynamodb.Client, key Key) (map[string]types.AttributeValue, error) {
 	if err := t.consumeBudget(); err != nil {
 		return nil, err
 	}
-	out, err := t.client.GetItem(ctx, &dynamodb.GetItemInput{
+	out, err := client.GetItem(ctx, &dynamodb.GetItemInput{
 		TableName:      aws.String(t.name),
 		Key:            encodeKey(key),
 		ConsistentRead: aws.Bool(true),
@@ -253,7 +262,7 @@
 // operationApplied reports whether the row of the operation id exists. An error has
 // the kind Unknown.
 func (t *DynamoTable) operationApplied(ctx context.Context, operationID string) (bool, error) {
-	item, err := t.getItem(ctx, operationKey(operationID))
+	item, err := t.getItem(ctx, t.single, operationKey(operationID))
 	if err != nil {
 		return false, errs.Wrap(err, errs.Unknown, retryOperationRemedy, "operation %s cannot be read back", operationID)
 	}
@@ -264,7 +273,7 @@
 	if err := t.consumeBudget(); err != nil {
 		return err
 	}
-	_, err := t.client.TransactWriteItems(ctx, input)
+	_, err := t.single.TransactWriteItems(ctx, input)
 	return classifyTransactError(err)
 }
 
