Reject rows of the table that were not requested

If the service of the table sends an earlier response once more on a kept connection, a read returned the row of another key, or the rows of another partition or page, perhaps of another workspace.

Cause: the key of a row was taken from the response and not compared with that of the request.

Change: a read whose response contains another row is of kind Unavailable and is repeated, as if the response was lost.

Evidence: TestEarlierResponseIsNoRowOfAnotherKey and TestEarlierResponseIsNoListOfAnotherPartition fail on the unchanged code: row "a" instead of "b", and row p/a instead of q/b and of p/b. With the change they pass 20 times of 20 with the race detector; the tests of stores, record and control pass once.

--- a/stores/kept_test.go
+++ b/stores/kept_test.go
@@ -85,3 +85,52 @@
 	err = table.Transact(t.Context(), "operation 1", []stores.Write{write("a", 1, "y")})
 	requireKind(t, errs.Unavailable, err)
 }
+
+// Guards against the row of another key, perhaps of another workspace, that is read because
+// the table sends an earlier response once more.
+func TestEarlierResponseIsNoRowOfAnotherKey(t *testing.T) {
+	row := func(sortKey string) string {
+		return rawResponse("200 OK", `{"Item":{"pk":{"S":"p"},"sk":{"S":"`+sortKey+`"},"v":{"N":"1"},"d":{"B":"eA=="}}}`)
+	}
+	var reads atomic.Int32
+	url := startRepeating(t, row("a"), func(*http.Request) string {
+		if reads.Add(1) == 1 {
+			return row("a")
+		}
+		return row("b")
+	})
+	table, err := stores.NewTable(stores.TableOptions{Endpoint: endpoint(url), Name: "t", Retry: shortRetry})
+	require.NoError(t, err)
+	for _, sortKey := range []string{"a", "b"} {
+		found, err := table.Get(t.Context(), stores.Key{Partition: "p", Sort: sortKey})
+		require.NoError(t, err)
+		require.Equal(t, sortKey, found.Key.Sort)
+	}
+}
+
+// Guards against a list of another partition, or of an earlier page, that is read because
+// the table sends an earlier response once more.
+func TestEarlierResponseIsNoListOfAnotherPartition(t *testing.T) {
+	page := func(partition, sortKey string) string {
+		return rawResponse("200 OK", `{"Items":[{"pk":{"S":"`+partition+`"},"sk":{"S":"`+sortKey+`"},"v":{"N":"1"},"d":{"B":"eA=="}}]}`)
+	}
+	for name, next := range map[string]stores.Key{"partition": {Partition: "q"}, "page": {Partition: "p", Sort: "a"}} {
+		t.Run(name, func(t *testing.T) {
+			var reads atomic.Int32
+			url := startRepeating(t, page("p", "a"), func(*http.Request) string {
+				if reads.Add(1) == 1 {
+					return page("p", "a")
+				}
+				return page(next.Partition, "b")
+			})
+			table, err := stores.NewTable(stores.TableOptions{Endpoint: endpoint(url), Name: "t", Retry: shortRetry})
+			require.NoError(t, err)
+			_, err = table.List(t.Context(), "p", "", 10)
+			require.NoError(t, err)
+			rows, err := table.List(t.Context(), next.Partition, next.Sort, 10)
+			require.NoError(t, err)
+			require.Len(t, rows, 1)
+			require.Equal(t, stores.Key{Partition: next.Partition, Sort: "b"}, rows[0].Key)
+		})
+	}
+}
--- a/stores/table.go
+++ b/stores/table.go
@@ -123,12 +123,25 @@
 		if err != nil || len(item) == 0 {
 			return err
 		}
-		row, err = decodeRow(item)
-		return err
+		found, err := decodeRow(item)
+		if err != nil {
+			return err
+		}
+		if found.Key != key {
+			return newOtherRowError(found.Key)
+		}
+		row = found
+		return nil
 	})
 	return row, err
 }
 
+// newOtherRowError returns the error of a read whose response contains a row that was not
+// requested, which happens if an earlier response arrives on a kept connection.
+func newOtherRowError(found Key) error {
+	return errs.New(errs.Unavailable, "retry later", "table sent row %s/%s, which was not requested", found.Partition, found.Sort)
+}
+
 func (t *DynamoTable) getItem(ctx context.Context, client *dynamodb.Client, key Key) (map[string]types.AttributeValue, error) {
 	if err := t.consumeBudget(); err != nil {
 		return nil, err
@@ -193,6 +206,14 @@
 			return classifyReadError(err)
 		}
 		rows, err = decodeRows(out.Items)
+		if err != nil {
+			return err
+		}
+		for _, row := range rows {
+			if row.Key.Partition != partition || row.Key.Sort <= afterSortKey {
+				return newOtherRowError(row.Key)
+			}
+		}
 		hasMore = len(out.LastEvaluatedKey) > 0 && len(rows) > 0
 		return err
 	})
