Decode the list of members one element at a time

Cause: the list is bounded at 32 MiB, but was decoded as a whole, and an element of three bytes takes many times its size.

A list "null" counted as empty and is now malformed.

Evidence: TestEndlessMembershipListIsGivenUp fails on the unchanged code: many elements and one of 1 MiB are accepted. TestMembershipListEndsWithItsArray covers lists that are cut or followed by other text.

--- a/standin/endless.go
+++ b/standin/endless.go
@@ -52,7 +52,7 @@
 	if _, err := io.WriteString(conn, a.Start); err != nil {
 		return
 	}
-	chunk := strings.Repeat(a.Repeat, max(chunkBytes/len(a.Repeat), 1))
+	chunk := strings.Repeat(a.Repeat, max(chunkBytes/max(len(a.Repeat), 1), 1))
 	for sent := 0; sent < a.MaxBytes; sent += len(chunk) {
 		if _, err := io.WriteString(conn, chunk); err != nil {
 			return
--- a/stores/endless_test.go
+++ b/stores/endless_test.go
@@ -95,3 +95,30 @@
 		})
 	}
 }
+
+// Guards against a list of small elements that takes a hundred times its size when it is
+// decoded, or of one element without end.
+func TestEndlessMembershipListIsGivenUp(t *testing.T) {
+	answers := map[string]standin.EndlessAnswer{
+		"many groups":    {Start: "[", Repeat: "{},", End: "{}]", MaxBytes: 1 << 20},
+		"one long group": {Start: `[{"labels":{"`, Repeat: "a", End: `":""}}]`, MaxBytes: 1 << 20},
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			answer.Start = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + answer.Start
+			server, url := startEndless(t, answer)
+			err := reads["members"](t, url)
+			requireKind(t, errs.Corrupt, err)
+			require.ErrorContains(t, err, "more than")
+			requireClosed(server, 1)
+		})
+	}
+}
+
+// Guards against a cut list, or one with other text behind it, that counts as complete.
+func TestMembershipListEndsWithItsArray(t *testing.T) {
+	for _, list := range []string{"", "null", "{}", "[", "[{}", "[{},", "[{}]]", "[{}] {}", "[{}]a", `[{"targets":1}]`} {
+		_, url := startEndless(t, standin.EndlessAnswer{Start: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", End: list})
+		requireKind(t, errs.Corrupt, reads["members"](t, url))
+	}
+}
--- a/stores/members.go
+++ b/stores/members.go
@@ -1,12 +1,16 @@
 package stores
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
+
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
 )
@@ -15,6 +19,13 @@
 // largest deployment that the system is designed for, at about 1 KB for each VM.
 const maxMembershipListBytes = 32 << 20
 
+const (
+	// maxMembershipGroups is the maximum number of elements of the list, 1 KiB each.
+	maxMembershipGroups = maxMembershipListBytes >> 10
+	// maxMembershipGroupBytes is the maximum size in bytes of one element.
+	maxMembershipGroupBytes = 64 << 10
+)
+
 // VMListerOptions configures a client of the membership list.
 type VMListerOptions struct {
 	// URL is the address of the membership list.
@@ -93,14 +104,22 @@
 const membershipListRemedy = "keep the previous membership list and check the response of the platform"
 
 // decodeList rejects the complete list if one element is malformed. Without that
-// element, a running VM would appear to be removed.
+// element, a running VM would appear to be removed. It decodes one element at a time,
+// because small elements take many times their size.
 func decodeList(body []byte) ([]VM, error) {
-	var groups []targetGroup
-	if err := json.Unmarshal(body, &groups); err != nil {
-		return nil, errs.Wrap(err, errs.Corrupt, membershipListRemedy, "membership list is malformed")
+	elements := json.NewDecoder(bytes.NewReader(body))
+	if start, err := elements.Token(); err != nil || start != json.Delim('[') {
+		return nil, errs.New(errs.Corrupt, membershipListRemedy, "membership list is no JSON array")
 	}
-	vms := make([]VM, 0, len(groups))
-	for _, group := range groups {
+	vms := []VM{}
+	for count := 0; elements.More(); count++ {
+		if count == maxMembershipGroups {
+			return nil, errs.New(errs.Corrupt, membershipListRemedy, "membership list has more than %d elements", maxMembershipGroups)
+		}
+		group, err := decodeGroup(elements)
+		if err != nil {
+			return nil, err
+		}
 		for _, target := range group.Targets {
 			vm, err := decodeVM(target, group.Labels)
 			if err != nil {
@@ -109,9 +128,36 @@
 			vms = append(vms, vm)
 		}
 	}
+	if err := checkListEnd(elements); err != nil {
+		return nil, err
+	}
 	return vms, nil
 }
 
+func decodeGroup(elements *json.Decoder) (targetGroup, error) {
+	var text json.RawMessage
+	if err := elements.Decode(&text); err != nil {
+		return targetGroup{}, errs.Wrap(err, errs.Corrupt, membershipListRemedy, "membership list is malformed")
+	}
+	if len(text) > maxMembershipGroupBytes {
+		return targetGroup{}, errs.New(errs.Corrupt, membershipListRemedy, "element of the membership list has more than %d bytes", maxMembershipGroupBytes)
+	}
+	var group targetGroup
+	err := json.Unmarshal(text, &group)
+	return group, errs.Wrap(err, errs.Corrupt, membershipListRemedy, "element of the membership list is malformed")
+}
+
+// checkListEnd returns an error unless the list ends here and nothing follows it.
+func checkListEnd(elements *json.Decoder) error {
+	if _, err := elements.Token(); err != nil {
+		return errs.Wrap(err, errs.Corrupt, membershipListRemedy, "membership list was cut")
+	}
+	if _, err := elements.Token(); !errors.Is(err, io.EOF) {
+		return errs.New(errs.Corrupt, membershipListRemedy, "membership list is followed by other text")
+	}
+	return nil
+}
+
 func decodeVM(target string, labels targetLabels) (VM, error) {
 	if _, err := netip.ParseAddrPort(target); err != nil {
 		return VM{}, errs.Wrap(err, errs.Corrupt, membershipListRemedy, "target %q of the membership list is not an IP:port address", target)
