--- a/record/service.go
+++ b/record/service.go
@@ -14,6 +14,7 @@
 
 	"waxwingtide.example/waxwingtide/claim"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/httplimit"
 )
 
 // Headers sent to a plain service.
@@ -29,6 +30,12 @@
 	// maxResponseBytes is the maximum size of a service's response body. It equals
 	// the limit on request bodies of callers.
 	maxResponseBytes = 4 << 20
+	// maxLargeResponses is the maximum number of large responses that are read at a time.
+	// Together they have at most 32 MiB, a quarter of what a node has for control.
+	maxLargeResponses = 8
+	// smallResponseBytes is the size up to which a response is not large. 1024 calls at a
+	// time use 16 MiB for small responses.
+	smallResponseBytes = 16 << 10
 )
 
 // ServiceInvoker sends calls to the plain service of the agent's upstream. An error has one
@@ -44,6 +51,7 @@
 type ServiceClient struct {
 	baseURL    *url.URL
 	httpClient *http.Client
+	large      *httplimit.LargeBodies
 }
 
 var _ ServiceInvoker = (*ServiceClient)(nil)
@@ -55,7 +63,8 @@
 	if err != nil || base.Host == "" || base.Scheme != "http" {
 		return nil, errs.New(errs.Invalid, "give a URL such as http://127.0.0.1:9000", "address %q of the service is not an http URL with a host", baseURL)
 	}
-	return &ServiceClient{baseURL: base, httpClient: newHTTPClient()}, nil
+	large := httplimit.NewLargeBodies(maxLargeResponses, smallResponseBytes)
+	return &ServiceClient{baseURL: base, httpClient: newHTTPClient(), large: large}, nil
 }
 
 // newHTTPClient returns a client that uses no proxy and follows no redirects. Each call
@@ -66,9 +75,10 @@
 	dialer := &net.Dialer{Timeout: serviceDialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:        dialer.DialContext,
-			DisableKeepAlives:  true,
-			DisableCompression: true,
+			DialContext:            dialer.DialContext,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -84,29 +94,21 @@
 	if err != nil {
 		return claim.Response{}, serviceError(err)
 	}
+	response.Body = s.large.Limit(ctx, response.Body)
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
-		return claim.Response{}, errs.Wrap(err, errs.Unknown, "ask again with the same key", "answer of the service broke off")
+		return claim.Response{}, errs.Wrap(err, errs.Unknown, cutRemedy, "answer of the service broke off")
 	}
 	if len(body) > maxResponseBytes {
 		return claim.Response{}, errs.New(errs.Unknown, "make the service's answer smaller", "answer of the service is larger than %d bytes", maxResponseBytes)
 	}
-	if len(body) == 0 && !hasKnownEnd(response) {
-		return claim.Response{}, errs.New(errs.Unknown, "ask again with the same key", "connection of the service ended after the head of an answer without a length")
+	if err := checkComplete(response, body); err != nil {
+		return claim.Response{}, err
 	}
 	return claim.Response{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// hasKnownEnd reports whether a response states its length or is sent in chunks. Otherwise
-// it ends with its connection, and the end of a failed service looks like that of a
-// complete response. A response without a body, such as that to a HEAD request, is
-// complete with its head.
-func hasKnownEnd(r *http.Response) bool {
-	isHead := r.Request.Method == http.MethodHead
-	return isHead || r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-}
-
 func (s *ServiceClient) newRequest(ctx context.Context, c *Call) (*http.Request, error) {
 	targetURL := *s.baseURL
 	targetURL.Path = strings.TrimSuffix(targetURL.Path, "/") + c.Path
--- a/stores/client.go
+++ b/stores/client.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/httplimit"
 )
 
 const (
@@ -16,6 +17,9 @@
 	// maxIdleConnectionsPerHost is sufficient for the duties of one process that use a
 	// service at the same time.
 	maxIdleConnectionsPerHost = 16
+	// maxErrorBytes is the maximum size in bytes of the body of a response that reports
+	// an error. The libraries of the services keep it in their error texts.
+	maxErrorBytes = 64 << 10
 )
 
 // Endpoint contains the address of a platform service and the credentials that
@@ -52,14 +56,32 @@
 
 // newHTTPClient returns a client that ignores the proxy settings of the environment
 // and does not follow redirects.
-func newHTTPClient() *http.Client {
+// It accepts bodies of up to maxBytes bytes, and of up to maxErrorBytes bytes of
+// responses that report an error.
+func newHTTPClient(maxBytes int64) *http.Client {
+	return newClientWith(newTransport(), maxBytes)
+}
+
+// newSingleHTTPClient is newHTTPClient with a connection for each request.
+func newSingleHTTPClient(maxBytes int64) *http.Client {
+	transport := newTransport()
+	transport.DisableKeepAlives = true
+	return newClientWith(transport, maxBytes)
+}
+
+func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnectionsPerHost,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
+	}
+}
+
+func newClientWith(transport *http.Transport, maxBytes int64) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdleConnectionsPerHost,
-			IdleConnTimeout:     time.Minute,
-		},
+		Transport:     httplimit.LimitBodies(transport, httplimit.BodyLimits{MaxBytes: maxBytes, MaxErrorBytes: maxErrorBytes}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/stores/table.go
+++ b/stores/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -21,6 +22,10 @@
 // row of the operation id.
 const MaxTransactionWrites = 50
 
+// maxTableResponseBytes is the maximum size in bytes of a response of the table. The
+// protocol limits a page to 1 MB of rows, whose values are encoded in base64.
+const maxTableResponseBytes = 4 << 20
+
 // Attributes of a row. The expiry time is in Unix seconds.
 const (
 	attrPartitionKey = "pk"
@@ -60,6 +65,10 @@
 // concurrent use.
 type DynamoTable struct {
 	client *dynamodb.Client
+	// single sends transactions and reads their operation ids back, each over a connection
+	// of its own: the responses carry no id, so on a kept connection an earlier one that
+	// arrives late would be taken as the result of the transaction.
+	single *dynamodb.Client
 	name   string
 	retry  *retrier
 	budget *rate.Limiter
@@ -83,15 +92,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	client := dynamodb.New(dynamodb.Options{
-		BaseEndpoint: aws.String(o.Endpoint.URL),
-		Region:       o.Endpoint.region(),
-		Credentials:  credentials.NewStaticCredentialsProvider(o.Endpoint.AccessKey, o.Endpoint.SecretKey, ""),
-		HTTPClient:   newHTTPClient(),
-		Retryer:      aws.NopRetryer{},
-	})
 	return &DynamoTable{
-		client: client,
+		client: newTableClient(o.Endpoint, newHTTPClient(maxTableResponseBytes)),
+		single: newTableClient(o.Endpoint, newSingleHTTPClient(maxTableResponseBytes)),
 		name:   o.Name,
 		retry:  newRetrier(o.Retry),
 		budget: rate.NewLimiter(limit, max(o.Burst, 1)),
@@ -99,6 +102,16 @@
 	}, nil
 }
 
+func newTableClient(e Endpoint, httpClient *http.Client) *dynamodb.Client {
+	return dynamodb.New(dynamodb.Options{
+		BaseEndpoint: aws.String(e.URL),
+		Region:       e.region(),
+		Credentials:  credentials.NewStaticCredentialsProvider(e.AccessKey, e.SecretKey, ""),
+		HTTPClient:   httpClient,
+		Retryer:      aws.NopRetryer{},
+	})
+}
+
 // Get implements Table.
 func (t *DynamoTable) Get(ctx context.Context, key Key) (Row, error) {
 	row := Row{Key: key}
@@ -106,21 +119,34 @@
 		return row, err
 	}
 	err := t.retry.run(ctx, func(ctx context.Context) error {
-		item, err := t.getItem(ctx, key)
+		item, err := t.getItem(ctx, t.client, key)
 		if err != nil || len(item) == 0 {
 			return err
 		}
-		row, err = decodeRow(item)
-		return err
+		found, err := decodeRow(item)
+		if err != nil {
+			return err
+		}
+		if found.Key != key {
+			return newOtherRowError(found.Key)
+		}
+		row = found
+		return nil
 	})
 	return row, err
 }
 
-func (t *DynamoTable) getItem(ctx context.Context, key Key) (map[string]types.AttributeValue, error) {
+// newOtherRowError returns the error of a read whose response contains a row that was not
+// requested, which happens if an earlier response arrives on a kept connection.
+func newOtherRowError(found Key) error {
+	return errs.New(errs.Unavailable, "retry later", "table sent row %s/%s, which was not requested", found.Partition, found.Sort)
+}
+
+func (t *DynamoTable) getItem(ctx context.Context, client *dynamodb.Client, key Key) (map[string]types.AttributeValue, error) {
 	if err := t.consumeBudget(); err != nil {
 		return nil, err
 	}
-	out, err := t.client.GetItem(ctx, &dynamodb.GetItemInput{
+	out, err := client.GetItem(ctx, &dynamodb.GetItemInput{
 		TableName:      aws.String(t.name),
 		Key:            encodeKey(key),
 		ConsistentRead: aws.Bool(true),
@@ -180,6 +206,14 @@
 			return classifyReadError(err)
 		}
 		rows, err = decodeRows(out.Items)
+		if err != nil {
+			return err
+		}
+		for _, row := range rows {
+			if row.Key.Partition != partition || row.Key.Sort <= afterSortKey {
+				return newOtherRowError(row.Key)
+			}
+		}
 		hasMore = len(out.LastEvaluatedKey) > 0 && len(rows) > 0
 		return err
 	})
@@ -249,7 +283,7 @@
 // operationApplied reports whether the row of the operation id exists. An error has
 // the kind Unknown.
 func (t *DynamoTable) operationApplied(ctx context.Context, operationID string) (bool, error) {
-	item, err := t.getItem(ctx, operationKey(operationID))
+	item, err := t.getItem(ctx, t.single, operationKey(operationID))
 	if err != nil {
 		return false, errs.Wrap(err, errs.Unknown, retryOperationRemedy, "operation %s cannot be read back", operationID)
 	}
@@ -260,7 +294,7 @@
 	if err := t.consumeBudget(); err != nil {
 		return err
 	}
-	_, err := t.client.TransactWriteItems(ctx, input)
+	_, err := t.single.TransactWriteItems(ctx, input)
 	return classifyTransactError(err)
 }
 
