Bound the memory of unfinished messages over all exchanges of a front

Servers sent bytes without end that were no answer. The machine that had called them ran out of memory, and the requests of other clients ended with its process.

Cause: the limits held for one exchange each. Together, concurrent exchanges could hold any amount: a head of 256 KiB in short lines needs 2.4 MB when it is parsed, an event 1 MiB, a reply of a model server or store 16 MiB, a body of up to 64 KiB was not counted, and the growth of larger ones was not either. Bodies of requests were limited one by one as well. Nothing depended on the memory of the process.

Of 50 unfinished bodies of requests with 900 KiB each, in a front with 16 MB, none was refused.

Change: package membudget counts what is charged before it is allocated. Heads are charged with their parsed size, events, bodies and replies with the capacity that is allocated, including the old one while it grows, and decoded lists with an upper bound. Each kind of message has a budget that is a share of memory.limit_mb (of 128 MB if it is unset): responses 0.25, bodies of requests 0.2, control replies 0.15. A quarter of each is reserved for the first 8 KiB of each message, and of the rest a message may hold as much as it leaves free, so that messages without end are broken off first and sound small ones are answered. A request that does not fit gets 503 with Retry-After before it is sent anywhere. Of the last event of a resumable stream only a digest is kept. A failed response that is kept for the caller stays charged. Log event response_memory, metrics memory_refusals and memory_used_bytes.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -140,7 +140,11 @@
 	p.group.Go("log", p.logWriter.Run)
 	p.relay = cacheevents.NewRelay(uint64(p.incarnation))
 	store := platform.NewMetadataStore(s.Store)
-	engines := platform.NewControlClient()
+	memory := newMemoryBudgets(s.Memory.LimitMB)
+	if err := memory.register(p.metrics.Meter("memory")); err != nil {
+		return err
+	}
+	engines := platform.NewControlClient(memory.controlReplies)
 	p.dialer = transport.NewDialer(platform.NewDialer(connectTimeout).DialContext, nil)
 	p.fleet = fleet.New(fleet.Options{
 		Self:  fleet.Member{Node: s.Node, Address: s.Inner, Domain: s.FailureDomain, Incarnation: p.incarnation},
@@ -154,8 +158,8 @@
 	g, err := gateway.New(gateway.Options{
 		Fleet: p.fleet, CacheFeed: cacheevents.New(engines, p.ownsFrees, p.relay, relayClient{p.dialer}, p.log), Codec: platform.CallCodec{},
 		Observations: p.exchanger,
-		Client:       upstreamhttp.NewClient(platform.NewDialer(connectTimeout)),
-		CanaryShare:  s.Rollout.CanaryShare, StatusWriter: canary.NewStatusWriter(store, platform.RowCodec{}, p.log),
+		Client:       upstreamhttp.NewClient(platform.NewDialer(connectTimeout)), RequestMemory: memory.requests, ResponseMemory: memory.responses,
+		CanaryShare: s.Rollout.CanaryShare, StatusWriter: canary.NewStatusWriter(store, platform.RowCodec{}, p.log),
 		Placement: placementOptions(s), Log: p.log, Meter: p.metrics.Meter("gateway"), Random: rand.Float64,
 	})
 	if err != nil {
--- /dev/null
+++ b/frontend/memory.go
@@ -0,0 +1,66 @@
+package frontend
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/membudget"
+)
+
+const (
+	// defaultMemoryMB is the memory of the process if the setting Memory.LimitMB is not
+	// set. It is what a node may spend for control.
+	defaultMemoryMB = 128
+	// responseShare, requestShare and controlShare are the shares of the process's memory
+	// that unfinished responses of upstreams, bodies of requests and replies of the control
+	// interface may hold. The rest is left to the state of the process and the garbage.
+	responseShare = 0.25
+	requestShare  = 0.2
+	controlShare  = 0.15
+)
+
+// memoryBudgets bound the memory that messages of others hold. Each kind of message has a
+// budget of its own, so that faulty servers do not use up the memory for requests.
+type memoryBudgets struct{ responses, requests, controlReplies *membudget.Budget }
+
+// newMemoryBudgets returns the budgets of a process that is granted a memory of limitMB; 0
+// means that it is not known.
+func newMemoryBudgets(limitMB float64) memoryBudgets {
+	if limitMB <= 0 {
+		limitMB = defaultMemoryMB
+	}
+	newBudget := func(name string, share float64) *membudget.Budget {
+		return membudget.New(name, int64(share*limitMB*(1<<20)))
+	}
+	return memoryBudgets{
+		responses:      newBudget("responses", responseShare),
+		requests:       newBudget("requests", requestShare),
+		controlReplies: newBudget("control_replies", controlShare),
+	}
+}
+
+// register adds the instruments of the budgets to a meter.
+func (b memoryBudgets) register(meter metric.Meter) error {
+	const remedy = "report this as a defect"
+	refusals, err := meter.Int64ObservableCounter("memory_refusals", metric.WithDescription("Messages that were refused since the memory for them was exhausted"))
+	if err != nil {
+		return errs.Wrap(err, errs.Internal, remedy, "metric instruments cannot be created")
+	}
+	used, err := meter.Int64ObservableGauge("memory_used_bytes", metric.WithUnit("By"), metric.WithDescription("Memory of unfinished messages"))
+	if err != nil {
+		return errs.Wrap(err, errs.Internal, remedy, "metric instruments cannot be created")
+	}
+	observe := func(_ context.Context, observer metric.Observer) error {
+		for _, budget := range []*membudget.Budget{b.responses, b.requests, b.controlReplies} {
+			kind := metric.WithAttributes(attribute.String("messages", budget.Name()))
+			observer.ObserveInt64(refusals, budget.Refusals(), kind)
+			observer.ObserveInt64(used, budget.UsedBytes(), kind)
+		}
+		return nil
+	}
+	_, err = meter.RegisterCallback(observe, refusals, used)
+	return errs.Wrap(err, errs.Internal, remedy, "metric instruments cannot be registered")
+}
--- a/frontend/world_test.go
+++ b/frontend/world_test.go
@@ -38,10 +38,13 @@
 	callerAddress    string
 	readinessAddress string
 	innerAddress     string
+	metricsAddress   string
 	// grace is the time of a planned stop.
-	grace  time.Duration
-	stop   context.CancelFunc
-	exited chan error
+	grace time.Duration
+	// memoryMB is the memory of the process in MB; 0 leaves the setting unset.
+	memoryMB int
+	stop     context.CancelFunc
+	exited   chan error
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -164,7 +167,7 @@
 
 // newFront returns a front that has not started.
 func newFront() *front {
-	return &front{callerAddress: freeAddress(), readinessAddress: freeAddress(), innerAddress: freeAddress(), grace: time.Second, exited: make(chan error, 1)}
+	return &front{callerAddress: freeAddress(), readinessAddress: freeAddress(), innerAddress: freeAddress(), metricsAddress: freeAddress(), grace: time.Second, exited: make(chan error, 1)}
 }
 
 // writeSettings writes the settings file of a front and returns its path.
@@ -187,7 +190,8 @@
 stop: {rotation: 100ms}
 rollout: {canary_share: 0.3}
 log: {level: error}
-`, name, f.callerAddress, f.readinessAddress, f.innerAddress, freeAddress(), seeds, d.storeAddress, f.grace)
+memory: {limit_mb: %d}
+`, name, f.callerAddress, f.readinessAddress, f.innerAddress, f.metricsAddress, seeds, d.storeAddress, f.grace, f.memoryMB)
 	file := filepath.Join(d.t.TempDir(), "front.yaml")
 	require.NoError(d.t, os.WriteFile(file, []byte(body), 0o600))
 	return file
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -9,14 +9,20 @@
 	"strings"
 
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/membudget"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
 )
 
-// maxEventBytes is the maximum size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the maximum size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// maxEventIDBytes is the maximum size of the id of an event. It is kept while the
+	// following events are received, and sent in a header when the stream is resumed.
+	maxEventIDBytes = 1 << 10
+)
 
 // event is a section of a stream. Each section ends with an empty line. text contains
-// its bytes unchanged.
+// its bytes unchanged until the next event is read.
 type event struct {
 	text []byte
 	id   string
@@ -76,9 +82,15 @@
 }
 
 // eventReader splits a stream into events.
-type eventReader struct{ source *bufio.Reader }
+type eventReader struct {
+	source *bufio.Reader
+	text   *membudget.Buffer
+}
 
-func newEventReader(source *bufio.Reader) *eventReader { return &eventReader{source: source} }
+// newEventReader returns a reader that charges the memory of the events to an account.
+func newEventReader(source *bufio.Reader, memory *membudget.Account) *eventReader {
+	return &eventReader{source: source, text: membudget.NewBuffer(memory, -1)}
+}
 
 // hasBuffered reports whether more bytes can be read without blocking.
 func (r *eventReader) hasBuffered() bool { return r.source.Buffered() > 0 }
@@ -88,9 +100,13 @@
 func (r *eventReader) next() (event, error) {
 	var e event
 	lineStart := 0
+	r.text.Reset()
 	for {
 		part, err := r.source.ReadSlice('\n')
-		e.text = append(e.text, part...)
+		if chargeErr := r.text.Append(part); chargeErr != nil {
+			return event{}, chargeErr
+		}
+		e.text = r.text.Bytes()
 		if len(e.text) > maxEventBytes {
 			return event{}, errs.New(errs.Corrupt, "report this as a defect of the upstream", "event exceeds %d bytes", maxEventBytes)
 		}
@@ -106,6 +122,9 @@
 		trimmed := bytes.TrimRight(e.text[lineStart:], "\r\n")
 		lineStart = len(e.text)
 		if value, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
+			if len(value) > maxEventIDBytes {
+				return event{}, errs.New(errs.Corrupt, "report this as a defect of the upstream", "id of an event exceeds %d bytes", maxEventIDBytes)
+			}
 			e.id = string(bytes.TrimSpace(value))
 		}
 		if len(trimmed) == 0 {
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/membudget"
 )
 
 // Guards against a line that is longer than the read buffer and is taken as several
@@ -19,7 +21,7 @@
 		line := "data: " + strings.Repeat("x", length)
 		for _, end := range []string{"\n", "\r\n"} {
 			for _, text := range []string{line + end + "id: 7" + end + end, "id: 7" + end + line + "id: 8" + end + end} {
-				events := newEventReader(bufio.NewReaderSize(strings.NewReader(text), buffer))
+				events := newEventReader(bufio.NewReaderSize(strings.NewReader(text), buffer), membudget.New("events", 1<<20).Open())
 				e, err := events.next()
 				require.NoError(t, err)
 				require.Equal(t, text, string(e.text))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/fleet"
+	"waxwingtide.example/waxwingtide/membudget"
 	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/sharing"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
@@ -43,7 +44,10 @@
 	Observations *sharing.Exchanger
 	Codec        Codec
 	Client       *upstreamhttp.Client
-	Placement    placement.Options
+	// RequestMemory is the memory for the bodies of requests, ResponseMemory that for
+	// unfinished responses of upstreams.
+	RequestMemory, ResponseMemory *membudget.Budget
+	Placement                     placement.Options
 	// CanaryShare is the initial share of a service's calls for a new software
 	// version.
 	CanaryShare  float64
@@ -63,7 +67,6 @@
 	plannedStop atomic.Pointer[plannedStop]
 	// streams is the number of active streams.
 	streams atomic.Int64
-	bodies  bodyBudget
 }
 
 // New returns a gateway that has not started.
@@ -108,6 +111,7 @@
 		s.respondWithError(http.StatusBadRequest, "invalid", 0, err)
 		return
 	}
+	defer s.releaseMemory()
 	if !s.resolve() || !s.readBody() {
 		return
 	}
@@ -151,11 +155,14 @@
 	// headerSent is set when status and headers of the response were sent to the
 	// caller.
 	headerSent bool
-	// lastEventID is the id of the last event that was sent to the caller. lastEventText
-	// contains its bytes if the stream can be resumed and it is not the first one, which a
+	// requestMemory is charged for the body of the request. It is nil before the body is
+	// read.
+	requestMemory *membudget.Account
+	// lastEventID is the id of the last event that was sent to the caller. lastEventDigest
+	// identifies its bytes if the stream can be resumed and it is not the first one, which a
 	// run that starts again would also send.
-	lastEventID   string
-	lastEventText []byte
+	lastEventID     string
+	lastEventDigest eventDigest
 	// unnumbered is set when a section without an id followed that event.
 	unnumbered bool
 	status     int
@@ -245,9 +252,14 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(s.writer, s.request.Body, limit))
+	s.requestMemory = s.gateway.opts.RequestMemory.Open()
+	limited := http.MaxBytesReader(s.writer, s.request.Body, limit)
+	body, err := membudget.ReadAll(limited, s.requestMemory, s.request.ContentLength, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case membudget.IsRefusal(err):
+		s.respondWithError(http.StatusServiceUnavailable, "request_memory", s.limitRetryAfter(notRunRetryAfter), err)
+		return false
 	case errors.As(err, &tooLarge):
 		s.respondWithError(http.StatusRequestEntityTooLarge, "body_too_large", 0, err)
 		return false
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -7,11 +7,11 @@
 	"net/http"
 	"os"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/membudget"
 	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
 )
@@ -19,49 +19,11 @@
 const (
 	// maxResponseBytes is the maximum size of a response body that is buffered.
 	maxResponseBytes = 8 << 20
-	// smallResponseBytes is the size up to which a body does not count within
-	// maxBufferedBytes, which bounds the buffered bodies of all calls together.
-	smallResponseBytes = 64 << 10
-	maxBufferedBytes   = 24 << 20
 	// refusalBodyTimeout is the maximum time for which the body of a refusal is awaited.
 	// The body is not needed, except that the connection is kept after it.
 	refusalBodyTimeout = 100 * time.Millisecond
 )
 
-// bodyBudget bounds the memory of buffered bodies.
-type bodyBudget struct{ used atomic.Int64 }
-
-// read reads a body. release must be called when the body is no longer needed.
-func (b *bodyBudget) read(body io.Reader) (data []byte, release func(), err error) {
-	limited := &budgetReader{source: body, budget: b}
-	data, err = io.ReadAll(limited)
-	return data, func() { b.used.Add(-limited.charged) }, err
-}
-
-// budgetReader charges what it reads to a budget.
-type budgetReader struct {
-	source  io.Reader
-	budget  *bodyBudget
-	size    int64
-	charged int64
-}
-
-// Read implements io.Reader.
-func (r *budgetReader) Read(p []byte) (int, error) {
-	n, err := r.source.Read(p)
-	r.size += int64(n)
-	if r.size > maxResponseBytes {
-		return n, errs.New(errs.Corrupt, "report this as a defect of the upstream", "body exceeds %d bytes", maxResponseBytes)
-	}
-	if r.size > smallResponseBytes {
-		r.charged += int64(n)
-		if r.budget.used.Add(int64(n)) > maxBufferedBytes {
-			return n, errs.New(errs.Exhausted, "retry later", "bodies of all responses exceed %d bytes", maxBufferedBytes)
-		}
-	}
-	return n, err
-}
-
 // bufferedResponse is a response whose body has been buffered.
 type bufferedResponse struct {
 	header http.Header
@@ -70,17 +32,18 @@
 	// length is the Content-Length that the caller receives. It is negative when there
 	// is none.
 	length int64
+	// memory is charged for the response.
+	memory *membudget.Account
 }
 
 // relayBuffered reads the response before it forwards it. A body that is too large is an
 // incomplete response.
-func (s *callState) relayBuffered(x *upstreamhttp.Exchange, response UpstreamResponse) attemptOutcome {
+func (s *callState) relayBuffered(x *upstreamhttp.Exchange, response UpstreamResponse, memory *membudget.Account) attemptOutcome {
 	refused := provesNotRun(response)
 	if refused {
 		x.LimitBodyTime(refusalBodyTimeout)
 	}
-	body, release, err := s.gateway.bodies.read(x.Response.Body)
-	defer release()
+	body, err := membudget.ReadAll(x.Response.Body, memory, x.Response.ContentLength, maxResponseBytes)
 	surplus := x.Surplus()
 	x.Finish(err == nil && !response.Close, response.KeepAlive)
 	bodyIsLate := refused && errors.Is(err, os.ErrDeadlineExceeded)
@@ -96,15 +59,15 @@
 	case !response.FromUpstream:
 		return attemptOutcome{result: placement.Incomplete, err: errors.New("response lacks the header with which upstreams mark their responses")}
 	}
-	if err := checkBody(x, response, body, surplus); err != nil {
+	if err := checkBody(x, response, receivedBody{body, surplus, memory}); err != nil {
 		return attemptOutcome{result: placement.Incomplete, err: err}
 	}
-	buffered := &bufferedResponse{header: x.Response.Header, status: response.Status, body: body, length: x.ForwardedLength(len(body))}
+	buffered := &bufferedResponse{header: x.Response.Header, status: response.Status, body: body, length: x.ForwardedLength(len(body)), memory: memory}
 	switch {
 	case s.headerSent:
 		return attemptOutcome{result: placement.Failed, err: errors.New("response to a resumed stream is not an event stream")}
 	case response.Status >= http.StatusInternalServerError:
-		s.failedResponse = buffered
+		s.keepFailedResponse(buffered)
 		return attemptOutcome{result: placement.Failed}
 	}
 	s.writeResponse(buffered)
@@ -163,8 +126,8 @@
 // relayStream forwards events as they are received. It forwards complete events only,
 // so that the stream can be resumed at another upstream. reportPace is called once with
 // the mean time between the first events.
-func (s *callState) relayStream(x *upstreamhttp.Exchange, response UpstreamResponse, reportPace func(time.Duration)) attemptOutcome {
-	events := newEventReader(bufio.NewReader(x.Response.Body))
+func (s *callState) relayStream(x *upstreamhttp.Exchange, response UpstreamResponse, memory *membudget.Account, reportPace func(time.Duration)) attemptOutcome {
+	events := newEventReader(bufio.NewReader(x.Response.Body), memory)
 	control := http.NewResponseController(s.writer)
 	pace := paceMeter{report: reportPace}
 	order := continuation{resumed: s.headerSent}
@@ -172,7 +135,7 @@
 		event, err := events.next()
 		if err == nil {
 			pace.recordEvent(time.Now())
-			if order.isRepetition(event, s.lastEventText) {
+			if order.isRepetition(event, s.lastEventDigest) {
 				continue
 			}
 			err = order.check(event, s.lastEventID)
@@ -231,7 +194,7 @@
 	}
 	if e.id != "" {
 		if s.route.Resumable && s.lastEventID != "" {
-			s.lastEventText = e.text
+			s.lastEventDigest = e.digest()
 		}
 		s.lastEventID, s.unnumbered = e.id, false
 	} else if e.hasFields {
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"bytes"
+	"hash/maphash"
 	"mime"
 	"net/http"
 
@@ -36,12 +36,21 @@
 	repeated bool
 }
 
+// eventDigest identifies the bytes of an event. It is kept instead of them, since an event
+// may be large. It is 0 if there is no event.
+type eventDigest uint64
+
+var digestSeed = maphash.MakeSeed()
+
+// digest returns the digest of the event's bytes.
+func (e event) digest() eventDigest { return eventDigest(maphash.Bytes(digestSeed, e.text)) }
+
 // isRepetition reports whether the response begins with the last event that the caller has
 // received, byte for byte. An upstream may resume at the last event instead of behind it;
-// the event is then skipped, and those behind it continue the same run. lastText is empty
-// if that event was the first one.
-func (c *continuation) isRepetition(e event, lastText []byte) bool {
-	if !c.resumed || c.continued || c.repeated || e.id == "" || !bytes.Equal(e.text, lastText) {
+// the event is then skipped, and those behind it continue the same run. last is 0 if that
+// event was the first one.
+func (c *continuation) isRepetition(e event, last eventDigest) bool {
+	if !c.resumed || c.continued || c.repeated || e.id == "" || last == 0 || e.digest() != last {
 		return false
 	}
 	c.repeated = true
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -13,6 +13,7 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/membudget"
 	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
 )
@@ -201,8 +202,11 @@
 	sentAt := time.Now()
 	report := s.newReport(p)
 	s.attemptedUpstreams = append(s.attemptedUpstreams, p.choice.Upstream.ID)
-	x, err := s.sendToUpstream(ctx, p)
+	memory := s.gateway.opts.ResponseMemory.Open()
+	defer s.finishAttempt(memory)
+	x, err := s.sendToUpstream(ctx, p, memory)
 	if err != nil {
+		s.logRefusal(p, err)
 		return s.handleNoResponse(ctx, p, report, sentAt, err)
 	}
 	response := s.gateway.opts.Codec.DecodeResponse(x.Response.StatusCode, x.Response.Header)
@@ -217,14 +221,15 @@
 	s.gateway.metrics.firstByteReceived(string(s.service), firstByte)
 	var o attemptOutcome
 	if s.isStream(x, response) {
-		o = s.relayStream(x, response, func(pace time.Duration) {
+		o = s.relayStream(x, response, memory, func(pace time.Duration) {
 			paced := s.newReport(p)
 			paced.Pace = pace
 			s.gateway.router.report(paced)
 		})
 	} else {
-		o = s.relayBuffered(x, response)
+		o = s.relayBuffered(x, response, memory)
 	}
+	s.logRefusal(p, o.err)
 	if o.result == placement.Incomplete && ctx.Err() != nil {
 		o.result = placement.Abandoned
 	}
@@ -242,7 +247,7 @@
 	}
 }
 
-func (s *callState) sendToUpstream(ctx context.Context, p placementResult) (*upstreamhttp.Exchange, error) {
+func (s *callState) sendToUpstream(ctx context.Context, p placementResult, memory *membudget.Account) (*upstreamhttp.Exchange, error) {
 	resumeAfter := s.call.LastEventID
 	if s.lastEventID != "" {
 		resumeAfter = s.lastEventID
@@ -262,6 +267,7 @@
 			return codec.DecodeResponse(status, h).ID == s.call.ID
 		},
 		NewConnection: s.call.ID == "",
+		Memory:        memory,
 	})
 }
 
--- a/upstreamhttp/head.go
+++ b/upstreamhttp/head.go
@@ -1,12 +1,54 @@
 package upstreamhttp
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"regexp"
 
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/membudget"
 )
 
+const (
+	// parsedBytesFactor is the number of bytes that are charged for a byte of a head, which
+	// is held as received and as the text of a parsed header.
+	parsedBytesFactor = 2
+	// parsedLineBytes is the number of bytes that are charged for each line of a head: the
+	// entry of a map, a slice and the headers of two strings. Parsed lines of 10 bytes were
+	// measured to need 97 bytes each.
+	parsedLineBytes = 128
+)
+
+// headMeter charges the memory of a parsed head while its bytes are received.
+type headMeter struct {
+	memory *membudget.Account
+	// lineHasText is set when the current line is not empty.
+	lineHasText bool
+	// ended is set behind the empty line that ends the head.
+	ended bool
+}
+
+// add charges the bytes that belong to the head.
+func (m *headMeter) add(received []byte) error {
+	size, lines := 0, 0
+	for line := range bytes.Lines(received) {
+		if m.ended {
+			break
+		}
+		size += len(line)
+		m.lineHasText = m.lineHasText || len(bytes.TrimRight(line, "\r\n")) > 0
+		if line[len(line)-1] == '\n' {
+			lines++
+			m.ended, m.lineHasText = !m.lineHasText, false
+		}
+	}
+	if size == 0 {
+		return nil
+	}
+	return m.memory.Charge(int64(parsedBytesFactor*size + parsedLineBytes*lines))
+}
+
 // statusLine matches the beginning of the status line of a response.
 var statusLine = regexp.MustCompile(`HTTP/\d\.\d +\d{3}`)
 
@@ -20,10 +62,24 @@
 	return at[0]
 }
 
-// readHead reads status and headers of the next response.
-func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
-	c.readingHead, c.headBytes = true, maxHeadBytes
-	defer func() { c.readingHead = false }()
+// FindStatusLineIn returns the index of the first status line of a text that is read, or a
+// negative number if there is none.
+func FindStatusLineIn(text io.RuneReader) int {
+	at := statusLine.FindReaderIndex(text)
+	if at == nil {
+		return -1
+	}
+	return at[0]
+}
+
+// readHead reads status and headers of the next response. It charges their memory.
+func (c *Conn) readHead(req *http.Request, memory *membudget.Account) (*http.Response, error) {
+	c.readingHead, c.headBytes, c.head = true, maxHeadBytes, headMeter{memory: memory}
+	defer func() { c.readingHead, c.head = false, headMeter{} }()
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // does not read, so it cannot fail
+	if err := c.head.add(buffered); err != nil {
+		return nil, err
+	}
 	resp, err := http.ReadResponse(c.reader, req)
 	if err != nil {
 		return nil, err
--- a/upstreamhttp/upstreamhttp.go
+++ b/upstreamhttp/upstreamhttp.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/membudget"
 	"waxwingtide.example/waxwingtide/ring"
 )
 
@@ -37,9 +38,8 @@
 	// the same size, for the headers.
 	maxInlineBodyBytes = 4 << 10
 	readBufferBytes    = 8 << 10
-	// maxHeadBytes is the maximum size of status and headers of a response, including
-	// the interim responses before it.
-	maxHeadBytes = 256 << 10
+	// maxHeadBytes is the maximum size of status and headers of a response.
+	maxHeadBytes = 32 << 10
 	// maxStaleBodyBytes is the maximum number of bytes that are read from the body of
 	// a skipped response.
 	maxStaleBodyBytes = 1 << 20
@@ -60,9 +60,10 @@
 	// accepted.
 	writtenBytes int64
 	// readingHead is set while a head is read. headBytes is then the number of bytes
-	// that may still be read.
+	// that may still be read, and head charges the memory of the head.
 	readingHead bool
 	headBytes   int
+	head        headMeter
 }
 
 // Read implements net.Conn. It limits the size of heads, which net/http does not.
@@ -75,6 +76,9 @@
 	}
 	n, err := c.Conn.Read(b[:min(len(b), c.headBytes)])
 	c.headBytes -= n
+	if chargeErr := c.head.add(b[:n]); chargeErr != nil {
+		return 0, chargeErr
+	}
 	return n, err
 }
 
@@ -98,6 +102,9 @@
 	// NewConnection is set when Matches cannot distinguish the response from those to
 	// earlier requests on a pooled connection. The request is then sent over a new one.
 	NewConnection bool
+	// Memory is charged for the heads of the responses. They remain charged until it is
+	// closed.
+	Memory *membudget.Account
 }
 
 // Exchange is a request that was sent and its response. The caller reads the body of
@@ -229,7 +236,7 @@
 // request.
 func (x *Exchange) readResponse(r Request) (*http.Response, error) {
 	for range maxStaleResponses + 1 {
-		resp, err := x.conn.readHead(r.HTTPRequest)
+		resp, err := x.conn.readHead(r.HTTPRequest, r.Memory)
 		if err != nil {
 			return nil, err
 		}
