Bound what is recorded of stores that report parts without end

Cause: the index of kept-cache stores and the relay recorded each part that a store reported. Nothing compared them with what the process may hold.

Change: index and relay charge each part to a budget that they share, 0.1 of the memory of the process. A store may hold as much as it leaves free. A part that is not granted is not recorded: it counts as not stored and is read by a server again.

--- a/cacheevents/relay.go
+++ b/cacheevents/relay.go
@@ -8,6 +8,7 @@
 	"waxwingtide.example/waxwingtide/clock"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/membudget"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/wire"
 )
@@ -16,6 +17,9 @@
 	// maxRelayChanges is the maximum number of changes in the change log of one
 	// store. A process that lags further behind receives the full content.
 	maxRelayChanges = 512
+	// defaultMemoryBytes is the memory for the content of all stores if none is given: an
+	// eighth of what a node may spend for control.
+	defaultMemoryBytes = 16 << 20
 	// relayCapacity is the number of updates and the number of queries that may
 	// wait for the relay.
 	relayCapacity = 256
@@ -60,6 +64,8 @@
 	changes []change
 	// firstChange is the number of the oldest change in changes.
 	firstChange uint64
+	// memory is charged for parts.
+	memory *membudget.Account
 }
 
 // change is the addition of a part, or its removal if tokens is 0.
@@ -81,12 +87,21 @@
 	queries   *ring.Ring[relayQuery]
 	stores    map[string]*storeState
 	lastLogID uint64
+	memory    *membudget.Budget
 }
 
-// NewRelay returns a relay. The seed makes the numbers of its change logs differ
-// from those of other processes and of earlier incarnations of this process.
+// NewRelay returns a relay with the default memory. The seed makes the numbers of its
+// change logs differ from those of other processes and of earlier incarnations of this
+// process.
 func NewRelay(seed uint64) *Relay {
+	return NewRelayWithin(seed, membudget.New("kept_cache", defaultMemoryBytes))
+}
+
+// NewRelayWithin returns a relay that charges the content of the stores to a budget. Parts
+// that the budget cannot grant are not recorded, and count as not stored.
+func NewRelayWithin(seed uint64, memory *membudget.Budget) *Relay {
 	return &Relay{
+		memory:  memory,
 		updates: ring.New[Update](relayCapacity), queries: ring.New[relayQuery](relayCapacity),
 		stores: make(map[string]*storeState), lastLogID: seed,
 	}
@@ -117,14 +132,15 @@
 	s := r.stores[u.Address]
 	switch {
 	case u.Unavailable:
-		delete(r.stores, u.Address)
+		r.forget(u.Address)
 		return
 	case u.IsSnapshot && (s == nil || s.epoch != u.Epoch):
+		r.forget(u.Address)
 		r.lastLogID++
-		s = &storeState{epoch: u.Epoch, logID: r.lastLogID, parts: make(map[cacheindex.Key]int, len(u.Parts))}
+		s = &storeState{epoch: u.Epoch, logID: r.lastLogID, parts: make(map[cacheindex.Key]int), memory: r.memory.Open()}
 		r.stores[u.Address] = s
 	case s == nil || s.epoch != u.Epoch:
-		delete(r.stores, u.Address)
+		r.forget(u.Address)
 		return
 	}
 	s.receivedAt = u.ReceivedAt
@@ -139,6 +155,14 @@
 	}
 }
 
+// forget removes the state of a store, if there is one.
+func (r *Relay) forget(address string) {
+	if s := r.stores[address]; s != nil {
+		s.memory.Close()
+		delete(r.stores, address)
+	}
+}
+
 // removeMissing removes the parts that a snapshot no longer contains.
 func (s *storeState) removeMissing(parts []cacheindex.CachedPart) {
 	present := make(map[cacheindex.Key]bool, len(parts))
@@ -156,10 +180,8 @@
 	if s.parts[key] == tokens {
 		return
 	}
-	if tokens == 0 {
-		delete(s.parts, key)
-	} else {
-		s.parts[key] = tokens
+	if !s.record(key, tokens) {
+		return
 	}
 	s.changes = append(s.changes, change{key: key, tokens: tokens})
 	if over := len(s.changes) - maxRelayChanges; over > 0 {
@@ -168,6 +190,22 @@
 	}
 }
 
+// record records the number of tokens of a part, or its removal if it is 0. It reports
+// whether the state has changed, which it does not if there is no memory for the part.
+func (s *storeState) record(key cacheindex.Key, tokens int) bool {
+	_, isKnown := s.parts[key]
+	switch {
+	case tokens == 0:
+		s.memory.Release(key.MemoryBytes())
+		delete(s.parts, key)
+		return true
+	case !isKnown && s.memory.Charge(key.MemoryBytes()) != nil:
+		return false
+	}
+	s.parts[key] = tokens
+	return true
+}
+
 func (r *Relay) replyTo(now time.Time, request *wire.CacheRequest) *wire.CacheReply {
 	s := r.stores[request.Address]
 	if s == nil {
--- a/cacheindex/cacheindex.go
+++ b/cacheindex/cacheindex.go
@@ -10,6 +10,7 @@
 
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/membudget"
 	"waxwingtide.example/waxwingtide/rendezvous"
 )
 
@@ -25,6 +26,12 @@
 	fillShare = 0.97
 	// blockTokens is the allocation unit of a store's memory.
 	blockTokens = 16
+	// defaultMemoryBytes is the memory for the content of all stores if none is given: an
+	// eighth of what a node may spend for control.
+	defaultMemoryBytes = 16 << 20
+	// partBytes is the memory of a recorded part without its texts: its entry in a map
+	// with room for growth.
+	partBytes = 160
 )
 
 // Key names a part under a salt. For salts see placement.Salt.
@@ -33,6 +40,9 @@
 	ID   core.PartID
 }
 
+// MemoryBytes returns the memory in bytes that is charged for a recorded part.
+func (k Key) MemoryBytes() int64 { return int64(partBytes + len(k.Salt) + len(k.ID)) }
+
 // CachedPart is a complete part at a store or server.
 type CachedPart struct {
 	Key
@@ -46,6 +56,8 @@
 	parts          map[Key]storedPart
 	pendingSaves   map[Key]time.Time
 	usedTokens     int
+	// memory is charged for parts.
+	memory *membudget.Account
 }
 
 // storedPart is a complete part at a store. firstReportedAt is when the store first
@@ -60,10 +72,17 @@
 type Index struct {
 	stores    map[string]*store
 	addresses []string
+	memory    *membudget.Budget
 }
 
-// New returns an empty index.
-func New() *Index { return &Index{stores: make(map[string]*store)} }
+// New returns an empty index with the default memory.
+func New() *Index { return NewWithin(membudget.New("kept_cache", defaultMemoryBytes)) }
+
+// NewWithin returns an empty index that charges the content of the stores to a budget. Parts
+// that the budget cannot grant are not recorded, and count as not stored.
+func NewWithin(memory *membudget.Budget) *Index {
+	return &Index{stores: make(map[string]*store), memory: memory}
+}
 
 // SetStores sets the configured stores. Stores that are no longer configured are
 // removed.
@@ -73,13 +92,18 @@
 	for _, spec := range specs {
 		s := x.stores[spec.Address]
 		if s == nil {
-			s = &store{parts: make(map[Key]storedPart), pendingSaves: make(map[Key]time.Time)}
+			s = &store{parts: make(map[Key]storedPart), pendingSaves: make(map[Key]time.Time), memory: x.memory.Open()}
 		}
 		s.spec = spec
 		next[spec.Address] = s
 		x.addresses = append(x.addresses, spec.Address)
 	}
 	sort.Strings(x.addresses)
+	for address, s := range x.stores {
+		if next[address] == nil {
+			s.memory.Close()
+		}
+	}
 	x.stores = next
 }
 
@@ -94,7 +118,8 @@
 		previous = nil
 	}
 	s.incarnation, s.lastResponseAt, s.usedTokens = incarnation, now, 0
-	s.parts = make(map[Key]storedPart, len(parts))
+	s.memory.Close()
+	s.parts = make(map[Key]storedPart)
 	for _, p := range parts {
 		firstReportedAt := now
 		if old, ok := previous[p.Key]; ok {
@@ -144,6 +169,9 @@
 	}
 	s.remove(p.Key)
 	delete(s.pendingSaves, p.Key)
+	if s.memory.Charge(p.MemoryBytes()) != nil {
+		return // a part that is not recorded is read again
+	}
 	s.parts[p.Key] = storedPart{tokens: p.Tokens, firstReportedAt: firstReportedAt}
 	s.usedTokens += roundUpToBlocks(p.Tokens)
 }
@@ -151,6 +179,7 @@
 func (s *store) remove(key Key) {
 	if p, ok := s.parts[key]; ok {
 		s.usedTokens -= roundUpToBlocks(p.tokens)
+		s.memory.Release(key.MemoryBytes())
 		delete(s.parts, key)
 	}
 }
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -138,12 +138,12 @@
 func (p *process) start() error {
 	s := p.settings
 	p.group.Go("log", p.logWriter.Run)
-	p.relay = cacheevents.NewRelay(uint64(p.incarnation))
-	store := platform.NewMetadataStore(s.Store)
 	memory := newMemoryBudgets(s.Memory.LimitMB)
 	if err := memory.register(p.metrics.Meter("memory")); err != nil {
 		return err
 	}
+	p.relay = cacheevents.NewRelayWithin(uint64(p.incarnation), memory.keptCache)
+	store := platform.NewMetadataStore(s.Store)
 	engines := platform.NewControlClient(memory.controlReplies)
 	p.dialer = transport.NewDialer(platform.NewDialer(connectTimeout).DialContext, nil)
 	p.fleet = fleet.New(fleet.Options{
@@ -158,7 +158,7 @@
 	g, err := gateway.New(gateway.Options{
 		Fleet: p.fleet, CacheFeed: cacheevents.New(engines, p.ownsFrees, p.relay, relayClient{p.dialer}, p.log), Codec: platform.CallCodec{},
 		Observations: p.exchanger,
-		Client:       upstreamhttp.NewClient(platform.NewDialer(connectTimeout)), RequestMemory: memory.requests, ResponseMemory: memory.responses,
+		Client:       upstreamhttp.NewClient(platform.NewDialer(connectTimeout)), RequestMemory: memory.requests, ResponseMemory: memory.responses, CacheMemory: memory.keptCache,
 		CanaryShare: s.Rollout.CanaryShare, StatusWriter: canary.NewStatusWriter(store, platform.RowCodec{}, p.log),
 		Placement: placementOptions(s), Log: p.log, Meter: p.metrics.Meter("gateway"), Random: rand.Float64,
 	})
--- a/frontend/memory.go
+++ b/frontend/memory.go
@@ -16,15 +16,18 @@
 	defaultMemoryMB = 128
 	// responseShare, requestShare and controlShare are the shares of the process's memory
 	// that unfinished responses of upstreams, bodies of requests and replies of the control
-	// interface may hold. The rest is left to the state of the process and the garbage.
-	responseShare = 0.25
-	requestShare  = 0.2
-	controlShare  = 0.15
+	// interface may hold, and keptCacheShare that for the recorded content of kept-cache
+	// stores. The rest is left to the other state of the process and the garbage.
+	responseShare  = 0.25
+	requestShare   = 0.2
+	controlShare   = 0.15
+	keptCacheShare = 0.1
 )
 
-// memoryBudgets bound the memory that messages of others hold. Each kind of message has a
-// budget of its own, so that faulty servers do not use up the memory for requests.
-type memoryBudgets struct{ responses, requests, controlReplies *membudget.Budget }
+// memoryBudgets bound the memory that messages of others hold, and what is recorded of
+// them. Each kind has a budget of its own, so that faulty servers do not use up the memory
+// for requests.
+type memoryBudgets struct{ responses, requests, controlReplies, keptCache *membudget.Budget }
 
 // newMemoryBudgets returns the budgets of a process that is granted a memory of limitMB; 0
 // means that it is not known.
@@ -39,22 +42,23 @@
 		responses:      newBudget("responses", responseShare),
 		requests:       newBudget("requests", requestShare),
 		controlReplies: newBudget("control_replies", controlShare),
+		keptCache:      newBudget("kept_cache", keptCacheShare),
 	}
 }
 
 // register adds the instruments of the budgets to a meter.
 func (b memoryBudgets) register(meter metric.Meter) error {
 	const remedy = "report this as a defect"
-	refusals, err := meter.Int64ObservableCounter("memory_refusals", metric.WithDescription("Messages that were refused since the memory for them was exhausted"))
+	refusals, err := meter.Int64ObservableCounter("memory_refusals", metric.WithDescription("Messages and entries that were refused since the memory for them was exhausted"))
 	if err != nil {
 		return errs.Wrap(err, errs.Internal, remedy, "metric instruments cannot be created")
 	}
-	used, err := meter.Int64ObservableGauge("memory_used_bytes", metric.WithUnit("By"), metric.WithDescription("Memory of unfinished messages"))
+	used, err := meter.Int64ObservableGauge("memory_used_bytes", metric.WithUnit("By"), metric.WithDescription("Memory of unfinished messages and recorded entries"))
 	if err != nil {
 		return errs.Wrap(err, errs.Internal, remedy, "metric instruments cannot be created")
 	}
 	observe := func(_ context.Context, observer metric.Observer) error {
-		for _, budget := range []*membudget.Budget{b.responses, b.requests, b.controlReplies} {
+		for _, budget := range []*membudget.Budget{b.responses, b.requests, b.controlReplies, b.keptCache} {
 			kind := metric.WithAttributes(attribute.String("messages", budget.Name()))
 			observer.ObserveInt64(refusals, budget.Refusals(), kind)
 			observer.ObserveInt64(used, budget.UsedBytes(), kind)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,7 +47,9 @@
 	// RequestMemory is the memory for the bodies of requests, ResponseMemory that for
 	// unfinished responses of upstreams.
 	RequestMemory, ResponseMemory *membudget.Budget
-	Placement                     placement.Options
+	// CacheMemory is the memory for the content of kept-cache stores.
+	CacheMemory *membudget.Budget
+	Placement   placement.Options
 	// CanaryShare is the initial share of a service's calls for a new software
 	// version.
 	CanaryShare  float64
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -101,7 +101,7 @@
 }
 
 func newRouter(opts Options) *router {
-	index := cacheindex.New()
+	index := cacheindex.NewWithin(opts.CacheMemory)
 	return &router{
 		fleet: opts.Fleet, viewChanged: opts.Fleet.Subscribe(), cacheFeed: opts.CacheFeed, observations: opts.Observations, cacheIndex: index, placer: placement.New(opts.Placement, index),
 		connections: make(map[core.UpstreamID]*connections), placeRequests: ring.New[placeRequest](placeRingSize), waiting: newWaitingCalls(),
--- a/gateway/router_test.go
+++ b/gateway/router_test.go
@@ -12,6 +12,7 @@
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/fleet"
+	"waxwingtide.example/waxwingtide/membudget"
 	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/sharing"
@@ -27,7 +28,7 @@
 	log.SetLevel(logrus.PanicLevel)
 	r := newRouter(Options{
 		Fleet: fleet.New(fleet.Options{}), CacheFeed: cacheevents.New(nil, nil, cacheevents.NewRelay(1), nil, log),
-		Observations: sharing.New(sharing.Options{}), Client: upstreamhttp.NewClient(nil),
+		Observations: sharing.New(sharing.Options{}), Client: upstreamhttp.NewClient(nil), CacheMemory: membudget.New("kept_cache", 1<<20),
 		Placement: placement.Options{RetryWindow: time.Second}, Log: log, Random: random,
 	})
 	config := &catalog.Config{Services: map[core.ServiceID]*catalog.Service{testService: {ID: testService}}}
