Cut long log lines that quote what a faulty server has sent

What callers would see: a front that runs out of memory while the output of its log is slow and servers send malformed heads.

Cause: errors of net/http quote the line that they reject, which a faulty server chooses. The queue of the log was bounded in lines, not in bytes: 4096 lines of any length.

A line of more than 1 MiB was written with 1048590 bytes instead of less than 4096.

Change: a line is cut after 4 KiB and keeps its end.

--- a/telemetry/async.go
+++ b/telemetry/async.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -8,8 +9,13 @@
 	"waxwingtide.example/waxwingtide/ring"
 )
 
-// maxQueuedLines is the capacity of the ring of an AsyncWriter.
-const maxQueuedLines = 4096
+const (
+	// maxQueuedLines is the capacity of the ring of an AsyncWriter.
+	maxQueuedLines = 4096
+	// maxLineBytes is the maximum size of a line. Longer ones are cut: the text of an error
+	// may quote what a faulty server has sent.
+	maxLineBytes = 4 << 10
+)
 
 // AsyncWriter queues log lines in a ring for a duty that writes them, so that a
 // slow output does not block the callers of the logger. If the ring is full, the
@@ -25,9 +31,13 @@
 	return &AsyncWriter{lines: ring.New[[]byte](maxQueuedLines), out: out}
 }
 
-// Write queues a copy of one line.
+// Write queues a copy of one line, up to maxLineBytes.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
-	w.lines.Push(append([]byte(nil), line...))
+	queued := bytes.Clone(line[:min(len(line), maxLineBytes)])
+	if len(line) > maxLineBytes {
+		queued[maxLineBytes-1] = '\n'
+	}
+	w.lines.Push(queued)
 	return len(line), nil
 }
 
