Answer callers that close only their sending side

Callers that close only their sending side saw a success that no server gave: status 200 without a body and without the server's mark. If they were receiving a stream, it ended early as if it were complete.

Cause: net/http cancels the request's context when the sending side of a connection ends, and callState.finish wrote nothing for such calls. The handler returned, and net/http completed the response: with status 200 if none was written, and with the last chunk if a stream had begun.

The call is still cancelled when its caller disconnects. It now ends with status 502, which promises nothing, or, once a part of the response was sent, with the connection. The error is not counted as a refusal, as callers that disconnect were not before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -276,12 +276,7 @@
 // respondWithError sends an error response of the system itself and logs the reason.
 // Statuses 429 and 503 guarantee that the call has not run and will not run.
 func (s *callState) respondWithError(status int, reason string, retryAfter time.Duration, cause error) {
-	s.status = status
-	h := s.responseHeader()
-	s.gateway.opts.Codec.SetErrorHeader(h, s.call.ID, retryAfter)
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	s.writer.WriteHeader(status)
-	_, _ = io.WriteString(s.writer, reason+"\n") // the caller may have disconnected
+	s.writeError(status, reason, retryAfter)
 	entry := s.log("refused").WithFields(logrus.Fields{"status": status, "reason": reason})
 	if cause != nil {
 		entry = entry.WithError(cause)
@@ -290,6 +285,16 @@
 	s.gateway.metrics.errorSent(status, reason)
 }
 
+// writeError writes an error response of the system itself.
+func (s *callState) writeError(status int, reason string, retryAfter time.Duration) {
+	s.status = status
+	h := s.responseHeader()
+	s.gateway.opts.Codec.SetErrorHeader(h, s.call.ID, retryAfter)
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	s.writer.WriteHeader(status)
+	_, _ = io.WriteString(s.writer, reason+"\n") // the caller may have disconnected
+}
+
 // responseHeader returns the header of the response to the caller, just before it is sent.
 // During a planned stop it closes the connection.
 func (s *callState) responseHeader() http.Header {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -118,7 +118,8 @@
 // finish completes a call after its last attempt. If the caller still waits and has
 // received nothing, it sends the last error response of an upstream or one of the
 // system itself. If the caller has received an incomplete response, it closes the
-// connection.
+// connection. A caller that has disconnected may have closed only its sending side, so that
+// it still receives an error response or the end of its connection.
 func (s *callState) finish(result attempts.CallResult) {
 	reason, err := s.lastOutcome.result.String(), s.lastOutcome.err
 	retryAfter := s.limitRetryAfter(notRunRetryAfter)
@@ -135,7 +136,7 @@
 	case result.Cause == attempts.Responded:
 		s.gateway.metrics.callCompleted(s.route.Name, time.Since(s.call.ReceivedAt))
 	case result.Cause == attempts.CallerCanceled:
-		s.log("caller_left").WithField("reason", reason).Info("caller disconnected before the response was complete")
+		s.endAfterCallerLeft(reason)
 	case s.headerSent:
 		s.abort(reason)
 	case s.failedResponse != nil:
@@ -177,6 +178,20 @@
 // not appear complete.
 func (s *callState) abort(reason string) {
 	s.log("answer_cut").WithFields(logrus.Fields{"reason": reason, "last_event": s.lastEventID}).Warn("response was interrupted; closing the connection to the caller")
+	s.closeConnection()
+}
+
+// endAfterCallerLeft ends the response to a caller that has disconnected.
+func (s *callState) endAfterCallerLeft(reason string) {
+	s.log("caller_left").WithField("reason", reason).Info("caller disconnected before the response was complete")
+	if s.headerSent {
+		s.closeConnection()
+	}
+	s.writeError(http.StatusBadGateway, "caller_left", 0)
+}
+
+// closeConnection closes the connection to the caller. It does not return.
+func (s *callState) closeConnection() {
 	_ = http.NewResponseController(s.writer).Flush() // the caller may resume after the last complete event
 	panic(http.ErrAbortHandler)
 }
