Let only handlers answer OPTIONS *

Callers that sent OPTIONS * saw a success that no server gave: status 200 without a body, without the server's mark and without a check of route or key.

Cause: http.Server answers OPTIONS * by itself before its handler. It is the same class as the empty success of cancelled calls: a status that the HTTP library decides.

Evidence, before the change:

--- FAIL: TestHandlerDecidesAllSuccesses/OPTIONS_*_HTTP/1.1 Error: []int{418, 400} does not contain 200 --- FAIL: TestOptionsGetNoImplicitSuccess/callers,_server-wide Error: "200" is not greater than or equal to "400"

The servers of callerhttp no longer use that handler; the gateway answers 404, as for any path without a route.

--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -58,6 +58,8 @@
 	}
 	s.http = &http.Server{
 		Handler: s.closeWhenDraining(o.Handler), ReadHeaderTimeout: o.ReadHeaderTimeout, MaxHeaderBytes: o.MaxHeaderBytes, ConnState: d.recordState,
+		// http.Server would answer OPTIONS * with status 200.
+		DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
--- a/frontend/stop_test.go
+++ b/frontend/stop_test.go
@@ -177,7 +177,13 @@
 // dial opens a connection of a caller.
 func (f *front) dial(t *testing.T) net.Conn {
 	t.Helper()
-	conn, err := net.Dial("tcp", f.callerAddress)
+	return dial(t, f.callerAddress)
+}
+
+// dial opens a connection that is closed when the test ends.
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	require.NoError(t, conn.SetDeadline(time.Now().Add(2*testTimeout)))
