Let no router answer OPTIONS requests

Clients that sent OPTIONS to a readiness or health check, to the completions of an entry or to the administration API saw status 200 without a body: readiness and health checks also of a process that is not ready, the administration API without a token.

Cause: httprouter answers OPTIONS by itself for each route that has another method.

Evidence, before the change:

--- FAIL: TestOptionsGetNoImplicitSuccess/readiness (frontend) Error: "200" is not greater than or equal to "400" --- FAIL: TestOptionsIsNotAllowed (entry) expected: 405, actual: 200 --- FAIL: TestOptionsIsNotAllowed (admin) Error: "200" is not greater than or equal to "400" --- FAIL: TestHealthChecksDoNotAllowOptions (daemon) expected: 405, actual: 200

The four routers answer 405, or 404 for *. The tests of the packages entry, admin and daemon and the new test of frontend pass after the change. dev/ledger.go, a stand-in's observer, still returns without a status if it cannot read a body.

--- a/admin/server.go
+++ b/admin/server.go
@@ -157,6 +157,7 @@
 
 func (s *Server) newRouter() *httprouter.Router {
 	router := httprouter.New()
+	router.HandleOPTIONS = false // the router would answer with status 200
 	for _, rt := range s.routes() {
 		router.Handle(rt.method, Prefix+rt.path, s.handler(rt))
 	}
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -320,6 +320,7 @@
 // is nil.
 func (p *process) adminHandler(ready func() bool, api http.Handler) http.Handler {
 	router := httprouter.New()
+	router.HandleOPTIONS = false // the router would answer with status 200
 	router.HandlerFunc(http.MethodGet, "/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -141,6 +141,7 @@
 // Handler returns the HTTP handler for callers.
 func (e *Entry) Handler() http.Handler {
 	router := httprouter.New()
+	router.HandleOPTIONS = false // the router would answer with status 200
 	router.HandlerFunc(http.MethodPost, "/v1/completions", e.serveCompletions)
 	if e.opts.RegisterServices != nil {
 		e.opts.RegisterServices(router)
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -304,6 +304,7 @@
 // readinessHandler responds to the readiness checks of the platform's load balancer.
 func (p *process) readinessHandler() http.Handler {
 	router := httprouter.New()
+	router.HandleOPTIONS = false // the router would answer with status 200
 	router.HandlerFunc(http.MethodGet, platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		select {
 		case <-p.stopping:
--- a/frontend/statuses_test.go
+++ b/frontend/statuses_test.go
@@ -16,6 +16,8 @@
 	f := d.startReadyFront("front-1")
 	for _, c := range []struct{ name, address, target string }{
 		{"callers, server-wide", f.callerAddress, "*"},
+		{"readiness, server-wide", f.readinessAddress, "*"},
+		{"readiness", f.readinessAddress, "/-/readiness"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			conn := dial(t, c.address)
