Close connections with late heads in their reader

A caller whose head took longer than the header time-out and was complete at the moment of the check saw its connection closed without an answer, although the front had read the whole request.

Cause: the duty closed the connection itself, on a phase that http.Server ends only when it has parsed the head. Between the read of the last bytes and that report none is unread and the phase is still the old one.

Evidence, before the change:

--- FAIL: TestHeadThatWasReadIsNotLate Error: read tcp ...: use of closed network connection Messages: the caller has not left

The duty now wakes the reader, as for quiet connections. The reader ends the connection only if it still awaits the same head and no byte is unread; a reader that has the whole head does not read in this phase. http.Server does not reply to a time-out.

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -31,10 +31,12 @@
 	// it serves one.
 	nextRequestBegun bool
 	// readDeadline is the deadline of http.Server. The connection's own deadline is
-	// earlier while closeIfQuiet wakes the reader.
+	// earlier while closeIfQuiet or closeIfLate wakes the reader.
 	readDeadline time.Time
-	// quietTime is set while closeIfQuiet wakes the reader.
+	// quietTime is set while closeIfQuiet wakes the reader, lateState while closeIfLate
+	// does.
 	quietTime time.Duration
+	lateState waitState
 	// clientLeft is set when the client has closed or reset the connection, closed when
 	// this process has closed it.
 	clientLeft, closed bool
@@ -91,22 +93,25 @@
 }
 
 // continueReading is called when a read has timed out. It reports whether the read is
-// repeated: closeIfQuiet has woken the reader, but the connection is not quiet.
+// repeated: closeIfQuiet or closeIfLate has woken the reader, but the connection is not
+// quiet and its request not late.
 func (c *conn) continueReading(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	quietTime := c.quietTime
-	if quietTime == 0 {
+	quietTime, lateState := c.quietTime, c.lateState
+	if quietTime == 0 && lateState == (waitState{}) {
 		return false
 	}
-	c.quietTime = 0
+	c.quietTime, c.lateState = 0, waitState{}
 	if err := c.TCPConn.SetReadDeadline(c.readDeadline); err != nil {
 		return false
 	}
 	if !c.readDeadline.IsZero() && !now.Before(c.readDeadline) {
 		return false
 	}
-	return !c.state.isQuiet(now, quietTime) || unreadBytes(c.TCPConn) > 0
+	isQuiet := quietTime > 0 && c.state.isQuiet(now, quietTime)
+	isLate := lateState != waitState{} && c.state == lateState
+	return !isQuiet && !isLate || unreadBytes(c.TCPConn) > 0
 }
 
 // closeIfQuiet wakes the goroutine that reads the connection. It ends the connection if
@@ -115,6 +120,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.quietTime = quietTime
+	c.wakeReader()
+}
+
+// closeIfLate wakes the goroutine that reads the connection. It ends the connection if it
+// still awaits the headers of the same request and no byte is unread. While it serves the
+// request it does not read in this state.
+func (c *conn) closeIfLate(state waitState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lateState = state
+	c.wakeReader()
+}
+
+// wakeReader ends a read in progress with a time-out. The caller holds mu.
+func (c *conn) wakeReader() {
 	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
 }
 
--- a/callerhttp/waiting.go
+++ b/callerhttp/waiting.go
@@ -179,7 +179,7 @@
 			if unreadBytes(c.TCPConn) > 0 {
 				continue // the process is late, not the client
 			}
-			_ = c.Close() // the connection is abandoned even if closing it fails
+			c.closeIfLate(state)
 			headerCount++
 		case state.isQuiet(now, idleTimeout):
 			c.closeIfQuiet(idleTimeout)
--- a/callerhttp/waiting_test.go
+++ b/callerhttp/waiting_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -49,5 +50,25 @@
 	require.NoError(t, err, "the head has arrived")
 	c.duty.closeWaiting(&table, late)
 	_, err = c.Read(buf)
-	require.ErrorIs(t, err, net.ErrClosed, "the head is late")
+	require.True(t, isTimeout(err), "the head is late")
+}
+
+// Guards against requests that are given up as late ones at the moment at which the rest
+// of their heads was read: only http.Server knows that a head is complete.
+func TestHeadThatWasReadIsNotLate(t *testing.T) {
+	c, client := newConnPair(t)
+	buf := make([]byte, 64)
+	_, err := io.WriteString(client, requestBegin+requestEnd)
+	require.NoError(t, err)
+	_, err = io.ReadFull(c, buf[:len(requestBegin+requestEnd)])
+	require.NoError(t, err)
+	table := connTable{open: map[*conn]struct{}{c: {}}}
+	c.duty.closeWaiting(&table, time.Now().Add(time.Hour))
+	c.recordState(http.StateActive, false, time.Now())
+	_, err = io.WriteString(client, "G")
+	require.NoError(t, err)
+	_, err = io.ReadFull(c, buf[:1])
+	require.NoError(t, err, "the caller has not left")
+	_, err = io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+	require.NoError(t, err, "the request is answered")
 }
