Answer calls that are in progress at the end of an entry's stop

Callers of an entry whose calls outlasted its planned stop saw their connection end without an answer, after the call had been passed on.

Cause: the entry waits for calls in progress until the end of the stop, and the drain then closes their connections. A drain that used the whole time also left none to drain the administration API.

Evidence, before the change (with Drain without a context):

--- FAIL: TestPlannedStopAnswersCallsThatOutlastIt (entry) Error: context deadline exceeded Error: Post "http://127.0.0.1:44111/v1/completions": EOF

Calls of all handlers of the entry reach their deadline one second, or a quarter of a short stop, before its end and are answered with 504, streams that have begun with an error event. The rest of the time is left for the drain.

After the change the test passes 3 times with the race detector, and the tests of entry, daemon and record once.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -72,7 +72,7 @@
 	}
 	p.log.WithFields(logrus.Fields{"event": "start", "node": s.Node, "failure_domain": s.FailureDomain}).Info("entry started")
 	return p.waitAndStop(ctx, func(ctx context.Context) {
-		e.Drain()
+		e.Drain(ctx)
 		if err := callerServer.Drain(ctx); err != nil {
 			p.log.WithFields(logrus.Fields{"event": "drain", "node": s.Node}).WithError(err).Warn("drain did not finish; active calls are interrupted")
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,13 @@
 	"waxwingtide.example/waxwingtide/wire"
 )
 
+const (
+	// stopReserve is the end of the time of a planned stop in which no call should be in
+	// progress any more. It is at most stopReserveShare of that time.
+	stopReserve      = time.Second
+	stopReserveShare = 0.25
+)
+
 // Control is the interface of the control duties that the entry uses.
 type Control interface {
 	// View returns the facts in force in this process.
@@ -107,6 +114,9 @@
 	watches    *watchManager
 	metrics    *metrics
 	stopping   atomic.Bool
+	// callsEnd ends when calls in progress must receive their responses in a planned stop.
+	callsEnd context.Context
+	endCalls context.CancelFunc
 }
 
 // New returns an entry. Start runs its duties.
@@ -128,7 +138,10 @@
 		return nil, err
 	}
 	d := newDispatcher(o)
-	return &Entry{opts: o, dispatcher: d, watches: newWatchManager(o, d.stateUpdates), metrics: m}, nil
+	callsEnd, endCalls := context.WithCancel(context.Background())
+	return &Entry{
+		opts: o, dispatcher: d, watches: newWatchManager(o, d.stateUpdates), metrics: m, callsEnd: callsEnd, endCalls: endCalls,
+	}, nil
 }
 
 // Start runs the entry's duties in the group.
@@ -154,9 +167,16 @@
 	return !e.stopping.Load() && e.opts.Control.Ready() && e.opts.Control.View().HasBundle()
 }
 
-// Drain makes the entry refuse new calls. Calls in progress continue. To wait for them,
-// shut down the HTTP server.
-func (e *Entry) Drain() { e.stopping.Store(true) }
+// Drain makes the entry refuse new calls. Calls in progress continue. They reach their
+// deadline shortly before that of the context, so that their callers receive a response.
+// To wait for them, drain the HTTP server.
+func (e *Entry) Drain(ctx context.Context) {
+	e.stopping.Store(true)
+	if deadline, ok := ctx.Deadline(); ok {
+		remaining := time.Until(deadline)
+		time.AfterFunc(remaining-min(stopReserve, time.Duration(stopReserveShare*float64(remaining))), e.endCalls)
+	}
+}
 
 // Loads returns the load of the watched upstreams as published last.
 func (e *Entry) Loads() []admin.UpstreamLoad { return *e.dispatcher.publishedLoads.Load() }
@@ -167,13 +187,19 @@
 		"this entry is starting or stopping; send the call again, the balancer will choose another entry", time.Second)
 }
 
+// requireReady refuses calls unless the entry accepts them, and ends the context of calls
+// in progress at the end of a planned stop.
 func (e *Entry) requireReady(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !e.Ready() {
 			newNotServingError().write(w)
 			return
 		}
-		next.ServeHTTP(w, r)
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		detach := context.AfterFunc(e.callsEnd, func() { cancel(context.DeadlineExceeded) })
+		defer detach()
+		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -61,6 +61,7 @@
 	// servers serve the inner protocol of the agents.
 	servers []*transport.Server
 	control *fakeControl
+	entry   *entry.Entry
 }
 
 func discardLog() *logrus.Logger {
@@ -134,6 +135,7 @@
 	})
 	require.NoError(t, err)
 	e.Start(group)
+	cl.entry = e
 	server := httptest.NewServer(e.Handler())
 	t.Cleanup(server.Close)
 	cl.url = server.URL
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +11,9 @@
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"waxwingtide.example/waxwingtide/callerhttp"
+	"waxwingtide.example/waxwingtide/duty"
 )
 
 // Guards against a call that is answered as unknown though it meets a stopping agent and could
@@ -63,3 +68,33 @@
 		require.NoError(t, cl.servers[i].Drain(ctx), "the entry keeps connections to the agent")
 	}
 }
+
+// Guards against calls that a planned stop of an entry takes and cuts at its end without a
+// response: their engines do not respond in time.
+func TestPlannedStopAnswersCallsThatOutlastIt(t *testing.T) {
+	options := engineOptions()
+	options.TokenTime = time.Minute
+	cl := newCluster(t, options)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	group := duty.NewGroup(context.Background(), discardLog())
+	server := callerhttp.New(callerhttp.Options{
+		Name: "callers", Listener: listener.(*net.TCPListener), Handler: cl.entry.Handler(), MaxHeaderBytes: 1 << 16, Log: discardLog(),
+		Timeouts: func() callerhttp.Timeouts { return callerhttp.Timeouts{} },
+	})
+	server.Start(group)
+	cl.url = "http://" + listener.Addr().String()
+	var caller conc.WaitGroup
+	caller.Go(func() {
+		got := cl.sendPrompt(t, map[string]any{"model": "gate", "prompt": "x", "max_tokens": 4}, apiKey)
+		assert.Equal(t, http.StatusGatewayTimeout, got.status)
+	})
+	require.Eventually(t, func() bool { return cl.engines[0].Ledger().Requests+cl.engines[1].Ledger().Requests > 0 }, 10*time.Second, time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	cl.entry.Drain(ctx)
+	assert.NoError(t, server.Drain(ctx))
+	caller.Wait()
+	group.Stop()
+	require.NoError(t, group.Wait())
+}
