Give the weights lease a row for each generation of the store

Two fronts ordered the same model servers to load weights, within 0.2 s and with the same fencing token.

Cause: a write of the lease was conditional on the version of its row alone. Versions are assigned again after a restore, so that a write of the lost generation that got no response replaced the row of the new holder.

Change: the key of the row contains the generation, taken from the response that the row was read with. A late write changes a row that nobody reads. Each write removes the rows of older generations. Fences still start above those of older generations, and above those in rows that remain. A row whose fence is not of its key's generation is not taken over.

Tests: the world of the lease's restore tests has rows by key and one counter of versions, as the store has; its checks and seeds are the same, and it is stricter since versions are now shared by all rows.

--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -1,6 +1,8 @@
 package lease_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,27 +13,43 @@
 	"waxwingtide.example/waxwingtide/lease"
 )
 
-// leaseWorld simulates the row of a lease in a store that is restored from copies, and
+// leaseWorld simulates the rows of a lease in a store that is restored from copies, and
 // the processes that contend for it. The clocks of the processes have different origins.
 type leaseWorld struct {
 	now        time.Duration
-	row        lease.StoreLeaseRow
-	version    uint64
+	content    leaseContent
 	generation core.Generation
-	copies     []leaseCopy
+	copies     []leaseContent
 	nodes      []core.NodeID
 	origins    []time.Duration
 	states     []*lease.StoreLease
+	// unanswered contains writes that got no response and may still take effect.
+	unanswered []leaseWrite
 }
 
-type leaseCopy struct {
-	row     lease.StoreLeaseRow
+// leaseContent is the content of the store: the lease's rows by key, and the counter from
+// which versions are assigned.
+type leaseContent struct {
+	rows    map[string]leaseRow
 	version uint64
 }
 
+type leaseRow struct {
+	lease.StoreLeaseRow
+	version uint64
+}
+
+// leaseWrite is a write with the condition that the row has a version.
+type leaseWrite struct {
+	key             string
+	row             lease.StoreLeaseRow
+	expectedVersion uint64
+	sentAt          time.Duration
+}
+
 func newLeaseWorld() *leaseWorld {
 	w := &leaseWorld{
-		now: time.Minute, copies: []leaseCopy{{}},
+		now: time.Minute, copies: []leaseContent{{}},
 		nodes: []core.NodeID{"a", "b", "c"}, origins: []time.Duration{0, time.Hour, 5 * time.Second},
 	}
 	for i := range w.nodes {
@@ -46,29 +64,88 @@
 	return s
 }
 
-func (w *leaseWorld) restore(from leaseCopy) {
-	w.row, w.version = from.row, from.version
+func (w *leaseWorld) restore(from leaseContent) {
+	w.content = leaseContent{rows: maps.Clone(from.rows), version: from.version}
 	w.generation++
 }
 
-// renew reads the row and writes it, with the given delays.
-func (w *leaseWorld) renew(i int, reading, writing time.Duration, responseLost bool) {
+// perform performs a write if its condition holds.
+func (w *leaseWorld) perform(write leaseWrite) bool {
+	if w.content.rows[write.key].version != write.expectedVersion {
+		return false
+	}
+	next := leaseContent{rows: maps.Clone(w.content.rows), version: w.content.version + 1}
+	if next.rows == nil {
+		next.rows = make(map[string]leaseRow)
+	}
+	next.rows[write.key] = leaseRow{write.row, next.version}
+	w.content = next
+	w.copies = append(w.copies, next)
+	return true
+}
+
+// request reads the row and returns the write of the process, if it may write.
+func (w *leaseWorld) request(i int, reading time.Duration) (leaseWrite, bool) {
 	s := w.states[i]
 	requestedAt := w.now + w.origins[i]
 	w.now += reading
 	s.ObserveGeneration(w.now+w.origins[i], w.generation)
-	readIn := w.generation
-	s.RecordRead(requestedAt, w.row, w.version, w.now)
+	key := lease.StoreLeaseKey("weights", w.generation)
+	row := w.content.rows[key]
+	s.RecordRead(requestedAt, row.StoreLeaseRow, row.version, w.now)
 	next, expectedVersion, mayWrite := s.Proposal()
+	return leaseWrite{key, next, expectedVersion, w.now}, mayWrite
+}
+
+// renew reads the row and writes it, with the given delays.
+func (w *leaseWorld) renew(i int, reading, writing time.Duration, responseLost bool) {
+	write, mayWrite := w.request(i, reading)
 	w.now += writing
-	if !mayWrite || expectedVersion != w.version {
+	if mayWrite && w.perform(write) && !responseLost {
+		w.states[i].RecordWrite(write.row)
+	}
+}
+
+// renewLate reads the row and sends a write that gets no response and takes effect later.
+func (w *leaseWorld) renewLate(i int, reading time.Duration) {
+	if write, mayWrite := w.request(i, reading); mayWrite {
+		w.unanswered = append(w.unanswered, write)
+	}
+}
+
+// performLate performs the unanswered write with the given index unless it was sent more
+// than maxLateness ago.
+func (w *leaseWorld) performLate(index int) {
+	write := w.unanswered[index]
+	w.unanswered = slices.Delete(w.unanswered, index, index+1)
+	if w.now-write.sentAt <= maxLateness {
+		w.perform(write)
+	}
+}
+
+// maxLateness is the longest time after which a write without a response takes effect.
+const maxLateness = 6 * time.Second
+
+// holderCheck checks the orders of the holders: two holders are the gap apart, and fences
+// rise from one to the next.
+type holderCheck struct {
+	holder    int
+	orderedAt time.Duration
+	fence     core.Fence
+}
+
+// order records an order of process i if it holds the lease.
+func (c *holderCheck) order(t require.TestingT, w *leaseWorld, i int) {
+	fence, held := w.states[i].HeldFence(w.now + w.origins[i])
+	if !held {
 		return
 	}
-	w.row, w.version = next, w.version+1
-	w.copies = append(w.copies, leaseCopy{w.row, w.version})
-	if !responseLost && readIn == w.generation {
-		s.RecordWrite(next)
+	if c.holder != i {
+		require.False(t, c.holder >= 0 && w.now-c.orderedAt < storeLeaseConfig.Gap, "two holders")
+		require.Greater(t, fence, c.fence, "fence of an older lease")
 	}
+	require.GreaterOrEqual(t, fence, c.fence, "fence has decreased")
+	c.holder, c.orderedAt, c.fence = i, w.now, fence
 }
 
 // Guards against two holders at the same time, and against reused fences, after the
@@ -80,8 +157,7 @@
 		delay := rapid.Custom(func(t *rapid.T) time.Duration {
 			return time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
 		})
-		lastHolder, lastOrderAt := -1, time.Duration(0)
-		lastFence := core.Fence(0)
+		check := holderCheck{holder: -1}
 		for step := range 80 {
 			i := rapid.IntRange(0, len(w.nodes)-1).Draw(t, "process")
 			w.now += delay.Draw(t, "pause")
@@ -94,16 +170,38 @@
 			if s := w.states[i]; s.ReadDue(w.now + w.origins[i]) {
 				w.renew(i, delay.Draw(t, "reading"), delay.Draw(t, "writing"), rapid.Bool().Draw(t, "response lost"))
 			}
-			fence, held := w.states[i].HeldFence(w.now + w.origins[i])
-			if !held {
-				continue
-			}
-			if lastHolder != i {
-				require.False(t, lastHolder >= 0 && w.now-lastOrderAt < storeLeaseConfig.Gap, "two holders")
-				require.Greater(t, fence, lastFence, "fence of an older lease")
+			check.order(t, w, i)
+		}
+	})
+}
+
+// Guards against two holders at the same time, and against reused fences, after writes
+// without a response take effect late, also after a restore in which the versions that
+// they replace were assigned again.
+func TestLateWritesAcrossRestoresKeepHoldersApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newLeaseWorld()
+		w.now += time.Minute // a lease may be acquired at once
+		pauses := []time.Duration{0, 100 * time.Millisecond, storeLeaseConfig.RenewInterval, storeLeaseConfig.Duration + storeLeaseConfig.Gap}
+		check := holderCheck{holder: -1}
+		for range 60 {
+			i := rapid.IntRange(0, len(w.nodes)-1).Draw(t, "process")
+			w.now += rapid.SampledFrom(pauses).Draw(t, "pause")
+			switch rapid.SampledFrom([]string{"restore", "late write", "unanswered", "renewal", "renewal"}).Draw(t, "event") {
+			case "restore":
+				w.restore(rapid.SampledFrom(w.copies).Draw(t, "copy"))
+			case "late write":
+				if len(w.unanswered) > 0 {
+					w.performLate(rapid.IntRange(0, len(w.unanswered)-1).Draw(t, "write"))
+				}
+			case "unanswered":
+				w.renewLate(i, 0)
+			case "renewal":
+				if w.states[i].ReadDue(w.now + w.origins[i]) {
+					w.renew(i, 0, rapid.SampledFrom(pauses[:3]).Draw(t, "writing"), false)
+				}
 			}
-			require.GreaterOrEqual(t, fence, lastFence, "fence has decreased")
-			lastHolder, lastOrderAt, lastFence = i, w.now, fence
+			check.order(t, w, i)
 		}
 	})
 }
@@ -116,7 +214,7 @@
 	w.renew(0, 0, 0, false)
 	before, held := w.states[0].HeldFence(w.now)
 	require.True(t, held)
-	w.restore(leaseCopy{})
+	w.restore(leaseContent{})
 	w.now += storeLeaseConfig.RenewInterval
 	w.renew(0, 0, 0, false)
 	after, held := w.states[0].HeldFence(w.now)
@@ -129,7 +227,7 @@
 	w := newLeaseWorld()
 	w.now += time.Minute
 	w.renew(0, 0, 0, false)
-	w.restore(leaseCopy{})
+	w.restore(leaseContent{})
 	w.renew(1, 0, 0, false)
 	_, held := w.states[1].HeldFence(w.now + w.origins[1])
 	require.False(t, held, "a lease of the lost content may still be held")
--- a/lease/timed.go
+++ b/lease/timed.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"waxwingtide.example/waxwingtide/core"
@@ -11,6 +13,29 @@
 // older generations, whose rows may be lost.
 const fencesPerGeneration = 1 << 24
 
+// StoreLeaseKey returns the key of the row of a StoreLease in a generation of the store's
+// content. Each generation has a row of its own: a write that got no response may take
+// effect after a restore, when the version that it replaces may have been assigned again.
+// It then changes the row of an older generation, which no process reads.
+func StoreLeaseKey(name string, generation core.Generation) string {
+	return name + "/" + strconv.FormatUint(uint64(generation), 10)
+}
+
+// IsOlderStoreLeaseKey reports whether a key belongs to a lease in an older generation, so
+// that its row may be removed. The key without a generation is one that earlier versions
+// of this software wrote.
+func IsOlderStoreLeaseKey(key, name string, generation core.Generation) bool {
+	if key == name {
+		return true
+	}
+	suffix, ok := strings.CutPrefix(key, name+"/")
+	if !ok {
+		return false
+	}
+	other, err := strconv.ParseUint(suffix, 10, 64)
+	return err == nil && core.Generation(other) < generation
+}
+
 // StoreLeaseRow is the content of the row of a StoreLease. Expiry is a time on the
 // monotonic clock of the platform's metadata store.
 type StoreLeaseRow struct {
@@ -41,9 +66,10 @@
 // lease duration. The holder
 // measures local time with a clock that also advances while the VM is suspended.
 //
-// After a restore of the store's content, the row may be older than the last lease, or
-// missing. A process that does not hold the lease then waits until a lease of the lost
-// content has expired and the gap after it has elapsed. One duty owns the state.
+// Each generation of the store's content has its own row, see StoreLeaseKey. After a
+// restore the row does not exist. A process that does not hold the lease then waits until
+// a lease of the previous generation has expired and the gap after it has elapsed. One
+// duty owns the state.
 type StoreLease struct {
 	cfg         StoreLeaseConfig
 	self        core.NodeID
@@ -89,10 +115,10 @@
 // Generation returns the newest observed generation.
 func (l *StoreLease) Generation() core.Generation { return l.generation }
 
-// RecordRead records the content of the row, the time that the store returned with
-// it and the local time before the row was requested. Version 0 means that the row
-// does not exist. A holder whose row was lost in a restore remains the holder until its
-// time has ended.
+// RecordRead records the content of the row of the observed generation, the time that the
+// store returned with it and the local time before the row was requested. Version 0 means
+// that the row does not exist; its fence is then one that the next fence must exceed. A
+// holder of the previous generation remains the holder until its time has ended.
 func (l *StoreLease) RecordRead(requestedAt time.Duration, row StoreLeaseRow, version uint64, storeNow time.Duration) {
 	l.row, l.version, l.storeNow, l.requestedAt = row, version, storeNow, requestedAt
 	isOwnRow := row.Holder == l.self && row.Incarnation == l.incarnation
@@ -116,16 +142,24 @@
 		return StoreLeaseRow{}, 0, false
 	}
 	next := StoreLeaseRow{Holder: l.self, Incarnation: l.incarnation, Fence: l.row.Fence, Expiry: l.storeNow + l.cfg.Duration}
-	lowestFence := core.Fence(l.generation) * fencesPerGeneration
 	isRenewal := l.row.Holder == l.self && l.row.Incarnation == l.incarnation
-	if !isRenewal || next.Fence < lowestFence {
-		next.Fence = max(next.Fence, lowestFence) + 1
+	if !isRenewal {
+		next.Fence = max(next.Fence, l.baseFence()) + 1
 	}
 	return next, l.version, true
 }
 
+// baseFence returns the number that all fences of the observed generation exceed.
+func (l *StoreLease) baseFence() core.Fence {
+	return core.Fence(l.generation) * fencesPerGeneration
+}
+
 func (l *StoreLease) mayWrite() bool {
 	switch {
+	case l.version != 0 && l.row.Fence <= l.baseFence():
+		// The row was not written as that of this generation. It may have replaced the row
+		// of a holder whose fence is unknown.
+		return false
 	case l.requestedAt < l.stopAt:
 		return true
 	case l.requestedAt < l.acquirableAt:
--- a/weights/loader.go
+++ b/weights/loader.go
@@ -17,9 +17,12 @@
 )
 
 const (
-	// leaseTable and leaseKey identify the row of the lease.
+	// leaseTable contains the rows of the lease, leaseName is the name in their keys.
 	leaseTable = fleet.Table("leases")
-	leaseKey   = "weights"
+	leaseName  = "weights"
+	// maxRemovedRows is the number of rows of older generations that one write of the
+	// lease removes. A transaction has at most 100 entries.
+	maxRemovedRows = 90
 
 	// checkInterval is the interval between two checks of the jobs while there are
 	// any. It is also the minimum delay before the next attempt to acquire the lease.
