--- a/canary/canary.go
+++ b/canary/canary.go
@@ -86,10 +86,10 @@
 }
 
 // StatusUpdate is a rollout status that has to be reported to the operator, with
-// the version of the row that it replaces.
+// the status that it replaces, which is zero if there is none.
 type StatusUpdate struct {
 	catalog.RolloutStatus
-	ReplacedRowVersion uint64
+	Replaced catalog.RolloutStatus
 }
 
 // Inputs are the requested rollouts and the cluster state that a Controller uses.
@@ -246,7 +246,7 @@
 		case r.hasStatus(catalog.RolloutRunning) || rank > 0:
 			continue
 		}
-		updates = append(updates, StatusUpdate{RolloutStatus: catalog.RolloutStatus{Service: service, Version: r.Version, State: state}, ReplacedRowVersion: r.StatusRowVersion})
+		updates = append(updates, StatusUpdate{RolloutStatus: catalog.RolloutStatus{Service: service, Version: r.Version, State: state}, Replaced: r.Status})
 	}
 	slices.SortFunc(updates, func(a, b StatusUpdate) int { return cmp.Compare(a.Service, b.Service) })
 	return updates
--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -166,7 +166,7 @@
 	feed(c, timeAt(0.8), 10, 1)
 	require.Len(t, c.WithdrawDoubted(timeAt(0.97)), 1)
 	requested := in.Rollouts[service]
-	requested.Status, requested.StatusRowVersion = catalog.RolloutStatus{Service: service, Version: "v2", State: catalog.RolloutCompleted}, 9
+	requested.Status = catalog.RolloutStatus{Service: service, Version: "v2", State: catalog.RolloutCompleted}
 	in.Rollouts[service] = requested
 	c.SetInputs(timeAt(0.98), in)
 	require.Equal(t, canary.Filter{RequiredVersion: "v2"}, c.FilterFor(timeAt(0.98), service, 0.5))
@@ -225,7 +225,7 @@
 	}
 	require.Equal(t, []catalog.RolloutState{catalog.RolloutRunning}, pendingStates(start), "only one process reports")
 	requested := in.Rollouts[service]
-	requested.Status, requested.StatusRowVersion = catalog.RolloutStatus{Service: service, Version: "v2", State: catalog.RolloutRunning}, 9
+	requested.Status = catalog.RolloutStatus{Service: service, Version: "v2", State: catalog.RolloutRunning}
 	in.Rollouts[service] = requested
 	for _, controller := range controllers {
 		controller.SetInputs(start, in)
@@ -305,7 +305,7 @@
 			require.Equal(t, catalog.RolloutRolledBack, updates[0].State)
 
 			requested := in.Rollouts[service]
-			requested.Status, requested.StatusRowVersion = updates[0].RolloutStatus, 11
+			requested.Status = updates[0].RolloutStatus
 			in.Rollouts[service] = requested
 			controllers[1].SetInputs(now, in)
 			require.Equal(t, canary.Filter{ExcludedVersion: "v2"}, controllers[1].FilterFor(timeAt(0.9), service, 0))
--- a/canary/restore_test.go
+++ b/canary/restore_test.go
@@ -14,7 +14,7 @@
 func rewritten(in canary.Inputs) canary.Inputs {
 	requested := in.Rollouts[service]
 	requested.RequestRowVersion = 3
-	requested.Status, requested.StatusRowVersion = catalog.RolloutStatus{}, 0
+	requested.Status = catalog.RolloutStatus{}
 	in.Rollouts[service] = requested
 	return in
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -103,10 +103,8 @@
 	// the process. It stays when the same request is in restored content of the store.
 	RequestRowVersion uint64
 	RequestedAt       time.Time
-	// Status is the status last written for the operator. StatusRowVersion is
-	// the version of its row; 0 when there is none.
-	Status           catalog.RolloutStatus
-	StatusRowVersion uint64
+	// Status is the status last written for the operator; zero when there is none.
+	Status catalog.RolloutStatus
 }
 
 // Decoder decodes rows of the operator, upstreams and status tables. The error has
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -365,7 +365,7 @@
 			continue
 		}
 		if rollout, ok := rollouts[status.Service]; ok {
-			rollout.Status, rollout.StatusRowVersion = *status, rs.row.Version
+			rollout.Status = *status
 			rollouts[status.Service] = rollout
 		}
 	}
