Keep the holder of a lost lease from replacing the next holder's row

Two fronts would have held the weights lease at the same time.

Cause: after a restore, the previous holder may renew its lease in the new generation if it requested the row before it had to stop. It did so with a response that came later, as after a suspension of its VM, and that had the row of the next holder already; it replaced that row and held the lease from its next read on.

Change: a lease of an older generation counts as held only while the row of the present generation does not exist.

Before: TestHolderOfLostLeaseDoesNotReplaceNewHolder failed at restore_test.go:243, "Should be false". After: lease passes with the race detector.

--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -222,6 +222,27 @@
 	require.Greater(t, after, before)
 }
 
+// Guards against two holders after a restore: the previous holder has requested the row
+// before it had to stop, and the response, which is late, has the row of the next holder.
+func TestHolderOfLostLeaseDoesNotReplaceNewHolder(t *testing.T) {
+	w := newLeaseWorld()
+	w.now += time.Minute
+	w.renew(0, 0, 0, false)
+	w.restore(leaseContent{})
+	w.renew(1, 0, 0, false)
+	requestedAt := w.now
+	w.now += storeLeaseConfig.Duration + storeLeaseConfig.Gap
+	w.renew(1, 0, 0, false)
+	_, held := w.states[1].HeldFence(w.now + w.origins[1])
+	require.True(t, held)
+
+	w.states[0].ObserveGeneration(w.now, w.generation)
+	row := w.content.rows[lease.StoreLeaseKey("weights", w.generation)]
+	w.states[0].RecordRead(requestedAt, row.StoreLeaseRow, row.version, w.now)
+	_, _, mayWrite := w.states[0].Proposal()
+	require.False(t, mayWrite)
+}
+
 // Guards against a lease that no process acquires after its holder ended in a restore.
 func TestLostLeaseIsAcquiredAfterGap(t *testing.T) {
 	w := newLeaseWorld()
--- a/lease/timed.go
+++ b/lease/timed.go
@@ -128,9 +128,10 @@
 }
 
 // holdsLostLease reports whether this process holds the lease of an older generation.
-// Other processes do not acquire the lease meanwhile.
+// Other processes do not acquire the lease meanwhile. If the response was so late that one
+// has acquired it, the row of this generation exists.
 func (l *StoreLease) holdsLostLease() bool {
-	return l.heldGeneration < l.generation && l.requestedAt < l.stopAt
+	return l.version == 0 && l.heldGeneration < l.generation && l.requestedAt < l.stopAt
 }
 
 // Proposal returns the row to write and the version that it replaces. It returns
