--- a/spec/check.sh
+++ b/spec/check.sh
@@ -62,6 +62,8 @@
 done
 check_correct facts MAX_EPOCH=2 -DMAX_RESTRICTIONS=2 >"$work/facts.1" &
 wanted=$((wanted + 1))
+check_correct timed RESTORES >"$work/timed.1" &
+wanted=$((wanted + 1))
 # Without a restore, more versions can be searched.
 check_correct merge MAX_VERSION=4 -DMAX_GENERATION=0 >"$work/merge.1" &
 wanted=$((wanted + 1))
