Register a front again whose row a late write has removed

After a planned stop and a start under the same name, the front was missing from the members until its next renewal, up to a minute, and limits were divided among too few fronts.

Cause: the removal that the previous process sent at its stop has no condition. Without a response it may take effect seconds later, on the row of the next process.

Change: a front that reads the removal of its own row writes it again at once and logs local_row_removed. A condition on the removal was not chosen: it needs more calls in the second that a planned stop has for it.

Before: TestFrontRegistersAgainAfterLateRemoval failed at registration_lost_test.go:33, "Condition never satisfied". After: it passed five times in a row; fleet passes with the race detector.

--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -315,6 +316,10 @@
 	if mayLackLocalRow || restored && u.table == MembersTable {
 		f.reregistrations.Push(struct{}{})
 	}
+	if changed && f.removesLocalRow(u) {
+		log.WithFields(logrus.Fields{"event": "local_row_removed", "version": u.position.Version}).Warn("registration of this process was removed, probably by a late write of a previous process; it is written again")
+		f.reregistrations.Push(struct{}{})
+	}
 	if restored {
 		log.WithFields(logrus.Fields{
 			"event": "store_restored", "old_generation": before.Generation, "old_version": before.Version,
@@ -327,6 +332,14 @@
 	}
 }
 
+// removesLocalRow reports whether an update contains the removal of the local row.
+func (f *Fleet) removesLocalRow(u update) bool {
+	if u.table != MembersTable {
+		return false
+	}
+	return slices.ContainsFunc(u.rows, func(row Row) bool { return row.Removed && row.Key == string(f.opts.Self.Node) })
+}
+
 // recordFailure records that a table cannot be read from the store.
 func (f *Fleet) recordFailure(now time.Time, s *state, failing map[Table]bool, table Table) {
 	failing[table] = true
