--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 export PATH := $(GOBIN):$(PATH)
 
-.PHONY: test tools check unit model build generate capacity soak
+.PHONY: test tools check unit model build generate capacity soak review
 
 test: tools check unit model
 
@@ -40,3 +40,9 @@
 soak: build
 	go build -o bin/ ./tools/soak
 	@for seed in $(SEEDS); do bin/soak --seed $$seed --for 15s --fronts 4 --servers 5 || exit 1; done
+
+# Runs the scripts and scenarios of the review against the front. Not part of the tests.
+review:
+	go build -ldflags=-linkmode=external -o target/ ./cmd/waxwing-front
+	review/build.sh
+	tools/review.sh
