Reset the connections of HTTP/1.0 callers whose streams are cut

Callers with HTTP/1.0 saw a stream that was cut end like a complete one.

Cause: their responses have neither a length nor chunks, so that the end of the connection is the end of the response, and the front closed it in the usual way.

Evidence, before the change:

--- FAIL: TestCutStreamIsResetForHTTP10 Error: An error is expected but got nil. Messages: a stream that was cut appears complete

Such connections are reset now, after the last complete event was written. The test passes 10 times with the race detector, the tests of streams and half-closed connections in frontend twice.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -190,12 +190,29 @@
 	s.writeError(http.StatusBadGateway, "caller_left", 0)
 }
 
-// closeConnection closes the connection to the caller. It does not return.
+// closeConnection closes the connection to the caller. It does not return. The end of an
+// HTTP/1.0 response is the end of its connection, which is therefore reset.
 func (s *callState) closeConnection() {
-	_ = http.NewResponseController(s.writer).Flush() // the caller may resume after the last complete event
+	control := http.NewResponseController(s.writer)
+	_ = control.Flush() // the caller may resume after the last complete event
+	if !s.request.ProtoAtLeast(1, 1) {
+		resetConnection(control)
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetConnection closes a connection so that its client sees an error.
+func resetConnection(control *http.ResponseController) {
+	conn, _, err := control.Hijack()
+	if err != nil {
+		return // the connection has ended
+	}
+	if lingering, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingering.SetLinger(0) // fails only if the connection is closed
+	}
+	_ = conn.Close() // the connection is abandoned even if closing it fails
+}
+
 // Send implements attempts.Sender. A stream that was sent to the caller incompletely is
 // retried only if it can be resumed after its last event.
 func (s *callState) Send(ctx context.Context) attempts.Result {
