--- a/cacheindex/cacheindex.go
+++ b/cacheindex/cacheindex.go
@@ -30,7 +30,6 @@
 	// eighth of what a node may spend for control.
 	defaultMemoryBytes = 16 << 20
 	// partBytes is the memory of a recorded part without its texts: its entry in a map.
-	// 112 bytes with short texts were measured (docs/CAPACITY.md).
 	partBytes = 96
 )
 
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -3,12 +3,7 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
-	"errors"
 	"io"
-	"mime"
-	"net/http"
-	"strings"
 
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/membudget"
@@ -40,7 +35,7 @@
 		return errs.New(errs.Corrupt, remedyUnknown, "connection ended after the head of a response without a length")
 	case containsHead(body):
 		return errs.New(errs.Corrupt, remedyUnknown, "body without a length contains another response")
-	case isJSON(x.Response.Header):
+	case upstreamhttp.IsJSON(x.Response.Header):
 		return checkJSONEnd(received)
 	}
 	return nil
@@ -58,30 +53,12 @@
 		return err
 	}
 	defer received.memory.Release(checkBytes)
-	if endsInsideValue(received.body) {
+	if upstreamhttp.EndsInsideJSON(received.body) {
 		return errs.New(errs.Corrupt, remedyUnknown, "connection ended inside a JSON value")
 	}
 	return nil
 }
 
-// isJSON reports whether the stated type of a response is JSON or based on it.
-func isJSON(h http.Header) bool {
-	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
-	return err == nil && (mediaType == "application/json" || strings.HasSuffix(mediaType, "+json"))
-}
-
-// endsInsideValue reports whether a sequence of JSON values was cut. A text that is no
-// JSON was not.
-func endsInsideValue(body []byte) bool {
-	values := json.NewDecoder(bytes.NewReader(body))
-	for {
-		var value json.RawMessage
-		if err := values.Decode(&value); err != nil {
-			return errors.Is(err, io.ErrUnexpectedEOF)
-		}
-	}
-}
-
 // isDisplaced reports whether a response that was written inside the body has moved the
 // end of the body behind its stated length: of a body "served" with a length of 6, the
 // client reads "seHTTP" and the surplus "/1.1 503 ...rved". Bytes that follow a whole body
--- a/upstreamhttp/head.go
+++ b/upstreamhttp/head.go
@@ -15,8 +15,7 @@
 	// is held as received and as the text of a parsed header.
 	parsedBytesFactor = 2
 	// parsedLineBytes is the number of bytes that are charged for each line of a head: the
-	// entry of a map, a slice and the headers of two strings. Parsed lines of 10 bytes were
-	// measured to need 97 bytes each.
+	// entry of a map, a slice and the headers of two strings.
 	parsedLineBytes = 128
 )
 
