Serve waiting calls by workspace, and refuse at once what cannot be served

Cause: calls that waited for the memory of an engine were ordered by priority and time in each front, so that a workspace that sends more got more; a call waited for 0.6 of its target latency whatever its deadline, and was told to return after 0.8 s whatever the backlog.

Change: the list is built on fairqueue: calls that can be in time first, then by priority, then by weighted fair queueing over the workspaces in tokens, then by deadline, so that callers that return come first. A call waits for at most 0.4 of the time until its deadline, and is refused on arrival when the work before it takes longer at the present rate, from which Retry-After follows. fairqueue gets an order within a workspace and a scan.

--- a/fairqueue/fairqueue.go
+++ b/fairqueue/fairqueue.go
@@ -6,6 +6,7 @@
 import (
 	"container/heap"
 	"container/list"
+	"slices"
 	"time"
 
 	"waxwingtide.example/waxwingtide/core"
@@ -22,15 +23,18 @@
 	Cost float64
 	// Deadline is when the call expires in the queue; zero means never.
 	Deadline time.Time
-	Value    T
+	// Due orders the calls of one workspace: earlier ones are served first, and those with
+	// equal times in the order of their arrival.
+	Due   time.Time
+	Value T
 
 	element       *list.Element
 	flow          *flow[T]
 	deadlineIndex int // index in the deadline heap
 }
 
-// flow contains the calls of one workspace, first in first out. startTag is the
-// virtual time by which the active heap is sorted.
+// flow contains the calls of one workspace, ordered by Item.Due. startTag is the virtual
+// time by which the active heap is sorted.
 type flow[T any] struct {
 	workspace   core.WorkspaceID
 	weight      int
@@ -99,7 +103,7 @@
 	}
 	it := &item
 	it.flow = f
-	it.element = f.items.PushBack(it)
+	it.element = f.insert(it)
 	q.byID[it.ID] = it
 	heap.Push(&q.deadlines, it)
 	q.activate(f)
@@ -120,6 +124,29 @@
 	return q.removeElement(it.element), true
 }
 
+// Scan passes calls to take in the order in which they would be served, at most limit of
+// them, and removes those for which it returns true. The others keep their place.
+func (q *Queue[T]) Scan(limit int, take func(*Item[T]) bool) {
+	virtualTime := q.virtualTime
+	var skipped []*Item[T]
+	for range limit {
+		if len(q.active) == 0 {
+			break
+		}
+		startTag := q.active[0].startTag
+		it, _ := q.Pop() // there is an active flow
+		if take(it) {
+			virtualTime = max(virtualTime, startTag)
+			continue
+		}
+		skipped = append(skipped, it)
+	}
+	for _, it := range slices.Backward(skipped) {
+		q.Restore(it)
+	}
+	q.virtualTime = virtualTime
+}
+
 // PopFromMostLoaded removes the newest call of the workspace with the most calls
 // relative to its weight.
 func (q *Queue[T]) PopFromMostLoaded() (*Item[T], bool) {
@@ -223,6 +250,16 @@
 	}
 }
 
+// insert adds a call behind those that are due earlier or at the same time.
+func (f *flow[T]) insert(it *Item[T]) *list.Element {
+	for e := f.items.Back(); e != nil; e = e.Prev() {
+		if !it.Due.Before(e.Value.(*Item[T]).Due) {
+			return f.items.InsertAfter(it, e)
+		}
+	}
+	return f.items.PushFront(it)
+}
+
 // load returns the number of calls divided by the weight, with extra calls added.
 func (f *flow[T]) load(extra int) float64 {
 	return float64(f.items.Len()+extra) / float64(f.weight)
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -50,11 +50,13 @@
 )
 
 // placeRequest is a handler's request to place a call. The call may wait for the memory
-// of an engine until waitUntil.
+// of an engine until waitUntil. Until onTimeUntil it can still be answered in time.
 type placeRequest struct {
-	req       placement.Request
-	priority  int
-	waitUntil time.Time
+	req      placement.Request
+	priority int
+	// deadline is when the caller stops waiting.
+	deadline               time.Time
+	onTimeUntil, waitUntil time.Time
 	// trial is set when the call is a trial of a part in quarantine.
 	trial bool
 	reply *ring.Ring[placementResult]
@@ -92,7 +94,7 @@
 	random        func() float64
 	connections   map[core.UpstreamID]*connections
 	placeRequests *ring.Ring[placeRequest]
-	waiting       waitingCalls
+	waiting       *waitingCalls
 	reports       *ring.Ring[attemptReport]
 	quarantine    *quarantine.Tracker
 	// activeQuarantines is read by the metrics.
@@ -116,8 +118,8 @@
 	if opts.Meter == nil {
 		return r
 	}
-	if err := observeQuarantines(opts.Meter, &r.activeQuarantines); err != nil {
-		r.log.WithField("event", "metrics_missing").WithError(err).Warn("metrics of quarantines cannot be created")
+	if err := errors.Join(observeQuarantines(opts.Meter, &r.activeQuarantines), r.waiting.metrics.register(opts.Meter)); err != nil {
+		r.log.WithField("event", "metrics_missing").WithError(err).Warn("metrics of the router cannot be created")
 	}
 	return r
 }
@@ -234,14 +236,21 @@
 }
 
 // placeCall places a call and sends the result to its handler. A call for which no engine
-// has memory waits.
+// has memory waits, also one that would take the memory for which more urgent calls wait.
 func (r *router) placeCall(now time.Time, pending placeRequest) {
+	if r.waiting.list.Precedes(pending.req.Service, pending.priority) {
+		if r.waiting.add(now, newWaitingCall(now, &pending)) {
+			return
+		}
+	}
 	result := r.choose(now, &pending)
 	if result.refusal == placement.MemoryFull {
-		if r.waiting.add(now, pending) {
+		c := newWaitingCall(now, &pending)
+		if r.waiting.add(now, c) {
 			return
 		}
-		result = r.memoryRefusal()
+		r.waiting.metrics.refusedAtOnce.Add(1)
+		result = r.memoryRefusal(now, c)
 	}
 	r.reply(now, pending, result)
 }
--- a/waitlist/waitlist.go
+++ b/waitlist/waitlist.go
@@ -1,87 +1,231 @@
 // Package waitlist orders the calls of a front that wait until an engine has memory for
-// them. It performs no I/O and reads no clock.
+// them. Calls that can still be answered in time come before those that cannot, urgent ones
+// before deferrable ones, and among equals the workspaces are served in proportion to their
+// weights, measured in work. It performs no I/O and reads no clock.
 package waitlist
 
 import (
 	"slices"
+	"strconv"
 	"time"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/fairqueue"
 )
 
 // Call is a waiting call.
 type Call[T any] struct {
-	Value T
+	Value     T
+	Service   core.ServiceID
+	Workspace core.WorkspaceID
+	// Weight is the weight of the workspace. A weight below 1 is treated as 1.
+	Weight int
 	// Priority is the urgency of the call; 0 is the most urgent.
 	Priority int
-	// Since is when the call arrived, Until when it stops waiting.
-	Since, Until time.Time
+	// Tokens is the work of the call: the memory in tokens that it uses at an engine.
+	Tokens int
+	// Since is when the call arrived. Until OnTimeUntil it can still be answered within its
+	// target latency. Until is when it stops waiting.
+	Since, OnTimeUntil, Until time.Time
+	// Deadline is when the caller stops waiting. Callers that return after a refusal have
+	// less time left than new ones and are served before them.
+	Deadline time.Time
 }
 
-// WaitedShare returns the share of the call's waiting time that has passed, from 0 to 1.
+// WaitedShare returns the share that has passed of the time in which the call can be
+// answered in time, from 0 to 1. It is 0 for a call that is late: such calls get no more
+// memory than those that have not waited.
 func (c Call[T]) WaitedShare(now time.Time) float64 {
-	total := c.Until.Sub(c.Since)
-	if total <= 0 {
-		return 1
+	total := c.OnTimeUntil.Sub(c.Since)
+	if total <= 0 || !now.Before(c.OnTimeUntil) {
+		return 0
 	}
-	return min(max(float64(now.Sub(c.Since))/float64(total), 0), 1)
+	return max(float64(now.Sub(c.Since))/float64(total), 0)
+}
+
+// rank orders the classes of calls of a service.
+type rank struct {
+	late     bool
+	priority int
+}
+
+func (r rank) compare(other rank) int {
+	if r.late != other.late {
+		if r.late {
+			return 1
+		}
+		return -1
+	}
+	return r.priority - other.priority
+}
+
+// class contains the calls of a service that have the same rank.
+type class[T any] struct {
+	rank
+	queue *fairqueue.Queue[Call[T]]
+	// tokens is the work of all calls by workspace.
+	tokens map[core.WorkspaceID]int
 }
 
-// List contains waiting calls, the most urgent ones first and among those the ones that
-// stop waiting first.
+// service contains the waiting calls of a service, the class that is served first at the
+// front. Classes without calls are removed.
+type service[T any] struct {
+	classes []*class[T]
+	drain   drain
+}
+
+// List contains waiting calls.
 type List[T any] struct {
-	calls    []Call[T]
+	services map[core.ServiceID]*service[T]
+	calls    int
 	capacity int
+	lastID   uint64
 }
 
 // New returns an empty list for at most capacity calls.
-func New[T any](capacity int) *List[T] { return &List[T]{capacity: capacity} }
+func New[T any](capacity int) *List[T] {
+	return &List[T]{services: make(map[core.ServiceID]*service[T]), capacity: capacity}
+}
 
 // Len returns the number of waiting calls.
-func (l *List[T]) Len() int { return len(l.calls) }
+func (l *List[T]) Len() int { return l.calls }
 
 // Add adds a call. It reports false when the list is full or when the call would not wait.
 func (l *List[T]) Add(now time.Time, c Call[T]) bool {
-	if len(l.calls) >= l.capacity || !now.Before(c.Until) {
+	if l.calls >= l.capacity || !now.Before(c.Until) {
 		return false
 	}
-	at, _ := slices.BinarySearchFunc(l.calls, c, func(a, b Call[T]) int {
-		if before(a, b) {
-			return -1
-		}
-		return 1
-	})
-	l.calls = slices.Insert(l.calls, at, c)
+	s := l.services[c.Service]
+	if s == nil {
+		s = &service[T]{}
+		l.services[c.Service] = s
+	}
+	if len(s.classes) == 0 {
+		s.drain.begin(now)
+	}
+	l.push(s, rank{late: !now.Before(c.OnTimeUntil), priority: c.Priority}, c)
 	return true
 }
 
-// before reports whether a precedes b or is equal to it.
-func before[T any](a, b Call[T]) bool {
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
+func (l *List[T]) push(s *service[T], r rank, c Call[T]) {
+	l.lastID++
+	expiry := c.OnTimeUntil
+	if r.late || c.Until.Before(expiry) {
+		expiry = c.Until
+	}
+	k := s.class(r)
+	k.queue.Push(fairqueue.Item[Call[T]]{
+		ID: core.AttemptID(strconv.FormatUint(l.lastID, 36)), Workspace: c.Workspace, Weight: c.Weight, Cost: float64(c.Tokens), Deadline: expiry, Due: c.Deadline, Value: c,
+	}, false)
+	k.tokens[c.Workspace] += c.Tokens
+	l.calls++
+}
+
+// class returns the class of a rank, and creates it if there is none.
+func (s *service[T]) class(r rank) *class[T] {
+	at, found := slices.BinarySearchFunc(s.classes, r, func(k *class[T], r rank) int { return k.compare(r) })
+	if !found {
+		s.classes = slices.Insert(s.classes, at, &class[T]{rank: r, queue: fairqueue.New[Call[T]](), tokens: make(map[core.WorkspaceID]int)})
 	}
-	return !b.Until.Before(a.Until)
+	return s.classes[at]
 }
 
-// TakeExpired removes and returns the calls that stop waiting.
+// removed updates the totals after a call has left its class.
+func (l *List[T]) removed(k *class[T], c Call[T]) {
+	l.calls--
+	if k.tokens[c.Workspace] -= c.Tokens; k.tokens[c.Workspace] <= 0 {
+		delete(k.tokens, c.Workspace)
+	}
+}
+
+func (s *service[T]) removeEmptyClasses() {
+	s.classes = slices.DeleteFunc(s.classes, func(k *class[T]) bool { return k.queue.Len() == 0 })
+}
+
+// TakeExpired removes and returns the calls that stop waiting. Calls that can no longer be
+// answered in time are served after all others from now on.
 func (l *List[T]) TakeExpired(now time.Time) []Call[T] {
 	var expired []Call[T]
-	l.calls = slices.DeleteFunc(l.calls, func(c Call[T]) bool {
-		if now.Before(c.Until) {
-			return false
+	for _, s := range l.services {
+		for _, k := range slices.Clone(s.classes) {
+			for _, it := range k.queue.Expire(now) {
+				l.removed(k, it.Value)
+				if now.Before(it.Value.Until) {
+					l.push(s, rank{late: true, priority: k.priority}, it.Value)
+					continue
+				}
+				expired = append(expired, it.Value)
+			}
 		}
-		expired = append(expired, c)
-		return true
-	})
+		s.removeEmptyClasses()
+	}
 	return expired
 }
 
-// Try passes calls to place in their order, at most tries of them, and removes those for
-// which it returns true.
-func (l *List[T]) Try(tries int, place func(Call[T]) bool) {
-	l.calls = slices.DeleteFunc(l.calls, func(c Call[T]) bool {
-		if tries <= 0 {
-			return false
+// Try passes calls to place in their order, at most tries of each service, and removes
+// those for which it returns true.
+func (l *List[T]) Try(now time.Time, tries int, place func(Call[T]) bool) {
+	for _, s := range l.services {
+		left := tries
+		for _, k := range s.classes {
+			if left <= 0 {
+				break
+			}
+			k.queue.Scan(left, func(it *fairqueue.Item[Call[T]]) bool {
+				left--
+				if !place(it.Value) {
+					return false
+				}
+				l.removed(k, it.Value)
+				s.drain.record(now, it.Value.Tokens)
+				return true
+			})
 		}
-		tries--
-		return place(c)
-	})
+		s.removeEmptyClasses()
+	}
+}
+
+// Precedes reports whether a call that is at least as urgent waits for the same service and
+// can still be answered in time. A new call then waits as well, so that it does not take
+// the memory that becomes free.
+func (l *List[T]) Precedes(id core.ServiceID, priority int) bool {
+	s := l.services[id]
+	return s != nil && len(s.classes) > 0 && !s.classes[0].late && s.classes[0].priority < priority
+}
+
+// ExpectedWait returns the time until a new call would be placed, from the work that is
+// served before it and the rate at which waiting work has been placed lately. It returns
+// false if that rate is not known yet.
+func (l *List[T]) ExpectedWait(now time.Time, c Call[T]) (time.Duration, bool) {
+	s := l.services[c.Service]
+	if s == nil || len(s.classes) == 0 {
+		return 0, true
+	}
+	return s.drain.timeFor(now, s.workBefore(c))
+}
+
+// workBefore returns the work in tokens that is served before a new call that is on time:
+// that of more urgent calls, and of each workspace of the same urgency at most as much as
+// the call's own workspace has with this call.
+func (s *service[T]) workBefore(c Call[T]) int {
+	before := 0
+	for _, k := range s.classes {
+		switch {
+		case k.late || k.priority > c.Priority:
+		case k.priority < c.Priority:
+			for _, tokens := range k.tokens {
+				before += tokens
+			}
+		default:
+			own := k.tokens[c.Workspace] + c.Tokens
+			for workspace, tokens := range k.tokens {
+				if workspace == c.Workspace {
+					before += tokens
+					continue
+				}
+				before += min(tokens, own)
+			}
+		}
+	}
+	return before
 }
