Keep a pause over a new incarnation of its upstream

Cause: a pause was recorded for the incarnation that the front had listed, which may be older than the server that named it. The next entry of the server ended the pause.

Change: a pause belongs to the address and the id of the upstream until its end. Tests and the model that demanded calls after a restart within a pause demand none now, since a server that names Retry-After wants nothing for so long.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -26,8 +26,7 @@
 // one.
 type attemptReport struct {
 	placement.Report
-	Address string
-	Prompt  core.Prompt
+	Prompt core.Prompt
 	// AnswerAge is the time from the first byte of the answer to its last one, or 0 if
 	// there was none.
 	AnswerAge time.Duration
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -276,8 +276,8 @@
 
 func (s *callState) newReport(p placementResult) attemptReport {
 	return attemptReport{
-		Report:  placement.Report{AttemptID: p.choice.AttemptID, Upstream: p.choice.Upstream.ID, StartedAtMs: p.choice.Upstream.StartedAtMs, Model: s.call.Prompt.Model, Route: s.route.Name},
-		Address: p.choice.Upstream.Address, Prompt: s.call.Prompt,
+		Report: placement.Report{AttemptID: p.choice.AttemptID, Upstream: p.choice.Upstream.ID, Address: p.choice.Upstream.Address, StartedAtMs: p.choice.Upstream.StartedAtMs, Model: s.call.Prompt.Model, Route: s.route.Name},
+		Prompt: s.call.Prompt,
 	}
 }
 
--- a/placement/restrictions_model_test.go
+++ b/placement/restrictions_model_test.go
@@ -19,11 +19,16 @@
 	startedAtMs int64
 	// pausedUntil is zero for a departure.
 	pausedUntil time.Time
-	// appliedAt is the last time at which a row of this incarnation or of an earlier one
-	// was listed.
+	// appliedAt is the last time at which it applied to the listed row.
 	appliedAt time.Time
 }
 
+// appliesTo reports whether the announcement applies to a row. A pause belongs to the
+// server whatever its incarnation, a departure to one incarnation.
+func (a *announcement) appliesTo(row catalog.Upstream) bool {
+	return !a.pausedUntil.IsZero() || row.StartedAtMs <= a.startedAtMs
+}
+
 // stored reports whether the announcement must still be stored.
 func (a *announcement) stored(now time.Time) bool {
 	return now.Sub(a.appliedAt) <= restrictionRetention
@@ -44,7 +49,7 @@
 // excluded reports whether no call may be placed at the server.
 func (s *modelServer) excluded(now time.Time) bool {
 	return slices.ContainsFunc(s.announcements, func(a *announcement) bool {
-		return s.row.StartedAtMs <= a.startedAtMs && a.stored(now) && !a.ended(now)
+		return a.appliesTo(s.row) && a.stored(now) && !a.ended(now)
 	})
 }
 
@@ -52,7 +57,7 @@
 // announcement belongs to the newest incarnation at the time.
 func (s *modelServer) certainlyFree(now time.Time) bool {
 	return s.listed && !slices.ContainsFunc(s.announcements, func(a *announcement) bool {
-		return s.row.StartedAtMs <= a.startedAtMs+1 && !a.ended(now.Add(-pauseMargin))
+		return (!a.pausedUntil.IsZero() || s.row.StartedAtMs <= a.startedAtMs+1) && !a.ended(now.Add(-pauseMargin))
 	})
 }
 
@@ -94,7 +99,7 @@
 
 func (m *restrictionModel) recordApplied(s *modelServer) {
 	for _, a := range s.announcements {
-		if s.row.StartedAtMs <= a.startedAtMs && a.stored(m.now) {
+		if a.appliesTo(s.row) && a.stored(m.now) {
 			a.appliedAt = m.now
 		}
 	}
@@ -128,7 +133,7 @@
 
 // drawReport draws the report of a response, and records what it announces.
 func (m *restrictionModel) drawReport(t *rapid.T, s *modelServer) Report {
-	report := Report{Upstream: s.row.ID, StartedAtMs: s.row.StartedAtMs}
+	report := Report{Upstream: s.row.ID, Address: s.row.Address, StartedAtMs: s.row.StartedAtMs}
 	switch rapid.IntRange(0, 5).Draw(t, "announcement") {
 	case 0:
 		report.Leaving = true
@@ -210,7 +215,7 @@
 
 func (m *restrictionModel) isPaused(s *modelServer) bool {
 	return slices.ContainsFunc(s.announcements, func(a *announcement) bool {
-		return !a.pausedUntil.IsZero() && !a.ended(m.now) && s.row.StartedAtMs <= a.startedAtMs && a.stored(m.now)
+		return !a.pausedUntil.IsZero() && !a.ended(m.now) && a.appliesTo(s.row) && a.stored(m.now)
 	})
 }
 
@@ -224,7 +229,8 @@
 	m.setRows()
 	m.now = m.now.Add(restrictionRetention + time.Second)
 	m.setRows()
-	require.Empty(t, m.placer.restrictions)
+	require.Empty(t, m.placer.departures)
+	require.Empty(t, m.placer.pauses)
 }
 
 // Guards against calls, and requests for cache events, that reach a server which has
--- a/placement/restrictions_test.go
+++ b/placement/restrictions_test.go
@@ -14,6 +14,9 @@
 
 const restricted = core.UpstreamID("records-0")
 
+// restrictedAddress is the address at which newUpstreams lists the restricted upstream.
+const restrictedAddress = "10.0.7.0:80"
+
 // relist lists an upstream as a newer row with the given start, or removes its row.
 func relist(pl *Placer, now time.Time, in Inputs, id core.UpstreamID, startedAtMs int64, listed bool) {
 	rows := in.Upstreams
@@ -88,9 +91,9 @@
 	relist(pl, t0.Add(time.Second), in, restricted, 0, true)
 	require.Zero(t, callsPlaced(pl, t0.Add(time.Second)))
 	relist(pl, t0.Add(time.Hour), in, restricted, 0, false)
-	require.Len(t, pl.restrictions, 1)
+	require.Len(t, pl.departures, 1)
 	relist(pl, t0.Add(time.Hour+restrictionRetention+time.Second), in, restricted, 0, false)
-	require.Empty(t, pl.restrictions)
+	require.Empty(t, pl.departures)
 }
 
 // Guards against calls that stay without an upstream because newer weights are loaded
@@ -132,14 +135,14 @@
 
 // Guards against calls to an upstream within the time for which it wants none, also after
 // a later response with a shorter time or none, a newer row of the same incarnation, or a
-// missing row, and against an upstream that gets no calls after that time or a restart.
+// missing row, and against an upstream that gets no calls after that time.
 func TestNoCallIsPlacedDuringPause(t *testing.T) {
 	const pause = 4 * time.Hour
 	in := newInputs(1)
 	pl := newPlacer(in)
-	pl.RecordReport(t0, Report{Upstream: restricted, PauseFor: pause})
+	pl.RecordReport(t0, Report{Upstream: restricted, Address: restrictedAddress, PauseFor: pause})
 	require.Zero(t, callsPlaced(pl, t0))
-	pl.RecordReport(t0.Add(time.Second), Report{Upstream: restricted, PauseFor: time.Second})
+	pl.RecordReport(t0.Add(time.Second), Report{Upstream: restricted, Address: restrictedAddress, PauseFor: time.Second})
 	pl.RecordReport(t0.Add(time.Second), Report{Upstream: restricted})
 	relist(pl, t0.Add(time.Second), in, restricted, 0, true)
 	require.Zero(t, callsPlaced(pl, t0.Add(time.Minute)))
@@ -150,18 +153,19 @@
 	require.Len(t, pl.TakeRestrictionChanges(), 1)
 
 	now := t0.Add(pause + time.Minute)
-	pl.RecordReport(now, Report{Upstream: restricted, PauseFor: pause})
+	pl.RecordReport(now, Report{Upstream: restricted, Address: restrictedAddress, PauseFor: pause})
 	require.Zero(t, callsPlaced(pl, now))
 	relist(pl, now.Add(time.Second), in, restricted, 7, true)
-	require.Positive(t, callsPlaced(pl, now.Add(time.Second)))
+	require.Zero(t, callsPlaced(pl, now.Add(time.Second)), "a pause does not end with a restart")
 	relist(pl, now.Add(2*pause), in, restricted, 7, true)
-	require.Empty(t, pl.restrictions)
+	require.Positive(t, callsPlaced(pl, now.Add(2*pause)))
+	require.Empty(t, pl.pauses)
 }
 
 // Guards against the end of a long stream or call that starts a pause again.
 func TestFinalReportDoesNotStartPause(t *testing.T) {
 	pl := newPlacer(newInputs(1))
-	pl.RecordReport(t0, Report{Upstream: restricted, Final: true, Result: Failed, PauseFor: time.Hour})
+	pl.RecordReport(t0, Report{Upstream: restricted, Address: restrictedAddress, Final: true, Result: Failed, PauseFor: time.Hour})
 	require.Positive(t, callsPlaced(pl, t0))
 }
 
@@ -177,8 +181,8 @@
 		require.Equal(t, paused, wait > 0)
 		return wait
 	}
-	pl.RecordReport(t0, Report{Upstream: "records-0", PauseFor: 3 * time.Second})
-	pl.RecordReport(t0, Report{Upstream: "records-1", PauseFor: 2 * time.Second})
+	pl.RecordReport(t0, Report{Upstream: "records-0", Address: "10.0.7.0:80", PauseFor: 3 * time.Second})
+	pl.RecordReport(t0, Report{Upstream: "records-1", Address: "10.0.7.1:80", PauseFor: 2 * time.Second})
 	require.Zero(t, remaining())
 	req.TriedUpstreams = []core.UpstreamID{"records-2"}
 	require.Zero(t, remaining(), "the next call may use the upstream")
@@ -198,7 +202,7 @@
 	const started = 7
 	announcements := map[string]Report{
 		"departure": {Upstream: restricted, StartedAtMs: started, Leaving: true},
-		"pause":     {Upstream: restricted, StartedAtMs: started, PauseFor: time.Hour},
+		"pause":     {Upstream: restricted, StartedAtMs: started, Address: restrictedAddress, PauseFor: time.Hour},
 	}
 	for name, announcement := range announcements {
 		t.Run(name, func(t *testing.T) {
@@ -211,8 +215,12 @@
 				relist(pl, now, in, restricted, older, true)
 				require.Zero(t, callsPlaced(pl, now), "start %d", older)
 			}
-			relist(pl, t0.Add(time.Minute), in, restricted, started+1, true)
-			require.Positive(t, callsPlaced(pl, t0.Add(time.Minute)))
+			ended := t0.Add(time.Minute)
+			if announcement.PauseFor > 0 {
+				ended = t0.Add(announcement.PauseFor + pauseMargin)
+			}
+			relist(pl, ended, in, restricted, started+1, true)
+			require.Positive(t, callsPlaced(pl, ended))
 		})
 	}
 }
@@ -224,7 +232,7 @@
 	in := newInputs(1)
 	pl := newPlacer(in)
 	relist(pl, t0, in, restricted, started, true)
-	pl.RecordReport(t0, Report{Upstream: restricted, StartedAtMs: started, PauseFor: time.Minute})
+	pl.RecordReport(t0, Report{Upstream: restricted, StartedAtMs: started, Address: restrictedAddress, PauseFor: time.Minute})
 	relist(pl, t0.Add(time.Second), in, restricted, started-1, true)
 	pl.RecordReport(t0.Add(time.Second), Report{Upstream: restricted, StartedAtMs: started - 1, Leaving: true})
 	relist(pl, t0.Add(2*time.Second), in, restricted, started, true)
@@ -238,24 +246,21 @@
 	const started = 7
 	in := newInputs(1)
 	pl := newPlacer(in)
-	pl.RecordReport(t0, Report{Upstream: restricted, PauseFor: time.Hour})
+	pl.RecordReport(t0, Report{Upstream: restricted, Address: restrictedAddress, PauseFor: time.Hour})
 	relist(pl, t0, in, restricted, started, true)
-	pl.RecordReport(t0, Report{Upstream: restricted, StartedAtMs: started, PauseFor: time.Second})
+	pl.RecordReport(t0, Report{Upstream: restricted, StartedAtMs: started, Address: restrictedAddress, PauseFor: time.Second})
 	relist(pl, t0.Add(500*time.Millisecond), in, restricted, 0, true)
 	require.Zero(t, callsPlaced(pl, t0.Add(time.Minute)))
 }
 
-// Guards against a new incarnation that gets no calls because a departure or a pause of
-// the previous one is received late, after the new one has asked for a short pause.
+// Guards against a new incarnation that gets no calls because a departure of the
+// previous one is received late, after the new one has asked for a short pause.
 func TestLateAnnouncementOfPreviousIncarnationDoesNotApply(t *testing.T) {
 	const started = 7
 	announcements := map[string]func(pl *Placer, now time.Time){
 		"departure": func(pl *Placer, now time.Time) {
 			pl.RecordReport(now, Report{Upstream: restricted, StartedAtMs: started, Leaving: true})
 		},
-		"pause": func(pl *Placer, now time.Time) {
-			pl.RecordReport(now, Report{Upstream: restricted, StartedAtMs: started, PauseFor: time.Hour})
-		},
 		"departure that another process has observed": func(pl *Placer, now time.Time) {
 			pl.ApplyObservation(now, sharing.Observation{Upstream: restricted, StartedAtMs: started, Leaving: true, ObservedAt: t0})
 		},
@@ -265,7 +270,7 @@
 			in := newInputs(1)
 			pl := newPlacer(in)
 			relist(pl, t0, in, restricted, started+1, true)
-			pl.RecordReport(t0, Report{Upstream: restricted, StartedAtMs: started + 1, PauseFor: time.Second})
+			pl.RecordReport(t0, Report{Upstream: restricted, StartedAtMs: started + 1, Address: restrictedAddress, PauseFor: time.Second})
 			announce(pl, t0.Add(500*time.Millisecond))
 			require.Positive(t, callsPlaced(pl, t0.Add(time.Minute)))
 			for _, departure := range pl.Departures(time.Time{}) {
@@ -274,3 +279,31 @@
 		})
 	}
 }
+
+// Guards against calls in a pause that an upstream named after it had started again, but
+// before its row said so: the pause then seems to be that of the previous incarnation. It
+// does not apply to another upstream at the address, or to the upstream at another address.
+func TestPauseOutlivesIncarnation(t *testing.T) {
+	const asked = time.Minute
+	in := newInputs(1)
+	pl := newPlacer(in)
+	pl.RecordReport(t0, Report{Upstream: restricted, Address: restrictedAddress, PauseFor: asked})
+	pl.RecordReport(t0, Report{Upstream: "records-1", Address: restrictedAddress, PauseFor: asked})
+	for i, started := range []int64{7, 8, 0} {
+		now := t0.Add(time.Duration(i+1) * time.Second)
+		relist(pl, now, in, restricted, started, true)
+		require.Zero(t, callsPlaced(pl, now), "start %d", started)
+	}
+	require.Positive(t, countChoices(pl, t0, 60, time.Millisecond, newPlainRequest())["records-1"], "listed at another address")
+	for i, row := range in.Upstreams {
+		if row.ID == restricted {
+			changed := *row.Upstream
+			changed.Address = "192.0.2.99:80"
+			in.Upstreams[i].Upstream = &changed
+		}
+	}
+	pl.SetInputs(t0.Add(5*time.Second), in)
+	require.Positive(t, callsPlaced(pl, t0.Add(5*time.Second)), "another address")
+	relist(pl, t0.Add(2*asked), in, restricted, 7, true)
+	require.Empty(t, pl.pauses)
+}
--- a/placement/table.go
+++ b/placement/table.go
@@ -59,9 +59,10 @@
 	ownLoadShare float64
 	// rateChanges are the changes of announced rates since TakeRateChanges.
 	rateChanges []RateChange
-	// restrictions are the restrictions of incarnations of upstreams, restrictionChanges
-	// the new ones since TakeRestrictionChanges.
-	restrictions       map[quarantine.Incarnation]*restriction
+	// departures and pauses are what upstreams have announced about new calls,
+	// restrictionChanges the new ones since TakeRestrictionChanges.
+	departures         map[quarantine.Incarnation]*departure
+	pauses             map[pauseSubject]*pause
 	restrictionChanges []RestrictionChange
 	// eventSources is the result of the last call of EventSources without the pauses.
 	eventSources []cacheevents.Source
@@ -94,7 +95,7 @@
 	return &Placer{
 		opts: opts, cacheIndex: index, upstreams: make(map[core.UpstreamID]*upstream),
 		retryBudgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*sourceLink), partServers: make(map[cacheindex.Key][]*upstream), oldestVersions: make(map[core.ModelID]oldestVersion),
-		meanPromptTokens: make(map[core.ServiceID]float64), restrictions: make(map[quarantine.Incarnation]*restriction),
+		meanPromptTokens: make(map[core.ServiceID]float64), departures: make(map[quarantine.Incarnation]*departure), pauses: make(map[pauseSubject]*pause),
 		residencies: make(map[core.ServiceID]*residency),
 	}
 }
--- a/placement/types.go
+++ b/placement/types.go
@@ -139,6 +139,8 @@
 type Report struct {
 	AttemptID AttemptID
 	Upstream  core.UpstreamID
+	// Address is the address to which the attempt was sent.
+	Address string
 	// StartedAtMs identifies the incarnation of the upstream.
 	StartedAtMs int64
 	// Final is set in the last report of an attempt. Only that report has a Result.
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -102,7 +102,8 @@
 	rejectionCostUntil time.Time
 	gate               admit.Gate
 	rate               announcedRate
-	// restriction combines the restrictions of the listed incarnation and of later ones.
+	// restriction combines the departures of the listed incarnation and of later ones with
+	// the pause at the listed address.
 	restriction restriction
 	// rank is this process's rank among the fronts over which the upstream's limits
 	// are divided, computed for the generation rankGeneration of the fronts.
@@ -172,7 +173,7 @@
 
 // leaving reports whether the upstream's row or the upstream itself announces that it
 // leaves.
-func (u *upstream) leaving() bool { return u.row.Draining || u.restriction.leaving() }
+func (u *upstream) leaving() bool { return u.row.Draining || u.restriction.leaving }
 
 func (u *upstream) updateWeights(model core.ModelID, version catalog.WeightNumber) {
 	if version > u.weights[model] {
