Keep an announced rate until an answer ends it

Cause: a rate that no answer had confirmed for 10 s ended, so that a server gets calls again when the fronts with its portions have failed. They then sent without a limit.

Change: the portions pass to the fronts of the next rank after each 12 s without an answer, and a front without a portion loses what it had left of one.

--- a/placement/ratelimit.go
+++ b/placement/ratelimit.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	// rateLimitTTL is the time after the last response, to any process, after which an
-	// announced rate no longer applies. It ends the limit of an upstream whose portions
-	// belong to processes that have failed.
-	rateLimitTTL = 10 * time.Second
+	// portionTimeout is the time without a response to any process after which the portions
+	// of an announced rate pass to the next processes, since those that have them may have
+	// failed. They pass on again after each further portionTimeout, in which the lowest rate
+	// that admit.SplitRate returns allows a call.
+	portionTimeout = 12 * time.Second
 	// rateLimitRepeat is the time for which the end of a limit is repeated to other
 	// processes, which may have no portion and so receive no response of their own.
 	rateLimitRepeat = 3 * time.Second
@@ -74,29 +75,30 @@
 // announces none. Such a rate is a number of calls whatever their size, so that the most
 // work is done when the larger calls are sent there. Smaller ones use what those leave.
 func (pl *Placer) checkRate(now time.Time, u *upstream, req Request) (allowed, avoid bool) {
-	pl.endStaleLimit(now, u)
 	if !u.rate.Limited {
 		return true, false
 	}
-	u.rate.pacer.SetRate(now, pl.localRate(now, u))
+	rate := pl.localRate(now, u)
+	if rate == 0 {
+		// What this process has left of an earlier portion now belongs to others.
+		u.rate.pacer = admit.NewPacer(now)
+	}
+	u.rate.pacer.SetRate(now, rate)
 	allowed, spare := u.rate.pacer.Allows(now)
 	return allowed, !spare && float64(req.Prompt.Tokens) < pl.meanPromptTokens[req.Service]
 }
 
-// endStaleLimit ends the limit of an upstream that no process has heard of.
-func (pl *Placer) endStaleLimit(now time.Time, u *upstream) {
-	if u.rate.Limited && now.Sub(u.rate.observedAt) > rateLimitTTL {
-		pl.updateRate(now, now, u, core.RateLimit{})
-	}
-}
-
-// localRate returns this process's portion of the rate that an upstream announces.
+// localRate returns this process's portion of the rate that an upstream announces. All
+// processes compute the same portions, except for the delay with which they receive the
+// last response, so that the announced rate also holds while the upstream does not
+// respond.
 func (pl *Placer) localRate(now time.Time, u *upstream) float64 {
 	rank, n, ok := pl.limitRank(now, u)
 	if !ok {
 		return 0
 	}
-	return admit.SplitRate(u.rate.PerSecond, n, rank)
+	passedOn := max(int(now.Sub(u.rate.observedAt)/portionTimeout), 0)
+	return admit.SplitRate(u.rate.PerSecond, n, (rank+passedOn)%max(n, 1))
 }
 
 // RateLimit returns the rate that an upstream announces, as far as this process knows.
