Give each set of isolated workspaces its own common salt

Cause: when a workspace becomes isolated, the others keep the common salt, under which it has made parts before.

Change: the common scope in the salt has a hash of the set of isolated workspaces, and the salt is computed from the configuration in force instead of the workspace as of the call's arrival.

--- a/placement/caches.go
+++ b/placement/caches.go
@@ -166,8 +166,10 @@
 }
 
 // MarkCachesStale stops fetches from the memory of each server until its next
-// response to a request for events.
+// response to a request for events. The times after which former scopes are freed begin
+// again. It is called after a suspension.
 func (pl *Placer) MarkCachesStale() {
+	pl.isolation.former = nil
 	for _, u := range pl.upstreams {
 		u.lastEventAt = time.Time{}
 	}
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -122,7 +122,7 @@
 // same version, so the last salt is cached for the rest of the call's placement.
 func (pl *Placer) salt(req Request, weights catalog.WeightNumber) string {
 	if pl.lastSalt == "" || pl.lastWeights != weights {
-		pl.lastSalt, pl.lastWeights = Salt(req.Prompt.Model, weights, req.Workspace), weights
+		pl.lastSalt, pl.lastWeights = Salt(req.Prompt.Model, weights, pl.isolation.scope(req.Workspace)), weights
 	}
 	return pl.lastSalt
 }
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -174,14 +174,17 @@
 	}
 }
 
-// Obsolete reports whether parts under a salt can be freed: for obsoleteDelay, no
-// upstream has had the salt's weight version or an older one, so that transfers of
-// these parts have finished.
+// Obsolete reports whether parts under a salt can be freed. Either no upstream has had the
+// salt's weight version or an older one for obsoleteDelay, so that transfers of these parts
+// have finished, or the scope of the salt is not in use.
 func (pl *Placer) Obsolete(now time.Time, salt string) bool {
-	model, version, ok := ParseSalt(salt)
+	fields, ok := ParseSalt(salt)
 	if !ok {
 		return false
 	}
-	oldest, ok := pl.oldestVersions[model]
-	return ok && version < oldest.version && now.Sub(oldest.observedAt) >= obsoleteDelay
+	oldest, ok := pl.oldestVersions[fields.Model]
+	if ok && fields.Weights < oldest.version && now.Sub(oldest.observedAt) >= obsoleteDelay {
+		return true
+	}
+	return pl.isolation.unused(now, fields.Scope)
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -316,24 +316,27 @@
 // Guards against cached parts that are used across the boundary of an isolated
 // workspace or across weight versions.
 func TestSaltSeparatesWorkspacesAndWeights(t *testing.T) {
+	none := newIsolation()
 	open := &catalog.Workspace{ID: "open"}
 	isolated := &catalog.Workspace{ID: "isolated", Isolated: true}
-	require.Equal(t, Salt(model, 1, open), Salt(model, 1, nil))
-	require.NotEqual(t, Salt(model, 1, isolated), Salt(model, 1, open))
-	require.NotEqual(t, Salt(model, 1, isolated), Salt(model, 1, &catalog.Workspace{ID: "other", Isolated: true}))
-	require.NotEqual(t, Salt(model, 1, open), Salt(model, 2, open))
-	name, version, ok := ParseSalt(Salt("a/b", 7, isolated))
+	salt := func(version catalog.WeightNumber, w *catalog.Workspace) string {
+		return Salt(model, version, none.scope(w))
+	}
+	require.Equal(t, salt(1, open), salt(1, nil))
+	require.NotEqual(t, salt(1, isolated), salt(1, open))
+	require.NotEqual(t, salt(1, isolated), salt(1, &catalog.Workspace{ID: "other", Isolated: true}))
+	require.NotEqual(t, salt(1, open), salt(2, open))
+	fields, ok := ParseSalt(Salt("a/b", 7, none.scope(isolated)))
 	require.True(t, ok)
-	require.Equal(t, core.ModelID("a/b"), name)
-	require.Equal(t, catalog.WeightNumber(7), version)
-	_, _, ok = ParseSalt("foreign")
+	require.Equal(t, SaltFields{Model: "a/b", Weights: 7, Scope: "=isolated"}, fields)
+	_, ok = ParseSalt("foreign")
 	require.False(t, ok)
 }
 
 // Guards against a part that is read although another server has it, and against
 // fetching a part that a server has not reported itself.
 func TestPlanFetchesFromServers(t *testing.T) {
-	part := cacheindex.Key{Salt: Salt(model, 1, nil), ID: "a"}
+	part := cacheindex.Key{Salt: Salt(model, 1, commonScope), ID: "a"}
 	placer := newPlacer(newInputs(1))
 	placer.EventSources(t0) // records the addresses of the servers
 	req := Request{Service: engines, Prompt: newPrompt("a"), TriedUpstreams: []core.UpstreamID{"engines-1", "engines-2", "engines-3"}}
@@ -375,7 +378,7 @@
 // Guards against fetches over a slow link while reading the part is faster.
 func TestSlowLinkIsAvoidedUntilItRecovers(t *testing.T) {
 	placer := newPlacer(newInputs(1))
-	placer.cacheIndex.SetContent(t0, storeAddress, 1, []cacheindex.CachedPart{{Key: cacheindex.Key{Salt: Salt(model, 1, nil), ID: "a"}, Tokens: 2000}})
+	placer.cacheIndex.SetContent(t0, storeAddress, 1, []cacheindex.CachedPart{{Key: cacheindex.Key{Salt: Salt(model, 1, commonScope), ID: "a"}, Tokens: 2000}})
 	req := Request{Service: engines, Prompt: newPrompt("a"), TriedUpstreams: []core.UpstreamID{"engines-1", "engines-2", "engines-3"}}
 	choice, _ := placer.Choose(t0, req)
 	require.Equal(t, storeAddress, choice.FetchFrom[0])
@@ -386,7 +389,7 @@
 	choice, _ = placer.Choose(t0.Add(time.Millisecond), req)
 	require.Empty(t, choice.FetchFrom[0])
 	later := t0.Add(15 * time.Second)
-	placer.cacheIndex.SetContent(later, storeAddress, 1, []cacheindex.CachedPart{{Key: cacheindex.Key{Salt: Salt(model, 1, nil), ID: "a"}, Tokens: 2000}})
+	placer.cacheIndex.SetContent(later, storeAddress, 1, []cacheindex.CachedPart{{Key: cacheindex.Key{Salt: Salt(model, 1, commonScope), ID: "a"}, Tokens: 2000}})
 	placer.upstreams["engines-0"].clearCache()
 	choice, _ = placer.Choose(later, req)
 	require.Equal(t, storeAddress, choice.FetchFrom[0])
@@ -396,7 +399,7 @@
 func TestPartsAreObsoleteOnlyWhenNoUpstreamHasTheirWeights(t *testing.T) {
 	in := newInputs(1)
 	placer := newPlacer(in)
-	old := Salt(model, 1, nil)
+	old := Salt(model, 1, commonScope)
 	later := func(s int) time.Time { return t0.Add(time.Duration(s) * time.Second) }
 	for i := range 3 {
 		placer.RecordReport(t0, Report{Upstream: core.UpstreamID(fmt.Sprintf("engines-%d", i)), Model: model, Weights: 2})
@@ -407,7 +410,7 @@
 	placer.UpdateOldestWeights(later(100))
 	require.False(t, placer.Obsolete(later(101), old), "a transfer may be in progress")
 	require.True(t, placer.Obsolete(later(104), old))
-	require.False(t, placer.Obsolete(later(104), Salt(model, 2, nil)))
+	require.False(t, placer.Obsolete(later(104), Salt(model, 2, commonScope)))
 	require.False(t, placer.Obsolete(later(104), "of another writer"))
 }
 
--- a/placement/table.go
+++ b/placement/table.go
@@ -47,6 +47,7 @@
 	lastSalt    string
 	lastWeights catalog.WeightNumber
 	cacheStores []catalog.CacheStore
+	isolation   isolation
 	// serverByAddress contains all model servers by address.
 	serverByAddress map[string]core.UpstreamID
 	lastAttemptID   AttemptID
@@ -96,7 +97,7 @@
 		opts: opts, cacheIndex: index, upstreams: make(map[core.UpstreamID]*upstream),
 		retryBudgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*sourceLink), partServers: make(map[cacheindex.Key][]*upstream), oldestVersions: make(map[core.ModelID]oldestVersion),
 		meanPromptTokens: make(map[core.ServiceID]float64), departures: make(map[quarantine.Incarnation]*departure), pauses: make(map[pauseSubject]*pause),
-		residencies: make(map[core.ServiceID]*residency),
+		residencies: make(map[core.ServiceID]*residency), isolation: newIsolation(),
 	}
 }
 
@@ -129,6 +130,7 @@
 	if in.Config != nil {
 		pl.services = in.Config.Services
 		pl.cacheStores = in.Config.CacheStores
+		pl.isolation.set(in.Config)
 		pl.cacheIndex.SetStores(in.Config.CacheStores)
 	}
 }
--- a/placement/transfers_test.go
+++ b/placement/transfers_test.go
@@ -21,7 +21,7 @@
 	placer.SetInputs(now, in)
 	var parts []cacheindex.CachedPart
 	for i := range n {
-		key := cacheindex.Key{Salt: Salt(model, 1, nil), ID: core.PartID(fmt.Sprintf("shared-%d", i))}
+		key := cacheindex.Key{Salt: Salt(model, 1, commonScope), ID: core.PartID(fmt.Sprintf("shared-%d", i))}
 		parts = append(parts, cacheindex.CachedPart{Key: key, Tokens: 2000})
 	}
 	index.SetContent(now, storeAddress, 1, parts)
--- a/placement/types.go
+++ b/placement/types.go
@@ -5,7 +5,6 @@
 package placement
 
 import (
-	"strconv"
 	"time"
 
 	"waxwingtide.example/waxwingtide/canary"
@@ -169,36 +168,3 @@
 	// not report one.
 	ColdRemaining time.Duration
 }
-
-// Salt returns the cache salt of a model's prompts under a weight version. Only
-// calls with equal salts use the same cached parts. Models, weight versions and
-// isolated workspaces have different salts.
-func Salt(model core.ModelID, version catalog.WeightNumber, workspace *catalog.Workspace) string {
-	scope := "*"
-	if workspace != nil && workspace.Isolated {
-		scope = "=" + string(workspace.ID)
-	}
-	return strconv.FormatUint(uint64(version), 10) + "/" + string(model) + "/" + scope
-}
-
-// ParseSalt returns the model and the weight version of a salt, or false for a
-// string that does not have the format of Salt.
-func ParseSalt(salt string) (core.ModelID, catalog.WeightNumber, bool) {
-	firstSlash, lastSlash := -1, -1
-	for i := range len(salt) {
-		if salt[i] == '/' {
-			if firstSlash < 0 {
-				firstSlash = i
-			}
-			lastSlash = i
-		}
-	}
-	if firstSlash < 0 || firstSlash == lastSlash {
-		return "", 0, false
-	}
-	version, err := strconv.ParseUint(salt[:firstSlash], 10, 64)
-	if err != nil {
-		return "", 0, false
-	}
-	return core.ModelID(salt[firstSlash+1 : lastSlash]), catalog.WeightNumber(version), true
-}
