Keep the parts in quarantine in the platform's store

Cause: quarantines were in the memory of the fronts only. After the end of all fronts, the part had to crash servers again, and fronts that have just started want twice the evidence.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -28,6 +28,7 @@
 	"waxwingtide.example/waxwingtide/gateway"
 	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/platform"
+	quarantinestore "waxwingtide.example/waxwingtide/quarantine/store"
 	"waxwingtide.example/waxwingtide/rendezvous"
 	"waxwingtide.example/waxwingtide/settings"
 	"waxwingtide.example/waxwingtide/sharing"
@@ -61,6 +62,9 @@
 	// and other registered fronts.
 	onlyFrontInterval = 100 * time.Millisecond
 	deregisterTimeout = 300 * time.Millisecond
+	// quarantineReadTimeout is the maximum time for which a start waits for the parts in
+	// quarantine. Without them, calls crash servers again.
+	quarantineReadTimeout = 500 * time.Millisecond
 	// collectorSubject is the subject by which rendezvous hashing ranks the
 	// collectors of observations.
 	collectorSubject = "observations"
@@ -155,10 +159,11 @@
 	p.exchanger = sharing.New(sharing.Options{
 		Self: s.Node, Candidates: p.collectorCandidates, Exchange: p.exchangeObservations, Sender: p.fleet.Sender, ObserveEpoch: p.fleet.ObserveEpoch, Log: p.log,
 	})
+	quarantines := quarantinestore.New(store, p.log)
 	g, err := gateway.New(gateway.Options{
 		Fleet: p.fleet, CacheFeed: cacheevents.New(engines, p.ownsFrees, p.relay, relayClient{p.dialer}, p.log), Codec: platform.CallCodec{},
-		Observations: p.exchanger,
-		Client:       upstreamhttp.NewClient(platform.NewUpstreamDialer(connectTimeout)), RequestMemory: memory.requests, ResponseMemory: memory.responses, CacheMemory: memory.keptCache,
+		Observations: p.exchanger, QuarantineStore: quarantines,
+		Client: upstreamhttp.NewClient(platform.NewUpstreamDialer(connectTimeout)), RequestMemory: memory.requests, ResponseMemory: memory.responses, CacheMemory: memory.keptCache,
 		CanaryShare: s.Rollout.CanaryShare, StatusWriter: canary.NewStatusWriter(store, platform.RowCodec{}, p.log),
 		Placement: placementOptions(s), Log: p.log, Meter: p.metrics.Meter("gateway"), Random: rand.Float64,
 	})
@@ -181,6 +186,8 @@
 	g.Start(p.group)
 	p.group.Go("weights", loader.Run)
 	p.group.Go("settings", p.watchSettings)
+	p.group.Go("quarantine store", quarantines.Run)
+	quarantines.AwaitFirstRead(p.group.Context(), quarantineReadTimeout)
 	if err := p.listen(); err != nil {
 		return err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"waxwingtide.example/waxwingtide/fleet"
 	"waxwingtide.example/waxwingtide/membudget"
 	"waxwingtide.example/waxwingtide/placement"
+	quarantinestore "waxwingtide.example/waxwingtide/quarantine/store"
 	"waxwingtide.example/waxwingtide/sharing"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
 )
@@ -55,8 +56,10 @@
 	// version.
 	CanaryShare  float64
 	StatusWriter *canary.StatusWriter
-	Log          logrus.FieldLogger
-	Meter        metric.Meter
+	// QuarantineStore keeps the parts in quarantine over restarts.
+	QuarantineStore *quarantinestore.Keeper
+	Log             logrus.FieldLogger
+	Meter           metric.Meter
 	// Random returns a number from 0 to 1. It distributes calls over the targets of a
 	// route.
 	Random func() float64
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -13,6 +13,7 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/quarantine"
+	quarantinestore "waxwingtide.example/waxwingtide/quarantine/store"
 )
 
 const (
@@ -92,6 +93,9 @@
 			r.quarantine.DismissCrash(now, result.incarnation)
 		}
 	}
+	for stored, ok := r.quarantineStore.Stored().TryReceive(); ok; stored, ok = r.quarantineStore.Stored().TryReceive() {
+		r.quarantine.Merge(now, quarantine.Evidence{States: stored})
+	}
 	for evidence, ok := r.observations.RemoteEvidence().TryReceive(); ok; evidence, ok = r.observations.RemoteEvidence().TryReceive() {
 		r.quarantine.Merge(now, evidence)
 	}
@@ -106,6 +110,26 @@
 	if outgoing := r.quarantine.TakeOutgoing(); !outgoing.Empty() {
 		r.observations.RecordEvidence(outgoing)
 	}
+	r.storeQuarantines()
+}
+
+// storeQuarantines passes the changed states that this process has to write to the duty
+// that writes them.
+func (r *router) storeQuarantines() {
+	for _, change := range r.quarantine.TakeChanges() {
+		if !r.quarantineStore.Offer(quarantinestore.Change{Change: change, Generation: r.storeGeneration}) {
+			r.logQuarantine(change.Part, 0).WithField("version", change.Version).Warn("too many changes of quarantines; one is not written to the metadata store")
+		}
+	}
+}
+
+// repeatAfterRestore makes the quarantines be written again when the content of the store
+// was restored from a copy, which may lack them.
+func (r *router) repeatAfterRestore(generation core.Generation) {
+	if generation > r.storeGeneration {
+		r.storeGeneration = generation
+		r.quarantine.RepeatChanges()
+	}
 }
 
 // checkQuarantine reports whether a call must not be sent because of a part of its
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -17,6 +17,7 @@
 	"waxwingtide.example/waxwingtide/fleet"
 	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/quarantine"
+	quarantinestore "waxwingtide.example/waxwingtide/quarantine/store"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/sharing"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
@@ -98,10 +99,14 @@
 	// activeQuarantines is read by the metrics.
 	activeQuarantines   atomic.Pointer[[]quarantine.Active]
 	quarantinesLoggedAt time.Time
-	crashChecker        *crashChecker
-	options             *ring.Ring[placement.Options]
-	log                 logrus.FieldLogger
-	suspensionWatch     clock.SuspensionDetector
+	quarantineStore     *quarantinestore.Keeper
+	// storeGeneration is the newest generation of the metadata store's content that the
+	// view has had.
+	storeGeneration core.Generation
+	crashChecker    *crashChecker
+	options         *ring.Ring[placement.Options]
+	log             logrus.FieldLogger
+	suspensionWatch clock.SuspensionDetector
 }
 
 func newRouter(opts Options) *router {
@@ -111,7 +116,7 @@
 		connections: make(map[core.UpstreamID]*connections), placeRequests: ring.New[placeRequest](placeRingSize), waiting: newWaitingCalls(),
 		rollouts: canary.New(opts.Placement.Node, opts.CanaryShare), statusWriter: opts.StatusWriter, random: opts.Random,
 		reports:    ring.New[attemptReport](reportRingSize),
-		quarantine: quarantine.New(opts.Placement.Node, time.Now()), crashChecker: newCrashChecker(opts.Client.Refuses), options: ring.New[placement.Options](1), log: opts.Log,
+		quarantine: quarantine.New(opts.Placement.Node, time.Now()), quarantineStore: opts.QuarantineStore, crashChecker: newCrashChecker(opts.Client.Refuses), options: ring.New[placement.Options](1), log: opts.Log,
 	}
 	if opts.Meter == nil {
 		return r
@@ -141,6 +146,7 @@
 		case <-r.observations.NewBoards().Ready():
 		case <-r.observations.RemoteVerdicts().Ready():
 		case <-r.crashChecker.results.Ready():
+		case <-r.quarantineStore.Stored().Ready():
 		case <-r.reports.Ready():
 		case <-r.placeRequests.Ready():
 		case <-r.waiting.timer.C:
@@ -359,6 +365,7 @@
 	}
 	r.placer.SetInputs(now, inputs)
 	r.quarantine.SetFronts(inputs.Fronts)
+	r.repeatAfterRestore(v.MembersGeneration)
 	r.rollouts.SetInputs(now, canary.Inputs{Rollouts: v.Rollouts, Upstreams: v.Upstreams, Fronts: inputs.Fronts})
 	r.cacheFeed.SetSources(r.placer.EventSources(now))
 	updated := make(map[core.UpstreamID]*connections, len(v.Upstreams))
--- a/gateway/router_test.go
+++ b/gateway/router_test.go
@@ -14,6 +14,7 @@
 	"waxwingtide.example/waxwingtide/fleet"
 	"waxwingtide.example/waxwingtide/membudget"
 	"waxwingtide.example/waxwingtide/placement"
+	quarantinestore "waxwingtide.example/waxwingtide/quarantine/store"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/sharing"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
@@ -29,7 +30,7 @@
 	r := newRouter(Options{
 		Fleet: fleet.New(fleet.Options{}), CacheFeed: cacheevents.New(nil, nil, cacheevents.NewRelay(1), nil, log),
 		Observations: sharing.New(sharing.Options{}), Client: upstreamhttp.NewClient(nil), CacheMemory: membudget.New("kept_cache", 1<<20),
-		Placement: placement.Options{RetryWindow: time.Second}, Log: log, Random: random,
+		Placement: placement.Options{RetryWindow: time.Second}, Log: log, Random: random, QuarantineStore: quarantinestore.New(nil, log),
 	})
 	config := &catalog.Config{Services: map[core.ServiceID]*catalog.Service{testService: {ID: testService}}}
 	inputs := placement.Inputs{Config: config.Index()}
--- a/quarantine/active.go
+++ b/quarantine/active.go
@@ -58,8 +58,11 @@
 	}
 }
 
-// removeState forgets the state of a part.
+// removeState forgets the state of a part, which is no longer in quarantine then.
 func (t *Tracker) removeState(s State) {
 	delete(t.states, s.Part)
+	if s.Quarantined() {
+		t.recordChange(State{Part: s.Part, Version: s.Version + 1, Until: s.Until})
+	}
 	t.endActive(s)
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -25,6 +25,8 @@
 	// implicated are the parts of which one more crash would complete the evidence.
 	implicated map[Part]bool
 	outgoing   Evidence
+	// changes contains the changed states for TakeChanges.
+	changes map[Part]State
 	// changed is set when there is new evidence since the last Evaluate, unsettled
 	// when evidence was complete but for settleTime.
 	changed     bool
@@ -37,7 +39,7 @@
 func New(self core.NodeID, now time.Time) *Tracker {
 	return &Tracker{
 		self: self, startedAt: now, broken: make(map[Incarnation]*unconfirmed), awaiting: make(map[Incarnation]*unconfirmed), crashes: newCrashLog(), answers: newAnswerLog(),
-		states: make(map[Part]State), active: make(map[Part]*Active), implicated: make(map[Part]bool),
+		states: make(map[Part]State), active: make(map[Part]*Active), implicated: make(map[Part]bool), changes: make(map[Part]State),
 	}
 }
 
@@ -116,6 +118,7 @@
 
 func (t *Tracker) storeState(now time.Time, s State) {
 	t.states[s.Part] = s
+	t.recordChange(s)
 	t.updateActive(now, s)
 	t.changed = true
 	if len(t.states) <= maxStates {
