Bound the wait for the trial of a stored quarantine

Cause: times are stored on the store's clock. If that began again, a quarantine that is read would last for as long as the clock had run.

Change: the wait is at most 10 minutes, as long as the longest quarantine.

Result: TestWaitForTrialIsBounded fails without the bound. No run has shown such a clock.

--- a/quarantine/store/row.go
+++ b/quarantine/store/row.go
@@ -27,6 +27,9 @@
 	// retention is the time after the time of its next trial for which a part is read. A
 	// part with which calls come has had its trial then.
 	retention = 10 * time.Minute
+	// maxWait bounds the time until the trial of a part that is read, since the store's clock
+	// may have begun again.
+	maxWait = 10 * time.Minute
 	// maxRemovedRows is the number of rows of older generations that one write removes, of
 	// the 100 entries that a transaction may have.
 	maxRemovedRows = 90
@@ -102,7 +105,7 @@
 func (c content) states(now time.Time) []quarantine.State {
 	out := make([]quarantine.State, 0, len(c.entries))
 	for part, e := range c.entries {
-		out = append(out, quarantine.State{Part: part, Version: e.version, Until: now.Add(e.until - c.storeNow)})
+		out = append(out, quarantine.State{Part: part, Version: e.version, Until: now.Add(min(e.until-c.storeNow, maxWait))})
 	}
 	return out
 }
--- a/quarantine/store/row_test.go
+++ b/quarantine/store/row_test.go
@@ -42,3 +42,14 @@
 	require.Empty(t, tx.Puts)
 	require.Len(t, tx.Removes, 1)
 }
+
+// Guards against a quarantine without end because the clock of the store has begun again.
+func TestWaitForTrialIsBounded(t *testing.T) {
+	now := time.Now()
+	c := newContent(fleet.StoreResponse{Now: 100 * time.Hour})
+	part := quarantine.Part{Model: "m", ID: "bad"}
+	require.True(t, c.apply(now, []quarantine.State{{Part: part, Version: 1, Until: now.Add(time.Minute)}}))
+	require.WithinDuration(t, now.Add(time.Minute), c.states(now)[0].Until, 0)
+	c.storeNow = 0
+	require.WithinDuration(t, now.Add(maxWait), c.states(now)[0].Until, 0)
+}
