--- a/placement/table.go
+++ b/placement/table.go
@@ -47,6 +47,7 @@
 	lastSalt    string
 	lastWeights catalog.WeightNumber
 	cacheStores []catalog.CacheStore
+	isolation   isolation
 	// serverByAddress contains all model servers by address.
 	serverByAddress map[string]core.UpstreamID
 	lastAttemptID   AttemptID
@@ -59,9 +60,10 @@
 	ownLoadShare float64
 	// rateChanges are the changes of announced rates since TakeRateChanges.
 	rateChanges []RateChange
-	// restrictions are the restrictions of incarnations of upstreams, restrictionChanges
-	// the new ones since TakeRestrictionChanges.
-	restrictions       map[quarantine.Incarnation]*restriction
+	// departures and pauses are what upstreams have announced about new calls,
+	// restrictionChanges the new ones since TakeRestrictionChanges.
+	departures         map[quarantine.Incarnation]*departure
+	pauses             map[pauseSubject]*pause
 	restrictionChanges []RestrictionChange
 	// eventSources is the result of the last call of EventSources without the pauses.
 	eventSources []cacheevents.Source
@@ -94,8 +96,8 @@
 	return &Placer{
 		opts: opts, cacheIndex: index, upstreams: make(map[core.UpstreamID]*upstream),
 		retryBudgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*sourceLink), partServers: make(map[cacheindex.Key][]*upstream), oldestVersions: make(map[core.ModelID]oldestVersion),
-		meanPromptTokens: make(map[core.ServiceID]float64), restrictions: make(map[quarantine.Incarnation]*restriction),
-		residencies: make(map[core.ServiceID]*residency),
+		meanPromptTokens: make(map[core.ServiceID]float64), departures: make(map[quarantine.Incarnation]*departure), pauses: make(map[pauseSubject]*pause),
+		residencies: make(map[core.ServiceID]*residency), isolation: newIsolation(),
 	}
 }
 
@@ -128,6 +130,7 @@
 	if in.Config != nil {
 		pl.services = in.Config.Services
 		pl.cacheStores = in.Config.CacheStores
+		pl.isolation.set(in.Config)
 		pl.cacheIndex.SetStores(in.Config.CacheStores)
 	}
 }
