Let the burst model wait as the gateway does

Calls of the model now wait for 0.4 of the time until their deadline and are late after 0.6 of their target latency, as in the gateway. The checks are unchanged and pass.

--- a/placement/burst_model_test.go
+++ b/placement/burst_model_test.go
@@ -33,6 +33,7 @@
 	modelOwnTokens     = 2000
 	modelOutput        = 300
 	modelTarget        = 600 * time.Millisecond
+	modelDeadline      = 10 * modelTarget
 	modelCallsPerTick  = 0.036
 	modelLength        = 55 * time.Second
 	modelFinalPeriod   = 15 * time.Second
@@ -191,7 +192,9 @@
 	prompt := core.Prompt{Model: model, Tokens: modelHistoryTokens + modelOwnTokens, MaxOutputTokens: modelOutput, Parts: []core.Part{history, {ID: "own", Tokens: modelOwnTokens}}}
 	c := &modelCall{front: m.random.IntN(modelFronts), arrivedAt: now, prompt: prompt, output: modelOutput}
 	if !m.place(now, c, 0) {
-		m.waiting[c.front].Add(now, waitlist.Call[*modelCall]{Value: c, Since: now, Until: now.Add(modelTarget * 6 / 10)})
+		m.waiting[c.front].Add(now, waitlist.Call[*modelCall]{
+			Value: c, Tokens: callMemory(prompt), Since: now, OnTimeUntil: now.Add(modelTarget * 6 / 10), Until: now.Add(modelDeadline * 4 / 10), Deadline: now.Add(modelDeadline),
+		})
 	}
 }
 
@@ -214,7 +217,7 @@
 func (m *burstModel) retry(now time.Time) {
 	for i, list := range m.waiting {
 		list.TakeExpired(now)
-		list.Try(list.Len(), func(c waitlist.Call[*modelCall]) bool { return m.place(now, c.Value, c.WaitedShare(now)) })
+		list.Try(now, list.Len(), func(c waitlist.Call[*modelCall]) bool { return m.place(now, c.Value, c.WaitedShare(now)) })
 		m.placers[i].cacheIndex.ApplyEvents(now, storeAddress, 1, nil, nil)
 	}
 }
