Keep the pace of each upstream and learn the rate of reading

The fourth figure of Server-Load was dropped, running and waiting calls were added up on decoding, and prompts were estimated at one configured rate everywhere. The figures are decoded into core.UpstreamLoad, each on its own. Package placement/pace keeps the slowdown of each upstream, announced or observed, as a fast and a slow mean, and the rate of reading and the typical time of a service. The board shares them. Lateness is charged only as far as an observed slowdown does not explain it.

--- a/gateway/router.go
+++ b/gateway/router.go
@@ -302,17 +302,18 @@
 // publishObservation sends the other processes the load of an upstream, the rate or the
 // departure that it announces, or that it is unreachable, if the report contains it.
 func (r *router) publishObservation(now time.Time, report placement.Report) {
-	o := sharing.Observation{Upstream: report.Upstream, Load: report.Load, ObservedAt: now}
+	o := sharing.Observation{Upstream: report.Upstream, ObservedAt: now}
 	if report.Final {
 		o.Unreachable = report.Result == placement.Unreachable && r.placer.Excluded(now, report.Upstream)
 	} else {
-		o.HasLoad = report.HasLoad
+		o.Load, o.HasLoad = report.Load.Calls()
+		o.Waiting, o.Slowdown, o.SlowdownSample = report.Load.Waiting, report.Load.Slowdown, r.placer.SlowdownSample(now, report.Upstream)
 		o.Leaving, o.StartedAtMs = report.Leaving, report.StartedAtMs
 		if limit, repeat := r.placer.RateLimit(now, report.Upstream); report.HasRateLimit && repeat {
 			o.HasRateLimit, o.RateLimit = true, limit
 		}
 	}
-	if o.Unreachable || o.HasLoad || o.HasRateLimit || o.Leaving {
+	if o.Unreachable || o.ContainsLoad() || o.HasRateLimit || o.Leaving {
 		r.observations.Record(o)
 	}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -242,7 +242,7 @@
 		return s.handleNoResponse(ctx, p, report, sentAt, err)
 	}
 	response := s.gateway.opts.Codec.DecodeResponse(x.Response.StatusCode, x.Response.Header)
-	report.Load, report.HasLoad, report.Weights, report.ColdRemaining = response.Load, response.HasLoad, response.Weights, response.ColdRemaining
+	report.Load, report.Weights, report.ColdRemaining = response.Load, response.Weights, response.ColdRemaining
 	report.RateLimit, report.HasRateLimit = response.RateLimit, response.fromUpstreamItself()
 	report.Leaving, report.PauseFor = response.announcesDeparture(), response.requestedPause()
 	firstByte := time.Since(sentAt)
@@ -338,6 +338,12 @@
 		"expected_ms": p.choice.ExpectedFirstByte.Milliseconds(), "first_ms": times.firstByte.Milliseconds(), "took_ms": time.Since(times.sentAt).Milliseconds(),
 		"reused": reused, "status": response.Status, "result": o.result, "not_run": o.notRun, "number": len(s.attemptedUpstreams),
 	})
+	if calls, ok := response.Load.Calls(); ok {
+		entry = entry.WithFields(logrus.Fields{"load": calls, "waiting": response.Load.Waiting})
+	}
+	if response.Load.Slowdown > 0 {
+		entry = entry.WithField("slowdown", response.Load.Slowdown)
+	}
 	if o.err != nil {
 		entry = entry.WithError(o.err)
 	}
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -47,8 +47,8 @@
 	// Close is set when the upstream closes the connection after the response.
 	Close   bool
 	Weights catalog.WeightNumber
-	Load    int
-	HasLoad bool
+	// Load is the load that the upstream states.
+	Load core.UpstreamLoad
 	// RateLimit is the rate of calls that the upstream announces.
 	RateLimit core.RateLimit
 	// Leaving is set when the response announces that the upstream leaves.
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -29,7 +29,7 @@
 				if refusal != NotRefused {
 					b.Fatal(refusal)
 				}
-				r := Report{AttemptID: choice.AttemptID, Upstream: choice.Upstream.ID, Model: model, Weights: 1, Load: 3, HasLoad: true}
+				r := Report{AttemptID: choice.AttemptID, Upstream: choice.Upstream.ID, Model: model, Weights: 1, Load: core.NewUpstreamLoad(3, 0)}
 				placer.RecordReport(now, r)
 				r.Final = true
 				placer.RecordReport(now, r)
--- a/placement/burst_model_test.go
+++ b/placement/burst_model_test.go
@@ -237,7 +237,7 @@
 func (m *burstModel) answer(now time.Time, at time.Duration, e *modelEngine, c *modelCall) {
 	e.touch(c.history())
 	m.placers[c.front].RecordReport(now, Report{
-		AttemptID: c.choice.AttemptID, Upstream: c.choice.Upstream.ID, FirstByte: now.Sub(c.arrivedAt), Load: len(e.running) + len(e.queue), HasLoad: true,
+		AttemptID: c.choice.AttemptID, Upstream: c.choice.Upstream.ID, FirstByte: now.Sub(c.arrivedAt), Load: core.NewUpstreamLoad(len(e.running), len(e.queue)),
 	})
 	kept := []cacheindex.CachedPart{{Key: c.history(), Tokens: modelHistoryTokens}}
 	for _, placer := range m.placers {
--- a/placement/caches.go
+++ b/placement/caches.go
@@ -157,6 +157,8 @@
 	if o.HasLoad && o.ObservedAt.After(u.otherCallsAt) {
 		u.setReportedLoad(o.ObservedAt, o.Load)
 	}
+	u.slowdown.Announce(o.ObservedAt, o.Slowdown)
+	u.slowdown.Observe(o.ObservedAt, o.SlowdownSample)
 	if o.HasRateLimit {
 		pl.updateRate(now, o.ObservedAt, u, o.RateLimit)
 	}
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -93,10 +93,11 @@
 	if newer, outdated := pl.weightHistory[req.Prompt.Model].FirstAbove(p.weights); outdated {
 		seenBefore = newer.RequestedAt.Add(-weightChangeMargin)
 	}
+	readingRate := pl.readingRate(service.ID) / u.slowdown.Current(now)
 	for i, part := range req.Prompt.ShareableParts() {
 		key := cacheindex.Key{Salt: p.salt, ID: part.ID}
 		source, f, ms, found := pl.bestSource(now, service.Engine, u, key, part.Tokens, seenBefore)
-		worthFetching := found && ms+remainingMs(now, u.fetchBusyUntil) < float64(part.Tokens)/pl.opts.PrefillTokensPerMs+recomputeCost(part.Tokens)
+		worthFetching := found && ms+remainingMs(now, u.fetchBusyUntil) < float64(part.Tokens)/readingRate+recomputeCost(part.Tokens)
 		cached := u.cachedParts.Contains(key)
 		if worthFetching || found && cached {
 			p.fetchFrom[i] = source.Address
@@ -159,8 +160,8 @@
 // estimateCost estimates the time to the first byte in milliseconds and adds
 // penalties, for example for failures, memory pressure or older weights.
 func (pl *Placer) estimateCost(now time.Time, service *catalog.Service, u *upstream, req Request, p plan) float64 {
-	load := u.load(now)
-	ms := u.lateness.current(now) + max(u.longestOverdueMs(now), 0) + failureCost*u.currentFailureShare(now)
+	workMs := pl.workMs(now, service, u, p)
+	ms := workMs + u.unexplainedLatenessMs(now, workMs) + failureCost*u.currentFailureShare(now)
 	if now.Before(u.rejectionCostUntil) {
 		ms += rejectionCost
 	}
@@ -168,10 +169,9 @@
 		ms += crossDomainCost + crossDomainCostPerByte*float64(req.Bytes)
 	}
 	if service.Engine == nil {
-		slots := max(float64(u.row.Slots), 1)
-		return ms + baseCallCost*(1+load/slots)
+		return ms
 	}
-	ms += float64(u.unreadTokens+p.readTokens)/pl.opts.PrefillTokensPerMs + p.fetchMs + p.queuedBeforeMs + runningCallCost*load
+	ms += p.fetchMs + p.queuedBeforeMs
 	ms += recomputeCost(p.recomputedTokens)
 	if pl.usedMemory(now, u)+float64(callMemory(req.Prompt)) > float64(service.Engine.CacheTokens) {
 		ms += memoryFullCost
@@ -202,9 +202,6 @@
 }
 
 func (pl *Placer) expectedFirstByte(now time.Time, service *catalog.Service, u *upstream, p plan) time.Duration {
-	ms := baseCallCost * (1 + u.load(now)/max(float64(u.row.Slots), 1))
-	if service.Engine != nil {
-		ms = baseCallCost + float64(u.unreadTokens+p.readTokens)/pl.opts.PrefillTokensPerMs + p.fetchMs + p.queuedBeforeMs + runningCallCost*u.load(now)
-	}
+	ms := pl.workMs(now, service, u, p) + p.fetchMs + p.queuedBeforeMs
 	return time.Duration(ms * float64(time.Millisecond))
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -415,7 +415,7 @@
 // one that the head of the stream stated, perhaps seconds before.
 func TestFinalReportDoesNotRepeatTheLoad(t *testing.T) {
 	pl := newPlacer(newInputs(1))
-	pl.RecordReport(t0, Report{Upstream: "engines-0", HasLoad: true, Load: 3})
-	pl.RecordReport(t0, Report{Upstream: "engines-0", HasLoad: true, Load: 40, Final: true, Result: Completed})
+	pl.RecordReport(t0, Report{Upstream: "engines-0", Load: core.NewUpstreamLoad(3, 0)})
+	pl.RecordReport(t0, Report{Upstream: "engines-0", Load: core.NewUpstreamLoad(40, 0), Final: true, Result: Completed})
 	require.InDelta(t, 3, pl.upstreams["engines-0"].load(t0), 0.01)
 }
--- a/placement/ratelimit_test.go
+++ b/placement/ratelimit_test.go
@@ -113,7 +113,7 @@
 	for i := range 400 {
 		now := t0.Add(time.Duration(i) * 25 * time.Millisecond)
 		pl.updateRate(now, now, pl.upstreams["engines-0"], limit)
-		pl.RecordReport(now, Report{Upstream: "engines-1", HasLoad: true, Load: 15})
+		pl.RecordReport(now, Report{Upstream: "engines-1", Load: core.NewUpstreamLoad(15, 0)})
 		prompt := small
 		if i%10 == 0 {
 			prompt = large // four a second, more than the rate
--- /dev/null
+++ b/placement/speed.go
@@ -0,0 +1,123 @@
+package placement
+
+import (
+	"time"
+
+	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/placement/pace"
+)
+
+// serviceSpeed is the speed of the upstreams of a service at their usual pace.
+type serviceSpeed struct {
+	reading pace.ReadingRate
+	typical pace.TypicalTime
+}
+
+func (pl *Placer) speed(service core.ServiceID) *serviceSpeed {
+	s := pl.speeds[service]
+	if s == nil {
+		s = new(serviceSpeed)
+		pl.speeds[service] = s
+	}
+	return s
+}
+
+// readingRate returns the rate in tokens per millisecond at which the engines of a service
+// read prompts.
+func (pl *Placer) readingRate(service core.ServiceID) float64 {
+	return pl.speed(service).reading.PerMs(pl.opts.PrefillTokensPerMs)
+}
+
+// usualMs estimates the time to the first byte at an upstream that works at its usual pace,
+// in milliseconds and without transfers.
+func (pl *Placer) usualMs(now time.Time, service *catalog.Service, u *upstream, p plan) float64 {
+	load := u.load(now)
+	if service.Engine == nil {
+		return pl.speed(service.ID).typical.Ms(baseCallCost) * (1 + load/max(float64(u.row.Slots), 1))
+	}
+	return baseCallCost + float64(u.unreadTokens+p.readTokens)/pl.readingRate(service.ID) + runningCallCost*load
+}
+
+// workMs estimates the time to the first byte at an upstream at its current pace, in
+// milliseconds and without transfers and lateness.
+func (pl *Placer) workMs(now time.Time, service *catalog.Service, u *upstream, p plan) float64 {
+	return pl.usualMs(now, service, u, p) * u.slowdown.Current(now)
+}
+
+// unexplainedLatenessMs returns the lateness of an upstream that its pace does not explain.
+// The observed slowdown contains the responses that were late, so that workMs would count
+// their delay again. The expected times of responses contain announced slowdowns.
+func (u *upstream) unexplainedLatenessMs(now time.Time, workMs float64) float64 {
+	late := u.lateness.current(now) + max(u.longestOverdueMs(now), 0)
+	if slowdown := u.slowdown.Current(now); slowdown > 1 && !u.slowdown.Announced(now) {
+		late -= workMs * (1 - 1/slowdown)
+	}
+	return max(late, 0)
+}
+
+// observeSpeed records the time to the first byte of a success that had no transfers.
+func (pl *Placer) observeSpeed(now time.Time, u *upstream, a *attempt, firstByte time.Duration) {
+	if firstByte <= 0 || len(a.transfers) > 0 {
+		return
+	}
+	service := pl.services[u.row.Service]
+	if service == nil {
+		return
+	}
+	ms := float64(firstByte.Microseconds()) / 1000
+	u.slowdownSample, u.slowdownSampleAt = ms/a.usualMs, now
+	u.slowdown.Observe(now, u.slowdownSample)
+	announced := 1.0
+	if u.slowdown.Announced(now) {
+		announced = u.slowdown.Current(now)
+	}
+	speed := pl.speed(service.ID)
+	if service.Engine == nil {
+		speed.typical.Observe(baseCallCost, ms/announced)
+		return
+	}
+	readMs := ms/announced - baseCallCost
+	speed.reading.Observe(pl.opts.PrefillTokensPerMs, a.readTokens, time.Duration(readMs*float64(time.Millisecond)))
+}
+
+// SlowdownSample returns the slowdown that a response at a point in time has shown, or 0.
+func (pl *Placer) SlowdownSample(at time.Time, id core.UpstreamID) float64 {
+	u := pl.upstreams[id]
+	if u == nil || !u.slowdownSampleAt.Equal(at) {
+		return 0
+	}
+	return u.slowdownSample
+}
+
+// Pace is the pace of an upstream for metrics and logs.
+type Pace struct {
+	Upstream  core.UpstreamID
+	Service   core.ServiceID
+	Slowdown  float64
+	Announced bool
+	Age       time.Duration
+}
+
+// Paces returns the paces of all upstreams that have announced one or responded.
+func (pl *Placer) Paces(now time.Time) []Pace {
+	out := make([]Pace, 0, len(pl.upstreams))
+	for id, u := range pl.upstreams {
+		if age, ok := u.slowdown.Age(now); ok {
+			out = append(out, Pace{Upstream: id, Service: u.row.Service, Slowdown: u.slowdown.Current(now), Announced: u.slowdown.Announced(now), Age: age})
+		}
+	}
+	return out
+}
+
+// ReadingRates returns the estimated rate of reading of each service with engines, in
+// tokens per millisecond.
+func (pl *Placer) ReadingRates() map[core.ServiceID]float64 {
+	out := make(map[core.ServiceID]float64)
+	for id, service := range pl.services {
+		if service.Engine != nil {
+			out[id] = pl.readingRate(id)
+		}
+	}
+	return out
+}
--- a/placement/table.go
+++ b/placement/table.go
@@ -54,6 +54,7 @@
 	meanPromptTokens map[core.ServiceID]float64
 	// residencies are the mean memories of the running calls of each service.
 	residencies map[core.ServiceID]*residency
+	speeds      map[core.ServiceID]*serviceSpeed
 	// ownLoadShare is the share of this process in the calls that run at the engines of the
 	// service for which a call is being placed.
 	ownLoadShare float64
@@ -95,7 +96,7 @@
 		opts: opts, cacheIndex: index, upstreams: make(map[core.UpstreamID]*upstream),
 		retryBudgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*sourceLink), partServers: make(map[cacheindex.Key][]*upstream), oldestVersions: make(map[core.ModelID]oldestVersion),
 		meanPromptTokens: make(map[core.ServiceID]float64), restrictions: make(map[quarantine.Incarnation]*restriction),
-		residencies: make(map[core.ServiceID]*residency),
+		residencies: make(map[core.ServiceID]*residency), speeds: make(map[core.ServiceID]*serviceSpeed),
 	}
 }
 
@@ -252,6 +253,7 @@
 	expected := pl.expectedFirstByte(now, service, u, p)
 	choice.ExpectedFirstByte = expected
 	a := &attempt{sentAt: now, expectedFirstByte: expected, readTokens: p.readTokens, memoryTokens: callMemory(req.Prompt)}
+	a.usualMs = pl.usualMs(now, service, u, p)
 	a.nonTransferMs = float64(expected.Microseconds())/1000 - p.fetchMs - p.queuedBeforeMs
 	a.transfers, a.queuedBeforeMs, a.engineLatenessMs = slices.Clone(p.transfers), p.queuedBeforeMs, u.engineLatenessMs(now)
 	u.fetchBusyUntil = queueTransfer(now, u.fetchBusyUntil, p.fetchMs)
@@ -322,8 +324,8 @@
 		return
 	}
 	// The final report repeats what the head of the response said, perhaps long before.
-	if r.HasLoad && !r.Final {
-		u.setReportedLoad(now, r.Load)
+	if !r.Final {
+		u.recordLoad(now, r.Load)
 	}
 	if r.HasRateLimit && !r.Final {
 		pl.updateRate(now, now, u, r.RateLimit)
@@ -346,6 +348,7 @@
 		u.unreadTokens -= a.readTokens
 		pl.observeTransfers(now, u, a)
 		if !r.Final {
+			pl.observeSpeed(now, u, a, r.FirstByte)
 			excess := now.Sub(a.sentAt) - a.expectedFirstByte
 			u.lateness.record(now, excess)
 			if len(a.transfers) == 0 {
--- a/placement/types.go
+++ b/placement/types.go
@@ -144,9 +144,8 @@
 	// Final is set in the last report of an attempt. Only that report has a Result.
 	Final  bool
 	Result UpstreamResult
-	// Load is the number of calls at the upstream when HasLoad is set.
-	Load    int
-	HasLoad bool
+	// Load is the load that the upstream states.
+	Load core.UpstreamLoad
 	// RateLimit is the announced rate when HasRateLimit is set. A response without one
 	// ends an earlier limit.
 	RateLimit    core.RateLimit
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -10,6 +10,7 @@
 	"waxwingtide.example/waxwingtide/cacheindex"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/placement/pace"
 )
 
 const (
@@ -52,6 +53,9 @@
 	memoryTokens int
 	// hasReport is set from the first report of the attempt on.
 	hasReport bool
+	// usualMs is the portion of the expected time to the first byte that is not for
+	// transfers, at the usual pace of the upstream.
+	usualMs float64
 	// nonTransferMs is the portion of the expected time to the first byte that is not
 	// for transfers.
 	nonTransferMs float64
@@ -118,6 +122,10 @@
 	// without transfers.
 	lateness                 lateness
 	latenessWithoutTransfers lateness
+	slowdown                 pace.Slowdown
+	// slowdownSample is the slowdown that the response at slowdownSampleAt has shown.
+	slowdownSample   float64
+	slowdownSampleAt time.Time
 }
 
 // newUpstream returns the state of a newly listed upstream. countingSince is the
@@ -142,7 +150,7 @@
 	if restarted {
 		u.rate = announcedRate{observedAt: now}
 		u.clearCache()
-		u.lateness, u.latenessWithoutTransfers = lateness{}, lateness{}
+		u.lateness, u.latenessWithoutTransfers, u.slowdown = lateness{}, lateness{}, pace.Slowdown{}
 		u.failureShare, u.failedConnects, u.excludedUntil = 0, 0, time.Time{}
 	}
 	for model, version := range row.Weights {
@@ -204,6 +212,14 @@
 	return decayed(u.otherCalls, u.otherCallsAt, now, loadHalfLife)
 }
 
+// recordLoad records the load that the upstream has stated in a response.
+func (u *upstream) recordLoad(now time.Time, load core.UpstreamLoad) {
+	if calls, ok := load.Calls(); ok {
+		u.setReportedLoad(now, calls)
+	}
+	u.slowdown.Announce(now, load.Slowdown)
+}
+
 func (u *upstream) setReportedLoad(now time.Time, load int) {
 	u.otherCalls = max(float64(load-len(u.attempts)), 0)
 	u.otherCallsAt = now
--- a/sharing/board.go
+++ b/sharing/board.go
@@ -28,6 +28,13 @@
 	// Load is the number of calls at the upstream. It is valid if HasLoad is set.
 	Load    int
 	HasLoad bool
+	// Waiting is the number of these calls that wait at the upstream.
+	Waiting int
+	// Slowdown is the ratio of the time of work at the upstream to the usual time, as the
+	// upstream announces it. SlowdownSample is the ratio that one response has shown. They
+	// are 0 if there is none.
+	Slowdown       float64
+	SlowdownSample float64
 	// RateLimit is the rate that the upstream announces. It is valid if HasRateLimit
 	// is set.
 	RateLimit    core.RateLimit
@@ -45,6 +52,20 @@
 	ObservedAt time.Time
 }
 
+// ContainsLoad reports whether the observation contains the load or the slowdown of an
+// upstream.
+func (o Observation) ContainsLoad() bool {
+	return o.HasLoad || o.Slowdown > 0 || o.SlowdownSample > 0
+}
+
+// loadOnly returns the observation with the load and the slowdown alone.
+func (o Observation) loadOnly() Observation {
+	return Observation{
+		Upstream: o.Upstream, Load: o.Load, HasLoad: o.HasLoad, Waiting: o.Waiting,
+		Slowdown: o.Slowdown, SlowdownSample: o.SlowdownSample, ObservedAt: o.ObservedAt,
+	}
+}
+
 // numberedObservation is an observation on the board.
 type numberedObservation struct {
 	Observation
@@ -81,8 +102,8 @@
 // newer ones.
 func (b *board) add(sender core.NodeID, observations []Observation) {
 	for _, o := range observations {
-		if o.HasLoad && o.ObservedAt.After(b.loads[o.Upstream].ObservedAt) {
-			b.loads[o.Upstream] = b.assignNumber(sender, Observation{Upstream: o.Upstream, Load: o.Load, HasLoad: true, ObservedAt: o.ObservedAt})
+		if o.ContainsLoad() && o.ObservedAt.After(b.loads[o.Upstream].ObservedAt) {
+			b.loads[o.Upstream] = b.assignNumber(sender, o.loadOnly())
 		}
 		if o.HasRateLimit && b.isNewRate(o) {
 			b.rates[o.Upstream] = b.assignNumber(sender, Observation{Upstream: o.Upstream, RateLimit: o.RateLimit, HasRateLimit: true, ObservedAt: o.ObservedAt})
--- a/sharing/encode.go
+++ b/sharing/encode.go
@@ -1,6 +1,7 @@
 package sharing
 
 import (
+	"math"
 	"time"
 
 	"waxwingtide.example/waxwingtide/canary"
@@ -17,6 +18,8 @@
 			Unreachable: o.Unreachable, Reporter: string(o.Reporter), AgeMs: ageMs(now, o.ObservedAt),
 			HasRate: o.HasRateLimit, RateLimited: o.RateLimit.Limited, Rate: o.RateLimit.PerSecond,
 			Leaving: o.Leaving, StartedAtMs: o.StartedAtMs,
+			Waiting:         uint32(max(o.Waiting, 0)), //nolint:gosec // loads are small
+			SlowdownPercent: encodePercent(o.Slowdown), SlowdownSamplePercent: encodePercent(o.SlowdownSample),
 		}
 	}
 	return out
@@ -30,11 +33,25 @@
 			Reporter: core.NodeID(o.Reporter), ObservedAt: timeOf(now, o.AgeMs),
 			HasRateLimit: o.HasRate, RateLimit: core.RateLimit{Limited: o.RateLimited, PerSecond: o.Rate},
 			Leaving: o.Leaving, StartedAtMs: o.StartedAtMs,
+			Waiting: int(o.Waiting), Slowdown: decodePercent(o.SlowdownPercent), SlowdownSample: decodePercent(o.SlowdownSamplePercent),
 		}
 	}
 	return out
 }
 
+// maxPercent is the largest ratio that is encoded, in percent.
+const maxPercent = 100_000
+
+// encodePercent returns a ratio in percent. A ratio that is not 0 is at least 1.
+func encodePercent(ratio float64) uint32 {
+	if !(ratio > 0) {
+		return 0
+	}
+	return uint32(min(max(math.Round(ratio*100), 1), maxPercent))
+}
+
+func decodePercent(percent uint32) float64 { return float64(min(percent, maxPercent)) / 100 }
+
 // ageMs returns the age of a time in milliseconds. Messages contain ages, since the
 // clocks of processes differ.
 func ageMs(now, at time.Time) uint32 {
