--- a/placement/caches.go
+++ b/placement/caches.go
@@ -156,6 +156,7 @@
 	}
 	if o.HasLoad && o.ObservedAt.After(u.otherCallsAt) {
 		u.setReportedLoad(o.ObservedAt, o.Load)
+		u.reportedWaiting = float64(o.Waiting)
 	}
 	u.slowdown.Announce(o.ObservedAt, o.Slowdown)
 	u.slowdown.Observe(o.ObservedAt, o.SlowdownSample)
--- a/placement/pace/rate.go
+++ b/placement/pace/rate.go
@@ -61,6 +61,34 @@
 // Ms returns the time in milliseconds, given its initial value.
 func (t *TypicalTime) Ms(initialMs float64) float64 { return initialMs * math.Exp(t.change) }
 
+const (
+	// initialWaitingCallMs is the assumed delay of a call for each call that waits at its
+	// engine, maxWaitingChange the largest ratio between the estimated delay and it.
+	initialWaitingCallMs = 60.0
+	maxWaitingChange     = 6.0
+	waitingStep          = 0.05
+	// minObservedWaiting is the least number of waiting calls for which a delay is observed.
+	minObservedWaiting = 1.0
+)
+
+// WaitingDelay estimates the median delay of a call for each call that waits at its engine
+// when it is sent. Calls wait while the engine has no memory for them, so that the delay
+// depends on how soon running calls end.
+type WaitingDelay struct {
+	change float64 // logarithm of the ratio to the initial value
+}
+
+// Observe records the delay in milliseconds of a call behind a number of waiting calls.
+func (d *WaitingDelay) Observe(waiting, delayMs float64) {
+	if waiting < minObservedWaiting {
+		return
+	}
+	d.change = moveToQuantile(d.change, delayMs/waiting > d.PerCallMs(), 0.5, waitingStep, maxWaitingChange)
+}
+
+// PerCallMs returns the delay for each waiting call in milliseconds.
+func (d *WaitingDelay) PerCallMs() float64 { return initialWaitingCallMs * math.Exp(d.change) }
+
 // moveToQuantile moves the logarithm of an estimate by one sample, so that in the mean a
 // share of 1-quantile of the samples is above it. A single sample, however far away,
 // moves it by a step at most.
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -12,6 +12,7 @@
 type serviceSpeed struct {
 	reading pace.ReadingRate
 	typical pace.TypicalTime
+	waiting pace.WaitingDelay
 }
 
 func (pl *Placer) speed(service core.ServiceID) *serviceSpeed {
@@ -39,10 +40,19 @@
 	return baseCallCost + float64(u.unreadTokens+p.readTokens)/pl.readingRate(service.ID) + runningCallCost*load
 }
 
+// queueMs estimates the time for which a call waits at an engine behind calls that the
+// engine has no memory for, in milliseconds.
+func (pl *Placer) queueMs(now time.Time, service *catalog.Service, u *upstream) float64 {
+	if service.Engine == nil {
+		return 0
+	}
+	return pl.speed(service.ID).waiting.PerCallMs() * u.waiting(now)
+}
+
 // workMs estimates the time to the first byte at an upstream at its current pace, in
 // milliseconds and without transfers and lateness.
 func (pl *Placer) workMs(now time.Time, service *catalog.Service, u *upstream, p plan) float64 {
-	return pl.usualMs(now, service, u, p) * u.slowdown.Current(now)
+	return pl.usualMs(now, service, u, p)*u.slowdown.Current(now) + pl.queueMs(now, service, u)
 }
 
 // unexplainedLatenessMs returns the lateness of an upstream that its pace does not explain.
@@ -66,13 +76,19 @@
 		return
 	}
 	ms := float64(firstByte.Microseconds()) / 1000
-	u.slowdownSample, u.slowdownSampleAt = ms/a.usualMs, now
-	u.slowdown.Observe(now, u.slowdownSample)
+	if a.waiting < 1 {
+		u.slowdownSample, u.slowdownSampleAt = ms/a.usualMs, now
+		u.slowdown.Observe(now, u.slowdownSample)
+	}
 	announced := 1.0
 	if u.slowdown.Announced(now) {
 		announced = u.slowdown.Current(now)
 	}
 	speed := pl.speed(service.ID)
+	if a.waiting >= 1 {
+		speed.waiting.Observe(a.waiting, ms-a.usualMs*announced)
+		return
+	}
 	if service.Engine == nil {
 		speed.typical.Observe(baseCallCost, ms/announced)
 		return
--- a/placement/table.go
+++ b/placement/table.go
@@ -253,6 +253,7 @@
 	expected := pl.expectedFirstByte(now, service, u, p)
 	choice.ExpectedFirstByte = expected
 	a := &attempt{sentAt: now, expectedFirstByte: expected, readTokens: p.readTokens, memoryTokens: callMemory(req.Prompt)}
+	a.waiting = u.waiting(now)
 	a.usualMs = pl.usualMs(now, service, u, p)
 	a.nonTransferMs = float64(expected.Microseconds())/1000 - p.fetchMs - p.queuedBeforeMs
 	a.transfers, a.queuedBeforeMs, a.engineLatenessMs = slices.Clone(p.transfers), p.queuedBeforeMs, u.engineLatenessMs(now)
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -16,6 +16,9 @@
 const (
 	// loadHalfLife is the time in which a reported load decays to half.
 	loadHalfLife = 1500 * time.Millisecond
+	// waitingHalfLife is the time in which a reported number of waiting calls decays to
+	// half.
+	waitingHalfLife = 500 * time.Millisecond
 	// failureHalfLife is the time in which an upstream's share of failures and its
 	// lateness decay to half.
 	failureHalfLife = 3 * time.Second
@@ -56,6 +59,8 @@
 	// usualMs is the portion of the expected time to the first byte that is not for
 	// transfers, at the usual pace of the upstream.
 	usualMs float64
+	// waiting is the estimated number of calls that waited at the upstream.
+	waiting float64
 	// nonTransferMs is the portion of the expected time to the first byte that is not
 	// for transfers.
 	nonTransferMs float64
@@ -91,6 +96,8 @@
 	// otherCalls is the load from other processes as of otherCallsAt.
 	otherCalls   float64
 	otherCallsAt time.Time
+	// reportedWaiting is the number of calls that waited at the upstream at otherCallsAt.
+	reportedWaiting float64
 	// failureShare is the share of failures as of failureShareAt.
 	failureShare   float64
 	failureShareAt time.Time
@@ -208,6 +215,11 @@
 	return float64(len(u.attempts)) + u.othersLoad(now)
 }
 
+// waiting estimates the number of calls that wait at the upstream.
+func (u *upstream) waiting(now time.Time) float64 {
+	return decayed(u.reportedWaiting, u.otherCallsAt, now, waitingHalfLife)
+}
+
 func (u *upstream) othersLoad(now time.Time) float64 {
 	return decayed(u.otherCalls, u.otherCallsAt, now, loadHalfLife)
 }
@@ -216,6 +228,7 @@
 func (u *upstream) recordLoad(now time.Time, load core.UpstreamLoad) {
 	if calls, ok := load.Calls(); ok {
 		u.setReportedLoad(now, calls)
+		u.reportedWaiting = float64(load.Waiting)
 	}
 	u.slowdown.Announce(now, load.Slowdown)
 }
