--- a/placement/memory.go
+++ b/placement/memory.go
@@ -20,6 +20,11 @@
 	// is larger, so that smaller calls that arrive later do not take all memory that becomes
 	// free. Calls that run at the same time share parts, which are counted several times.
 	waitedCallMemoryShare = 1.3
+	// newCallWaiting and waitedCallWaiting are the numbers of calls that may wait at an
+	// engine when a call is sent to it that has not waited, and at the end of its waiting
+	// time. An engine at which calls wait has no memory for others.
+	newCallWaiting    = 2.0
+	waitedCallWaiting = 8.0
 	// portionFactor is the ratio of the memory that the calls of this process may use at
 	// an engine to this process's portion of the limit for all processes. The load that
 	// others report is older than what they have sent since.
@@ -81,6 +86,9 @@
 	if len(u.attempts) == 0 && u.othersLoad(now) < idleLoad {
 		return true
 	}
+	if u.waiting(now) > newCallWaiting+(waitedCallWaiting-newCallWaiting)*req.WaitedShare {
+		return false
+	}
 	capacity, needed := float64(service.Engine.CacheTokens), float64(callMemory(req.Prompt))
 	limit := capacity * (newCallMemoryShare + (waitedCallMemoryShare-newCallMemoryShare)*req.WaitedShare)
 	own := float64(u.memoryTokens)
