--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -6,6 +6,7 @@
 	"waxwingtide.example/waxwingtide/cacheindex"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/rendezvous"
 )
 
 // Constants of the estimate. Costs are in milliseconds.
@@ -15,6 +16,11 @@
 	// memoryFullCost is added when the call would exceed an engine's memory. The
 	// engine preempts running calls in that case.
 	memoryFullCost = 250.0
+	// affinityCostPerRank is added for each rank in rendezvous hashing, up to
+	// maxAffinityCost, so that processes send a prompt to the same upstream without
+	// exchanging messages.
+	affinityCostPerRank = 10.0
+	maxAffinityCost     = 120.0
 	// failureCost is multiplied by an upstream's share of failed calls.
 	failureCost = 800.0
 	// rejectionCost is added for rejectionCostDuration after an upstream rejected a
@@ -176,6 +182,25 @@
 	return ms
 }
 
+// affinityCosts returns the cost of each upstream's rank in rendezvous hashing
+// over the call's last shared part. It returns nil for calls without a shared
+// part.
+func (pl *Placer) affinityCosts(req Request) []float64 {
+	shared := req.Prompt.ShareableParts()
+	if len(shared) == 0 {
+		return nil
+	}
+	upstreams := pl.byService[req.Service]
+	pl.affinityBuf = pl.affinityBuf[:0]
+	for range upstreams {
+		pl.affinityBuf = append(pl.affinityBuf, maxAffinityCost)
+	}
+	rendezvous.VisitTop(upstreams, string(shared[len(shared)-1].ID), int(maxAffinityCost/affinityCostPerRank),
+		func(u *upstream) string { return string(u.row.ID) },
+		func(rank, i int) { pl.affinityBuf[i] = float64(rank) * affinityCostPerRank })
+	return pl.affinityBuf
+}
+
 func (pl *Placer) expectedFirstByte(now time.Time, service *catalog.Service, u *upstream, p plan) time.Duration {
 	ms := pl.workMs(now, service, u, p) + p.fetchMs + p.queuedBeforeMs
 	return time.Duration(ms * float64(time.Millisecond))
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -13,7 +13,6 @@
 	reading pace.ReadingRate
 	typical pace.TypicalTime
 	waiting pace.WaitingDelay
-	reuse   partReuse
 }
 
 func (pl *Placer) speed(service core.ServiceID) *serviceSpeed {
--- a/placement/table.go
+++ b/placement/table.go
@@ -40,13 +40,13 @@
 	// servers that have reported it.
 	partServers    map[cacheindex.Key][]*upstream
 	oldestVersions map[core.ModelID]oldestVersion
-	// candidates, preferenceBuf, lastSalt and lastWeights are scratch space for the
+	// candidates, affinityBuf, lastSalt and lastWeights are scratch space for the
 	// placement of one call.
-	candidates    [3]candidate
-	preferenceBuf []float64
-	lastSalt      string
-	lastWeights   catalog.WeightNumber
-	cacheStores   []catalog.CacheStore
+	candidates  [3]candidate
+	affinityBuf []float64
+	lastSalt    string
+	lastWeights catalog.WeightNumber
+	cacheStores []catalog.CacheStore
 	// serverByAddress contains all model servers by address.
 	serverByAddress map[string]core.UpstreamID
 	lastAttemptID   AttemptID
@@ -187,7 +187,7 @@
 	if service.Engine != nil {
 		pl.setOwnLoadShare(now, req.Service)
 	}
-	preferences := pl.preferenceCosts(now, service, req)
+	affinities := pl.affinityCosts(req)
 	for i, u := range pl.byService[req.Service] {
 		if !pl.usable(now, u, req) {
 			continue
@@ -209,8 +209,8 @@
 		c := pl.freeCandidate(best, fallback)
 		c.upstream, c.plan = u, pl.makePlan(now, service, u, req, c.plan)
 		c.cost = pl.estimateCost(now, service, u, req, c.plan)
-		if preferences != nil {
-			c.cost += preferences[i]
+		if affinities != nil && service.Engine != nil {
+			c.cost += affinities[i]
 		}
 		target := &best
 		if reserved {
@@ -273,7 +273,6 @@
 	if u.currentFailureShare(now) > suspectShare {
 		u.lastTrialAt = now
 	}
-	pl.observeReuse(service, req, p.salt)
 	if p.salt != "" {
 		choice.SaveTo = make([]string, len(req.Prompt.Parts))
 		current := p.weights >= pl.weightHistory[req.Prompt.Model].Newest().Version
