--- a/placement/links.go
+++ b/placement/links.go
@@ -15,12 +15,6 @@
 	// maxQueueFactor is the maximum factor by which this process's pending transfers
 	// are multiplied to estimate the transfers that are queued before a new one.
 	maxQueueFactor = 3.0
-	// delayHalfLife is the time in which the delay of a link decays to half, delayGain the
-	// weight of one transfer in it and maxDelayMs the largest delay that one transfer
-	// contributes.
-	delayHalfLife = time.Second
-	delayGain     = 0.25
-	maxDelayMs    = 1000.0
 	// firstByteNoiseMs is the portion of the time to the first byte that is not
 	// attributed to transfers.
 	firstByteNoiseMs = 40.0
@@ -36,16 +30,6 @@
 	// transfers to their expected time (transfer.queuedMs), minus one. It is not negative.
 	excess   float64
 	excessAt time.Time
-	// delayMs is the weighted mean, as of delayAt, of the time that a transfer of any size
-	// waits for those of all processes, in milliseconds.
-	delayMs float64
-	delayAt time.Time
-}
-
-// LinkDelay is the time that a transfer from a source has waited, as one response shows.
-type LinkDelay struct {
-	SourceAddress string
-	Delay         time.Duration
 }
 
 // transfer is a fetch that belongs to an attempt. nominalMs is its time according to
@@ -71,39 +55,6 @@
 	l.excessAt = now
 }
 
-// delay returns the time in milliseconds that a transfer waits for those of all processes.
-func (l *sourceLink) delay(now time.Time) float64 {
-	return decayed(l.delayMs, l.delayAt, now, delayHalfLife)
-}
-
-// recordDelay adds the time in milliseconds that a transfer has waited.
-func (l *sourceLink) recordDelay(at time.Time, ms float64) {
-	if at.Before(l.delayAt) {
-		at = l.delayAt
-	}
-	l.delayMs, l.delayAt = l.delay(at)*(1-delayGain)+min(max(ms, 0), maxDelayMs)*delayGain, at
-}
-
-// estimateMs estimates the time of a transfer in milliseconds. The ratio and the delay that
-// earlier transfers have shown explain the same time, so that the larger estimate applies.
-func (l *sourceLink) estimateMs(now time.Time, nominalMs, queuedMs float64) float64 {
-	return max(queuedMs*l.slowness(now), nominalMs+l.delay(now))
-}
-
-// TakeLinkDelays returns the newest delay of each source that responses have shown since
-// the last call.
-func (pl *Placer) TakeLinkDelays() []LinkDelay {
-	if len(pl.linkDelays) == 0 {
-		return nil
-	}
-	out := make([]LinkDelay, 0, len(pl.linkDelays))
-	for address, delay := range pl.linkDelays {
-		out = append(out, LinkDelay{SourceAddress: address, Delay: delay})
-	}
-	clear(pl.linkDelays)
-	return out
-}
-
 // remainingMs returns the time until a point in time in milliseconds, or 0 after it.
 func remainingMs(now, until time.Time) float64 {
 	return max(float64(until.Sub(now).Microseconds())/1000, 0)
@@ -141,20 +92,15 @@
 // It is called at the first report of the attempt. If that report is final, the time until it
 // is used as the time to the first byte.
 func (pl *Placer) observeTransfers(now time.Time, u *upstream, a *attempt) {
-	totalMs, nominalMs := a.queuedBeforeMs, a.queuedBeforeMs
+	totalMs := a.queuedBeforeMs
 	for _, f := range a.transfers {
 		totalMs += f.queuedMs
-		nominalMs += f.nominalMs
 	}
 	if len(a.transfers) == 0 {
 		return
 	}
 	unexplainedMs := float64(now.Sub(a.sentAt).Microseconds())/1000 - a.nonTransferMs - max(a.engineLatenessMs, u.engineLatenessMs(now)) - firstByteNoiseMs
 	for _, f := range a.transfers {
-		l := pl.link(f.sourceAddress)
-		l.observe(now, f.queuedMs, unexplainedMs*f.queuedMs/totalMs)
-		delayMs := min(max((unexplainedMs-nominalMs)/float64(len(a.transfers)), 0), maxDelayMs)
-		l.recordDelay(now, delayMs)
-		pl.linkDelays[f.sourceAddress] = time.Duration(delayMs * float64(time.Millisecond))
+		pl.link(f.sourceAddress).observe(now, f.queuedMs, unexplainedMs*f.queuedMs/totalMs)
 	}
 }
