Choose plain servers by expected loads, with a random part

All fronts had the same old loads of the three servers of a plain service and chose the same one until the next report; a load decayed in 1.5 s although its calls end in 60 ms; and the lateness of calls whose work varies hid the loads. A load now decays to its mean in the typical time of a call, costs have a random part, and only calls overdue by a multiple of their expected time count as late.

--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -161,7 +161,7 @@
 // penalties, for example for failures, memory pressure or older weights.
 func (pl *Placer) estimateCost(now time.Time, service *catalog.Service, u *upstream, req Request, p plan) float64 {
 	workMs := pl.workMs(now, service, u, p)
-	ms := workMs + u.unexplainedLatenessMs(now, workMs) + failureCost*u.currentFailureShare(now)
+	ms := workMs + u.unexplainedLatenessMs(now, service.Engine == nil, workMs) + failureCost*u.currentFailureShare(now)
 	if now.Before(u.rejectionCostUntil) {
 		ms += rejectionCost
 	}
@@ -169,7 +169,7 @@
 		ms += crossDomainCost + crossDomainCostPerByte*float64(req.Bytes)
 	}
 	if service.Engine == nil {
-		return ms
+		return ms + pl.spreadMs(service.ID, u)
 	}
 	ms += p.fetchMs + p.queuedBeforeMs
 	ms += recomputeCost(p.recomputedTokens)
--- a/placement/pace_model_test.go
+++ b/placement/pace_model_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"waxwingtide.example/waxwingtide/cacheindex"
+	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/sharing"
 )
@@ -22,6 +24,7 @@
 	paceTick     = time.Millisecond
 	paceWork     = 60 * time.Millisecond
 	paceExchange = 200 * time.Millisecond
+	paceSlots    = 6 // of each server
 )
 
 // paceModel is a run of the model.
@@ -31,6 +34,9 @@
 	random   *rand.Rand
 	pending  []paceReport
 	announce bool
+	// ideal is set when calls go to the server with the fewest calls, as if all fronts knew
+	// all loads at once.
+	ideal bool
 	// slowdown returns the slowdown of a server at a time.
 	slowdown func(server int, at time.Duration) float64
 	// onSent and onAnswer are called for each call.
@@ -61,6 +67,9 @@
 		onSent: func(int, time.Duration) {}, onAnswer: func(_, _ time.Duration) {},
 	}
 	in := newInputs(fronts)
+	for _, u := range in.Upstreams {
+		u.Slots = paceSlots
+	}
 	for i := range fronts {
 		placer := New(options(core.NodeID(fmt.Sprintf("front-%d", i))), cacheindex.New())
 		placer.SetInputs(t0, in)
@@ -95,7 +104,7 @@
 func (m *paceModel) arrive(now time.Time, at time.Duration) {
 	c := &paceCall{front: m.random.IntN(len(m.fronts)), sentAt: now}
 	c.work = time.Duration(float64(paceWork) * math.Exp(0.5*m.random.NormFloat64()))
-	choice, refusal := m.fronts[c.front].Choose(now, newPlainRequest())
+	choice, refusal := m.choose(now, c.front)
 	if refusal != NotRefused {
 		return
 	}
@@ -108,6 +117,16 @@
 	}
 }
 
+func (m *paceModel) choose(now time.Time, front int) (Choice, Refusal) {
+	if !m.ideal {
+		return m.fronts[front].Choose(now, newPlainRequest())
+	}
+	least := slices.MinFunc(m.servers, func(a, b *paceServer) int { return a.calls() - b.calls() })
+	return Choice{Upstream: catalog.UpstreamRow{Upstream: &catalog.Upstream{ID: least.id}}}, NotRefused
+}
+
+func (s *paceServer) calls() int { return len(s.running) + len(s.queue) }
+
 // run works on the calls of a server for one tick.
 func (m *paceModel) run(s *paceServer, now time.Time, at time.Duration, slowdown float64) {
 	var ended []*paceCall
@@ -120,7 +139,7 @@
 		}
 	}
 	s.running = rest
-	for len(s.queue) > 0 && len(s.running) < 8 {
+	for len(s.queue) > 0 && len(s.running) < paceSlots {
 		s.running, s.queue = append(s.running, s.queue[0]), s.queue[1:]
 	}
 	for _, c := range ended {
@@ -171,7 +190,7 @@
 // is avoided for long after it has recovered.
 func TestBriefSlowdownMovesCalls(t *testing.T) {
 	const start, slowFor, known = 5 * time.Second, 600 * time.Millisecond, 200 * time.Millisecond
-	const rate = 200 // calls a second, half of what the servers can run
+	const rate = 150 // calls a second, half of what the servers can run
 	slow, after := [2]float64{}, [2]float64{}
 	for seed := range uint64(paceSeeds) {
 		m := newPaceModel(seed, modelAllFronts)
@@ -202,7 +221,7 @@
 		m.play(rate, 25*time.Second)
 	}
 	t.Logf("share of the slow server %.3f, after it has recovered %.3f", slow[0]/slow[1], after[0]/after[1])
-	require.Less(t, slow[0]/slow[1], 0.22, "a machine at half its pace gets fewer than two thirds of an equal share")
+	require.Less(t, slow[0]/slow[1], 1.0/6, "a machine at half its pace gets less than half of an equal share")
 	require.Greater(t, slow[0]/slow[1], 0.02)
 	require.InDelta(t, 1.0/3, after[0]/after[1], 0.06)
 }
@@ -235,11 +254,43 @@
 					}
 				}
 			}
-			m.play(200, 20*time.Second)
+			m.play(150, 20*time.Second)
 		}
 		share := sent[0] / (sent[0] + sent[1] + sent[2])
 		t.Logf("announced %t: share of the slow server %.3f, late %.3f", announce, share, float64(late)/float64(answers))
-		require.Less(t, share, 0.23, "announced %t", announce)
+		require.Less(t, share, 1.0/5, "at half the pace at most half of what the others get, announced %t", announce)
+		require.Less(t, float64(late)/float64(answers), 0.07, "announced %t", announce)
 		require.Greater(t, share, 0.02, "announced %t", announce)
 	}
 }
+
+// lateShare returns the share of calls that take more than three times the typical time of
+// work, with ideal or real placement.
+func lateShare(ideal bool, callsPerSecond float64) float64 {
+	answers, late := 0, 0
+	for seed := range uint64(paceSeeds) {
+		m := newPaceModel(seed, modelAllFronts)
+		m.ideal = ideal
+		m.onAnswer = func(at, took time.Duration) {
+			if at < 5*time.Second {
+				return
+			}
+			answers++
+			if took > 3*paceWork {
+				late++
+			}
+		}
+		m.play(callsPerSecond, 20*time.Second)
+	}
+	return float64(late) / float64(answers)
+}
+
+// Guards against calls that wait at one of three servers with six places each while another
+// one has free places, because 31 fronts choose the same server by the same old load.
+func TestSixPlacesBeforeManyFronts(t *testing.T) {
+	for name, callsPerSecond := range map[string]float64{"two thirds of the places": 175, "three quarters of the places": 200, "five sixths of the places": 220} {
+		ideal, late := lateShare(true, callsPerSecond), lateShare(false, callsPerSecond)
+		t.Logf("%s: late if all loads were known %.3f, late %.3f", name, ideal, late)
+		require.Less(t, late, ideal+0.05, name)
+	}
+}
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -8,6 +8,10 @@
 	"waxwingtide.example/waxwingtide/placement/pace"
 )
 
+// plainOverdueFactor is the multiple of the expected time by which a call of a plain service
+// must be overdue to count as late.
+const plainOverdueFactor = 2.0
+
 // serviceSpeed is the speed of the upstreams of a service at their usual pace.
 type serviceSpeed struct {
 	reading pace.ReadingRate
@@ -35,6 +39,7 @@
 func (pl *Placer) usualMs(now time.Time, service *catalog.Service, u *upstream, p plan) float64 {
 	load := u.load(now)
 	if service.Engine == nil {
+		load = pl.expectedLoad(now, service.ID, u)
 		return pl.speed(service.ID).typical.Ms(baseCallCost) * (1 + load/max(float64(u.row.Slots), 1))
 	}
 	return baseCallCost + float64(u.unreadTokens+p.readTokens)/pl.readingRate(service.ID) + runningCallCost*load
@@ -58,7 +63,14 @@
 // unexplainedLatenessMs returns the lateness of an upstream that its pace does not explain.
 // The observed slowdown contains the responses that were late, so that workMs would count
 // their delay again. The expected times of responses contain announced slowdowns.
-func (u *upstream) unexplainedLatenessMs(now time.Time, workMs float64) float64 {
+//
+// The times of the calls of a plain service differ by a multiple among each other. Their
+// lateness would hide the loads, and their slowdown contains it: only a call that is overdue
+// by several times its expected time counts.
+func (u *upstream) unexplainedLatenessMs(now time.Time, plain bool, workMs float64) float64 {
+	if plain {
+		return max(u.longestOverdueMs(now)-plainOverdueFactor*workMs, 0)
+	}
 	late := u.lateness.current(now) + max(u.longestOverdueMs(now), 0)
 	if slowdown := u.slowdown.Current(now); slowdown > 1 && !u.slowdown.Announced(now) {
 		late -= workMs * (1 - 1/slowdown)
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -96,6 +96,8 @@
 	// otherCalls is the load from other processes as of otherCallsAt.
 	otherCalls   float64
 	otherCallsAt time.Time
+	// meanOtherCalls is the weighted mean of otherCalls.
+	meanOtherCalls float64
 	// reportedWaiting is the number of calls that waited at the upstream at otherCallsAt.
 	reportedWaiting float64
 	// failureShare is the share of failures as of failureShareAt.
@@ -234,6 +236,8 @@
 }
 
 func (u *upstream) setReportedLoad(now time.Time, load int) {
+	weight := 1 - math.Exp2(-max(float64(now.Sub(u.otherCallsAt)), 0)/float64(meanLoadHalfLife))
+	u.meanOtherCalls += weight * (max(float64(load-len(u.attempts)), 0) - u.meanOtherCalls)
 	u.otherCalls = max(float64(load-len(u.attempts)), 0)
 	u.otherCallsAt = now
 }
