--- a/gateway/router.go
+++ b/gateway/router.go
@@ -98,10 +98,13 @@
 	// activeQuarantines is read by the metrics.
 	activeQuarantines   atomic.Pointer[[]quarantine.Active]
 	quarantinesLoggedAt time.Time
-	crashChecker        *crashChecker
-	options             *ring.Ring[placement.Options]
-	log                 logrus.FieldLogger
-	suspensionWatch     clock.SuspensionDetector
+	// paces is read by the metrics.
+	paces           atomic.Pointer[paceSnapshot]
+	loggedSpeeds    map[core.ServiceID]placement.ServiceSpeed
+	crashChecker    *crashChecker
+	options         *ring.Ring[placement.Options]
+	log             logrus.FieldLogger
+	suspensionWatch clock.SuspensionDetector
 }
 
 func newRouter(opts Options) *router {
@@ -110,7 +113,7 @@
 		fleet: opts.Fleet, viewChanged: opts.Fleet.Subscribe(), cacheFeed: opts.CacheFeed, observations: opts.Observations, cacheIndex: index, placer: placement.New(opts.Placement, index),
 		connections: make(map[core.UpstreamID]*connections), placeRequests: ring.New[placeRequest](placeRingSize), waiting: newWaitingCalls(),
 		rollouts: canary.New(opts.Placement.Node, opts.CanaryShare), statusWriter: opts.StatusWriter, random: opts.Random,
-		reports:    ring.New[attemptReport](reportRingSize),
+		reports: ring.New[attemptReport](reportRingSize), loggedSpeeds: make(map[core.ServiceID]placement.ServiceSpeed),
 		quarantine: quarantine.New(opts.Placement.Node, time.Now()), crashChecker: newCrashChecker(opts.Client.Refuses), options: ring.New[placement.Options](1), log: opts.Log,
 	}
 	if opts.Meter == nil {
@@ -119,6 +122,9 @@
 	if err := observeQuarantines(opts.Meter, &r.activeQuarantines); err != nil {
 		r.log.WithField("event", "metrics_missing").WithError(err).Warn("metrics of quarantines cannot be created")
 	}
+	if err := observePaces(opts.Meter, &r.paces); err != nil {
+		r.log.WithField("event", "metrics_missing").WithError(err).Warn("metrics of paces cannot be created")
+	}
 	return r
 }
 
@@ -163,6 +169,7 @@
 	r.sweepRollouts(now)
 	r.quarantine.Sweep(now)
 	r.reportQuarantines(now)
+	r.reportPace(now)
 	r.repeatDepartures(now.Add(-departureRepeat))
 	for _, store := range r.placer.CacheStores() {
 		obsolete := func(salt string) bool { return r.placer.Obsolete(now, salt) }
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -138,13 +138,33 @@
 	return out
 }
 
-// ReadingRates returns the estimated rate of reading of each service with engines, in
-// tokens per millisecond.
-func (pl *Placer) ReadingRates() map[core.ServiceID]float64 {
-	out := make(map[core.ServiceID]float64)
-	for id, service := range pl.services {
-		if service.Engine != nil {
-			out[id] = pl.readingRate(id)
+// ServiceSpeed is the estimated speed of the upstreams of a service at their usual pace, for
+// metrics and logs. A service has either the first two figures or the last.
+type ServiceSpeed struct {
+	Service         core.ServiceID
+	ReadTokensPerMs float64
+	WaitingCallMs   float64
+	TypicalMs       float64
+}
+
+// DiffersFrom reports whether a figure differs from that of an earlier speed by a ratio or
+// more.
+func (s ServiceSpeed) DiffersFrom(earlier ServiceSpeed, ratio float64) bool {
+	differs := func(a, b float64) bool { return a != b && (a >= b*ratio || b >= a*ratio) }
+	return differs(s.ReadTokensPerMs, earlier.ReadTokensPerMs) || differs(s.WaitingCallMs, earlier.WaitingCallMs) || differs(s.TypicalMs, earlier.TypicalMs)
+}
+
+// ServiceSpeeds returns the speed of each service to which calls have been placed.
+func (pl *Placer) ServiceSpeeds() []ServiceSpeed {
+	var out []ServiceSpeed
+	for id, speed := range pl.speeds {
+		service := pl.services[id]
+		switch {
+		case service == nil:
+		case service.Engine != nil:
+			out = append(out, ServiceSpeed{Service: id, ReadTokensPerMs: pl.readingRate(id), WaitingCallMs: speed.waiting.PerCallMs()})
+		default:
+			out = append(out, ServiceSpeed{Service: id, TypicalMs: speed.typical.Ms(baseCallCost)})
 		}
 	}
 	return out
