--- a/gateway/router.go
+++ b/gateway/router.go
@@ -105,6 +105,9 @@
 	// storeGeneration is the newest generation of the metadata store's content that the
 	// view has had.
 	storeGeneration core.Generation
+	// paces is read by the metrics.
+	paces           atomic.Pointer[paceSnapshot]
+	loggedSpeeds    map[core.ServiceID]placement.ServiceSpeed
 	crashChecker    *crashChecker
 	options         *ring.Ring[placement.Options]
 	log             logrus.FieldLogger
@@ -117,7 +120,7 @@
 		fleet: opts.Fleet, viewChanged: opts.Fleet.Subscribe(), cacheFeed: opts.CacheFeed, observations: opts.Observations, cacheIndex: index, placer: placement.New(opts.Placement, index),
 		connections: make(map[core.UpstreamID]*connections), placeRequests: ring.New[placeRequest](placeRingSize), waiting: newWaitingCalls(),
 		rollouts: canary.New(opts.Placement.Node, opts.CanaryShare), statusWriter: opts.StatusWriter, random: opts.Random,
-		reports:    ring.New[attemptReport](reportRingSize),
+		reports: ring.New[attemptReport](reportRingSize), loggedSpeeds: make(map[core.ServiceID]placement.ServiceSpeed),
 		quarantine: quarantine.New(opts.Placement.Node, time.Now()), quarantineStore: opts.QuarantineStore, crashChecker: newCrashChecker(opts.Client.Refuses), options: ring.New[placement.Options](1), log: opts.Log,
 	}
 	if opts.Meter == nil {
@@ -126,6 +129,9 @@
 	if err := errors.Join(observeQuarantines(opts.Meter, &r.activeQuarantines), r.waiting.metrics.register(opts.Meter)); err != nil {
 		r.log.WithField("event", "metrics_missing").WithError(err).Warn("metrics of the router cannot be created")
 	}
+	if err := observePaces(opts.Meter, &r.paces); err != nil {
+		r.log.WithField("event", "metrics_missing").WithError(err).Warn("metrics of paces cannot be created")
+	}
 	return r
 }
 
@@ -171,6 +177,7 @@
 	r.sweepRollouts(now)
 	r.quarantine.Sweep(now)
 	r.reportQuarantines(now)
+	r.reportPace(now)
 	r.repeatDepartures(now.Add(-departureRepeat))
 	for _, store := range r.placer.CacheStores() {
 		obsolete := func(salt string) bool { return r.placer.Obsolete(now, salt) }
@@ -317,17 +324,18 @@
 // publishObservation sends the other processes the load of an upstream, the rate or the
 // departure that it announces, or that it is unreachable, if the report contains it.
 func (r *router) publishObservation(now time.Time, report placement.Report) {
-	o := sharing.Observation{Upstream: report.Upstream, Load: report.Load, ObservedAt: now}
+	o := sharing.Observation{Upstream: report.Upstream, ObservedAt: now}
 	if report.Final {
 		o.Unreachable = report.Result == placement.Unreachable && r.placer.Excluded(now, report.Upstream)
 	} else {
-		o.HasLoad = report.HasLoad
+		o.Load, o.HasLoad = report.Load.Calls()
+		o.Waiting, o.Slowdown, o.SlowdownSample = report.Load.Waiting, report.Load.Slowdown, r.placer.SlowdownSample(now, report.Upstream)
 		o.Leaving, o.StartedAtMs = report.Leaving, report.StartedAtMs
 		if limit, repeat := r.placer.RateLimit(now, report.Upstream); report.HasRateLimit && repeat {
 			o.HasRateLimit, o.RateLimit = true, limit
 		}
 	}
-	if o.Unreachable || o.HasLoad || o.HasRateLimit || o.Leaving {
+	if o.Unreachable || o.ContainsLoad() || o.HasRateLimit || o.Leaving {
 		r.observations.Record(o)
 	}
 }
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -10,11 +10,15 @@
 	"waxwingtide.example/waxwingtide/cacheindex"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/placement/pace"
 )
 
 const (
 	// loadHalfLife is the time in which a reported load decays to half.
 	loadHalfLife = 1500 * time.Millisecond
+	// waitingHalfLife is the time in which a reported number of waiting calls decays to
+	// half.
+	waitingHalfLife = 500 * time.Millisecond
 	// failureHalfLife is the time in which an upstream's share of failures and its
 	// lateness decay to half.
 	failureHalfLife = 3 * time.Second
@@ -52,6 +56,11 @@
 	memoryTokens int
 	// hasReport is set from the first report of the attempt on.
 	hasReport bool
+	// usualMs is the portion of the expected time to the first byte that is not for
+	// transfers, at the usual pace of the upstream.
+	usualMs float64
+	// waiting is the estimated number of calls that waited at the upstream.
+	waiting float64
 	// nonTransferMs is the portion of the expected time to the first byte that is not
 	// for transfers.
 	nonTransferMs float64
@@ -87,6 +96,10 @@
 	// otherCalls is the load from other processes as of otherCallsAt.
 	otherCalls   float64
 	otherCallsAt time.Time
+	// meanOtherCalls is the weighted mean of otherCalls.
+	meanOtherCalls float64
+	// reportedWaiting is the number of calls that waited at the upstream at otherCallsAt.
+	reportedWaiting float64
 	// failureShare is the share of failures as of failureShareAt.
 	failureShare   float64
 	failureShareAt time.Time
@@ -119,6 +132,10 @@
 	// without transfers.
 	lateness                 lateness
 	latenessWithoutTransfers lateness
+	slowdown                 pace.Slowdown
+	// slowdownSample is the slowdown that the response at slowdownSampleAt has shown.
+	slowdownSample   float64
+	slowdownSampleAt time.Time
 }
 
 // newUpstream returns the state of a newly listed upstream. countingSince is the
@@ -143,7 +160,7 @@
 	if restarted {
 		u.rate = announcedRate{observedAt: now}
 		u.clearCache()
-		u.lateness, u.latenessWithoutTransfers = lateness{}, lateness{}
+		u.lateness, u.latenessWithoutTransfers, u.slowdown = lateness{}, lateness{}, pace.Slowdown{}
 		u.failureShare, u.failedConnects, u.excludedUntil = 0, 0, time.Time{}
 	}
 	for model, version := range row.Weights {
@@ -201,11 +218,27 @@
 	return float64(len(u.attempts)) + u.othersLoad(now)
 }
 
+// waiting estimates the number of calls that wait at the upstream.
+func (u *upstream) waiting(now time.Time) float64 {
+	return decayed(u.reportedWaiting, u.otherCallsAt, now, waitingHalfLife)
+}
+
 func (u *upstream) othersLoad(now time.Time) float64 {
 	return decayed(u.otherCalls, u.otherCallsAt, now, loadHalfLife)
 }
 
+// recordLoad records the load that the upstream has stated in a response.
+func (u *upstream) recordLoad(now time.Time, load core.UpstreamLoad) {
+	if calls, ok := load.Calls(); ok {
+		u.setReportedLoad(now, calls)
+		u.reportedWaiting = float64(load.Waiting)
+	}
+	u.slowdown.Announce(now, load.Slowdown)
+}
+
 func (u *upstream) setReportedLoad(now time.Time, load int) {
+	weight := 1 - math.Exp2(-max(float64(now.Sub(u.otherCallsAt)), 0)/float64(meanLoadHalfLife))
+	u.meanOtherCalls += weight * (max(float64(load-len(u.attempts)), 0) - u.meanOtherCalls)
 	u.otherCalls = max(float64(load-len(u.attempts)), 0)
 	u.otherCallsAt = now
 }
