--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -72,6 +72,12 @@
 	// ColdCallsPerSecond is the call rate that one cold upstream can sustain, or 0 for
 	// no limit.
 	ColdCallsPerSecond float64
+	// ColdStart is the time for which an upstream is cold after its start.
+	ColdStart time.Duration
+	// Scale is nil if the number of upstreams is not ordered by this system, or if its
+	// limits are invalid. ScaleProblem then states why, and is empty otherwise.
+	Scale        *Scale
+	ScaleProblem string
 }
 
 // CacheStore is a kept-cache store: a server that stores KV cache exported from
