Foresee bursts from the mean demand, and log what draining upstreams give up

Trials with changed code on a clone showed parts that no test covered: the trend, the peak within the hold time, the tolerated loss, the hysteresis and the check of the authority in the duty that sends orders. Each has a test now. The test of repeated peaks found raises at each known peak, which were cut after the hold time again: the headroom for bursts was added to the top of a burst. It is added to the mean demand of the hold time now, and a trend ends at a peak that was seen before. Announcements of cuts are removed: calls save shareable parts to kept-cache stores anyway, and the platform does not tell which upstreams it takes. Tests with the race detector pass.

--- a/singleton/autoscale/decide.go
+++ b/singleton/autoscale/decide.go
@@ -49,7 +49,7 @@
 		d.Count, d.Reason = p.scale.Max, Limit
 		return d
 	}
-	f.calls, f.level, f.held = f.calls*(1+hysteresis), f.level*(1+hysteresis), f.held*(1+hysteresis)
+	f.calls, f.mean, f.held = f.calls*(1+hysteresis), f.mean*(1+hysteresis), f.held*(1+hysteresis)
 	needed, _ := p.share(now, p.need(f))
 	needed = p.bounded(needed + state.LongCold)
 	if needed >= inForce.Count {
--- a/singleton/autoscale/decide_test.go
+++ b/singleton/autoscale/decide_test.go
@@ -42,8 +42,8 @@
 			m.run(20*time.Minute, steady(60))
 			during := m.counts()
 			require.Equal(t, before[0], during[0], "the order of the lost domain has changed")
-			require.Greater(t, during[1], before[1])
-			require.LessOrEqual(t, during[1], before[1]+(before[1]+1)/2)
+			// 60 calls need 13 upstreams, or 8 at the utilization that is accepted after a loss.
+			require.Equal(t, []int{7, 7}, during[1:])
 			m.domains["east"].lost = false
 			m.run(time.Hour, steady(60))
 			require.Equal(t, before, m.counts())
@@ -100,17 +100,39 @@
 			m.run(time.Minute, steady(200))
 			require.Greater(t, m.counts()[0], before[0])
 		},
+		"a first rise is followed ahead of time": func(t *testing.T, m *model) {
+			m.run(2*time.Minute, func(at time.Duration) float64 { return 60 + 2*at.Seconds() })
+			require.Zero(t, m.waited)
+		},
+		"peaks within the hold time keep their upstreams": func(t *testing.T, m *model) {
+			peaks := func(at time.Duration) float64 {
+				if at%(90*time.Second) < 10*time.Second {
+					return 150
+				}
+				return 60
+			}
+			m.run(3*time.Hour, peaks)
+			m.waited, m.raises, m.cuts = 0, 0, 0
+			m.run(time.Hour, peaks)
+			require.Zero(t, m.waited)
+			require.Zero(t, m.raises+m.cuts)
+		},
+		"a slow change around a threshold changes nothing": func(t *testing.T, m *model) {
+			m.raises, m.cuts = 0, 0
+			m.run(time.Hour, func(at time.Duration) float64 {
+				if at%(10*time.Minute) < 5*time.Minute {
+					return 57
+				}
+				return 60
+			})
+			require.Zero(t, m.raises+m.cuts)
+		},
 		"a small change of the demand changes nothing": func(t *testing.T, m *model) {
 			m.raises, m.cuts = 0, 0
 			m.run(time.Hour, func(at time.Duration) float64 { return 60 + 3*float64(int(at/time.Second)%3-1) })
 			require.LessOrEqual(t, m.raises, 3)
 			require.Zero(t, m.cuts)
 		},
-		"the largest tolerated loss leaves enough": func(t *testing.T, m *model) {
-			for _, count := range m.counts() {
-				require.GreaterOrEqual(t, float64(2*count*modelSlots), 60.0)
-			}
-		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := settled(t, 60)
@@ -120,6 +142,28 @@
 	}
 }
 
+// Guards against too few upstreams after the largest tolerated loss, and against both kinds
+// of loss being added.
+func TestTolerateLoss(t *testing.T) {
+	for name, c := range map[string]struct {
+		opts  autoscale.Options
+		count int
+	}{
+		"nothing":          {autoscale.Options{Utilization: 0.95}, 6},
+		"a failure domain": {autoscale.Options{Utilization: 0.95, LostDomains: 1}, 7},
+		"four upstreams":   {autoscale.Options{Utilization: 0.95, LostUpstreams: 4}, 6},
+		"either":           {autoscale.Options{Utilization: 0.95, LostDomains: 1, LostUpstreams: 9}, 8},
+		"all domains":      {autoscale.Options{Utilization: 0.95, LostDomains: 3}, 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newModel(c.opts, 1)
+			m.run(10*time.Minute, steady(100))
+			m.run(2*time.Hour, steady(91)) // the hysteresis keeps what serves a tenth more
+			require.Equal(t, []int{c.count, c.count, c.count}, m.counts())
+		})
+	}
+}
+
 // Guards against counts outside of the limits, also if the limits change, and against a
 // process that cuts or raises from no knowledge after it has become the holder.
 func TestLimitsAndNewHolder(t *testing.T) {
--- a/singleton/autoscale/history.go
+++ b/singleton/autoscale/history.go
@@ -23,9 +23,8 @@
 	// demand.
 	maxTrendFactor = 3
 	// repeatedShare is the share of the present demand above which an earlier peak shows that
-	// the demand rises to a level that it has had before. A trend then foresees at most
-	// minHeadroom times that peak, since the rising parts of waves would otherwise be
-	// continued above their tops.
+	// the demand rises to a level that it has had before. A trend then foresees at most that
+	// peak, since the rising parts of waves would otherwise be continued above their tops.
 	repeatedShare = 0.95
 	// minHeadroom and maxHeadroom bound the factor for bursts. headroomHalfLife is the time
 	// in which the memory of a burst decays to half.
@@ -173,7 +172,7 @@
 	fitted := (sumY-slope*sumX)/count + slope*float64(h.lead)/float64(h.step)
 	foreseen := min(fitted, maxTrendFactor*level)
 	if earlier, _ := h.peak(n, steps); earlier >= repeatedShare*level {
-		foreseen = min(foreseen, minHeadroom*earlier)
+		foreseen = min(foreseen, earlier)
 	}
 	return max(level, foreseen)
 }
@@ -194,6 +193,18 @@
 	return calls, complete
 }
 
+// mean returns the mean demand of the observed steps of the hold time.
+func (h *history) mean(n int64) float64 {
+	var sum, count float64
+	for i := range int64(h.hold / h.step) {
+		if r := h.record(n - i); r != nil {
+			sum += r.calls
+			count++
+		}
+	}
+	return sum / max(count, 1)
+}
+
 // observePeriod adds a demand to the current cycle of the known period.
 func (h *history) observePeriod(now time.Time, calls float64) {
 	if h.period <= 0 {
@@ -239,15 +250,16 @@
 	// held is the highest demand of the hold time or, if it is higher, of the last cycle of
 	// the known period.
 	held float64
-	// level is the present demand.
-	level float64
+	// mean is the mean demand of the hold time. A burst is expected to exceed it, not the top
+	// of an earlier burst.
+	mean float64
 	// complete is set if all of the hold time was observed completely.
 	complete bool
 }
 
 // foreseen returns the demand that all upstreams together are to serve.
 func (f forecast) foreseen() float64 {
-	return max(f.calls*minHeadroom, f.level*f.headroom, f.held)
+	return max(f.calls, f.held, f.mean*f.headroom)
 }
 
 func (h *history) forecast(now time.Time) forecast {
@@ -257,6 +269,6 @@
 	}
 	peak, complete := h.peak(n, 0)
 	return forecast{
-		calls: h.trend(n), headroom: h.headroom(now), held: max(peak, h.periodic(now)), level: h.level(n), complete: complete,
+		calls: h.trend(n), headroom: h.headroom(now), held: max(peak, h.periodic(now)), mean: h.mean(n), complete: complete,
 	}
 }
--- a/singleton/autoscale/report.go
+++ b/singleton/autoscale/report.go
@@ -1,9 +1,6 @@
 package autoscale
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/sirupsen/logrus"
 
 	"waxwingtide.example/waxwingtide/catalog"
@@ -50,24 +47,6 @@
 	return errs.KindOf(err).String()
 }
 
-// exclusiveTokens returns the largest size of cached parts that are lost with a number of
-// upstreams of the target.
-func (d *decisionDuty) exclusiveTokens(t *target, removing int) int {
-	exclusive := d.exclusiveByUpstream()
-	var sizes []int
-	for _, u := range d.opts.View().Upstreams {
-		if u.Service == t.service && u.Domain == t.domain && !u.Draining {
-			sizes = append(sizes, exclusive[u.ID])
-		}
-	}
-	slices.SortFunc(sizes, func(a, b int) int { return cmp.Compare(b, a) })
-	var sum int
-	for _, size := range sizes[:min(removing, len(sizes))] {
-		sum += size
-	}
-	return sum
-}
-
 func (d *decisionDuty) exclusiveByUpstream() map[core.UpstreamID]int {
 	out := make(map[core.UpstreamID]int, len(d.report.Upstreams))
 	for _, load := range d.report.Upstreams {
--- a/singleton/autoscale/scaler.go
+++ b/singleton/autoscale/scaler.go
@@ -22,9 +22,6 @@
 	// orderCapacity is the number of orders that may wait for the platform. Further ones are
 	// refused and decided again at the next interval.
 	orderCapacity = 64
-	// preparationCapacity is the number of announced cuts that may wait for the router. The
-	// oldest ones are dropped; the cache that only their upstreams hold is then not saved.
-	preparationCapacity = 16
 )
 
 // Client orders numbers of upstreams from the platform. An error has the kind errs.Exhausted
@@ -36,16 +33,6 @@
 	SetCount(ctx context.Context, authority singleton.Authority, service core.ServiceID, domain core.FailureDomain, count int) error
 }
 
-// Preparation announces that upstreams of a service in a failure domain will be removed. The
-// platform chooses which ones, and lists them as draining. Until then, parts that only
-// these upstreams hold are to be saved to a kept-cache store.
-type Preparation struct {
-	Service  core.ServiceID
-	Domain   core.FailureDomain
-	Removing int
-	Until    time.Time
-}
-
 // ScalerOptions configure a Scaler.
 type ScalerOptions struct {
 	Options Options
@@ -62,13 +49,12 @@
 
 // Scaler runs the duties that decide and order the numbers of upstreams.
 type Scaler struct {
-	opts         ScalerOptions
-	loads        *ring.Ring[LoadReport]
-	preparations *ring.Ring[Preparation]
-	orders       *ring.Ring[order]
-	results      *ring.Ring[orderResult]
-	metrics      *metrics
-	status       atomic.Pointer[[]Status]
+	opts    ScalerOptions
+	loads   *ring.Ring[LoadReport]
+	orders  *ring.Ring[order]
+	results *ring.Ring[orderResult]
+	metrics *metrics
+	status  atomic.Pointer[[]Status]
 }
 
 // NewScaler returns a Scaler whose duties have not started.
@@ -78,8 +64,7 @@
 		opts.SinceBoot = clock.SinceBoot
 	}
 	s := &Scaler{
-		opts: opts, loads: ring.New[LoadReport](1), preparations: ring.New[Preparation](preparationCapacity),
-		orders: ring.New[order](orderCapacity), results: ring.New[orderResult](orderCapacity),
+		opts: opts, loads: ring.New[LoadReport](1), orders: ring.New[order](orderCapacity), results: ring.New[orderResult](orderCapacity),
 	}
 	var err error
 	s.metrics, err = newMetrics(opts.Meter, s.Status)
@@ -95,9 +80,6 @@
 // RecordLoads passes the loads of all upstreams. The newest report replaces an unread one.
 func (s *Scaler) RecordLoads(report LoadReport) { s.loads.Push(report) }
 
-// Preparations returns the ring of announced cuts.
-func (s *Scaler) Preparations() *ring.Ring[Preparation] { return s.preparations }
-
 // run is the loop of the duty that owns the planners and targets.
 func (s *Scaler) run(ctx context.Context) error {
 	d := &decisionDuty{
@@ -228,12 +210,6 @@
 	}
 	decision := planner.Decide(now, domain, t.inForce)
 	d.logReason(t, state, decision)
-	if decision.Count < t.inForce.Count && !d.prepared(now, t, state, decision) {
-		return
-	}
-	if decision.Count >= t.inForce.Count {
-		t.preparedAt = time.Time{}
-	}
 	if t.due(now, decision.Count) {
 		d.send(t, state.Listed, decision)
 	}
@@ -248,20 +224,6 @@
 	t.hold(now, authority.Fence)
 }
 
-// prepared announces a cut and reports whether the time for its preparation has passed.
-func (d *decisionDuty) prepared(now time.Time, t *target, state *domainState, decision Decision) bool {
-	if t.uncertain {
-		return true // the cut was announced before its first order
-	}
-	if t.preparedAt.IsZero() {
-		t.preparedAt = now
-		p := Preparation{Service: t.service, Domain: t.domain, Removing: t.inForce.Count - decision.Count, Until: now.Add(d.opts.Options.PrepareTime)}
-		d.preparations.Push(p)
-		d.log(t, state, decision).WithFields(logrus.Fields{"event": "scale_prepare", "removing": p.Removing, "exclusive_tokens": d.exclusiveTokens(t, p.Removing)}).Info("upstreams will be removed; their cache is saved or given up")
-	}
-	return now.Sub(t.preparedAt) >= d.opts.Options.PrepareTime
-}
-
 // send passes an order to the duty that sends it.
 func (d *decisionDuty) send(t *target, listed int, decision Decision) {
 	o := order{
@@ -270,7 +232,7 @@
 	if !d.orders.Offer(o) {
 		return // decided again at the next interval
 	}
-	t.inFlight, t.preparedAt = true, time.Time{}
+	t.inFlight = true
 	if !t.uncertain {
 		t.listedAtOrder = listed
 	}
--- a/singleton/autoscale/scaler_test.go
+++ b/singleton/autoscale/scaler_test.go
@@ -6,8 +6,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/singleton"
@@ -171,6 +173,25 @@
 	})
 }
 
+// Guards against an order that was decided before the process was frozen over the end of its
+// authority and is sent after that.
+func TestFrozenBetweenDecisionAndOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform(4)
+		w := newWorld(t, p, singleton.Authority{Holder: "front", Fence: 1, StopAt: time.Hour}, "west")
+		p.update(func(s *platformState) {
+			s.answer = func(context.Context, int) (bool, error) {
+				time.Sleep(2 * time.Second) // the order of the other failure domain is decided meanwhile
+				w.skipped.Push(2 * time.Hour)
+				return true, nil
+			}
+		})
+		w.run(5*time.Minute, 20)
+		w.run(time.Minute, 90)
+		require.Len(t, p.orders(), 1)
+	})
+}
+
 // Guards against a new holder that orders another count, or the minimum, after the earlier
 // one died between sending an order and recording its answer; also if the new holder is a
 // process that has just started.
@@ -228,19 +249,21 @@
 	})
 }
 
-// Guards against a cut whose upstreams' cache nobody was asked to save.
-func TestCutIsAnnounced(t *testing.T) {
+// Guards against a cut that gives up cached parts without a log line.
+func TestDrainingIsLogged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newFakePlatform(10)
-		w := newWorld(t, p, holder(1))
-		for len(p.orders()) == 0 {
-			w.run(time.Second, 10)
+		w := newWorld(t, newFakePlatform(4), holder(1))
+		w.run(time.Minute, 20)
+		w.draining.Push(catalog.UpstreamRow{Upstream: &catalog.Upstream{ID: "leaving", Service: testService, Domain: testDomain, Draining: true}})
+		w.run(time.Minute, 20)
+		var lines []*logrus.Entry
+		for _, entry := range w.log.AllEntries() {
+			if entry.Data["event"] == "scale_draining" {
+				lines = append(lines, entry)
+			}
 		}
-		preparation, ok := w.scaler.Preparations().TryReceive()
-		require.True(t, ok)
-		require.Equal(t, 2, preparation.Removing)
-		require.Equal(t, 8, p.orders()[0].count)
-		require.GreaterOrEqual(t, time.Since(preparation.Until), time.Duration(0), "the order was sent before the preparation ended")
+		require.Len(t, lines, 1)
+		require.Equal(t, 700, lines[0].Data["exclusive_tokens"])
 	})
 }
 
--- a/singleton/autoscale/tally.go
+++ b/singleton/autoscale/tally.go
@@ -19,7 +19,7 @@
 	// Calls is the number of calls in progress and waiting at the upstream.
 	Calls float64
 	// ExclusiveTokens is the size of the cached parts that neither another upstream nor a
-	// kept-cache store has, as far as the front knows.
+	// kept-cache store has, as far as the front knows. It is used for draining upstreams.
 	ExclusiveTokens int
 }
 
--- a/singleton/autoscale/target.go
+++ b/singleton/autoscale/target.go
@@ -39,8 +39,6 @@
 	nextOrderAt   time.Time
 	refusedCount  int
 	refusedUntil  time.Time
-	// preparedAt is when the pending cut was announced, or zero.
-	preparedAt time.Time
 	// mismatchSince is since when the list shows another count than the one in force.
 	mismatchSince time.Time
 	// last is the last decision, and changed the reason of the last change of the count.
@@ -61,7 +59,7 @@
 func (t *target) restart(now time.Time) {
 	t.heldSince = now
 	t.ordered, t.uncertain, t.inFlight = false, false, false
-	t.failures, t.nextOrderAt, t.preparedAt = 0, time.Time{}, time.Time{}
+	t.failures, t.nextOrderAt = 0, time.Time{}
 }
 
 // observeListed updates the count in force from the list of upstreams. usable is false if
--- a/singleton/autoscale/types.go
+++ b/singleton/autoscale/types.go
@@ -18,7 +18,6 @@
 	DefaultLossUtilization = 0.95
 	DefaultCutShare        = 0.2
 	DefaultPeriod          = 24 * time.Hour
-	DefaultPrepareTime     = 5 * time.Second
 )
 
 // Options set the aims of the decisions.
@@ -39,8 +38,6 @@
 	// HoldTime is the time for which the highest demand is remembered, and the minimum
 	// time between a raise and a cut. Zero selects a multiple of the lead time.
 	HoldTime time.Duration
-	// PrepareTime is the time between the announcement of a cut and its order.
-	PrepareTime time.Duration
 }
 
 // withDefaults returns the options with defaults in place of zero values.
@@ -49,7 +46,6 @@
 	o.LossUtilization = cmp.Or(o.LossUtilization, DefaultLossUtilization)
 	o.CutShare = cmp.Or(o.CutShare, DefaultCutShare)
 	o.Period = cmp.Or(o.Period, DefaultPeriod)
-	o.PrepareTime = cmp.Or(o.PrepareTime, DefaultPrepareTime)
 	return o
 }
 
--- a/singleton/autoscale/world_test.go
+++ b/singleton/autoscale/world_test.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"waxwingtide.example/waxwingtide/catalog"
@@ -134,6 +133,11 @@
 	scaler   *autoscale.Scaler
 	group    *duty.Group
 	start    time.Time
+	log      *test.Hook
+	// draining contains an upstream that drains, if there is one.
+	draining *ring.Ring[catalog.UpstreamRow]
+	// domains are the failure domains of the service, each with the same upstreams.
+	domains []core.FailureDomain
 	// skipped is added to the clock since boot, as after a suspension.
 	skipped *ring.Ring[time.Duration]
 }
@@ -142,12 +146,12 @@
 const forever = 1000 * time.Hour
 
 // newWorld starts a process that holds the lease with fence 1.
-func newWorld(t *testing.T, platform *fakePlatform, a singleton.Authority) *world {
+func newWorld(t *testing.T, platform *fakePlatform, a singleton.Authority, domains ...core.FailureDomain) *world {
 	t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	w := &world{platform: platform, leases: newFakeLeases(a), start: time.Now(), skipped: ring.New[time.Duration](1)}
+	log, hook := test.NewNullLogger()
+	w := &world{platform: platform, leases: newFakeLeases(a), start: time.Now(), skipped: ring.New[time.Duration](1), log: hook, draining: ring.New[catalog.UpstreamRow](1), domains: []core.FailureDomain{testDomain}}
 	w.skipped.Push(0)
+	w.domains = append(w.domains, domains...)
 	var err error
 	w.scaler, err = autoscale.NewScaler(autoscale.ScalerOptions{
 		Leases: w.leases, Client: platform, View: w.view, Log: log, SinceBoot: w.sinceBoot,
@@ -171,9 +175,15 @@
 		"invalid":   {ID: "invalid", ScaleProblem: "min is above max"},
 	}}}
 	for i := range w.platform.listed() {
-		v.Upstreams = append(v.Upstreams, catalog.UpstreamRow{Upstream: &catalog.Upstream{
-			ID: core.UpstreamID(string(rune('a' + i))), Service: testService, Domain: testDomain, Slots: testSlots,
-		}})
+		for _, domain := range w.domains {
+			v.Upstreams = append(v.Upstreams, catalog.UpstreamRow{Upstream: &catalog.Upstream{
+				ID: core.UpstreamID(string(domain) + string(rune('a'+i))), Service: testService, Domain: domain, Slots: testSlots,
+			}})
+		}
+	}
+	if u, ok := w.draining.TryReceive(); ok {
+		w.draining.Push(u)
+		v.Upstreams = append(v.Upstreams, u)
 	}
 	return v
 }
@@ -182,7 +192,10 @@
 func (w *world) run(d time.Duration, calls float64) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
 		now := time.Now()
-		w.scaler.RecordLoads(autoscale.LoadReport{At: now, ExchangedAt: now, Waiting: map[core.ServiceID]float64{testService: calls}})
+		w.scaler.RecordLoads(autoscale.LoadReport{
+			At: now, ExchangedAt: now, Waiting: map[core.ServiceID]float64{testService: calls},
+			Upstreams: []autoscale.UpstreamLoad{{Upstream: "leaving", ExclusiveTokens: 700}},
+		})
 	}
 }
 
