--- a/singleton/autoscale/decide_test.go
+++ b/singleton/autoscale/decide_test.go
@@ -117,6 +117,13 @@
 			require.Zero(t, m.waited)
 			require.Zero(t, m.raises+m.cuts)
 		},
+		"demand that is refused at full upstreams is followed": func(t *testing.T, m *model) {
+			m.hidden = true
+			m.run(3*time.Minute, steady(300))
+			waited := m.waited
+			m.run(3*time.Minute, steady(300))
+			require.Equal(t, waited, m.waited)
+		},
 		"a slow change around a threshold changes nothing": func(t *testing.T, m *model) {
 			m.raises, m.cuts = 0, 0
 			m.run(time.Hour, func(at time.Duration) float64 {
@@ -142,6 +149,25 @@
 	}
 }
 
+// Guards against calls that wait at the same time of each period although it is known.
+func TestKnownPeriod(t *testing.T) {
+	opts := modelOptions
+	opts.Period = time.Hour
+	m := newModel(opts, 6)
+	peak := func(at time.Duration) float64 {
+		if at%time.Hour >= 50*time.Minute && at%time.Hour < 52*time.Minute {
+			return 400
+		}
+		return 60
+	}
+	m.run(time.Hour, peak)
+	first := m.waited
+	require.Positive(t, first)
+	m.run(3*time.Hour, peak)
+	require.Equal(t, first, m.waited)
+	require.Zero(t, m.earlyCuts)
+}
+
 // Guards against too few upstreams after the largest tolerated loss, and against both kinds
 // of loss being added.
 func TestTolerateLoss(t *testing.T) {
--- a/singleton/autoscale/model_test.go
+++ b/singleton/autoscale/model_test.go
@@ -44,6 +44,8 @@
 	waited, raises, cuts int
 	incomplete           bool
 	inRollout            bool
+	// hidden is set if calls above the capacity are refused and do not show.
+	hidden bool
 	// earlyCuts is the number of cuts within the hold time after a raise.
 	earlyCuts int
 }
@@ -83,6 +85,9 @@
 	}
 	if calls > float64(capacity) {
 		m.waited++
+		if m.hidden {
+			o.Calls = float64(capacity)
+		}
 	}
 	m.planner.Observe(m.now, o)
 	for _, id := range modelDomains {
--- a/singleton/autoscale/scaler_test.go
+++ b/singleton/autoscale/scaler_test.go
@@ -124,6 +124,20 @@
 	})
 }
 
+// Guards against a count that is never reached because the platform has accepted an order
+// and lost it.
+func TestAcceptedOrderIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform(4)
+		p.update(func(s *platformState) { s.answer = func(_ context.Context, n int) (bool, error) { return n > 5, nil } })
+		w := newWorld(t, p, holder(1))
+		w.run(5*time.Minute, 20)
+		w.run(5*time.Minute, 60)
+		require.Greater(t, p.listed(), 8)
+		require.LessOrEqual(t, len(p.orders()), 10)
+	})
+}
+
 // Guards against orders with a refused count that are repeated without end.
 func TestInvalidOrderIsNotRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
