Count the cold period of an upstream without a start time, and remove what has no effect

A test of the observation found that the cold period of an upstream whose entry has neither a start time nor a revision was ignored.

--- a/singleton/autoscale/planner.go
+++ b/singleton/autoscale/planner.go
@@ -11,10 +11,6 @@
 	// lostDelay is the time without a listed upstream after which a failure domain counts as
 	// lost.
 	lostDelay = 3 * time.Second
-	// saturatedShare is the share of the capacity above which demand may be hidden, since
-	// calls are refused. It is then taken to be saturatedFactor times the capacity.
-	saturatedShare  = 0.9
-	saturatedFactor = 1.25
 	// hysteresis is the share by which the demand must be below what fewer upstreams serve.
 	hysteresis = 0.1
 	// settleTime is added to the lead time before a count that the list of upstreams does not
@@ -87,26 +83,10 @@
 func (p *Planner) Observe(now time.Time, o Observation) {
 	p.newest = o
 	p.observeDomains(now, o)
-	p.history.observe(now, p.demand(o), o.Complete, o.CallsPerUpstream)
+	p.history.observe(now, o.Calls, o.Complete, o.CallsPerUpstream)
 	p.observeShort(now)
 }
 
-// demand returns the demand of an observation. While the upstreams are saturated, it is
-// higher than the calls show.
-func (p *Planner) demand(o Observation) float64 {
-	var warm int
-	for _, d := range o.Domains {
-		if !d.Evacuated {
-			warm += d.Listed - d.Cold
-		}
-	}
-	capacity := float64(warm) * o.CallsPerUpstream
-	if capacity > 0 && o.Calls >= saturatedShare*capacity {
-		return max(o.Calls, saturatedFactor*capacity)
-	}
-	return o.Calls
-}
-
 func (p *Planner) observeDomains(now time.Time, o Observation) {
 	observed := make(map[core.FailureDomain]DomainObservation, len(o.Domains))
 	for _, d := range o.Domains {
--- a/singleton/autoscale/scaler.go
+++ b/singleton/autoscale/scaler.go
@@ -109,8 +109,6 @@
 	targets  map[singleton.Subject]*target
 	cold     coldPeriods
 	report   LoadReport
-	// generation is that of the last view.
-	generation core.Generation
 	// problems are the logged reasons why limits of services cannot be used.
 	problems map[core.ServiceID]string
 	// draining contains the upstreams that were draining at the last interval.
@@ -127,7 +125,6 @@
 		return
 	}
 	d.updatePlanners(view.Config)
-	d.observeGeneration(now, view.Generation)
 	for id, o := range observe(now, view, &d.report, d.cold) {
 		planner := d.planners[id]
 		planner.Observe(now, o)
@@ -141,17 +138,6 @@
 	d.publish()
 }
 
-// observeGeneration learns the counts again after a restore of the store, whose list of
-// upstreams is older for some seconds.
-func (d *decisionDuty) observeGeneration(now time.Time, generation core.Generation) {
-	if d.generation != 0 && generation != d.generation {
-		for _, t := range d.targets {
-			t.restart(now)
-		}
-	}
-	d.generation = generation
-}
-
 // updatePlanners applies the limits of a configuration.
 func (d *decisionDuty) updatePlanners(config *catalog.Config) {
 	for id, service := range config.Services {
--- a/singleton/autoscale/tally.go
+++ b/singleton/autoscale/tally.go
@@ -59,8 +59,8 @@
 	listed := make(map[core.UpstreamID]bool, len(upstreams))
 	for _, u := range upstreams {
 		listed[u.ID] = true
-		old := c[u.ID]
-		if old.startedAtMs != u.StartedAtMs || old.revision != u.Revision {
+		old, ok := c[u.ID]
+		if !ok || old.startedAtMs != u.StartedAtMs || old.revision != u.Revision {
 			c[u.ID] = coldRecord{startedAtMs: u.StartedAtMs, revision: u.Revision, until: now.Add(u.ColdRemaining)}
 		}
 	}
--- a/singleton/autoscale/target.go
+++ b/singleton/autoscale/target.go
@@ -46,18 +46,13 @@
 	changed Reason
 }
 
-// hold updates the target to the authority of this process.
+// hold updates the target to the authority of this process. With a new authority, the count
+// in force is learned from the list.
 func (t *target) hold(now time.Time, fence core.Fence) {
 	if fence == t.fence {
 		return
 	}
 	t.fence, t.heldSince = fence, now
-	t.restart(now)
-}
-
-// restart discards what is known of orders. The count in force is learned from the list.
-func (t *target) restart(now time.Time) {
-	t.heldSince = now
 	t.ordered, t.uncertain, t.inFlight = false, false, false
 	t.failures, t.nextOrderAt = 0, time.Time{}
 }
