--- a/sharing/exchange.go
+++ b/sharing/exchange.go
@@ -74,6 +74,9 @@
 		if !candidates.normalize() {
 			continue // no other process is listed
 		}
+		if candidates.isAlone() {
+			e.recordExchange()
+		}
 		x.exchangeInDomain(ctx, candidates, e.takeLocal())
 	}
 	return nil
@@ -90,6 +93,11 @@
 	return len(c.AllAddresses) > 0
 }
 
+// isAlone reports whether the process itself is the only candidate.
+func (c *CollectorCandidates) isAlone() bool {
+	return len(c.AllAddresses) == 1 && c.AllAddresses[0] == c.LocalAddress
+}
+
 // exchangeInDomain sends the local batch to the domain collector, or to the next
 // candidate if that one does not respond.
 func (x *exchangeDuty) exchangeInDomain(ctx context.Context, candidates CollectorCandidates, local batch) {
@@ -216,6 +224,7 @@
 	if reply.Board != l.boardID {
 		x.newBoards.Push(struct{}{})
 	}
+	x.recordExchange()
 	l.failing, l.boardID, l.afterNumber = false, reply.Board, reply.After
 	x.opts.ObserveEpoch(reply.GetSender())
 	return reply
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -101,6 +102,20 @@
 	remoteVerdicts *ring.Ring[[]canary.Verdict]
 	newBoards      *ring.Ring[struct{}]
 	boardRequests  *ring.Ring[boardRequest]
+	// lastExchange is the time of the last exchange in Unix nanoseconds, or 0.
+	lastExchange atomic.Int64
+}
+
+// recordExchange records an exchange with another process, or that there is none.
+func (e *Exchanger) recordExchange() { e.lastExchange.Store(time.Now().UnixNano()) }
+
+// LastExchange returns the time of the last exchange with another process, in either
+// direction, or the zero time. A process that is the only one listed exchanges with itself.
+func (e *Exchanger) LastExchange() time.Time {
+	if at := e.lastExchange.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
 }
 
 // New returns an Exchanger whose duties have not started.
@@ -192,6 +207,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.recordExchange()
 	now := time.Now()
 	return &wire.ShareReply{Seen: encodeObservations(now, reply.observations), Parts: encodeEvidence(now, reply.evidence), Verdicts: encodeVerdicts(reply.verdicts), Board: self.Incarnation, After: reply.newestNumber, Sender: self}, nil
 }
--- a/sharing/sharing_test.go
+++ b/sharing/sharing_test.go
@@ -263,3 +263,26 @@
 		})
 	}
 }
+
+// Guards against a process without contact to the others that takes its own observations for
+// those of all, and against one that is the only listed process and waits for others.
+func TestLastExchange(t *testing.T) {
+	c := newCluster(t, "north-0", "north-1", "south-0")
+	c.isolated["north-1"].Store(true)
+	exchanged := func(name string) func() bool {
+		since := time.Now()
+		return func() bool { return c.process(name).LastExchange().After(since) }
+	}
+	// Two intervals end the exchanges that began before the isolation.
+	c.receivers(time.Second, "none", func(sharing.Observation) bool { return false })
+	isolated := c.process("north-1").LastExchange()
+	require.Eventually(t, exchanged("south-0"), 10*time.Second, 20*time.Millisecond)
+	require.Eventually(t, exchanged("north-0"), 10*time.Second, 20*time.Millisecond)
+	require.Equal(t, isolated, c.process("north-1").LastExchange())
+	c.isolated["north-1"].Store(false)
+	require.Eventually(t, exchanged("north-1"), 10*time.Second, 20*time.Millisecond)
+
+	alone := newCluster(t, "north-0")
+	since := time.Now()
+	require.Eventually(t, func() bool { return alone.process("north-0").LastExchange().After(since) }, 10*time.Second, 20*time.Millisecond)
+}
