Add the settings of the number of upstreams, and make its interval cheaper

The section autoscale of the front's settings has the tolerated losses and the aims; its defaults are those of the package.

--- a/settings/front.go
+++ b/settings/front.go
@@ -25,6 +25,8 @@
 	Readiness string `yaml:"readiness" validate:"required,ip_port"`
 	Inner     string `yaml:"inner" validate:"required,ip_port"`
 	Metrics   string `yaml:"metrics" validate:"required,ip_port"`
+	// Autoscale sets the number of upstreams of services that have limits of it.
+	Autoscale FrontAutoscale `yaml:"autoscale,omitempty"`
 	// Seeds are inner addresses of other fronts, to be asked while none is known.
 	Seeds []string `yaml:"seeds,omitempty" validate:"dive,ip_port"`
 	// Store is the IP:port of the platform's store.
--- a/settings/front_test.go
+++ b/settings/front_test.go
@@ -52,6 +52,9 @@
 		"short lease":      {replace("lease: 3000ms", "lease: 3ms"), "lease"},
 		"negative slack":   {replace("cold_slack: 5", "cold_slack: -1"), "cold_slack"},
 		"no retry window":  {replace("retry_window: 10s", ""), "retry_window"},
+		"share above one":  {replace("memory:", "autoscale: {utilization: 1.5}\nmemory:"), "autoscale.utilization"},
+		"domain twice":     {replace("memory:", "autoscale: {failure_domains: [a, a]}\nmemory:"), "autoscale.failure_domains"},
+		"negative loss":    {replace("memory:", "autoscale: {lost_domains: -1}\nmemory:"), "autoscale.lost_domains"},
 		"grace of no time": {replace("grace: 8s", "grace: 0s"), "grace"},
 	}
 	for name, c := range cases {
--- a/singleton/autoscale/decide.go
+++ b/singleton/autoscale/decide.go
@@ -6,9 +6,10 @@
 	"waxwingtide.example/waxwingtide/core"
 )
 
-// Decide returns the number of upstreams that a failure domain is to have.
+// Decide returns the number of upstreams that a failure domain is to have, as of the last
+// observation.
 func (p *Planner) Decide(now time.Time, domain core.FailureDomain, inForce InForce) Decision {
-	f := p.history.forecast(now)
+	f := p.forecast
 	d := Decision{Count: inForce.Count, Foreseen: f.foreseen(), Headroom: f.headroom}
 	state := p.domains[domain]
 	if state == nil || !p.usable(now, state) || state.Listed == 0 {
--- a/singleton/autoscale/planner.go
+++ b/singleton/autoscale/planner.go
@@ -39,6 +39,8 @@
 	newest    Observation
 	// domains are the failure domains in which the service was listed at least once.
 	domains map[core.FailureDomain]*domainState
+	// forecast is that of the last observation.
+	forecast forecast
 	// shortShare is the share of each failure domain at the last observation.
 	shortShare int
 }
@@ -84,6 +86,7 @@
 	p.newest = o
 	p.observeDomains(now, o)
 	p.history.observe(now, o.Calls, o.Complete, o.CallsPerUpstream)
+	p.forecast = p.history.forecast(now)
 	p.observeShort(now)
 }
 
@@ -117,7 +120,7 @@
 			state.shortSince = now
 		}
 	}
-	p.shortShare, _ = p.share(now, p.need(p.history.forecast(now)))
+	p.shortShare, _ = p.share(now, p.need(p.forecast))
 }
 
 func (p *Planner) usable(now time.Time, state *domainState) bool {
--- a/singleton/autoscale/tally.go
+++ b/singleton/autoscale/tally.go
@@ -48,24 +48,30 @@
 	startedAtMs int64
 	revision    uint64
 	until       time.Time
+	listedAt    time.Time
 }
 
 // coldPeriods contains the cold periods of the listed upstreams. An entry states the
 // remaining time as of when it was written, and is listed unchanged afterwards.
-type coldPeriods map[core.UpstreamID]coldRecord
+type coldPeriods map[core.UpstreamID]*coldRecord
 
 // update applies the current list.
 func (c coldPeriods) update(now time.Time, upstreams []catalog.UpstreamRow) {
-	listed := make(map[core.UpstreamID]bool, len(upstreams))
 	for _, u := range upstreams {
-		listed[u.ID] = true
-		old, ok := c[u.ID]
-		if !ok || old.startedAtMs != u.StartedAtMs || old.revision != u.Revision {
-			c[u.ID] = coldRecord{startedAtMs: u.StartedAtMs, revision: u.Revision, until: now.Add(u.ColdRemaining)}
+		record := c[u.ID]
+		if record == nil {
+			record = &coldRecord{until: now.Add(u.ColdRemaining)}
+			c[u.ID] = record
+		} else if record.startedAtMs != u.StartedAtMs || record.revision != u.Revision {
+			record.until = now.Add(u.ColdRemaining)
 		}
+		record.startedAtMs, record.revision, record.listedAt = u.StartedAtMs, u.Revision, now
 	}
-	for id := range c {
-		if !listed[id] {
+	if len(c) == len(upstreams) {
+		return // no record is of another upstream
+	}
+	for id, record := range c {
+		if record.listedAt != now {
 			delete(c, id)
 		}
 	}
