--- a/singleton/autoscale/model_test.go
+++ b/singleton/autoscale/model_test.go
@@ -158,7 +158,7 @@
 			first := m.waited
 			m.run(6*period, demand)
 			require.Equal(t, first, m.waited, "calls waited after the first period")
-			if period >= 20*modelBoot {
+			if period >= 10*modelBoot {
 				require.Zero(t, first, "calls waited in the first period")
 			}
 			require.Zero(t, m.earlyCuts)
