Let the others recede while a failure domain is short of upstreams

A test of a failure domain for which the platform provides five upstreams found that the others kept 29 each after a rise, of 25 needed with the hysteresis: nothing was cut while a failure domain was short. Its shortage is in the shares already, so that cuts go on.

--- a/singleton/autoscale/decide.go
+++ b/singleton/autoscale/decide.go
@@ -81,11 +81,11 @@
 	return Sufficient
 }
 
-// restricted reports whether a failure domain is evacuated, lost or short of upstreams, or
-// has cold upstreams: the others have to serve its share.
+// restricted reports whether a failure domain is evacuated or lost, or has cold upstreams: the
+// others have to serve its share until it returns.
 func (p *Planner) restricted(now time.Time) bool {
 	for _, state := range p.domains {
-		if !p.usable(now, state) || state.Listed == 0 || state.Cold > 0 || p.short(now, state) {
+		if !p.usable(now, state) || state.Listed == 0 || state.Cold > 0 {
 			return true
 		}
 	}
--- a/singleton/autoscale/decide_test.go
+++ b/singleton/autoscale/decide_test.go
@@ -117,6 +117,16 @@
 			require.Zero(t, m.waited)
 			require.Zero(t, m.raises+m.cuts)
 		},
+		"the others serve what a failure domain is not given": func(t *testing.T, m *model) {
+			m.domains["west"].limit = 5
+			m.run(10*time.Minute, steady(200))
+			m.waited = 0
+			m.run(time.Hour, steady(200))
+			require.Zero(t, m.waited)
+			// 27 upstreams serve 200 calls after a loss: those of a larger domain and 5.
+			require.GreaterOrEqual(t, m.counts()[0], 22)
+			require.LessOrEqual(t, m.counts()[0], 25)
+		},
 		"demand that is refused at full upstreams is followed": func(t *testing.T, m *model) {
 			m.hidden = true
 			m.run(3*time.Minute, steady(300))
@@ -224,6 +234,14 @@
 		})
 	}
 	p := autoscale.NewPlanner(autoscale.Options{}, catalog.Scale{Min: 1, Max: 9}, 0)
+	observation.Calls = 20
+	p.Observe(now, observation)
+	needed := p.Decide(now, "east", autoscale.InForce{Count: 1}).Count
+	observation.Domains[0].Cold, observation.Domains[0].LongCold = 2, 2
+	p.Observe(now, observation)
+	require.Equal(t, needed+2, p.Decide(now, "east", autoscale.InForce{Count: 1}).Count, "upstreams that stay cold for longer than new ones count")
+
+	p = autoscale.NewPlanner(autoscale.Options{}, catalog.Scale{Min: 1, Max: 9}, 0)
 	d := p.Decide(now, "east", autoscale.InForce{Count: 5})
 	require.Equal(t, 5, d.Count)
 	require.Equal(t, autoscale.Unavailable, d.Reason, "a domain that was never listed gets no order")
