Keep steps of the wall clock out of the history of the demand

After a step backwards the history would have ignored the demand until the clock was where it was before. The duty uses the time since its start now. Tests with the race detector pass.

--- a/singleton/autoscale/scaler.go
+++ b/singleton/autoscale/scaler.go
@@ -86,6 +86,10 @@
 		Scaler: s, planners: make(map[core.ServiceID]*Planner), targets: make(map[singleton.Subject]*target), cold: make(coldPeriods),
 		problems: make(map[core.ServiceID]string),
 	}
+	// Steps of the wall clock do not change the time that the duty uses. The history would
+	// otherwise ignore demand until the clock is again where it was.
+	start := time.Now()
+	now := func() time.Time { return start.Add(time.Since(start)) }
 	ticker := time.NewTicker(decisionInterval)
 	defer ticker.Stop()
 	for {
@@ -94,10 +98,10 @@
 			return nil
 		case <-s.results.Ready():
 			for r, ok := s.results.TryReceive(); ok; r, ok = s.results.TryReceive() {
-				d.record(time.Now(), r)
+				d.record(now(), r)
 			}
 		case <-ticker.C:
-			d.tick(time.Now())
+			d.tick(now())
 		}
 	}
 }
