Meter calls and report the usage of windows under a lease

A lease in the store is acquired and renewed by lease/keeper, which package weights now uses too. singleton/usage counts calls that began to run, hands the counts to two collectors, fixes the counts of a window in the transaction that renews the lease, and reports them.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -76,6 +76,7 @@
 	gateway      *gateway.Gateway
 	relay        *cacheevents.Relay
 	exchanger    *sharing.Exchanger
+	duties       *duties
 	dialer       *transport.Dialer
 	metrics      *telemetry.Metrics
 	incarnation  core.Incarnation
@@ -155,12 +156,16 @@
 	p.exchanger = sharing.New(sharing.Options{
 		Self: s.Node, Candidates: p.collectorCandidates, Exchange: p.exchangeObservations, Sender: p.fleet.Sender, ObserveEpoch: p.fleet.ObserveEpoch, Log: p.log,
 	})
+	var err error
+	if p.duties, err = p.newDuties(store); err != nil {
+		return err
+	}
 	g, err := gateway.New(gateway.Options{
 		Fleet: p.fleet, CacheFeed: cacheevents.New(engines, p.ownsFrees, p.relay, relayClient{p.dialer}, p.log), Codec: platform.CallCodec{},
 		Observations: p.exchanger,
 		Client:       upstreamhttp.NewClient(platform.NewUpstreamDialer(connectTimeout)), RequestMemory: memory.requests, ResponseMemory: memory.responses, CacheMemory: memory.keptCache,
 		CanaryShare: s.Rollout.CanaryShare, StatusWriter: canary.NewStatusWriter(store, platform.RowCodec{}, p.log),
-		Placement: placementOptions(s), Log: p.log, Meter: p.metrics.Meter("gateway"), Random: rand.Float64,
+		CallBegan: p.duties.callBegan(), Placement: placementOptions(s), Log: p.log, Meter: p.metrics.Meter("gateway"), Random: rand.Float64,
 	})
 	if err != nil {
 		return err
@@ -179,6 +184,7 @@
 	p.exchanger.Start(p.group)
 	p.fleet.Start(p.group)
 	g.Start(p.group)
+	p.duties.start(p.group)
 	p.group.Go("weights", loader.Run)
 	p.group.Go("settings", p.watchSettings)
 	if err := p.listen(); err != nil {
@@ -238,7 +244,7 @@
 // is the dRPC protocol between the processes of the system.
 func (p *process) listen() error {
 	mux := drpcmux.New()
-	if err := wire.DRPCRegisterCatalog(mux, catalogServer{p.fleet, p.relay, p.exchanger}); err != nil {
+	if err := wire.DRPCRegisterCatalog(mux, catalogServer{p.fleet, p.relay, p.exchanger, p.duties}); err != nil {
 		return errs.Wrap(err, errs.Internal, "report this as a defect", "registering the inner protocol failed")
 	}
 	inner, err := listenTCP(p.settings.Inner)
@@ -262,6 +268,7 @@
 	*fleet.Fleet
 	*cacheevents.Relay
 	*sharing.Exchanger
+	*duties
 }
 
 // relayClient queries relays over the inner protocol.
@@ -333,6 +340,7 @@
 	p.log.WithFields(logrus.Fields{"event": "stop", "grace_ms": p.settings.Bounds.Grace.Milliseconds()}).Info("stopping")
 	close(p.stopping)
 	p.gateway.BeginStop(stopStarted, p.settings.Bounds.Grace)
+	p.group.Go("release leases", p.duties.release)
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
 	p.fleet.Deregister(ctx)
 	cancel()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,8 +55,12 @@
 	// version.
 	CanaryShare  float64
 	StatusWriter *canary.StatusWriter
-	Log          logrus.FieldLogger
-	Meter        metric.Meter
+	// CallBegan is called once for each call of a workspace that began to run at an
+	// upstream: with the first event of a stream, or with a successful response of another
+	// kind. It is nil if calls are not metered.
+	CallBegan func(core.WorkspaceID)
+	Log       logrus.FieldLogger
+	Meter     metric.Meter
 	// Random returns a number from 0 to 1. It distributes calls over the targets of a
 	// route.
 	Random func() float64
@@ -173,6 +177,18 @@
 	// unnumbered is set when a section without an id followed that event.
 	unnumbered bool
 	status     int
+	// begun is set when the call was counted as one that began to run.
+	begun bool
+}
+
+// recordBegun counts the call as one that began to run, unless it is counted already. The
+// continuation of a stream that the caller received from another front was counted there.
+func (s *callState) recordBegun() {
+	if s.begun || s.workspace == nil || s.gateway.opts.CallBegan == nil || s.call.LastEventID != "" {
+		return
+	}
+	s.begun = true
+	s.gateway.opts.CallBegan(s.workspace.ID)
 }
 
 // resolve checks the size of the headers, finds the route of the call, sets its
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -70,6 +70,9 @@
 		s.keepFailedResponse(buffered)
 		return attemptOutcome{result: placement.Failed}
 	}
+	if response.Success() {
+		s.recordBegun()
+	}
 	s.writeResponse(buffered)
 	return attemptOutcome{result: placement.Completed}
 }
@@ -135,6 +138,7 @@
 		event, err := events.next()
 		if err == nil {
 			pace.recordEvent(time.Now())
+			s.recordBegun()
 			if order.isRepetition(event, s.lastEventDigest) {
 				continue
 			}
--- /dev/null
+++ b/lease/keeper/metrics.go
@@ -0,0 +1,45 @@
+package keeper
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"waxwingtide.example/waxwingtide/clock"
+	"waxwingtide.example/waxwingtide/errs"
+)
+
+type metrics struct{ changes metric.Int64Counter }
+
+// newMetrics returns the instruments of a keeper. The gauges are read from its authorities.
+func newMetrics(meter metric.Meter, k *Keeper) (*metrics, error) {
+	const remedy, problem = "report this as a defect", "metric instruments cannot be created"
+	changes, err := meter.Int64Counter("duties_holder_changes", metric.WithDescription("Times this process became or ceased to be a holder"))
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Internal, remedy, problem)
+	}
+	fence, err := meter.Int64ObservableGauge("duties_fence", metric.WithDescription("Fence of each subject that this process holds"))
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Internal, remedy, problem)
+	}
+	since, err := meter.Float64ObservableGauge("duties_held_seconds", metric.WithUnit("s"), metric.WithDescription("Time for which this process has held each subject"))
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Internal, remedy, problem)
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
+		now := clock.SinceBoot()
+		for subject, a := range *k.held.Load() {
+			if !a.Valid(now) {
+				continue
+			}
+			attributes := metric.WithAttributes(attribute.String("subject", string(subject)), attribute.String("holder", string(a.Holder)))
+			observer.ObserveInt64(fence, int64(a.Fence), attributes)
+			observer.ObserveFloat64(since, (now - a.Since).Seconds(), attributes)
+		}
+		return nil
+	}, fence, since)
+	return &metrics{changes: changes}, errs.Wrap(err, errs.Internal, remedy, problem)
+}
+
+func (m *metrics) changed() { m.changes.Add(context.Background(), 1) }
--- a/lease/timed.go
+++ b/lease/timed.go
@@ -197,3 +197,19 @@
 
 // StopAt returns the local time at which the holder must stop.
 func (l *StoreLease) StopAt() time.Duration { return l.stopAt }
+
+// Release ends the time of the holder. Its next read of the row yields ReleaseProposal.
+func (l *StoreLease) Release() { l.stopAt = 0 }
+
+// ReleaseProposal returns the row with which a process that has called Release gives the
+// lease up, and the version that it replaces. It returns false if the row is not its own.
+// The margin remains, for a request that was sent just before the release.
+func (l *StoreLease) ReleaseProposal() (StoreLeaseRow, uint64, bool) {
+	isOwnRow := l.row.Holder == l.self && l.row.Incarnation == l.incarnation
+	if l.version == 0 || !isOwnRow || l.stopAt != 0 {
+		return StoreLeaseRow{}, 0, false
+	}
+	released := l.row
+	released.Expiry = min(released.Expiry, l.storeNow+l.cfg.Margin)
+	return released, l.version, true
+}
--- a/settings/front.go
+++ b/settings/front.go
@@ -1,9 +1,17 @@
 package settings
 
 import (
+	"slices"
 	"time"
 
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/errs"
+)
+
+// Names of duties in FrontCloud.Duties, as the platform gives them.
+const (
+	DutyUsage     = "usage_report"
+	DutyAutoscale = "autoscale"
 )
 
 // Defaults of the front's optional settings.
@@ -35,7 +43,45 @@
 	Memory  FrontMemory  `yaml:"memory,omitempty"`
 	Stop    FrontStop    `yaml:"stop,omitempty"`
 	Rollout FrontRollout `yaml:"rollout,omitempty"`
-	Log     Log          `yaml:"log,omitempty"`
+	// Cloud is nil in a deployment without duties.
+	Cloud *FrontCloud `yaml:"cloud,omitempty"`
+	Log   Log         `yaml:"log,omitempty"`
+}
+
+// FrontCloud is the platform's interface for the duties that one front performs at a time.
+type FrontCloud struct {
+	// Address is the IP:port of the interface.
+	Address string `yaml:"address" validate:"required,ip_port"`
+	// CallsPerSecond is the number of calls that it accepts from all fronts.
+	CallsPerSecond float64 `yaml:"calls_per_second" validate:"gt=0"`
+	// Duties are the duties that the fronts perform. Unknown ones are logged and ignored.
+	Duties []string `yaml:"duties" validate:"dive,required"`
+	// UsageWindow is the length of the windows for which usage is reported, UsageDue the
+	// time after a window's end by which it must be. They are required for usage reports.
+	UsageWindow time.Duration `yaml:"usage_window,omitempty" validate:"min=0"`
+	UsageDue    time.Duration `yaml:"usage_due,omitempty" validate:"min=0"`
+}
+
+// Performs reports whether the fronts perform a duty.
+func (c *FrontCloud) Performs(duty string) bool {
+	return c != nil && slices.Contains(c.Duties, duty)
+}
+
+// minUsagePeriod is the minimum of UsageWindow and UsageDue. Counts are gathered within an
+// eighth of it.
+const minUsagePeriod = time.Second
+
+// checkUsage returns an error if usage is to be reported with periods that are too short.
+func (c *FrontCloud) checkUsage(file string) error {
+	if !c.Performs(DutyUsage) {
+		return nil
+	}
+	for key, period := range map[string]time.Duration{"cloud.usage_window": c.UsageWindow, "cloud.usage_due": c.UsageDue} {
+		if period < minUsagePeriod {
+			return errs.New(errs.Invalid, "set it to "+minUsagePeriod.String()+" or more", "%s: %s is %s, which is too short for usage reports", file, key, period)
+		}
+	}
+	return nil
 }
 
 // FrontBounds are the deployment's bounds.
@@ -99,6 +145,9 @@
 	if err := load(file, &s); err != nil {
 		return nil, err
 	}
+	if err := s.Cloud.checkUsage(file); err != nil {
+		return nil, err
+	}
 	setDefault(&s.Log.Level, "info")
 	setDefault(&s.Weights.LoadShare, DefaultLoadShare)
 	setDefault(&s.Weights.Mode, "finish")
--- a/weights/loader.go
+++ b/weights/loader.go
@@ -13,16 +13,13 @@
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/fleet"
 	"waxwingtide.example/waxwingtide/lease"
+	"waxwingtide.example/waxwingtide/lease/keeper"
 	"waxwingtide.example/waxwingtide/ring"
 )
 
 const (
-	// leaseTable contains the rows of the lease, leaseName is the name in their keys.
-	leaseTable = fleet.Table("leases")
-	leaseName  = "weights"
-	// maxRemovedRows is the number of rows of older generations that one write of the
-	// lease removes. A transaction has at most 100 entries.
-	maxRemovedRows = 90
+	// leaseName is the name in the keys of the lease's rows.
+	leaseName = "weights"
 
 	// checkInterval is the interval between two checks of the jobs while there are
 	// any. It is also the minimum delay before the next attempt to acquire the lease.
@@ -71,15 +68,14 @@
 	opts    Options
 	changed *ring.Ring[struct{}]
 	results *ring.Ring[jobResult]
-	lease   *lease.StoreLease
+	leases  *keeper.Reader
+	lease   *keeper.Contender
 	tracker *jobTracker
 	// heldLease allows the jobs to send orders. It is nil while the lease is not held.
 	heldLease atomic.Pointer[heldLease]
 	// outdatedSince is the time at which servers with outdated weights were first
 	// observed. It is zero while there are none.
 	outdatedSince time.Time
-	// readFailed is set while the lease cannot be read.
-	readFailed bool
 	// nextLeaseAttempt is the earliest time of the next attempt to acquire or renew
 	// the lease.
 	nextLeaseAttempt time.Time
@@ -108,7 +104,8 @@
 	}
 	return &Loader{
 		opts: opts, changed: opts.Fleet.Subscribe(), results: ring.New[jobResult](resultRingSize),
-		lease: lease.NewStoreLease(cfg, opts.Self, opts.Incarnation), tracker: newJobTracker(),
+		leases: keeper.NewReader(opts.Store, opts.Log),
+		lease:  keeper.NewContender(leaseName, lease.NewStoreLease(cfg, opts.Self, opts.Incarnation), opts.Store, opts.Log), tracker: newJobTracker(),
 	}
 }
 
@@ -145,7 +142,7 @@
 // there are any, and schedules the first attempt to acquire the lease.
 func (l *Loader) checkJobs() []Job {
 	v := l.opts.Fleet.View()
-	l.observeGeneration(v.Generation)
+	l.lease.ObserveGeneration(v.Generation)
 	requested := make(map[core.ModelID]catalog.WeightNumber, len(v.Weights))
 	for model, w := range v.Weights {
 		requested[model] = w.Newest().Version
@@ -174,15 +171,15 @@
 }
 
 func (l *Loader) step(ctx context.Context, group *duty.Group, jobs []Job) {
-	if l.lease.ReadDue(clock.SinceBoot()) && !time.Now().Before(l.nextLeaseAttempt) {
+	if l.lease.Due(clock.SinceBoot()) && !time.Now().Before(l.nextLeaseAttempt) {
 		l.renew(ctx)
 	}
-	fence, held := l.lease.HeldFence(clock.SinceBoot())
+	fence, stopAt, held := l.lease.Held(clock.SinceBoot())
 	if !held {
 		l.heldLease.Store(nil)
 		return
 	}
-	l.heldLease.Store(&heldLease{fence: fence, stopAt: l.lease.StopAt()})
+	l.heldLease.Store(&heldLease{fence: fence, stopAt: stopAt})
 	loadable := 0
 	for _, u := range l.opts.Fleet.View().Upstreams {
 		if len(u.Weights) > 0 {
