--- a/singleton/usage/meter_test.go
+++ b/singleton/usage/meter_test.go
@@ -44,7 +44,9 @@
 		c.offset.Store(int64(at - clock.SinceBoot()))
 		m, err := NewMeter(MeterOptions{
 			Self: self, Periods: testPeriods, Members: func() []fleet.Member { return members }, Exchange: n.exchange,
-			Sender:       func() *wire.Sender { return &wire.Sender{Node: string(self.Node), Incarnation: uint64(self.Incarnation)} },
+			Sender: func() *wire.Sender {
+				return &wire.Sender{Node: string(self.Node), Incarnation: uint64(self.Incarnation)}
+			},
 			ObserveEpoch: func(*wire.Sender) {}, Clock: c, Log: testLog(), Meter: noop.Meter{},
 		})
 		require.NoError(t, err)
--- a/singleton/usage/plan.go
+++ b/singleton/usage/plan.go
@@ -40,7 +40,9 @@
 // load records the rows of the store after this process has become the holder or its fence
 // has risen, and the true time at which this process first observed the generation of the
 // store's content. Counts that this process has fixed itself stay known if the store has
-// lost them. A process that has held the lease without interruption knows that no other one
+// lost them. Rows without counts are those of an older generation: a late write of an earlier
+// holder may have changed them after the restore, so that their counts may differ from those
+// that were reported. A process that has held the lease without interruption knows that no other one
 // has fixed a window meanwhile, and keeps its proposals.
 func (p *plan) load(rows []fixedRow, generationSince time.Duration, uninterrupted bool) {
 	if !uninterrupted {
@@ -48,7 +50,7 @@
 		p.fixableFrom = p.periods.windowAt(generationSince + restoreGuard)
 	}
 	for _, row := range rows {
-		if _, known := p.fixed[row.Window]; !known {
+		if _, known := p.fixed[row.Window]; !known && row.Counts != nil {
 			p.fixed[row.Window] = row.Counts
 		}
 		p.setReportedThrough(row.reportedThrough)
--- a/singleton/usage/reporter.go
+++ b/singleton/usage/reporter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -171,6 +172,9 @@
 			continue
 		}
 		r.stored[stored.Key] = row.Window
+		if !strings.HasPrefix(stored.Key, keyPrefix(generation)) {
+			row.Counts = nil
+		}
 		rows = append(rows, row)
 	}
 	r.plan.load(rows, r.opts.Clock.At(observedAt), a.Since == r.loadedSince)
@@ -185,7 +189,11 @@
 // rowKey returns the key of the row of a window. It contains the generation, so that a write
 // that takes effect after a restore does not change a row of the new generation.
 func rowKey(generation core.Generation, w Window) string {
-	return strconv.FormatUint(uint64(generation), 10) + "/" + strconv.FormatInt(int64(w), 10)
+	return keyPrefix(generation) + strconv.FormatInt(int64(w), 10)
+}
+
+func keyPrefix(generation core.Generation) string {
+	return strconv.FormatUint(uint64(generation), 10) + "/"
 }
 
 // fix gathers the counts of a window and writes them to the store. It returns false if they
--- a/singleton/usage/reporter_test.go
+++ b/singleton/usage/reporter_test.go
@@ -300,6 +300,24 @@
 	require.Contains(t, w.accepted, firstWindow+5)
 }
 
+// Guards against counts of a row of an older generation that a late write of an earlier
+// holder has changed after the restore. spec/usage.pml found the sequence.
+func TestRowsOfOlderGenerationsAreNotReported(t *testing.T) {
+	w := newWorld(t)
+	first := w.become(w.since)
+	w.commitError = errs.New(errs.Unknown, "", "performed later")
+	first.runAt(after(firstWindow + 1))
+	late, err := fixedRow{WindowReport: WindowReport{Window: firstWindow + 1, Counts: first.reporter.plan.proposed[firstWindow+1]}}.encode()
+	require.NoError(t, err)
+	w.commitError = nil
+	w.become(after(firstWindow+1) + time.Second)
+	require.Contains(t, w.accepted, firstWindow+1)
+	w.generation, w.since = 1, after(firstWindow+1)+2*time.Second
+	w.rows = map[string][]byte{rowKey(0, firstWindow+1): late}
+	w.become(after(firstWindow + 4)) // the platform fake refuses other counts
+	require.Contains(t, w.accepted, firstWindow+4)
+}
+
 // Guards against a window that no process reports because a process that was the holder all
 // the time treats it as one of lost content.
 func TestHolderKeepsItsWindowOverARestore(t *testing.T) {
