--- a/singleton/usage/metrics.go
+++ b/singleton/usage/metrics.go
@@ -45,6 +45,6 @@
 	m.reports.Add(ctx, 1, metric.WithAttributes(attribute.String("result", result)))
 }
 
-func (m *reporterMetrics) missed() {
-	m.reports.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", "missing")))
+func (m *reporterMetrics) missed(windows int) {
+	m.reports.Add(context.Background(), int64(windows), metric.WithAttributes(attribute.String("result", "missing")))
 }
--- a/singleton/usage/plan.go
+++ b/singleton/usage/plan.go
@@ -5,10 +5,6 @@
 	"time"
 )
 
-// maxWindowsPerStep bounds the windows that are considered in one step, for a process whose
-// last window is long ago.
-const maxWindowsPerStep = 64
-
 // plan is what the holder knows of the windows to report. It makes no calls.
 type plan struct {
 	periods Periods
@@ -104,23 +100,37 @@
 // Causes of windows that are not reported.
 const (
 	causeLostContent = "the window ended before this process observed this generation of the store, and has no row"
-	causeTooLate     = "the window was not reported within three times its due time"
+	causeTooLate     = "the windows were not reported within three times their due time"
 	causeRejected    = "the platform rejected the report"
 )
 
+// skipExpired gives up the windows that are too old to be reported, and returns their number.
+func (p *plan) skipExpired(now time.Duration) (missing int) {
+	lastExpired := p.periods.windowAt(now-p.periods.retention()) - 1
+	if !p.begun || lastExpired <= p.reportedThrough {
+		return 0
+	}
+	missing = int(lastExpired - p.reportedThrough)
+	for w := range p.reported {
+		if w <= lastExpired {
+			missing--
+		}
+	}
+	p.setReportedThrough(lastExpired)
+	return missing
+}
+
 // due returns the windows for which something must be done, oldest first.
 func (p *plan) due(now time.Duration) (due []dueWindow) {
 	if !p.begun {
 		return nil
 	}
-	for w := p.reportedThrough + 1; p.periods.end(w)+p.periods.settle() <= now && len(due) < maxWindowsPerStep; w++ {
+	for w := p.reportedThrough + 1; p.periods.end(w)+p.periods.settle() <= now; w++ {
 		if p.reported[w] {
 			continue
 		}
 		_, isFixed := p.fixed[w]
 		switch {
-		case p.periods.end(w)+p.periods.retention() < now:
-			due = append(due, dueWindow{window: w, task: skip, cause: causeTooLate})
 		case isFixed:
 			due = append(due, dueWindow{window: w, task: send})
 		case w < p.fixableFrom:
--- a/singleton/usage/reporter.go
+++ b/singleton/usage/reporter.go
@@ -138,6 +138,10 @@
 	if r.loadedFence != a.Fence && !r.load(ctx, a) {
 		return
 	}
+	if n := r.plan.skipExpired(r.now()); n > 0 {
+		r.logMissing(logrus.Fields{"windows": n, "through": r.plan.reportedThrough, "cause": causeTooLate})
+		r.metrics.missed(n)
+	}
 	for _, due := range r.plan.due(r.now()) {
 		if due.task == skip {
 			r.skip(due.window, due.cause)
@@ -282,11 +286,15 @@
 
 // skip gives up the report of a window.
 func (r *Reporter) skip(w Window, cause string) {
-	r.opts.Log.WithFields(logrus.Fields{"event": "usage_missing", "window": w, "cause": cause}).WithError(r.lastError).Error("usage of a window is not reported; the error is the last failure")
-	r.metrics.missed()
+	r.logMissing(logrus.Fields{"window": w, "cause": cause})
+	r.metrics.missed(1)
 	r.plan.recordDone(w)
 }
 
+func (r *Reporter) logMissing(fields logrus.Fields) {
+	r.opts.Log.WithFields(fields).WithField("event", "usage_missing").WithError(r.lastError).Error("usage is not reported; the error is the last failure")
+}
+
 // fail records the failure of a call and delays the next one.
 func (r *Reporter) fail(event string, err error) {
 	r.lastError = err
--- a/singleton/usage/reporter_test.go
+++ b/singleton/usage/reporter_test.go
@@ -307,7 +307,7 @@
 	first := w.become(w.since)
 	w.commitError = errs.New(errs.Unknown, "", "performed later")
 	first.runAt(after(firstWindow + 1))
-	late, err := fixedRow{WindowReport: WindowReport{Window: firstWindow + 1, Counts: first.reporter.plan.proposed[firstWindow+1]}}.encode()
+	late, err := fixedRow{WindowReport: WindowReport{Window: firstWindow + 1, Counts: first.reporter.plan.proposed[firstWindow+1]}, reportedThrough: firstWindow}.encode()
 	require.NoError(t, err)
 	w.commitError = nil
 	w.become(after(firstWindow+1) + time.Second)
@@ -363,7 +363,7 @@
 	w.platformOff = true
 	a.runAt(after(firstWindow + 1))
 	w.platformOff = false
-	last := firstWindow + 12
+	last := firstWindow + 5000
 	a.runAt(after(last))
 	require.NotContains(t, w.accepted, firstWindow+1)
 	require.Contains(t, w.accepted, last)
