--- a/cli/root.go
+++ b/cli/root.go
@@ -71,7 +71,7 @@
 	flags.StringVarP(&o.output, "output", "o", outputTable, "output form: table or json")
 	flags.DurationVar(&o.timeout, "timeout", 20*time.Second, "time limit of one command")
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputTable, outputJSON}, cobra.ShellCompDirectiveNoFileComp))
-	root.AddCommand(newBundle(o), newRollout(o), newDomain(o), newUpstream(o), newStatus(o), newAudit(o))
+	root.AddCommand(newBundle(o), newRollout(o), newDomain(o), newUpstream(o), newStatus(o), newAudit(o), newDuties(o))
 	return root
 }
 
