--- a/singleton/usage/handover.go
+++ b/singleton/usage/handover.go
@@ -16,6 +16,8 @@
 const (
 	// failbackInterval is the time after a failure for which another candidate is used.
 	failbackInterval = 2 * time.Second
+	// finalTimeout is the timeout of the last hand-over of a planned stop.
+	finalTimeout = 200 * time.Millisecond
 	// droppedNotice is the time between two log lines on dropped calls.
 	droppedNotice = 5 * time.Second
 )
@@ -119,31 +121,41 @@
 	for duty.Pause(ctx, handoverInterval) {
 		d.handOver(ctx)
 	}
-	// The counts of the last moments of a planned stop.
-	final, cancel := context.WithTimeout(context.WithoutCancel(ctx), exchangeTimeout)
+	// The counts of the last moments of a planned stop. The book has stopped.
+	final, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalTimeout)
 	defer cancel()
-	d.handOver(final)
+	d.send(final, d.count(final))
 	return nil
 }
 
-// handOver counts the calls since the last hand-over and sends what is new.
+// handOver counts the calls since the last hand-over and hands over what is new.
 func (d *meterDuty) handOver(ctx context.Context) {
-	d.counts.number++
-	through := d.now()
-	d.countCalls(ctx)
-	d.counts.prune(through)
-	own := SourceReport{Source: Source{Node: d.opts.Self.Node, Incarnation: d.opts.Self.Incarnation}, Through: through}
+	own := d.count(ctx)
 	own.Windows = d.counts.since(d.counts.number - 1)
 	if _, err := d.askBook(ctx, []SourceReport{own}, false, 0); err != nil {
 		d.opts.Log.WithField("event", "usage_unrecorded").WithError(err).Warn("counts of calls were not recorded in the local book")
 	}
+	d.send(ctx, own)
+	d.correctClock()
+}
+
+// count counts the calls since the last hand-over and returns a report without windows.
+func (d *meterDuty) count(ctx context.Context) SourceReport {
+	d.counts.number++
+	through := d.now()
+	d.countCalls(ctx)
+	d.counts.prune(through)
+	return SourceReport{Source: Source{Node: d.opts.Self.Node, Incarnation: d.opts.Self.Incarnation}, Through: through}
+}
+
+// send sends each collector what it has not received.
+func (d *meterDuty) send(ctx context.Context, own SourceReport) {
 	inside, outside := collectorLists(d.opts.Members(), d.opts.Self.Domain)
 	for i, candidates := range [][]fleet.Member{inside, outside} {
 		if candidates = d.others(candidates); len(candidates) > 0 {
 			d.handOverTo(ctx, &d.links[i], candidates, own)
 		}
 	}
-	d.correctClock()
 }
 
 func (d *meterDuty) others(members []fleet.Member) (others []fleet.Member) {
--- a/singleton/usage/meter_test.go
+++ b/singleton/usage/meter_test.go
@@ -13,6 +13,7 @@
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/fleet"
+	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -111,6 +112,23 @@
 	require.Empty(t, book.Missing(firstWindow, []core.NodeID{"x1"}))
 }
 
+// Guards against the loss of the calls that began just before the end of a planned stop, when
+// the book has stopped already.
+func TestStopHandsOver(t *testing.T) {
+	members := testMembers("x1", "y1")
+	n, duties := startMeters(t, members, testPeriods.end(firstWindow-1)+time.Second)
+	stopping := *duties["x1"].Meter
+	stopping.requests = ring.New[bookRequest](requestCapacity) // without a receiver
+	stopping.CallBegan(crew)
+	stopped, stop := context.WithCancel(t.Context())
+	stop()
+	require.NoError(t, stopping.runMeter(stopped))
+	reports, err := n["y1"].collect(t.Context(), "y1", firstWindow)
+	require.NoError(t, err)
+	require.Len(t, reports, 1)
+	require.Equal(t, Counts{crew: 1}, reports[0].Windows[firstWindow])
+}
+
 // Guards against hand-overs without new counts, which would cost each process a message
 // every interval.
 func TestNothingIsHandedOverWithoutCalls(t *testing.T) {
