--- a/singleton/usage/meter_test.go
+++ b/singleton/usage/meter_test.go
@@ -22,7 +22,7 @@
 
 func (n network) exchange(ctx context.Context, address string, request *wire.MeterRequest) (*wire.MeterReply, error) {
 	m := n[address]
-	if m == nil {
+	if m == nil || ctx.Err() != nil {
 		return nil, errs.New(errs.Unavailable, "", "no process at %s", address)
 	}
 	return m.Meter(ctx, request)
