--- a/lease/keeper/keeper_test.go
+++ b/lease/keeper/keeper_test.go
@@ -10,17 +10,20 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/metric/noop"
+	"google.golang.org/protobuf/proto"
 
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/fleet"
+	"waxwingtide.example/waxwingtide/lease"
 	"waxwingtide.example/waxwingtide/lease/keeper"
 	"waxwingtide.example/waxwingtide/platform"
 	"waxwingtide.example/waxwingtide/rendezvous"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/singleton"
 	"waxwingtide.example/waxwingtide/standin"
+	"waxwingtide.example/waxwingtide/wire"
 )
 
 const (
@@ -44,6 +47,7 @@
 	address string
 	members []fleet.Member
 	started core.Incarnation
+	gap     time.Duration
 }
 
 func newCluster(t *testing.T, nodes ...core.NodeID) *cluster {
@@ -55,7 +59,7 @@
 		server.Close()
 		store.Close()
 	})
-	c := &cluster{t: t, store: store, address: server.Listener.Addr().String()}
+	c := &cluster{t: t, store: store, address: server.Listener.Addr().String(), gap: gap}
 	for _, node := range nodes {
 		c.members = append(c.members, fleet.Member{Node: node, Address: string(node)})
 	}
@@ -74,7 +78,7 @@
 	}
 	view := &fleet.View{Members: c.members}
 	k, err := keeper.New(keeper.Options{
-		Self: p.member, Gap: gap, Store: platform.NewMetadataStore(c.address), View: func() *fleet.View { return view },
+		Self: p.member, Gap: c.gap, Store: platform.NewMetadataStore(c.address), View: func() *fleet.View { return view },
 		Changed: p.changed, Log: log, Meter: noop.Meter{},
 	})
 	require.NoError(c.t, err)
@@ -150,21 +154,31 @@
 // and against a process that acquires the lease again while it stops.
 func TestReleasedLeaseIsTakenAfterTheGap(t *testing.T) {
 	c := newCluster(t, "a", "b")
+	c.gap = 4 * gap
 	a := c.start("a", "a")
 	a.awaitAuthority(t)
+	before := c.leaseRow()
 	a.Release(t.Context())
 	_, ok := a.Authority(subject)
 	require.False(t, ok)
-	row, ok := c.store.Row(string(keeper.Table), "usage/0")
-	require.True(t, ok)
+	released := c.leaseRow()
+	require.Equal(t, before.Fence, released.Fence)
+	require.Less(t, released.UntilMs, before.UntilMs)
 	b := c.start("b", "b")
-	b.awaitAuthority(t)
-	after, _ := c.store.Row(string(keeper.Table), "usage/0")
-	require.NotEqual(t, row, after)
+	require.Greater(t, b.awaitAuthority(t).Fence, core.Fence(released.Fence))
 	_, ok = a.Authority(subject)
 	require.False(t, ok)
 }
 
+// leaseRow returns the row of the lease in the first generation.
+func (c *cluster) leaseRow() *wire.LeaseRow {
+	value, ok := c.store.Row(string(keeper.Table), lease.StoreLeaseKey(string(subject), 0))
+	require.True(c.t, ok)
+	row := &wire.LeaseRow{}
+	require.NoError(c.t, proto.Unmarshal(value, row))
+	return row
+}
+
 // Guards against two VMs with one name that both act as the holder: a VM that replaces
 // another one, which is only cut off, waits as any other process does.
 func TestVMWithTheSameNameWaits(t *testing.T) {
