--- a/settings/front_test.go
+++ b/settings/front_test.go
@@ -32,6 +32,16 @@
 	program, err := settings.Check(file)
 	require.NoError(t, err)
 	require.Equal(t, "waxwing-front", program)
+	require.True(t, s.Cloud.Performs(settings.DutyUsage))
+	require.False(t, s.Cloud.Performs(settings.DutyAutoscale))
+}
+
+// Guards against a front that performs duties in a deployment without them.
+func TestFrontWithoutDuties(t *testing.T) {
+	s, err := settings.LoadFront(frontFile(t, func(s string) string { return s[:strings.Index(s, "cloud:")] }))
+	require.NoError(t, err)
+	require.Nil(t, s.Cloud)
+	require.False(t, s.Cloud.Performs(settings.DutyUsage))
 }
 
 // Guards against a front that starts with settings that are wrong or missing.
@@ -53,6 +63,10 @@
 		"negative slack":   {replace("cold_slack: 5", "cold_slack: -1"), "cold_slack"},
 		"no retry window":  {replace("retry_window: 10s", ""), "retry_window"},
 		"grace of no time": {replace("grace: 8s", "grace: 0s"), "grace"},
+		"cloud address":    {replace("127.0.0.1:8747", "cloud"), "cloud.address"},
+		"no rate of calls": {replace("calls_per_second: 50", "calls_per_second: 0"), "calls_per_second"},
+		"no usage window":  {replace("usage_window: 5s", ""), "usage_window"},
+		"short usage due":  {replace("usage_due: 10s", "usage_due: 10ms"), "usage_due"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
