Order the number of upstreams from the front

The duties of autoscale get their leases, the loads that the router knows, the client of the platform and their settings.

--- a/frontend/duties.go
+++ b/frontend/duties.go
@@ -13,8 +13,10 @@
 	"waxwingtide.example/waxwingtide/fleet"
 	"waxwingtide.example/waxwingtide/lease/keeper"
 	"waxwingtide.example/waxwingtide/platform"
+	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/settings"
 	"waxwingtide.example/waxwingtide/singleton"
+	"waxwingtide.example/waxwingtide/singleton/autoscale"
 	"waxwingtide.example/waxwingtide/singleton/usage"
 	"waxwingtide.example/waxwingtide/wire"
 )
@@ -29,6 +31,10 @@
 	client   *platform.DutyClient
 	meter    *usage.Meter
 	reporter *usage.Reporter
+	scaler   *autoscale.Scaler
+	domains  []core.FailureDomain
+	view     func() *fleet.View
+	changed  *ring.Ring[struct{}]
 }
 
 // newDuties returns the duties of the settings, or nil if there are none.
@@ -56,10 +62,52 @@
 			return nil, err
 		}
 	}
+	if cloud.Performs(settings.DutyAutoscale) && len(p.settings.Autoscale.FailureDomains) > 0 {
+		if err := d.addAutoscale(p); err != nil {
+			return nil, err
+		}
+	}
 	d.setSubjects(nil)
 	return d, nil
 }
 
+// addAutoscale adds the duties that order the number of upstreams.
+func (d *duties) addAutoscale(p *process) (err error) {
+	a := p.settings.Autoscale
+	d.domains, d.view, d.changed = a.FailureDomains, p.fleet.View, p.fleet.Subscribe()
+	d.scaler, err = autoscale.NewScaler(autoscale.ScalerOptions{
+		Options: autoscale.Options{
+			Utilization: a.Utilization, LossUtilization: a.LossUtilization, LostDomains: a.LostDomains, LostUpstreams: a.LostUpstreams,
+			CutShare: a.CutShare, Period: a.Period, HoldTime: a.Hold,
+		},
+		Leases: d.keeper, Client: d.client, View: p.fleet.View, Log: p.log, Meter: p.metrics.Meter("autoscale"),
+	})
+	return err
+}
+
+// runSubjects sets the subjects of the configuration in force.
+func (d *duties) runSubjects(ctx context.Context) error {
+	var epoch core.Epoch
+	for {
+		if config := d.view().Config; config != nil && config.Epoch != epoch {
+			epoch = config.Epoch
+			d.setSubjects(autoscale.Subjects(config, d.domains))
+		}
+		if _, err := d.changed.Receive(ctx); err != nil {
+			return nil
+		}
+	}
+}
+
+// recordLoads returns the function that receives the loads of all upstreams, or nil if their
+// number is not ordered.
+func (d *duties) recordLoads() func(autoscale.LoadReport) {
+	if d == nil || d.scaler == nil {
+		return nil
+	}
+	return d.scaler.RecordLoads
+}
+
 // addUsage adds the metering and the reports of usage.
 func (d *duties) addUsage(p *process, self fleet.Member, store fleet.Store) (err error) {
 	periods := usage.Periods{Window: p.settings.Cloud.UsageWindow, Due: p.settings.Cloud.UsageDue}
@@ -103,6 +151,10 @@
 		d.meter.Start(g)
 		g.Go("usage reports", d.reporter.Run)
 	}
+	if d.scaler != nil {
+		d.scaler.Start(g)
+		g.Go("scaling subjects", d.runSubjects)
+	}
 }
 
 // release gives up all leases, so that other fronts perform the duties.
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -170,7 +170,7 @@
 		Observations: p.exchanger, QuarantineStore: quarantines,
 		Client: upstreamhttp.NewClient(platform.NewUpstreamDialer(connectTimeout)), RequestMemory: memory.requests, ResponseMemory: memory.responses, CacheMemory: memory.keptCache,
 		CanaryShare: s.Rollout.CanaryShare, StatusWriter: canary.NewStatusWriter(store, platform.RowCodec{}, p.log),
-		CallBegan: p.duties.callBegan(), Placement: placementOptions(s), Log: p.log, Meter: p.metrics.Meter("gateway"), Random: rand.Float64,
+		CallBegan: p.duties.callBegan(), RecordLoads: p.duties.recordLoads(), Placement: placementOptions(s), Log: p.log, Meter: p.metrics.Meter("gateway"), Random: rand.Float64,
 	})
 	if err != nil {
 		return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"waxwingtide.example/waxwingtide/placement"
 	quarantinestore "waxwingtide.example/waxwingtide/quarantine/store"
 	"waxwingtide.example/waxwingtide/sharing"
+	"waxwingtide.example/waxwingtide/singleton/autoscale"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
 )
 
@@ -60,6 +61,9 @@
 	// upstream: with the first event of a stream, or with a successful response of another
 	// kind. It is nil if calls are not metered.
 	CallBegan func(core.WorkspaceID)
+	// RecordLoads receives the loads of all upstreams once a second. It is nil if the number
+	// of upstreams is not decided.
+	RecordLoads func(autoscale.LoadReport)
 	// QuarantineStore keeps the parts in quarantine over restarts.
 	QuarantineStore *quarantinestore.Keeper
 	Log             logrus.FieldLogger
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -20,6 +20,7 @@
 	quarantinestore "waxwingtide.example/waxwingtide/quarantine/store"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/sharing"
+	"waxwingtide.example/waxwingtide/singleton/autoscale"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
 )
 
@@ -96,6 +97,7 @@
 	connections   map[core.UpstreamID]*connections
 	placeRequests *ring.Ring[placeRequest]
 	waiting       *waitingCalls
+	recordLoads   func(autoscale.LoadReport)
 	reports       *ring.Ring[attemptReport]
 	quarantine    *quarantine.Tracker
 	// activeQuarantines is read by the metrics.
@@ -118,7 +120,7 @@
 	index := cacheindex.NewWithin(opts.CacheMemory)
 	r := &router{
 		fleet: opts.Fleet, viewChanged: opts.Fleet.Subscribe(), cacheFeed: opts.CacheFeed, observations: opts.Observations, cacheIndex: index, placer: placement.New(opts.Placement, index),
-		connections: make(map[core.UpstreamID]*connections), placeRequests: ring.New[placeRequest](placeRingSize), waiting: newWaitingCalls(),
+		connections: make(map[core.UpstreamID]*connections), placeRequests: ring.New[placeRequest](placeRingSize), waiting: newWaitingCalls(), recordLoads: opts.RecordLoads,
 		rollouts: canary.New(opts.Placement.Node, opts.CanaryShare), statusWriter: opts.StatusWriter, random: opts.Random,
 		reports: ring.New[attemptReport](reportRingSize), loggedSpeeds: make(map[core.ServiceID]placement.ServiceSpeed),
 		quarantine: quarantine.New(opts.Placement.Node, time.Now()), quarantineStore: opts.QuarantineStore, crashChecker: newCrashChecker(opts.Client.Refuses), options: ring.New[placement.Options](1), log: opts.Log,
@@ -179,6 +181,9 @@
 	r.reportQuarantines(now)
 	r.reportPace(now)
 	r.repeatDepartures(now.Add(-departureRepeat))
+	if r.recordLoads != nil {
+		r.recordLoads(r.placer.LoadReport(now, r.observations.LastExchange(), r.waiting.list.CallsByService()))
+	}
 	for _, store := range r.placer.CacheStores() {
 		obsolete := func(salt string) bool { return r.placer.Obsolete(now, salt) }
 		incarnation, keys := r.cacheIndex.ObsoleteParts(now, store.Address, obsolete)
--- a/waitlist/waitlist.go
+++ b/waitlist/waitlist.go
@@ -90,6 +90,17 @@
 // Len returns the number of waiting calls.
 func (l *List[T]) Len() int { return l.calls }
 
+// CallsByService returns the number of waiting calls of each service.
+func (l *List[T]) CallsByService() map[core.ServiceID]int {
+	calls := make(map[core.ServiceID]int, len(l.services))
+	for id, s := range l.services {
+		for _, k := range s.classes {
+			calls[id] += k.queue.Len()
+		}
+	}
+	return calls
+}
+
 // Add adds a call. It reports false when the list is full or when the call would not wait.
 func (l *List[T]) Add(now time.Time, c Call[T]) bool {
 	if l.calls >= l.capacity || !now.Before(c.Until) {
