--- a/lease/timed_test.go
+++ b/lease/timed_test.go
@@ -15,8 +15,8 @@
 	Duration: 1500 * time.Millisecond, Margin: 500 * time.Millisecond, Gap: 3 * time.Second, RenewInterval: 500 * time.Millisecond,
 }
 
-// Guards against orders of two holders that are less than the gap apart. Reads and
-// writes are delayed, processes pause and responses are lost. The clocks of the
+// Guards against orders of two holders that are less than the gap apart, also after one
+// has released the lease. Reads and writes are delayed, processes pause and responses are lost. The clocks of the
 // store and of the processes run at the same rate from different origins.
 func TestStoreLeaseKeepsHoldersApart(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -65,6 +65,16 @@
 			}
 			fences[fence] = nodes[i]
 			lastHolder, lastOrderAt = i, now
+			if rapid.IntRange(0, 9).Draw(t, "release") == 0 {
+				s.Release()
+				_, held := s.HeldFence(now + origins[i])
+				require.False(t, held)
+				s.RecordRead(now+origins[i], row, version, now)
+				now += delay.Draw(t, "releasing")
+				if released, expectedVersion, ok := s.ReleaseProposal(); ok && expectedVersion == version {
+					row, version = released, version+1
+				}
+			}
 		}
 	})
 }
--- a/spec/timed.pml
+++ b/spec/timed.pml
@@ -23,6 +23,7 @@
  *   BROKEN_ASKED      the own time is measured from the answer on
  *   BROKEN_CONDITION  the row is written whatever its version
  *   BROKEN_MARGIN     the holder gives orders until the very end
+ *   BROKEN_RELEASE    a released row ends before the last order has arrived
  *   BROKEN_KEY        all generations share one row
  *   BROKEN_WAIT       a lease is taken as soon as the row of a new generation is read
  *   BROKEN_LATE       a holder of the older generation replaces the row of a newer one
@@ -238,6 +239,17 @@
        fi;
        asked = 0; store_now = 0; version = 0; fence = 0; free = false
      }
+#ifndef RESTORES /* fewer states */
+  /* lease.(*StoreLease).Release and ReleaseProposal: the holder stops, then shortens its row. */
+  :: atomic { stop > 0 && now < stop && rows[KEY(known)].holder == me && newest < MAX_WRITES ->
+#ifdef BROKEN_RELEASE
+       put(KEY(known), me, 0, rows[KEY(known)].fence);
+#else
+       put(KEY(known), me, now + MARGIN, rows[KEY(known)].fence);
+#endif
+       stop = 0; held_fence = 0; held_in = 0
+     }
+#endif
   /* lease.(*StoreLease).HeldFence, then an order that arrives a little later */
   :: atomic { stop > 0 && now < stop -> checked = now; checked_fence = held_fence };
      atomic {
