--- a/settings/front_test.go
+++ b/settings/front_test.go
@@ -38,7 +38,10 @@
 
 // Guards against a front that performs duties in a deployment without them.
 func TestFrontWithoutDuties(t *testing.T) {
-	s, err := settings.LoadFront(frontFile(t, func(s string) string { return s[:strings.Index(s, "cloud:")] }))
+	s, err := settings.LoadFront(frontFile(t, func(s string) string {
+		before, _, _ := strings.Cut(s, "cloud:")
+		return before
+	}))
 	require.NoError(t, err)
 	require.Nil(t, s.Cloud)
 	require.False(t, s.Cloud.Performs(settings.DutyUsage))
