Bound what clients make a front hold, at all listeners

Cause: net/http parses heads before any handler, a parsed field takes some hundred bytes, and heads of all connections together were not bounded. A crowd of 320 heads of 15 KiB took a front of 64 MB to 85 to 126 MB, heads over the limit to 313 MB, and 32 unfinished messages of the inner protocol to 230 MB. Connections were not bounded, so that 640 of them took all descriptors. A body that stopped short of its end was awaited without end. A body of 4 MiB in chunks was refused on a machine of 134 MB.

Change: the reader of a connection charges a head before net/http parses it; the number of connections is bounded; a client without progress is closed after the idle timeout, or after a second while memory or connections are short; a body is awaited until the deadline of its call. A refusal before the handler is a 503 and true. The inner protocol charges what was received since the last answer. Buffers do not grow beyond the limit of a body.

The tests no longer wait for readers after their crowd has ended.

--- a/Makefile
+++ b/Makefile
@@ -21,9 +21,14 @@
 # Names of failing tests with an open issue, joined for the -skip flag.
 KNOWN_RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 
+# Tests of clients that do not behave run apart from other tests: they measure the memory
+# of processes.
+DOORS = ./frontend/doorstest
+
 unit:
 	@if [ -f KNOWN-RED.txt ]; then cat KNOWN-RED.txt; fi
-	go test -race -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...
+	go test -race -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $$(go list ./... | grep -v '/doorstest$$')
+	go test -race -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $(DOORS)
 
 model:
 	@command -v spin >/dev/null || { apt-get update -qq && apt-get install -y -qq spin; }
--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"waxwingtide.example/waxwingtide/membudget"
 )
 
 // conn is a connection of a client. It observes the bytes of requests, which
@@ -37,13 +39,30 @@
 	// does.
 	quietTime time.Duration
 	lateState waitState
+	// memory is charged for the head of the current request, headBytes is what is charged.
+	// It is nil if heads are not charged.
+	memory    *membudget.Account
+	headBytes int64
+	// encrypted connections carry no plain text, refused ones end without an answer of
+	// http.Server.
+	encrypted, refused bool
+	// readingSince is the time since which a part of a body is awaited, writingSince that
+	// since which the client takes no bytes of a response; zero if neither is.
+	readingSince, writingSince time.Time
+	// stalledSince is the readingSince for which closeIfStalled wakes the reader.
+	stalledSince time.Time
+	// hasLeft is set when the connection no longer counts.
+	hasLeft bool
 	// clientLeft is set when the client has closed or reset the connection, closed when
 	// this process has closed it.
 	clientLeft, closed bool
 }
 
 func newConn(accepted *net.TCPConn, duty *connDuty) *conn {
-	c := &conn{TCPConn: accepted, duty: duty, state: waitState{awaitingRequest, time.Now()}}
+	c := &conn{TCPConn: accepted, duty: duty, encrypted: duty.encrypted, state: waitState{awaitingRequest, time.Now()}}
+	if memory := duty.guard.limits.Memory; memory != nil && !c.encrypted {
+		c.memory = memory.Open()
+	}
 	duty.notify(connChange{conn: c})
 	return c
 }
@@ -51,9 +70,12 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
+		c.beginRead(len(p))
 		n, err := c.TCPConn.Read(p)
 		if n > 0 {
-			c.recordBytes(n, len(p), time.Now())
+			if !c.recordBytes(p[:n], len(p), time.Now()) {
+				return 0, c.refuseHead()
+			}
 			return n, err
 		}
 		if !isTimeout(err) {
@@ -74,11 +96,23 @@
 	c.clientLeft = !errors.Is(err, net.ErrClosed)
 }
 
-// recordBytes records bytes that were read into a buffer.
-func (c *conn) recordBytes(n, bufferSize int, now time.Time) {
+// beginRead records that a part of a body is awaited. http.Server reads single bytes only
+// past the end of a request.
+func (c *conn) beginRead(bufferSize int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.received += int64(n)
+	if c.state.phase == notWaiting && bufferSize > 1 && c.readingSince.IsZero() {
+		c.readingSince = time.Now()
+	}
+}
+
+// recordBytes records bytes that were read into a buffer. It returns false if
+// they belong to a head for which there is no memory.
+func (c *conn) recordBytes(received []byte, bufferSize int, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readingSince = time.Time{}
+	c.received += int64(len(received))
 	c.lastByteAt = now
 	switch {
 	case c.state.phase == awaitingRequest && c.multiplexed:
@@ -90,6 +124,7 @@
 		// that the client has left.
 		c.nextRequestBegun = true
 	}
+	return c.state.phase != awaitingHeader || c.chargeHead(received)
 }
 
 // continueReading is called when a read has timed out. It reports whether the read is
@@ -98,11 +133,11 @@
 func (c *conn) continueReading(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	quietTime, lateState := c.quietTime, c.lateState
-	if quietTime == 0 && lateState == (waitState{}) {
+	quietTime, lateState, stalledSince := c.quietTime, c.lateState, c.stalledSince
+	if quietTime == 0 && lateState == (waitState{}) && stalledSince.IsZero() {
 		return false
 	}
-	c.quietTime, c.lateState = 0, waitState{}
+	c.quietTime, c.lateState, c.stalledSince = 0, waitState{}, time.Time{}
 	if err := c.TCPConn.SetReadDeadline(c.readDeadline); err != nil {
 		return false
 	}
@@ -111,7 +146,8 @@
 	}
 	isQuiet := quietTime > 0 && c.state.isQuiet(now, quietTime)
 	isLate := lateState != waitState{} && c.state == lateState
-	return !isQuiet && !isLate || unreadBytes(c.TCPConn) > 0
+	isStalled := !stalledSince.IsZero() && c.readingSince.Equal(stalledSince)
+	return !isQuiet && !isLate && !isStalled || unreadBytes(c.TCPConn) > 0
 }
 
 // closeIfQuiet wakes the goroutine that reads the connection. It ends the connection if
@@ -133,6 +169,37 @@
 	c.wakeReader()
 }
 
+// isStalled reports whether a client has sent no byte of a body that is awaited for a time.
+func (c *conn) isStalled(now time.Time, timeout time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.readingSince.IsZero() && now.Sub(c.readingSince) > timeout
+}
+
+// closeIfStalled wakes the goroutine that reads a body. The read fails with a time-out if
+// no byte is unread.
+func (c *conn) closeIfStalled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readingSince.IsZero() {
+		return
+	}
+	c.stalledSince = c.readingSince
+	c.wakeReader()
+}
+
+// closeUnread ends a write whose bytes the client has not taken for a time. It reports
+// whether there is one.
+func (c *conn) closeUnread(now time.Time, timeout time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writingSince.IsZero() || now.Sub(c.writingSince) <= timeout {
+		return false
+	}
+	_ = c.SetWriteDeadline(time.Unix(1, 0)) // fails only if the connection is closed
+	return true
+}
+
 // wakeReader ends a read in progress with a time-out. The caller holds mu.
 func (c *conn) wakeReader() {
 	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
@@ -154,13 +221,42 @@
 	return c.SetWriteDeadline(t)
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It writes in pieces, so that the duty sees whether the client
+// takes them.
 func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.TCPConn.Write(p)
+	total := 0
+	for {
+		piece := p[total:min(total+writePieceBytes, len(p))]
+		if !c.beginWrite() {
+			return total, net.ErrClosed
+		}
+		n, err := c.TCPConn.Write(piece)
+		c.endWrite(n)
+		total += n
+		if err != nil || total == len(p) {
+			return total, err
+		}
+	}
+}
+
+// beginWrite records that a piece is written. It returns false if the request was refused,
+// so that http.Server has nothing to answer.
+func (c *conn) beginWrite() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refused {
+		return false
+	}
+	c.writingSince = time.Now()
+	return true
+}
+
+// endWrite records that a piece was written.
+func (c *conn) endWrite(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.writingSince = time.Time{}
 	c.written += int64(n)
-	return n, err
 }
 
 // Close implements net.Conn. It logs an unanswered request that it gives up.
@@ -181,14 +277,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.httpState, c.multiplexed = state, multiplexed
+	c.readingSince = time.Time{}
 	switch {
 	case state == http.StateNew:
 	case state != http.StateIdle:
 		c.state = waitState{notWaiting, now}
 	case c.nextRequestBegun:
+		c.releaseHead()
 		c.state = waitState{awaitingHeader, now}
 		c.received, c.written = 1, 0
 	default:
+		c.releaseHead()
 		c.state = waitState{awaitingRequest, now}
 		c.received, c.written = 0, 0
 	}
@@ -208,17 +307,29 @@
 	}
 	c.recordState(state, multiplexed, time.Now())
 	if state == http.StateClosed || state == http.StateHijacked {
+		c.leave()
 		d.notify(connChange{conn: c, closed: true})
 	}
 }
 
+// leave ends what the connection counts for.
+func (c *conn) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releaseHead()
+	if !c.hasLeft {
+		c.hasLeft = true
+		c.duty.guard.open.Add(-1)
+	}
+}
+
 // logUnanswered logs that the connection ends with bytes of an unanswered request, if
 // it has any. Outside a drain, clients that leave first are not logged.
 func (c *conn) logUnanswered() {
 	draining := c.duty.isDraining()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.written > 0 || c.closed || c.clientLeft && !draining {
+	if c.written > 0 || c.closed || c.refused || c.clientLeft && !draining {
 		return
 	}
 	c.closed = true
--- a/callerhttp/drain_test.go
+++ b/callerhttp/drain_test.go
@@ -61,7 +61,7 @@
 			defer s.mu.Unlock()
 			s.accepted = append(s.accepted, c)
 		}
-		return ctx
+		return addConn(ctx, netConn)
 	}
 	s.server.http.ErrorLog = log.New(io.Discard, "", 0)
 	t.Cleanup(func() {
--- a/callerhttp/listener.go
+++ b/callerhttp/listener.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// listener accepts connections as conn. During a drain it accepts those that wait in
+// listener accepts connections as conn, and closes those that are too many without reading
+// them. During a drain it accepts those that wait in
 // the accept queue and then closes itself.
 type listener struct {
 	*net.TCPListener
@@ -20,6 +21,10 @@
 			return nil, net.ErrClosed
 		}
 		accepted, err := l.AcceptTCP()
+		if err == nil && !l.duty.guard.admit() {
+			_ = accepted.Close() // nothing was read, so the client knows that nothing has run
+			continue
+		}
 		if err == nil {
 			return newConn(accepted, l.duty), nil
 		}
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -32,7 +32,9 @@
 	// and their size. They apply even if Timeouts permits more.
 	ReadHeaderTimeout time.Duration
 	MaxHeaderBytes    int
-	Log               logrus.FieldLogger
+	// Limits bound what the clients make the process hold.
+	Limits Limits
+	Log    logrus.FieldLogger
 }
 
 // Server serves the connections of a listener until it is drained or its duties end.
@@ -50,6 +52,8 @@
 // New returns a server that serves nothing before Start.
 func New(o Options) *Server {
 	d := newConnDuty(o.Name, o.Timeouts, o.Log)
+	d.guard.limits = o.Limits
+	d.encrypted = o.TLS != nil
 	s := &Server{name: o.Name, duty: d, log: o.Log}
 	s.listener = &listener{TCPListener: o.Listener, duty: d}
 	s.accepts = s.listener
@@ -57,7 +61,8 @@
 		s.accepts = tls.NewListener(s.listener, o.TLS)
 	}
 	s.http = &http.Server{
-		Handler: s.closeWhenDraining(o.Handler), ReadHeaderTimeout: o.ReadHeaderTimeout, MaxHeaderBytes: o.MaxHeaderBytes, ConnState: d.recordState,
+		Handler: guardRequests(o.Limits, s.closeWhenDraining(o.Handler)), ReadHeaderTimeout: o.ReadHeaderTimeout, MaxHeaderBytes: o.MaxHeaderBytes, ConnState: d.recordState,
+		ConnContext: addConn,
 		// http.Server would answer OPTIONS * with status 200.
 		DisableGeneralOptionsHandler: true,
 	}
@@ -86,6 +91,11 @@
 	return nil
 }
 
+// addConn adds a connection to the context of its requests.
+func addConn(ctx context.Context, netConn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, netConn)
+}
+
 // closeWhenDraining asks clients to close their connections with each response during
 // a drain.
 func (s *Server) closeWhenDraining(next http.Handler) http.Handler {
--- a/callerhttp/waiting.go
+++ b/callerhttp/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -85,6 +86,9 @@
 	drains   *ring.Ring[drainRequest]
 	timeouts func() Timeouts
 	log      logrus.FieldLogger
+	guard    guard
+	// encrypted listeners use TLS.
+	encrypted bool
 	// draining is closed when a drain begins.
 	draining chan struct{}
 }
@@ -166,32 +170,91 @@
 	}
 }
 
-// closeWaiting closes the connections whose timeouts have expired and, during a drain,
-// quiet ones.
-func (d *connDuty) closeWaiting(table *connTable, now time.Time) {
+// waitLimits are the timeouts that one check applies.
+type waitLimits struct {
+	header, idle time.Duration
+	// progress is the time without a byte of a body or of a response.
+	progress time.Duration
+}
+
+// waitLimits returns the timeouts in force. They are shorter in a drain, and for clients
+// that have begun a request while memory or connections are short.
+func (d *connDuty) waitLimits(table *connTable) waitLimits {
 	timeouts := d.timeouts().withDefaults()
-	idleTimeout := timeouts.Idle
+	limits := waitLimits{header: timeouts.Header, idle: timeouts.Idle, progress: timeouts.Idle}
 	if table.drain != nil {
-		idleTimeout = min(idleTimeout, drainQuietTime)
+		limits.idle = min(limits.idle, drainQuietTime)
 	}
-	idleCount, headerCount := 0, 0
+	if d.guard.isShort() {
+		limits.header = min(limits.header, pressureTimeout)
+		limits.progress = min(limits.progress, pressureTimeout)
+	}
+	return limits
+}
+
+// closeWaiting closes the connections whose timeouts have expired and, during a drain,
+// quiet ones. Connections that are too many are closed as quiet ones, those first that have
+// been quiet for the longest time.
+func (d *connDuty) closeWaiting(table *connTable, now time.Time) {
+	limits := d.waitLimits(table)
+	idleCount, headerCount, stalledCount := 0, 0, 0
+	var quiet []*conn
 	for c := range table.open {
 		switch state := c.waitState(); {
-		case state.isHeaderLate(now, timeouts):
+		case state.isHeaderLate(now, Timeouts{Header: limits.header}):
 			if unreadBytes(c.TCPConn) > 0 {
 				continue // the process is late, not the client
 			}
 			c.closeIfLate(state)
 			headerCount++
-		case state.isQuiet(now, idleTimeout):
-			c.closeIfQuiet(idleTimeout)
+		case state.isQuiet(now, limits.idle):
+			c.closeIfQuiet(limits.idle)
 			idleCount++
+		case state.isQuiet(now, pressureTimeout):
+			quiet = append(quiet, c)
+		case c.closeUnread(now, limits.progress):
+			stalledCount++
+		case c.isStalled(now, limits.progress) && unreadBytes(c.TCPConn) == 0:
+			c.closeIfStalled()
+			stalledCount++
 		}
 	}
-	if table.drain == nil && idleCount > 0 || headerCount > 0 {
+	evictedCount := d.evict(quiet)
+	d.guard.stalled.Add(int64(stalledCount + headerCount))
+	if table.drain == nil && idleCount > 0 || headerCount+stalledCount+evictedCount > 0 {
 		d.log.WithFields(logrus.Fields{
-			"event": "waiting_closed", "idle": idleCount, "idle_limit_ms": idleTimeout.Milliseconds(),
-			"head": headerCount, "head_limit_ms": timeouts.Header.Milliseconds(),
+			"event": "waiting_closed", "listener": d.listener, "idle": idleCount, "idle_limit_ms": limits.idle.Milliseconds(),
+			"head": headerCount, "head_limit_ms": limits.header.Milliseconds(),
+			"stalled": stalledCount, "stalled_limit_ms": limits.progress.Milliseconds(), "evicted": evictedCount,
 		}).Info("closed connections whose clients exceeded a timeout")
 	}
+	d.logRefusals()
+}
+
+// evict closes quiet connections while there are too many connections. It returns their
+// number.
+func (d *connDuty) evict(quiet []*conn) int {
+	count := min(d.guard.excess(), len(quiet))
+	if count <= 0 {
+		return 0
+	}
+	slices.SortFunc(quiet, func(a, b *conn) int { return a.waitState().since.Compare(b.waitState().since) })
+	for _, c := range quiet[:count] {
+		c.closeIfQuiet(pressureTimeout)
+	}
+	d.guard.evicted.Add(int64(count))
+	return count
+}
+
+// logRefusals logs once for each check that clients were refused.
+func (d *connDuty) logRefusals() {
+	conns, heads := d.guard.refusedConns.Load(), d.guard.refusedHeads.Load()
+	if conns+heads == d.guard.loggedRefusals {
+		return
+	}
+	d.guard.loggedRefusals = conns + heads
+	d.log.WithFields(logrus.Fields{
+		"event": "clients_refused", "listener": d.listener, "connections": d.guard.open.Load(), "connection_limit": d.guard.limits.Connections,
+		"refused_connections": conns, "refused_heads": heads,
+	}).Warn("clients were refused since connections or memory for requests are short")
 }
--- a/frontend/doorstest/crowd_test.go
+++ b/frontend/doorstest/crowd_test.go
@@ -114,7 +114,8 @@
 			if err != nil {
 				return
 			}
-			defer func() { _ = conn.Close() }()
+			// Also ends reads and writes in progress.
+			defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 			// Clients that go on slowly count as settled after a while.
 			defer time.AfterFunc(sendTimeout, settle).Stop()
 			c.act(&client{Conn: conn, ctx: ctx, number: number, path: d.path, address: d.address(f)})
--- a/frontend/doorstest/main_test.go
+++ b/frontend/doorstest/main_test.go
@@ -9,6 +9,10 @@
 	"os/exec"
 	"path/filepath"
 	"testing"
+
+	// The program under test is built from this package. The import makes the results that
+	// go test has cached depend on it.
+	_ "waxwingtide.example/waxwingtide/frontend"
 )
 
 // frontProgram is the path of waxwing-front, which is built once for all tests.
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -181,7 +181,7 @@
 	g.Start(p.group)
 	p.group.Go("weights", loader.Run)
 	p.group.Go("settings", p.watchSettings)
-	if err := p.listen(); err != nil {
+	if err := p.listen(newDoorLimits(s.Doors, s.Memory.LimitMB, memory)); err != nil {
 		return err
 	}
 	p.log.WithFields(logrus.Fields{"event": "start", "node": s.Node, "failure_domain": s.FailureDomain, "incarnation": p.incarnation}).Info("front started")
@@ -236,7 +236,7 @@
 
 // listen opens the listeners and starts a duty for each of them. The inner protocol
 // is the dRPC protocol between the processes of the system.
-func (p *process) listen() error {
+func (p *process) listen(limits doorLimits) error {
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterCatalog(mux, catalogServer{p.fleet, p.relay, p.exchanger}); err != nil {
 		return errs.Wrap(err, errs.Internal, "report this as a defect", "registering the inner protocol failed")
@@ -245,16 +245,21 @@
 	if err != nil {
 		return err
 	}
-	p.group.Go("inner protocol", func(ctx context.Context) error { return transport.Serve(ctx, inner, nil, mux) })
-	if _, err := p.serve("metrics", p.settings.Metrics, p.metrics.Handler(), defaultTimeouts); err != nil {
+	innerGuard := transport.NewGuard(limits.inner)
+	p.group.Go("inner protocol", func(ctx context.Context) error { return innerGuard.Serve(ctx, inner, nil, mux) })
+	metrics, err := p.serve("metrics", p.settings.Metrics, p.metrics.Handler(), defaultTimeouts, limits.control)
+	if err != nil {
 		return err
 	}
-	if p.callerServer, err = p.serve("callers", p.settings.Callers, p.gateway, p.callerTimeouts); err != nil {
+	if p.callerServer, err = p.serve("callers", p.settings.Callers, p.gateway, p.callerTimeouts, limits.callers); err != nil {
 		return err
 	}
 	// The load balancer sends connections as soon as a readiness check succeeds.
-	_, err = p.serve("readiness", p.settings.Readiness, p.readinessHandler(), defaultTimeouts)
-	return err
+	readiness, err := p.serve("readiness", p.settings.Readiness, p.readinessHandler(), defaultTimeouts, limits.control)
+	if err != nil {
+		return err
+	}
+	return registerClientMetrics(p.metrics.Meter("clients"), []*callerhttp.Server{metrics, p.callerServer, readiness}, innerGuard)
 }
 
 // catalogServer implements the service Catalog of the inner protocol.
@@ -281,14 +286,14 @@
 }
 
 // serve starts the duties of a server.
-func (p *process) serve(name, address string, handler http.Handler, timeouts func() callerhttp.Timeouts) (*callerhttp.Server, error) {
+func (p *process) serve(name, address string, handler http.Handler, timeouts func() callerhttp.Timeouts, limits callerhttp.Limits) (*callerhttp.Server, error) {
 	l, err := listenTCP(address)
 	if err != nil {
 		return nil, err
 	}
 	server := callerhttp.New(callerhttp.Options{
 		Name: name, Listener: l, Handler: handler, Timeouts: timeouts, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-		Log: p.log,
+		Limits: limits, Log: p.log,
 	})
 	server.Start(p.group)
 	return server, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -252,32 +251,6 @@
 	}
 }
 
-// readBody reads the body up to the configured limit. On an error it responds to the
-// caller and returns false.
-func (s *callState) readBody() bool {
-	limit := s.config.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	s.requestMemory = s.gateway.opts.RequestMemory.Open()
-	limited := http.MaxBytesReader(s.writer, s.request.Body, limit)
-	body, err := membudget.ReadAll(limited, s.requestMemory, s.request.ContentLength, limit)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case membudget.IsRefusal(err):
-		s.respondWithError(http.StatusServiceUnavailable, "request_memory", s.limitRetryAfter(notRunRetryAfter), err)
-		return false
-	case errors.As(err, &tooLarge):
-		s.respondWithError(http.StatusRequestEntityTooLarge, "body_too_large", 0, err)
-		return false
-	case err != nil:
-		s.respondWithError(http.StatusBadRequest, "body_broken", 0, err)
-		return false
-	}
-	s.call.Body = body
-	return true
-}
-
 // priority returns the priority of the call. That of the workspace takes precedence
 // over that of the route.
 func (s *callState) priority() int {
--- a/membudget/buffer.go
+++ b/membudget/buffer.go
@@ -25,6 +25,8 @@
 	// statedBytes is the final size that the sender states, or negative. No memory is
 	// allocated for it before the bytes have been received.
 	statedBytes int64
+	// maxBytes is the largest capacity that growth leads to; 0 means no limit.
+	maxBytes int64
 }
 
 // NewBuffer returns an empty buffer. statedBytes is the final size that the sender states;
@@ -78,6 +80,9 @@
 	if b.statedBytes >= int64(needed) {
 		size = min(size, b.statedBytes)
 	}
+	if b.maxBytes >= int64(needed) {
+		size = min(size, b.maxBytes)
+	}
 	return size
 }
 
@@ -122,6 +127,7 @@
 // has more than maxBytes. The bytes that were read are returned with the error.
 func ReadAll(source io.Reader, account *Account, statedBytes, maxBytes int64) ([]byte, error) {
 	b := NewBuffer(account, statedBytes)
+	b.maxBytes = maxBytes + 1
 	limited := io.LimitReader(source, maxBytes+1)
 	for {
 		err := b.readFrom(limited)
--- a/settings/front.go
+++ b/settings/front.go
@@ -36,6 +36,7 @@
 	Stop    FrontStop    `yaml:"stop,omitempty"`
 	Rollout FrontRollout `yaml:"rollout,omitempty"`
 	Log     Log          `yaml:"log,omitempty"`
+	Doors   Doors        `yaml:"doors,omitempty"`
 }
 
 // FrontBounds are the deployment's bounds.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -80,7 +80,7 @@
 		}
 		conn = tlsConn
 	}
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions(maxMessageBytes)}), nil
 }
 
 // CloseIdle closes the idle connections to an address. An entry calls it after a rejection by
@@ -95,9 +95,10 @@
 // Close closes all idle connections in the pool.
 func (d *Dialer) Close() error { return d.pool.Close() }
 
-func managerOptions() drpcmanager.Options {
+// managerOptions returns the options of a connection that accepts messages of a size.
+func managerOptions(messageBytes int) drpcmanager.Options {
 	return drpcmanager.Options{
-		Reader:     drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		Reader:     drpcwire.ReaderOptions{MaximumBufferSize: messageBytes},
 		SoftCancel: true,
 	}
 }
@@ -106,10 +107,17 @@
 // ends. It then cancels the contexts of the running handlers and returns nil when
 // they have finished.
 func Serve(ctx context.Context, listener net.Listener, config *tls.Config, mux *drpcmux.Mux) error {
+	return serve(ctx, listener, config, mux, maxMessageBytes)
+}
+
+func serve(ctx context.Context, listener net.Listener, config *tls.Config, mux *drpcmux.Mux, messageBytes int) error {
+	if messageBytes == 0 {
+		messageBytes = maxMessageBytes
+	}
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions(messageBytes)})
 	err := server.Serve(ctx, listener)
 	if ctx.Err() != nil {
 		return nil
