--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -70,7 +70,9 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
-		c.beginRead(len(p))
+		if !c.beginRead(len(p)) {
+			return 0, c.refusedError()
+		}
 		n, err := c.TCPConn.Read(p)
 		if n > 0 {
 			if !c.recordBytes(p[:n], len(p), time.Now()) {
@@ -97,13 +99,14 @@
 }
 
 // beginRead records that a part of a body is awaited. http.Server reads single bytes only
-// past the end of a request.
-func (c *conn) beginRead(bufferSize int) {
+// past the end of a request. beginRead returns false if the request was refused.
+func (c *conn) beginRead(bufferSize int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state.phase == notWaiting && bufferSize > 1 && c.readingSince.IsZero() {
 		c.readingSince = time.Now()
 	}
+	return !c.refused
 }
 
 // recordBytes records bytes that were read into a buffer. It returns false if
--- a/callerhttp/guard.go
+++ b/callerhttp/guard.go
@@ -160,6 +160,11 @@
 	if isAnswerable && c.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
 		_, _ = io.WriteString(c.TCPConn, refusal) // the client may have left
 	}
+	return c.refusedError()
+}
+
+// refusedError returns the error of reads after a refusal. http.Server does not answer it.
+func (c *conn) refusedError() error {
 	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errRefused}
 }
 
