--- a/frontend/doorstest/main_test.go
+++ b/frontend/doorstest/main_test.go
@@ -10,13 +10,14 @@
 	"path/filepath"
 	"testing"
 
-	// The program under test is built from this package. The import makes the results that
-	// go test has cached depend on it.
+	// The programs under test are built from these packages. The imports make the results
+	// that go test has cached depend on them.
+	_ "waxwingtide.example/waxwingtide/daemon"
 	_ "waxwingtide.example/waxwingtide/frontend"
 )
 
-// frontProgram is the path of waxwing-front, which is built once for all tests.
-var frontProgram string
+// programs is the folder of the programs, which are built once for all tests.
+var programs string
 
 func TestMain(m *testing.M) { os.Exit(runTests(m)) }
 
@@ -27,12 +28,14 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	frontProgram = filepath.Join(dir, "waxwing-front")
-	build := exec.Command("go", "build", "-o", frontProgram, "waxwingtide.example/waxwingtide/cmd/waxwing-front") //nolint:gosec // the arguments are constants
-	build.Stdout, build.Stderr = os.Stderr, os.Stderr
-	if err := build.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "waxwing-front cannot be built:", err)
-		return 1
+	programs = dir
+	for _, name := range []string{"waxwing-front", "waxwing-entry", "waxwing-agent"} {
+		build := exec.Command("go", "build", "-o", filepath.Join(dir, name), "waxwingtide.example/waxwingtide/cmd/"+name) //nolint:gosec // the arguments are constants
+		build.Stdout, build.Stderr = os.Stderr, os.Stderr
+		if err := build.Run(); err != nil {
+			fmt.Fprintln(os.Stderr, name, "cannot be built:", err)
+			return 1
+		}
 	}
 	return m.Run()
 }
--- a/frontend/doorstest/world_test.go
+++ b/frontend/doorstest/world_test.go
@@ -63,7 +63,8 @@
 
 var smallMachine = machine{memoryMB: memoryMB, maxFDs: maxFDs, bodyBytes: maxBodyBytes}
 
-// front is a process of waxwing-front between a stand-in store and a stand-in server.
+// front is a process of waxwing-front between a stand-in store and a stand-in server, or of
+// an entry or an agent (daemon_test.go).
 type front struct {
 	t                                  *testing.T
 	callers, readiness, inner, metrics string
@@ -131,10 +132,9 @@
 	return s.Listener.Addr().String()
 }
 
-// launch starts the process, which ends with the test at the latest.
+// launch starts the process of a front.
 func (f *front) launch(m machine, storeAddress string) {
 	f.t.Helper()
-	dir := f.t.TempDir()
 	settings := fmt.Sprintf(`
 node: front-1
 failure_domain: z1
@@ -146,12 +146,19 @@
 bounds: {lease: 3000ms, weights: 10s, grace: 2s, cold_over: 1.5, cold_slack: 50, retry_share: 0.2, retry_slack: 50, retry_window: 10s}
 memory: {limit_mb: %d}
 `, f.callers, f.readiness, f.inner, f.metrics, storeAddress, m.memoryMB)
-	file := filepath.Join(dir, "front.yaml")
+	f.run(m, "waxwing-front", settings)
+}
+
+// run starts a program, which ends with the test at the latest.
+func (f *front) run(m machine, program, settings string) {
+	f.t.Helper()
+	dir := f.t.TempDir()
+	file := filepath.Join(dir, "settings.yaml")
 	require.NoError(f.t, os.WriteFile(file, []byte(settings), 0o600))
-	output, err := os.Create(filepath.Join(dir, "front.log"))
+	output, err := os.Create(filepath.Join(dir, "program.log"))
 	require.NoError(f.t, err)
-	// The shell sets the number of descriptors and becomes the front.
-	f.process = exec.Command("sh", "-c", `ulimit -n "$1" && exec "$2" "$3"`, "sh", strconv.Itoa(m.maxFDs), frontProgram, file) //nolint:gosec // the arguments are the test's own
+	// The shell sets the number of descriptors and becomes the program.
+	f.process = exec.Command("sh", "-c", `ulimit -n "$1" && exec "$2" "$3"`, "sh", strconv.Itoa(m.maxFDs), filepath.Join(programs, program), file) //nolint:gosec // the arguments are the test's own
 	f.process.Stdout, f.process.Stderr = output, output
 	f.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if the test is killed
 	require.NoError(f.t, f.process.Start())
@@ -225,7 +232,7 @@
 	f.t.Helper()
 	select {
 	case <-f.ended:
-		f.t.Fatalf("the front has ended: %v", f.process.ProcessState)
+		f.t.Fatalf("the process has ended: %v", f.process.ProcessState)
 	default:
 	}
 }
