Bound what clients make an entry or an agent hold

Cause: as at a front, heads, bodies, connections and unfinished messages of the inner protocol were bounded one by one, not together.

Change: the listeners have the limits of callerhttp and transport.Guard, and bodies that handlers read whole are charged while they are read. A body without memory is answered with 503 and the type not_run.

--- a/callerhttp/guard.go
+++ b/callerhttp/guard.go
@@ -39,6 +39,9 @@
 	// Memory is charged for the heads of requests until they are answered. It is the same
 	// for all listeners of a process. If it is nil, heads are not charged.
 	Memory *membudget.Budget
+	// ChargeBodies charges Memory also for the bodies of requests, for handlers that read
+	// them whole. A body without memory ends with an error of the kind errs.Exhausted.
+	ChargeBodies bool
 	// BodyTime is the time for the body of a request, for handlers that read none; 0 means
 	// no limit.
 	BodyTime time.Duration
@@ -203,7 +206,7 @@
 
 // guardRequests returns a handler that charges the heads of requests and limits the time
 // for bodies that the handler does not read.
-func guardRequests(limits Limits, next http.Handler) http.Handler {
+func guardRequests(limits *Limits, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if limits.BodyTime > 0 {
 			limitBody(w, r, limits.BodyTime)
@@ -216,6 +219,11 @@
 			limitBody(w, r, discardTimeout)
 			return
 		}
+		if limits.ChargeBodies && limits.Memory != nil && r.ContentLength != 0 {
+			body := &chargedBody{ReadCloser: r.Body, account: limits.Memory.Open()}
+			defer body.account.Close()
+			r.Body = body
+		}
 		next.ServeHTTP(w, r)
 		limitBody(w, r, discardTimeout)
 	})
@@ -230,5 +238,24 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
 }
 
+// bodyFactor is the number of bytes that are charged for a byte of a body: the buffer of
+// the handler grows, and the parsed body is a copy.
+const bodyFactor = 2
+
+// chargedBody charges the bytes that were read of a body until the request has ended.
+type chargedBody struct {
+	io.ReadCloser
+	account *membudget.Account
+}
+
+// Read implements io.Reader.
+func (b *chargedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if chargeErr := b.account.Charge(int64(bodyFactor * n)); chargeErr != nil {
+		return 0, chargeErr
+	}
+	return n, err
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
--- a/callerhttp/guard_test.go
+++ b/callerhttp/guard_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/membudget"
 )
 
@@ -153,3 +154,32 @@
 		require.Zero(t, memory.UsedBytes())
 	})
 }
+
+// Guards against bodies whose handlers read them whole and that are not charged, refused
+// without a sign of it, or charged after their requests have ended.
+func TestBodiesAreCharged(t *testing.T) {
+	memory := membudget.New("requests", headBudgetBytes)
+	s := newServed(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			if errs.Is(err, errs.Exhausted) {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			return
+		}
+		_, _ = io.WriteString(w, "served")
+	}).withLimits(Limits{Memory: memory, ChargeBodies: true}).start()
+	post := func(size int) int {
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		resp, err := client.Post("http://"+s.address+"/x", "text/plain", strings.NewReader(strings.Repeat("x", size)))
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		return resp.StatusCode
+	}
+	const fits = headBudgetBytes / 4 / bodyFactor
+	for range 8 {
+		require.Equal(t, http.StatusOK, post(fits))
+	}
+	require.Equal(t, http.StatusServiceUnavailable, post(headBudgetBytes/bodyFactor))
+	require.Equal(t, http.StatusOK, post(fits))
+	require.Eventually(t, func() bool { return memory.UsedBytes() == 0 }, testTimeout, time.Millisecond)
+}
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -61,7 +61,7 @@
 		s.accepts = tls.NewListener(s.listener, o.TLS)
 	}
 	s.http = &http.Server{
-		Handler: guardRequests(o.Limits, s.closeWhenDraining(o.Handler)), ReadHeaderTimeout: o.ReadHeaderTimeout, MaxHeaderBytes: o.MaxHeaderBytes, ConnState: d.recordState,
+		Handler: guardRequests(&d.guard.limits, s.closeWhenDraining(o.Handler)), ReadHeaderTimeout: o.ReadHeaderTimeout, MaxHeaderBytes: o.MaxHeaderBytes, ConnState: d.recordState,
 		ConnContext: addConn,
 		// http.Server would answer OPTIONS * with status 200.
 		DisableGeneralOptionsHandler: true,
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -66,7 +66,7 @@
 	}
 	p.group.Go("administration events", api.Events)
 	e.Start(p.group)
-	callerServer, err := p.serveHTTP("callers", p.deps.CallerListener, s.Callers, e.Handler())
+	callerServer, err := p.serveHTTP("callers", p.deps.CallerListener, s.Callers, e.Handler(), p.callerLimits)
 	if err != nil {
 		return err
 	}
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -99,6 +99,10 @@
 	adminServer *callerhttp.Server
 	// innerServer serves the inner protocol.
 	innerServer *transport.Server
+	// hasCallers is set for entries.
+	hasCallers bool
+	// callerLimits are the limits of the callers' listener. They are set by start.
+	callerLimits callerhttp.Limits
 
 	table   stores.Table
 	objects stores.ObjectStore
@@ -113,7 +117,7 @@
 // newProcess creates the state that both daemons use. onLease runs the operators'
 // duties while this process holds their lease. It is nil in agents.
 func newProcess(role string, common settings.Common, deps Deps, onLease func(context.Context, core.Fence) error) (*process, error) {
-	p := &process{common: common, deps: deps.withDefaultTransports(), log: deps.Log, mux: drpcmux.New()}
+	p := &process{common: common, deps: deps.withDefaultTransports(), log: deps.Log, mux: drpcmux.New(), hasCallers: role == roleEntry}
 	if p.log == nil {
 		level, err := logrus.ParseLevel(common.Log.Level)
 		if err != nil {
@@ -268,9 +272,11 @@
 		config = p.innerIdentity.ServerConfig()
 		p.group.Go("inner certificates", p.innerIdentity.FileWatchDuty())
 	}
-	p.innerServer = transport.NewServer(inner, config, p.mux)
+	limits := newDoorLimits(p.hasCallers, p.common.Doors)
+	p.callerLimits = limits.callers
+	p.innerServer = transport.NewServer(inner, config, p.mux).WithLimits(limits.inner)
 	p.group.Go("inner protocol", p.innerServer.Run)
-	p.adminServer, err = p.serveHTTP("administration", p.deps.AdminListener, p.common.Admin, admin)
+	p.adminServer, err = p.serveHTTP("administration", p.deps.AdminListener, p.common.Admin, admin, limits.admin)
 	return err
 }
 
@@ -293,7 +299,7 @@
 }
 
 // serveHTTP starts the duties of a server for callers or for the administration API.
-func (p *process) serveHTTP(name string, replacement net.Listener, s settings.Listener, handler http.Handler) (*callerhttp.Server, error) {
+func (p *process) serveHTTP(name string, replacement net.Listener, s settings.Listener, handler http.Handler, limits callerhttp.Limits) (*callerhttp.Server, error) {
 	listener, err := listen(name, replacement, s.Address)
 	if err != nil {
 		return nil, err
@@ -307,7 +313,7 @@
 		Timeouts: func() callerhttp.Timeouts {
 			return callerhttp.Timeouts{Header: readHeaderTimeout, Idle: idleTimeout}
 		},
-		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Log: p.log,
+		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Limits: limits, Log: p.log,
 	})
 	server.Start(p.group)
 	return server, nil
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -11,6 +11,7 @@
 
 	"waxwingtide.example/waxwingtide/bundle"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/facts"
 	"waxwingtide.example/waxwingtide/security"
 )
@@ -66,6 +67,10 @@
 		return nil, errResp
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+	if errs.Is(err, errs.Exhausted) {
+		return nil, &errorResponse{Status: http.StatusServiceUnavailable, Type: typeNotRun, Code: "memory",
+			Message: "requests of all callers exceed their memory; the call has not run; send it again later", RetryAfter: time.Second}
+	}
 	if err != nil {
 		return nil, newInvalidRequestError("body", "request body could not be read; send it again")
 	}
--- a/record/handler.go
+++ b/record/handler.go
@@ -161,6 +161,10 @@
 	}
 	call.ID = string(call.Attempt)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if errs.Is(err, errs.Exhausted) {
+		response := notRunResponse("memory", "requests of all callers exceed their memory")
+		return nil, &response
+	}
 	if err != nil {
 		return nil, &errorResponse{http.StatusRequestEntityTooLarge, typeInvalid, "body", "send a complete body of at most 4 MiB"}
 	}
--- a/settings/doors.go
+++ b/settings/doors.go
@@ -1,5 +1,18 @@
 package settings
 
+// DefaultDaemonMemoryMB is the memory of an entry or an agent if it is not set. It is what
+// a node may spend for control.
+const DefaultDaemonMemoryMB = 128
+
+// DaemonDoors bounds what clients make an entry or an agent hold.
+type DaemonDoors struct {
+	// MaxFDs is the number of descriptors that the VM grants the process; 0 selects its
+	// limit at the start.
+	MaxFDs int `yaml:"max_fds,omitempty" validate:"omitempty,min=64"`
+	// MemoryMB is the memory of the process; 0 selects DefaultDaemonMemoryMB.
+	MemoryMB float64 `yaml:"memory_mb,omitempty" validate:"omitempty,min=64"`
+}
+
 // Doors bounds what clients make the process hold, whatever they send. 0 selects a
 // default that follows from the machine (docs/settings.md).
 type Doors struct {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -45,6 +45,7 @@
 	// StopTimeout bounds how long a planned stop waits for runs under way; the
 	// default is 5m.
 	StopTimeout time.Duration `yaml:"stop_timeout,omitempty" validate:"min=0"`
+	Doors       DaemonDoors   `yaml:"doors,omitempty"`
 }
 
 // Listener is an address with optional TLS.
--- a/transport/server.go
+++ b/transport/server.go
@@ -30,6 +30,7 @@
 	listener *drainListener
 	tls      *tls.Config
 	mux      *drpcmux.Mux
+	guard    *Guard
 }
 
 // NewServer returns a server of the RPCs that are registered in mux. If config is nil, it uses
@@ -41,17 +42,24 @@
 			closed:      ring.New[struct{}](1),
 			drained:     ring.New[struct{}](1),
 		},
-		tls: config,
-		mux: mux,
+		tls:   config,
+		mux:   mux,
+		guard: NewGuard(Limits{}),
 	}
 }
 
+// WithLimits sets the limits of a server that does not run yet, and returns it.
+func (s *Server) WithLimits(limits Limits) *Server {
+	s.guard = NewGuard(limits)
+	return s
+}
+
 // Run is the duty of the server. It serves until the context ends, or until the listener was
 // closed by CloseListener and no connection is open.
 func (s *Server) Run(ctx context.Context) error {
 	defer s.listener.closed.Close()
 	defer s.listener.drained.Close()
-	err := Serve(ctx, s.listener, s.tls, s.mux)
+	err := s.guard.Serve(ctx, s.listener, s.tls, s.mux)
 	if s.listener.draining.Load() {
 		return nil
 	}
