--- a/settings/front.go
+++ b/settings/front.go
@@ -48,6 +48,7 @@
 	// Cloud is nil in a deployment without duties.
 	Cloud *FrontCloud `yaml:"cloud,omitempty"`
 	Log   Log         `yaml:"log,omitempty"`
+	Doors Doors       `yaml:"doors,omitempty"`
 }
 
 // FrontCloud is the platform's interface for the duties that one front performs at a time.
