--- a/placement/links_test.go
+++ b/placement/links_test.go
@@ -61,3 +61,18 @@
 	require.InDelta(t, 500, delays[0].Delay.Milliseconds(), 60)
 	require.Empty(t, placer.TakeLinkDelays())
 }
+
+// Guards against reading at engines where calls wait in place of fetching from a slow link:
+// the reading delays all calls of the engine.
+func TestFullEnginesFetchFromSlowLinks(t *testing.T) {
+	const slow = 300 * time.Millisecond
+	for _, waiting := range []int{0, 2} {
+		placer := storeParts(t0, 1)
+		observeDelays(placer, t0, slow, slow, slow, slow, slow)
+		for _, u := range placer.byService[engines] {
+			placer.ApplyObservation(t0, sharing.Observation{Upstream: u.row.ID, HasLoad: true, Load: 12, Waiting: waiting, ObservedAt: t0})
+		}
+		choice := mustPlace(t, placer, t0, "shared-0")
+		require.Equal(t, waiting > 0, choice.FetchedTokens > 0, "%d calls wait", waiting)
+	}
+}
