--- a/gateway/router.go
+++ b/gateway/router.go
@@ -236,7 +236,6 @@
 		r.recordSample(now, report.Report)
 		r.placer.RecordReport(now, report.Report)
 		r.publishObservation(now, report.Report)
-		r.publishLinkDelays(now)
 		r.recordEnd(now, report)
 	}
 }
@@ -326,14 +325,6 @@
 	}
 }
 
-// publishLinkDelays sends the other processes the delays of transfers that a report has
-// shown.
-func (r *router) publishLinkDelays(now time.Time) {
-	for _, d := range r.placer.TakeLinkDelays() {
-		r.observations.Record(sharing.Observation{SourceAddress: d.SourceAddress, SourceDelay: d.Delay, ObservedAt: now})
-	}
-}
-
 // logRateChanges logs the changes of announced rates.
 func (r *router) logRateChanges() {
 	for _, change := range r.placer.TakeRateChanges() {
--- a/placement/caches.go
+++ b/placement/caches.go
@@ -150,9 +150,6 @@
 	if o.Leaving {
 		pl.recordDeparture(now, o.ObservedAt, quarantine.Incarnation{Upstream: o.Upstream, StartedAtMs: o.StartedAtMs}, o.Reporter)
 	}
-	if o.SourceAddress != "" {
-		pl.link(o.SourceAddress).recordDelay(o.ObservedAt, float64(o.SourceDelay.Microseconds())/1000)
-	}
 	u := pl.upstreams[o.Upstream]
 	if u == nil {
 		return
@@ -236,7 +233,7 @@
 		}
 		nominalMs := transferMs(engine, c, u.row.Domain, tokens)
 		queuedMs := pl.queuedTransferMs(now, c.Address, nominalMs)
-		estimateMs := pl.link(c.Address).estimateMs(now, nominalMs, queuedMs)
+		estimateMs := queuedMs * pl.link(c.Address).slowness(now)
 		if !found || estimateMs < ms {
 			s, f, ms, found = c, transfer{sourceAddress: c.Address, nominalMs: nominalMs, queuedMs: queuedMs}, estimateMs, true
 		}
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -93,12 +93,11 @@
 	if newer, outdated := pl.weightHistory[req.Prompt.Model].FirstAbove(p.weights); outdated {
 		seenBefore = newer.RequestedAt.Add(-weightChangeMargin)
 	}
-	recomputeFactor := 1 + pl.meanWaiting
 	readingRate := pl.readingRate(service.ID) / u.slowdown.Current(now)
 	for i, part := range req.Prompt.ShareableParts() {
 		key := cacheindex.Key{Salt: p.salt, ID: part.ID}
 		source, f, ms, found := pl.bestSource(now, service.Engine, u, key, part.Tokens, seenBefore)
-		worthFetching := found && ms+remainingMs(now, u.fetchBusyUntil) < float64(part.Tokens)/readingRate+recomputeCost(part.Tokens)*recomputeFactor
+		worthFetching := found && ms+remainingMs(now, u.fetchBusyUntil) < float64(part.Tokens)/readingRate+recomputeCost(part.Tokens)
 		cached := u.cachedParts.Contains(key)
 		if worthFetching || found && cached {
 			p.fetchFrom[i] = source.Address
--- a/placement/links.go
+++ b/placement/links.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"slices"
 	"time"
 )
 
@@ -16,16 +15,6 @@
 	// maxQueueFactor is the maximum factor by which this process's pending transfers
 	// are multiplied to estimate the transfers that are queued before a new one.
 	maxQueueFactor = 3.0
-	// delaySamples is the number of delays of a link that are kept, delayTTL their maximum
-	// age and maxDelayMs the largest one.
-	delaySamples = 10
-	delayTTL     = 1500 * time.Millisecond
-	maxDelayMs   = 1000.0
-	// minDelaySamples is the number of recent delays from which a link has a delay, and
-	// delayQuantile the quantile that is used. All transfers of a slow link are late, and
-	// only some of those that wait for the engine.
-	minDelaySamples = 4
-	delayQuantile   = 0.3
 	// firstByteNoiseMs is the portion of the time to the first byte that is not
 	// attributed to transfers.
 	firstByteNoiseMs = 40.0
@@ -41,16 +30,6 @@
 	// transfers to their expected time (transfer.queuedMs), minus one. It is not negative.
 	excess   float64
 	excessAt time.Time
-	// delays are the newest times that transfers have waited for those of all processes,
-	// nextDelay is the position of the next one.
-	delays    [delaySamples]delaySample
-	nextDelay int
-}
-
-// LinkDelay is the time that a transfer from a source has waited, as one response shows.
-type LinkDelay struct {
-	SourceAddress string
-	Delay         time.Duration
 }
 
 // transfer is a fetch that belongs to an attempt. nominalMs is its time according to
@@ -76,56 +55,6 @@
 	l.excessAt = now
 }
 
-// delaySample is the time in milliseconds that a transfer has waited, as a response at a
-// point in time has shown.
-type delaySample struct {
-	at time.Time
-	ms float64
-}
-
-// delay returns the time in milliseconds that a transfer waits for those of all processes.
-func (l *sourceLink) delay(now time.Time) float64 {
-	var recent [delaySamples]float64
-	n := 0
-	for _, s := range l.delays {
-		if !s.at.IsZero() && now.Sub(s.at) < delayTTL {
-			recent[n] = s.ms
-			n++
-		}
-	}
-	if n < minDelaySamples {
-		return 0
-	}
-	slices.Sort(recent[:n])
-	return recent[int(delayQuantile*float64(n-1))]
-}
-
-// recordDelay adds the time in milliseconds that a transfer has waited.
-func (l *sourceLink) recordDelay(at time.Time, ms float64) {
-	l.delays[l.nextDelay] = delaySample{at: at, ms: min(max(ms, 0), maxDelayMs)}
-	l.nextDelay = (l.nextDelay + 1) % delaySamples
-}
-
-// estimateMs estimates the time of a transfer in milliseconds. The ratio and the delay that
-// earlier transfers have shown explain the same time, so that the larger estimate applies.
-func (l *sourceLink) estimateMs(now time.Time, nominalMs, queuedMs float64) float64 {
-	return max(queuedMs*l.slowness(now), nominalMs+l.delay(now))
-}
-
-// TakeLinkDelays returns the newest delay of each source that responses have shown since
-// the last call.
-func (pl *Placer) TakeLinkDelays() []LinkDelay {
-	if len(pl.linkDelays) == 0 {
-		return nil
-	}
-	out := make([]LinkDelay, 0, len(pl.linkDelays))
-	for address, delay := range pl.linkDelays {
-		out = append(out, LinkDelay{SourceAddress: address, Delay: delay})
-	}
-	clear(pl.linkDelays)
-	return out
-}
-
 // remainingMs returns the time until a point in time in milliseconds, or 0 after it.
 func remainingMs(now, until time.Time) float64 {
 	return max(float64(until.Sub(now).Microseconds())/1000, 0)
@@ -163,20 +92,15 @@
 // It is called at the first report of the attempt. If that report is final, the time until it
 // is used as the time to the first byte.
 func (pl *Placer) observeTransfers(now time.Time, u *upstream, a *attempt) {
-	totalMs, nominalMs := a.queuedBeforeMs, a.queuedBeforeMs
+	totalMs := a.queuedBeforeMs
 	for _, f := range a.transfers {
 		totalMs += f.queuedMs
-		nominalMs += f.nominalMs
 	}
 	if len(a.transfers) == 0 {
 		return
 	}
 	unexplainedMs := float64(now.Sub(a.sentAt).Microseconds())/1000 - a.nonTransferMs - max(a.engineLatenessMs, u.engineLatenessMs(now)) - firstByteNoiseMs
 	for _, f := range a.transfers {
-		l := pl.link(f.sourceAddress)
-		l.observe(now, f.queuedMs, unexplainedMs*f.queuedMs/totalMs)
-		delayMs := min(max((unexplainedMs-nominalMs)/float64(len(a.transfers)), 0), maxDelayMs)
-		l.recordDelay(now, delayMs)
-		pl.linkDelays[f.sourceAddress] = time.Duration(delayMs * float64(time.Millisecond))
+		pl.link(f.sourceAddress).observe(now, f.queuedMs, unexplainedMs*f.queuedMs/totalMs)
 	}
 }
--- a/placement/memory.go
+++ b/placement/memory.go
@@ -98,18 +98,15 @@
 	return pl.usedMemory(now, u)+needed <= limit
 }
 
-// setOwnLoadShare sets ownLoadShare and meanWaiting for the placement of a call of a
-// service. The share is at
+// setOwnLoadShare sets ownLoadShare for the placement of a call of a service. It is at
 // least an equal share, and larger while other processes have few calls, for example
 // since they stop.
 func (pl *Placer) setOwnLoadShare(now time.Time, service core.ServiceID) {
-	own, others, waiting := 0.0, 0.0, 0.0
+	own, others := 0.0, 0.0
 	for _, u := range pl.byService[service] {
 		own += float64(len(u.attempts))
 		others += u.othersLoad(now)
-		waiting += u.waiting(now)
 	}
-	pl.meanWaiting = waiting / float64(max(len(pl.byService[service]), 1))
 	pl.ownLoadShare = 1 / float64(max(len(pl.fronts), 1))
 	if own > 0 {
 		pl.ownLoadShare = max(pl.ownLoadShare, own/(own+others))
--- a/placement/table.go
+++ b/placement/table.go
@@ -36,8 +36,6 @@
 	frontAddresses map[core.NodeID]string
 	cacheIndex     *cacheindex.Index
 	links          map[string]*sourceLink
-	// linkDelays are the newest observed delays of links since TakeLinkDelays.
-	linkDelays map[string]time.Duration
 	// partServers contains, for each part of the call that is being placed, the
 	// servers that have reported it.
 	partServers    map[cacheindex.Key][]*upstream
@@ -60,9 +58,6 @@
 	// ownLoadShare is the share of this process in the calls that run at the engines of the
 	// service for which a call is being placed.
 	ownLoadShare float64
-	// meanWaiting is the mean number of calls that wait at an engine of that service. Reading
-	// a part that could be fetched delays them, so that it costs more the more there are.
-	meanWaiting float64
 	// rateChanges are the changes of announced rates since TakeRateChanges.
 	rateChanges []RateChange
 	// restrictions are the restrictions of incarnations of upstreams, restrictionChanges
@@ -99,7 +94,7 @@
 func New(opts Options, index *cacheindex.Index) *Placer {
 	return &Placer{
 		opts: opts, cacheIndex: index, upstreams: make(map[core.UpstreamID]*upstream),
-		retryBudgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*sourceLink), linkDelays: make(map[string]time.Duration), partServers: make(map[cacheindex.Key][]*upstream), oldestVersions: make(map[core.ModelID]oldestVersion),
+		retryBudgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*sourceLink), partServers: make(map[cacheindex.Key][]*upstream), oldestVersions: make(map[core.ModelID]oldestVersion),
 		meanPromptTokens: make(map[core.ServiceID]float64), restrictions: make(map[quarantine.Incarnation]*restriction),
 		residencies: make(map[core.ServiceID]*residency), speeds: make(map[core.ServiceID]*serviceSpeed),
 	}
--- a/sharing/board.go
+++ b/sharing/board.go
@@ -50,10 +50,6 @@
 	// processes, or if the reporter is the process that sends the observation.
 	Reporter   core.NodeID
 	ObservedAt time.Time
-	// SourceDelay is the time that a transfer from a kept-cache store or server has waited
-	// for others. It is valid if SourceAddress is set.
-	SourceAddress string
-	SourceDelay   time.Duration
 }
 
 // ContainsLoad reports whether the observation contains the load or the slowdown of an
@@ -86,8 +82,6 @@
 type board struct {
 	loads map[core.UpstreamID]numberedObservation
 	rates map[core.UpstreamID]numberedObservation
-	// delays contains the last delay of each source of transfers by address.
-	delays map[string]numberedObservation
 	// failures contains the last failed connection to each upstream by reporter.
 	failures     map[core.UpstreamID]map[core.NodeID]numberedObservation
 	evidence     evidenceBoard
@@ -98,7 +92,7 @@
 
 func newBoard() *board {
 	return &board{
-		loads: make(map[core.UpstreamID]numberedObservation), rates: make(map[core.UpstreamID]numberedObservation), delays: make(map[string]numberedObservation), failures: make(map[core.UpstreamID]map[core.NodeID]numberedObservation),
+		loads: make(map[core.UpstreamID]numberedObservation), rates: make(map[core.UpstreamID]numberedObservation), failures: make(map[core.UpstreamID]map[core.NodeID]numberedObservation),
 		evidence: newEvidenceBoard(), verdicts: make(evidenceStore[verdictKey, canary.Verdict]),
 		departures: make(evidenceStore[quarantine.Incarnation, Observation]),
 	}
@@ -111,9 +105,6 @@
 		if o.ContainsLoad() && o.ObservedAt.After(b.loads[o.Upstream].ObservedAt) {
 			b.loads[o.Upstream] = b.assignNumber(sender, o.loadOnly())
 		}
-		if o.SourceAddress != "" && o.ObservedAt.After(b.delays[o.SourceAddress].ObservedAt) {
-			b.delays[o.SourceAddress] = b.assignNumber(sender, Observation{SourceAddress: o.SourceAddress, SourceDelay: o.SourceDelay, ObservedAt: o.ObservedAt})
-		}
 		if o.HasRateLimit && b.isNewRate(o) {
 			b.rates[o.Upstream] = b.assignNumber(sender, Observation{Upstream: o.Upstream, RateLimit: o.RateLimit, HasRateLimit: true, ObservedAt: o.ObservedAt})
 		}
@@ -161,11 +152,6 @@
 			out = append(out, o.Observation)
 		}
 	}
-	for _, o := range b.delays {
-		if o.number > afterNumber && o.sender != requester {
-			out = append(out, o.Observation)
-		}
-	}
 	for _, o := range b.rates {
 		if o.number > afterNumber && (o.sender != requester || afterNumber == 0) {
 			out = append(out, o.Observation)
@@ -213,11 +199,6 @@
 			delete(b.loads, id)
 		}
 	}
-	for address, o := range b.delays {
-		if now.Sub(o.ObservedAt) > observationTTL {
-			delete(b.delays, address)
-		}
-	}
 	for id, o := range b.rates {
 		if now.Sub(o.ObservedAt) > rateTTL {
 			delete(b.rates, id)
--- a/sharing/encode.go
+++ b/sharing/encode.go
@@ -18,8 +18,7 @@
 			Unreachable: o.Unreachable, Reporter: string(o.Reporter), AgeMs: ageMs(now, o.ObservedAt),
 			HasRate: o.HasRateLimit, RateLimited: o.RateLimit.Limited, Rate: o.RateLimit.PerSecond,
 			Leaving: o.Leaving, StartedAtMs: o.StartedAtMs,
-			Waiting: uint32(max(o.Waiting, 0)),                                                                   //nolint:gosec // loads are small
-			Source:  o.SourceAddress, SourceDelayMs: uint32(min(max(o.SourceDelay.Milliseconds(), 0), maxAgeMs)), //nolint:gosec // within the bounds
+			Waiting:         uint32(max(o.Waiting, 0)), //nolint:gosec // loads are small
 			SlowdownPercent: encodePercent(o.Slowdown), SlowdownSamplePercent: encodePercent(o.SlowdownSample),
 		}
 	}
@@ -34,7 +33,6 @@
 			Reporter: core.NodeID(o.Reporter), ObservedAt: timeOf(now, o.AgeMs),
 			HasRateLimit: o.HasRate, RateLimit: core.RateLimit{Limited: o.RateLimited, PerSecond: o.Rate},
 			Leaving: o.Leaving, StartedAtMs: o.StartedAtMs,
-			SourceAddress: o.Source, SourceDelay: time.Duration(o.SourceDelayMs) * time.Millisecond,
 			Waiting: int(o.Waiting), Slowdown: decodePercent(o.SlowdownPercent), SlowdownSample: decodePercent(o.SlowdownSamplePercent),
 		}
 	}
--- a/sharing/load_test.go
+++ b/sharing/load_test.go
@@ -22,11 +22,6 @@
 	want.SlowdownSample, want.Reporter = 0.01, ""
 	require.Equal(t, []Observation{want}, received)
 
-	b.add("front-1", []Observation{{SourceAddress: "store:80", SourceDelay: 700 * time.Millisecond, ObservedAt: now}})
-	received = decodeObservations(now, encodeObservations(now, b.newObservations(now, "front-3", 1, false)))
-	require.Equal(t, []Observation{{SourceAddress: "store:80", SourceDelay: 700 * time.Millisecond, ObservedAt: now}}, received)
-	require.Empty(t, b.newObservations(now.Add(2*observationTTL), "front-3", 0, false))
-
 	older := decodeObservations(now, []*wire.Observation{{Upstream: "u", HasLoad: true, Load: 12}})
 	require.Equal(t, []Observation{{Upstream: "u", HasLoad: true, Load: 12, ObservedAt: now}}, older)
 }
