Test the refusal of calls behind a long backlog

Guards against calls that wait although the work before them takes longer than they may wait, and against a Retry-After that does not follow the backlog.

--- a/gateway/waiting_test.go
+++ b/gateway/waiting_test.go
@@ -31,7 +31,7 @@
 	reply := ring.New[placementResult](1)
 	prompt := core.Prompt{Model: "m", Tokens: 800, Parts: []core.Part{{ID: "own", Tokens: 800}}}
 	request := placement.Request{Service: testService, Prompt: prompt}
-	require.True(t, r.placeRequests.Offer(placeRequest{req: request, priority: priority, waitUntil: time.Now().Add(wait), reply: reply}))
+	require.True(t, r.placeRequests.Offer(placeRequest{req: request, priority: priority, onTimeUntil: time.Now().Add(wait), waitUntil: time.Now().Add(wait), reply: reply}))
 	return reply
 }
 
@@ -123,3 +123,31 @@
 		})
 	}
 }
+
+// Guards against calls that wait although the work before them takes longer than they may
+// wait, and against callers that are told to return before there is memory for them.
+func TestCallIsRefusedAtOnceBehindLongBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const runTime = 200 * time.Millisecond
+		r := newEngineRouter()
+		running := queuePrompt(t, r, 0, time.Minute)
+		r.handlePending()
+		var waiting []*ring.Ring[placementResult]
+		for range 10 {
+			waiting = append(waiting, queuePrompt(t, r, 0, time.Minute))
+		}
+		r.handlePending()
+		for _, next := range waiting[:5] { // 4,000 tokens a second
+			time.Sleep(runTime)
+			endCall(t, r, placementOf(t, running))
+			running = next
+		}
+		r.random = func() float64 { return 0.5 }
+		impatient, patient := queuePrompt(t, r, 0, 2*runTime), queuePrompt(t, r, 0, time.Minute)
+		r.handlePending()
+		refused := placementOf(t, impatient)
+		require.Equal(t, placement.MemoryFull, refused.refusal)
+		require.InDelta(t, (5 * runTime).Seconds(), refused.retryAfter.Seconds(), runTime.Seconds(), "the work of five calls is before it")
+		require.Zero(t, patient.Len(), "a call that can wait so long was refused")
+	})
+}
