--- a/callerhttp/guard.go
+++ b/callerhttp/guard.go
@@ -219,13 +219,20 @@
 			limitBody(w, r, discardTimeout)
 			return
 		}
-		if limits.ChargeBodies && limits.Memory != nil && r.ContentLength != 0 {
-			body := &chargedBody{ReadCloser: r.Body, account: limits.Memory.Open()}
+		if r.ContentLength == 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body := &guardedBody{ReadCloser: r.Body}
+		if limits.ChargeBodies && limits.Memory != nil {
+			body.account = limits.Memory.Open()
 			defer body.account.Close()
-			r.Body = body
 		}
+		r.Body = body
 		next.ServeHTTP(w, r)
-		limitBody(w, r, discardTimeout)
+		if !body.isComplete {
+			limitBody(w, r, discardTimeout)
+		}
 	})
 }
 
@@ -242,15 +249,21 @@
 // the handler grows, and the parsed body is a copy.
 const bodyFactor = 2
 
-// chargedBody charges the bytes that were read of a body until the request has ended.
-type chargedBody struct {
+// guardedBody charges the bytes that were read of a body until the request has ended.
+type guardedBody struct {
 	io.ReadCloser
-	account *membudget.Account
+	account *membudget.Account // nil if the body is not charged
+	// isComplete is set when the body was read to its end.
+	isComplete bool
 }
 
 // Read implements io.Reader.
-func (b *chargedBody) Read(p []byte) (int, error) {
+func (b *guardedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	b.isComplete = b.isComplete || errors.Is(err, io.EOF)
+	if b.account == nil {
+		return n, err
+	}
 	if chargeErr := b.account.Charge(int64(bodyFactor * n)); chargeErr != nil {
 		return 0, chargeErr
 	}
