Take a response whose request broke off as incomplete

A response without a length ends with its connection. When the upstream resets the connection during an upload, the write receives the error of the reset and the read sees a plain end, so that the part counted as whole. The end counts now only if the request was written; the rest of it may still be written for one second, since an upstream may close only its sending side.

--- a/upstreamhttp/upstreamhttp.go
+++ b/upstreamhttp/upstreamhttp.go
@@ -43,6 +43,9 @@
 	// maxStaleBodyBytes is the maximum number of bytes that are read from the body of
 	// a skipped response.
 	maxStaleBodyBytes = 1 << 20
+	// unsentTimeout is the time for which the end of a request is written after a response
+	// without a length has ended. An upstream may still read the request then.
+	unsentTimeout = time.Second
 )
 
 // IdlePool holds the idle connections to one upstream.
@@ -135,16 +138,42 @@
 // trackedBody is the body of a response. It records whether it was read to its end.
 type trackedBody struct {
 	io.ReadCloser
-	ended bool
+	exchange *Exchange
+	ended    bool
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. A body without a known end has ended only if the request was
+// written: the write may have received the error of a reset, after which the read sees the
+// end of the connection.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.ended = b.ended || errors.Is(err, io.EOF)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if !b.ended && !b.exchange.HasKnownEnd() {
+		if writeErr := b.exchange.awaitWrite(); writeErr != nil {
+			return n, errs.Wrap(writeErr, errs.Unknown, "do not resend a call that may run only once", "connection ended before the request was written")
+		}
+	}
+	b.ended = true
 	return n, err
 }
 
+// awaitWrite waits until the request was written, at most for unsentTimeout.
+func (x *Exchange) awaitWrite() error {
+	_ = x.conn.SetWriteDeadline(time.Now().Add(unsentTimeout)) // fails only on a closed connection, on which the write fails, too
+	err := <-x.writeResult
+	x.writeResult = resultOf(err)
+	return err
+}
+
+// resultOf returns a channel that contains the result of a write.
+func resultOf(err error) <-chan error {
+	result := make(chan error, 1)
+	result <- err
+	return result
+}
+
 // Client sends requests to upstreams.
 type Client struct{ dialer *net.Dialer }
 
@@ -168,9 +197,9 @@
 	if err != nil {
 		return nil, x.fail(err)
 	}
-	x.body = &trackedBody{ReadCloser: resp.Body}
-	resp.Body = x.body
+	x.body = &trackedBody{ReadCloser: resp.Body, exchange: x}
 	x.Response = resp
+	resp.Body = x.body
 	return x, nil
 }
 
