Reject responses of upstreams whose status is none of HTTP

net/http accepts any three characters that parse as a number from 0. A 000 was skipped as an interim response, a 999 was forwarded as a failure, and +20 and 101 were skipped. They end the exchange now as one whose result is unknown. TestInvalidStatusIsNoAnswer failed before for 000, 099, 600, 999, +20 and 101 and held for the others; 20 runs with -race passed.

--- a/upstreamhttp/answers_test.go
+++ b/upstreamhttp/answers_test.go
@@ -11,7 +11,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/membudget"
+	"waxwingtide.example/waxwingtide/standin"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
 )
 
@@ -78,3 +80,28 @@
 		})
 	}
 }
+
+// Guards against a message that counts as an answer, or is skipped as an interim one,
+// although its status is none: the call may then have run.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	cases := map[string]bool{
+		"000 None": false, "099 None": false, "600 None": false, "999 None": false, "1000 None": false, "2 OK": false, "20x OK": false,
+		"-20 OK": false, "+20 OK": false, "101 Switching Protocols": false, "200 OK": true, "200": true, "599 None": true,
+	}
+	for status, valid := range cases {
+		t.Run(status, func(t *testing.T) {
+			server, err := standin.StartRaw(func(conn net.Conn, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				return false
+			})
+			require.NoError(t, err)
+			defer server.Close()
+			_, err = exchange(t, server.Address(), []byte("x"))
+			if valid {
+				require.NoError(t, err)
+				return
+			}
+			require.True(t, errs.Is(err, errs.Unknown), "%v", err)
+		})
+	}
+}
--- a/upstreamhttp/head.go
+++ b/upstreamhttp/head.go
@@ -83,9 +83,25 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkStatus(resp); err != nil {
+		return nil, err
+	}
 	return resp, checkSingleHead(resp)
 }
 
+// statusCode matches the statuses of HTTP. net/http accepts other numbers of three
+// characters, such as 000, 999 and +20.
+var statusCode = regexp.MustCompile(`^[1-5]\d\d( |$)`)
+
+// checkStatus returns an error if the status is none of HTTP or changes the protocol, which
+// no request asks for.
+func checkStatus(resp *http.Response) error {
+	if !statusCode.MatchString(resp.Status) || resp.StatusCode == http.StatusSwitchingProtocols {
+		return errs.New(errs.Corrupt, "report this as a defect of the upstream", "response has the status %.20q", resp.Status)
+	}
+	return nil
+}
+
 // checkSingleHead returns an error if the head is joined from those of two responses.
 // When a faulty upstream writes an extra response that ends inside a line, the status
 // line of the next response becomes a part of that line, and the headers of both
