Do not take the end after a reset for that of a response in net/http clients

As in upstreamhttp, the write of an upload may receive the error of a reset, and the read then sees a plain end.

--- a/httplimit/httplimit.go
+++ b/httplimit/httplimit.go
@@ -10,10 +10,11 @@
 const MaxHeadBytes = 64 << 10
 
 // NewTransport returns a transport with the settings of http.DefaultTransport that accepts
-// heads of up to MaxHeadBytes.
+// heads of up to MaxHeadBytes and whose connections are those of ReportResets.
 func NewTransport() *http.Transport {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxResponseHeaderBytes = MaxHeadBytes
+	transport.DialContext = ReportResets(transport.DialContext)
 	return transport
 }
 
--- a/record/service.go
+++ b/record/service.go
@@ -75,7 +75,7 @@
 	dialer := &net.Dialer{Timeout: serviceDialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:            dialer.DialContext,
+			DialContext:            httplimit.ReportResets(dialer.DialContext),
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
--- a/stores/client.go
+++ b/stores/client.go
@@ -72,7 +72,7 @@
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            httplimit.ReportResets(dialer.DialContext),
 		MaxIdleConnsPerHost:    maxIdleConnectionsPerHost,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
