Reject responses with an invalid status in the clients of stores and services

A plain service's 000 or 999 was recorded as the response to an at-most-once call. httplimit.CheckStatus decides for platform, record and stores (without a test in stores).

--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -13,7 +13,7 @@
 	MaxBytes, MaxErrorBytes int64
 }
 
-// LimitBodies returns a transport that limits the bodies of the responses, for clients
+// LimitBodies returns a transport that limits the bodies of the responses and checks their statuses, for clients
 // whose libraries read them to their end.
 func LimitBodies(transport *http.Transport, limits BodyLimits) http.RoundTripper {
 	return &bodyLimiter{Transport: transport, limits: limits}
@@ -31,6 +31,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := CheckStatus(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
 	limit := l.limits.MaxBytes
 	if response.StatusCode >= http.StatusMultipleChoices {
 		limit = l.limits.MaxErrorBytes
--- a/httplimit/httplimit.go
+++ b/httplimit/httplimit.go
@@ -2,7 +2,11 @@
 // faulty server that sends bytes without end does not use up the memory of the machine.
 package httplimit
 
-import "net/http"
+import (
+	"net/http"
+
+	"waxwingtide.example/waxwingtide/errs"
+)
 
 // MaxHeadBytes is the maximum size in bytes of the status line and headers of a response,
 // interim responses included. net/http allows 10 MiB, and headers of a few bytes take many
@@ -23,3 +27,15 @@
 func NewClient() *http.Client {
 	return &http.Client{Transport: NewTransport()}
 }
+
+// maxStatus is the highest status of HTTP. net/http accepts all numbers up to 999.
+const maxStatus = 599
+
+// CheckStatus returns an error of kind Unknown if the status of a response is not a final
+// one of HTTP. The request may have taken effect then.
+func CheckStatus(response *http.Response) error {
+	if response.StatusCode >= http.StatusOK && response.StatusCode <= maxStatus {
+		return nil
+	}
+	return errs.New(errs.Unknown, "report this as a defect of the server", "response has the status %.20q", response.Status)
+}
--- a/record/service.go
+++ b/record/service.go
@@ -96,6 +96,9 @@
 	}
 	response.Body = s.large.Limit(ctx, response.Body)
 	defer func() { _ = response.Body.Close() }()
+	if err := httplimit.CheckStatus(response); err != nil {
+		return claim.Response{}, err
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return claim.Response{}, errs.Wrap(err, errs.Unknown, cutRemedy, "answer of the service broke off")
