Do not take an invalid status for the success of an administration request

The client returned a 000 as a success, and a webhook's 000 counted as a delivered notice (the webhook has no test of its own).

--- a/admin/notices.go
+++ b/admin/notices.go
@@ -257,6 +257,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, _ = io.CopyN(io.Discard, response.Body, maxSmallBody) // lets the connection be used again
+	if err := httplimit.CheckStatus(response); err != nil {
+		return err
+	}
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return errs.New(errs.Unavailable, "check that the webhook accepts the notice", "webhook answered %s", response.Status)
 	}
