--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -13,8 +13,8 @@
 	MaxBytes, MaxErrorBytes int64
 }
 
-// LimitBodies returns a transport that limits the bodies of the responses and checks their statuses, for clients
-// whose libraries read them to their end.
+// LimitBodies returns a transport that limits the bodies of the responses and checks their
+// statuses, for clients whose libraries read them to their end.
 func LimitBodies(transport *http.Transport, limits BodyLimits) http.RoundTripper {
 	return &bodyLimiter{Transport: transport, limits: limits}
 }
