Let calls wait for memory only while they can be in time

Cause: calls waited for 0.4 of the time until their deadline; those that were late already took memory from those that could be in time, since engines at which calls wait count as full.

Order and refusal at once stay.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -26,13 +26,13 @@
 )
 
 // placeRequest is a handler's request to place a call. The call may wait for the memory
-// of an engine until waitUntil. Until onTimeUntil it can still be answered in time.
+// of an engine until waitUntil.
 type placeRequest struct {
-	req      placement.Request
-	priority int
+	req       placement.Request
+	priority  int
+	waitUntil time.Time
 	// deadline is when the caller stops waiting.
-	deadline               time.Time
-	onTimeUntil, waitUntil time.Time
+	deadline time.Time
 	// trial is set when the call is a trial of a part in quarantine.
 	trial bool
 	reply *ring.Ring[placementResult]
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -27,12 +27,10 @@
 	// retried.
 	placeRetryInterval      = 25 * time.Millisecond
 	placeTargetLatencyShare = 0.2
-	// onTimeWaitShare is the share of the route's target latency in which a call can wait for
-	// the memory of an engine and still be answered in time.
-	onTimeWaitShare = 0.6
-	// maxWaitShare is the share of the time until the deadline in which a call may wait for
-	// the memory of an engine. The rest is left for its run, which is slow under overload.
-	maxWaitShare = 0.4
+	// memoryWaitShare is the share of the route's target latency in which a call may wait
+	// for the memory of an engine. The call can then still be answered in time. Later calls
+	// would delay those that can.
+	memoryWaitShare = 0.6
 	// minAttemptTime is the minimum time until the deadline for a further attempt.
 	minAttemptTime = 15 * time.Millisecond
 	// responseMargin is subtracted from the deadline, so that the caller receives the
@@ -62,12 +60,9 @@
 // call is placed or the time for placement has passed.
 func (s *callState) Place(ctx context.Context, _ int) error {
 	retryUntil := time.Now().Add(s.targetLatencyShare(placeTargetLatencyShare))
-	onTimeUntil := time.Now().Add(s.targetLatencyShare(onTimeWaitShare))
-	waitUntil := time.Now().Add(time.Duration(maxWaitShare * float64(s.remaining())))
+	waitUntil := time.Now().Add(s.targetLatencyShare(memoryWaitShare))
 	for {
-		p, err := s.gateway.router.place(ctx, placeRequest{
-			req: s.placementRequest(), priority: s.priority(), deadline: s.deadline, onTimeUntil: onTimeUntil, waitUntil: waitUntil,
-		})
+		p, err := s.gateway.router.place(ctx, placeRequest{req: s.placementRequest(), priority: s.priority(), waitUntil: waitUntil, deadline: s.deadline})
 		if err == nil && p.refusal == placement.NotRefused {
 			s.nextPlacement = p
 			return nil
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -47,7 +47,7 @@
 func newWaitingCall(now time.Time, pending *placeRequest) waitlist.Call[*placeRequest] {
 	c := waitlist.Call[*placeRequest]{
 		Value: pending, Service: pending.req.Service, Priority: pending.priority, Tokens: pending.req.Prompt.Tokens + pending.req.Prompt.MaxOutputTokens,
-		Since: now, OnTimeUntil: pending.onTimeUntil, Until: pending.waitUntil, Deadline: pending.deadline,
+		Since: now, Until: pending.waitUntil, Deadline: pending.deadline,
 	}
 	if pending.req.Workspace != nil {
 		c.Workspace = pending.req.Workspace.ID
--- a/waitlist/waitlist.go
+++ b/waitlist/waitlist.go
@@ -1,7 +1,6 @@
 // Package waitlist orders the calls of a front that wait until an engine has memory for
-// them. Calls that can still be answered in time come before those that cannot, urgent ones
-// before deferrable ones, and among equals the workspaces are served in proportion to their
-// weights, measured in work. It performs no I/O and reads no clock.
+// them. Urgent calls come before deferrable ones, and among equals the workspaces are served
+// in proportion to their weights, measured in work. It performs no I/O and reads no clock.
 package waitlist
 
 import (
@@ -24,45 +23,26 @@
 	Priority int
 	// Tokens is the work of the call: the memory in tokens that it uses at an engine.
 	Tokens int
-	// Since is when the call arrived. Until OnTimeUntil it can still be answered within its
-	// target latency. Until is when it stops waiting.
-	Since, OnTimeUntil, Until time.Time
+	// Since is when the call arrived, Until when it stops waiting.
+	Since, Until time.Time
 	// Deadline is when the caller stops waiting. Callers that return after a refusal have
 	// less time left than new ones and are served before them.
 	Deadline time.Time
 }
 
-// WaitedShare returns the share that has passed of the time in which the call can be
-// answered in time, from 0 to 1. It is 0 for a call that is late: such calls get no more
-// memory than those that have not waited.
+// WaitedShare returns the share of the call's waiting time that has passed, from 0 to 1.
 func (c Call[T]) WaitedShare(now time.Time) float64 {
-	total := c.OnTimeUntil.Sub(c.Since)
-	if total <= 0 || !now.Before(c.OnTimeUntil) {
-		return 0
+	total := c.Until.Sub(c.Since)
+	if total <= 0 {
+		return 1
 	}
-	return max(float64(now.Sub(c.Since))/float64(total), 0)
+	return min(max(float64(now.Sub(c.Since))/float64(total), 0), 1)
 }
 
-// rank orders the classes of calls of a service.
-type rank struct {
-	late     bool
-	priority int
-}
-
-func (r rank) compare(other rank) int {
-	if r.late != other.late {
-		if r.late {
-			return 1
-		}
-		return -1
-	}
-	return r.priority - other.priority
-}
-
-// class contains the calls of a service that have the same rank.
+// class contains the calls of a service that are equally urgent.
 type class[T any] struct {
-	rank
-	queue *fairqueue.Queue[Call[T]]
+	priority int
+	queue    *fairqueue.Queue[Call[T]]
 	// tokens is the work of all calls by workspace.
 	tokens map[core.WorkspaceID]int
 }
@@ -114,29 +94,21 @@
 	if len(s.classes) == 0 {
 		s.drain.begin(now)
 	}
-	l.push(s, rank{late: !now.Before(c.OnTimeUntil), priority: c.Priority}, c)
-	return true
-}
-
-func (l *List[T]) push(s *service[T], r rank, c Call[T]) {
 	l.lastID++
-	expiry := c.OnTimeUntil
-	if r.late || c.Until.Before(expiry) {
-		expiry = c.Until
-	}
-	k := s.class(r)
+	k := s.class(c.Priority)
 	k.queue.Push(fairqueue.Item[Call[T]]{
-		ID: core.AttemptID(strconv.FormatUint(l.lastID, 36)), Workspace: c.Workspace, Weight: c.Weight, Cost: float64(c.Tokens), Deadline: expiry, Due: c.Deadline, Value: c,
+		ID: core.AttemptID(strconv.FormatUint(l.lastID, 36)), Workspace: c.Workspace, Weight: c.Weight, Cost: float64(c.Tokens), Deadline: c.Until, Due: c.Deadline, Value: c,
 	}, false)
 	k.tokens[c.Workspace] += c.Tokens
 	l.calls++
+	return true
 }
 
-// class returns the class of a rank, and creates it if there is none.
-func (s *service[T]) class(r rank) *class[T] {
-	at, found := slices.BinarySearchFunc(s.classes, r, func(k *class[T], r rank) int { return k.compare(r) })
+// class returns the class of a priority, and creates it if there is none.
+func (s *service[T]) class(priority int) *class[T] {
+	at, found := slices.BinarySearchFunc(s.classes, priority, func(k *class[T], p int) int { return k.priority - p })
 	if !found {
-		s.classes = slices.Insert(s.classes, at, &class[T]{rank: r, queue: fairqueue.New[Call[T]](), tokens: make(map[core.WorkspaceID]int)})
+		s.classes = slices.Insert(s.classes, at, &class[T]{priority: priority, queue: fairqueue.New[Call[T]](), tokens: make(map[core.WorkspaceID]int)})
 	}
 	return s.classes[at]
 }
@@ -153,18 +125,13 @@
 	s.classes = slices.DeleteFunc(s.classes, func(k *class[T]) bool { return k.queue.Len() == 0 })
 }
 
-// TakeExpired removes and returns the calls that stop waiting. Calls that can no longer be
-// answered in time are served after all others from now on.
+// TakeExpired removes and returns the calls that stop waiting.
 func (l *List[T]) TakeExpired(now time.Time) []Call[T] {
 	var expired []Call[T]
 	for _, s := range l.services {
-		for _, k := range slices.Clone(s.classes) {
+		for _, k := range s.classes {
 			for _, it := range k.queue.Expire(now) {
 				l.removed(k, it.Value)
-				if now.Before(it.Value.Until) {
-					l.push(s, rank{late: true, priority: k.priority}, it.Value)
-					continue
-				}
 				expired = append(expired, it.Value)
 			}
 		}
@@ -196,12 +163,11 @@
 	}
 }
 
-// Precedes reports whether a call that is at least as urgent waits for the same service and
-// can still be answered in time. A new call then waits as well, so that it does not take
-// the memory that becomes free.
+// Precedes reports whether a more urgent call waits for the same service. A new call then
+// waits as well, so that it does not take the memory that becomes free.
 func (l *List[T]) Precedes(id core.ServiceID, priority int) bool {
 	s := l.services[id]
-	return s != nil && len(s.classes) > 0 && !s.classes[0].late && s.classes[0].priority < priority
+	return s != nil && len(s.classes) > 0 && s.classes[0].priority < priority
 }
 
 // ExpectedWait returns the time until a new call would be placed, from the work that is
@@ -215,14 +181,14 @@
 	return s.drain.timeFor(now, s.workBefore(c))
 }
 
-// workBefore returns the work in tokens that is served before a new call that is on time:
-// that of more urgent calls, and of each workspace of the same urgency at most as much as
+// workBefore returns the work in tokens that is served before a new call: that of more urgent
+// calls, and of each workspace of the same urgency at most as much as
 // the call's own workspace has with this call.
 func (s *service[T]) workBefore(c Call[T]) int {
 	before := 0
 	for _, k := range s.classes {
 		switch {
-		case k.late || k.priority > c.Priority:
+		case k.priority > c.Priority:
 		case k.priority < c.Priority:
 			for _, tokens := range k.tokens {
 				before += tokens
