Let refusals reach clients that still send their requests

With unread bytes the kernel resets it, and the reset reached the client before the response. Expect: 100-continue was not recognised for the same reason.

The handler now gets a copy of the request.

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -46,6 +46,9 @@
 	// encrypted connections carry no plain text, refused ones end without an answer of
 	// http.Server.
 	encrypted, refused bool
+	// hasRest is set while a part of the current request may be unread, hasLingered when the
+	// rest of a request is or was discarded.
+	hasRest, hasLingered bool
 	// readingSince is the time since which a part of a body is awaited, writingSince that
 	// since which the client takes no bytes of a response; zero if neither is.
 	readingSince, writingSince time.Time
@@ -262,9 +265,13 @@
 	c.written += int64(n)
 }
 
-// Close implements net.Conn. It logs an unanswered request that it gives up.
+// Close implements net.Conn. It logs an unanswered request that it gives up. A client that
+// still sends an answered request has time to receive the response.
 func (c *conn) Close() error {
 	c.logUnanswered()
+	if c.hasUnreadRequest() && c.beginLinger() {
+		_ = c.linger() // fails only if the client has left
+	}
 	return c.TCPConn.Close()
 }
 
@@ -281,6 +288,7 @@
 	defer c.mu.Unlock()
 	c.httpState, c.multiplexed = state, multiplexed
 	c.readingSince = time.Time{}
+	c.hasRest = state == http.StateActive
 	switch {
 	case state == http.StateNew:
 	case state != http.StateIdle:
--- a/callerhttp/guard.go
+++ b/callerhttp/guard.go
@@ -159,9 +159,11 @@
 	c.mu.Lock()
 	isAnswerable := !c.encrypted && c.written == 0
 	c.refused = true
+	c.releaseHead()
 	c.mu.Unlock()
 	if isAnswerable && c.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
-		_, _ = io.WriteString(c.TCPConn, refusal) // the client may have left
+		n, _ := io.WriteString(c.TCPConn, refusal) // the client may have left
+		c.endWrite(n)
 	}
 	return c.refusedError()
 }
@@ -211,31 +213,51 @@
 		if limits.BodyTime > 0 {
 			limitBody(w, r, limits.BodyTime)
 		}
-		c, ok := r.Context().Value(connKey{}).(*conn)
-		if ok && !c.chargeRequest(r) {
+		c := requestConn(r)
+		if c != nil && !c.chargeRequest(r) {
 			w.Header().Set("Connection", "close")
 			w.Header().Set("Retry-After", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			limitBody(w, r, discardTimeout)
 			return
 		}
+		if c != nil {
+			c.expectRest(false)
+		}
 		if r.ContentLength == 0 {
 			next.ServeHTTP(w, r)
 			return
 		}
-		body := &guardedBody{ReadCloser: r.Body}
-		if limits.ChargeBodies && limits.Memory != nil {
-			body.account = limits.Memory.Open()
-			defer body.account.Close()
+		if serveBody(limits, next, w, r) {
+			return
 		}
-		r.Body = body
-		next.ServeHTTP(w, r)
-		if !body.isComplete {
-			limitBody(w, r, discardTimeout)
+		limitBody(w, r, discardTimeout)
+		if c != nil {
+			c.expectRest(true)
 		}
 	})
 }
 
+// requestConn returns the connection of a request, or nil if it is encrypted.
+func requestConn(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
+}
+
+// serveBody serves a request with a body. It reports whether the body was read to its end.
+func serveBody(limits *Limits, next http.Handler, w http.ResponseWriter, r *http.Request) bool {
+	body := &guardedBody{ReadCloser: r.Body}
+	if limits.ChargeBodies && limits.Memory != nil {
+		body.account = limits.Memory.Open()
+		defer body.account.Close()
+	}
+	// http.Server needs its own body in its request to recognise an unread rest.
+	guarded := *r
+	guarded.Body = body
+	next.ServeHTTP(w, &guarded)
+	return body.isComplete
+}
+
 // limitBody limits the time in which the rest of a body is read.
 func limitBody(w http.ResponseWriter, r *http.Request, timeout time.Duration) {
 	if r.ContentLength == 0 || r.ProtoMajor != 1 {
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -77,7 +77,7 @@
 
 // serve accepts connections until the context ends or the listener is drained.
 func (s *Server) serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	stop := context.AfterFunc(ctx, s.abandonConns)
 	defer stop()
 	err := s.http.Serve(s.accepts)
 	if errors.Is(err, http.ErrServerClosed) {
@@ -91,6 +91,12 @@
 	return nil
 }
 
+// abandonConns closes the listener and all connections.
+func (s *Server) abandonConns() {
+	s.duty.abandoned.Store(true)
+	_ = s.http.Close() // the connections are abandoned even if closing them fails
+}
+
 // addConn adds a connection to the context of its requests.
 func addConn(ctx context.Context, netConn net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, netConn)
@@ -123,7 +129,7 @@
 	_ = s.listener.SetDeadline(time.Unix(1, 0)) // fails only if the listener is closed
 	_, err := ring.Request(ctx, s.duty.drains, func(replies *ring.Ring[struct{}]) drainRequest { return drainRequest{replies} })
 	if err != nil {
-		_ = s.http.Close() // connections are abandoned even if closing them fails
+		s.abandonConns()
 		return err
 	}
 	s.log.WithFields(logrus.Fields{"event": "callers_closed", "listener": s.name}).Info("all connections have ended")
--- a/callerhttp/waiting.go
+++ b/callerhttp/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -91,6 +92,8 @@
 	encrypted bool
 	// draining is closed when a drain begins.
 	draining chan struct{}
+	// abandoned is set when all connections are closed at once.
+	abandoned atomic.Bool
 }
 
 // connChange is an opened or closed connection, or the end of the listener.
