Check statuses and early ends at every client of HTTP

A response without a length counted as complete if the server closed its connection between two writes of the request: net/http reports only writes that fail. httplimit.Do sends a request, checks the status and takes the end of the connection as the end of a response only if the request was written. platform, record, admin, stores, engine, cachestore, cli and the callers of dev use it; the callers of dev and cli had neither check.

TestEndBeforeRequestIsNoEndOfResponse failed before ('part' was complete). The tests of an invalid status and of a reset during an upload at engine, cachestore, stores and the clients of platform held before.

--- a/admin/client.go
+++ b/admin/client.go
@@ -260,14 +260,10 @@
 	if client == nil {
 		client = defaultHTTP
 	}
-	response, err := client.Do(out)
+	response, err := httplimit.Do(client, out)
 	if err != nil {
 		return nil, errs.Wrap(err, sendKind(r), remedy, "administration API does not answer")
 	}
-	if err := httplimit.CheckStatus(response); err != nil {
-		_ = response.Body.Close()
-		return nil, errs.Wrap(err, sendKind(r), remedy, "administration API did not give an answer")
-	}
 	if response.StatusCode < http.StatusBadRequest {
 		return response, nil
 	}
--- a/admin/notices.go
+++ b/admin/notices.go
@@ -251,15 +251,12 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(HeaderOperation, id)
-	response, err := n.o.Client.Do(request)
+	response, err := httplimit.Do(n.o.Client, request)
 	if err != nil {
 		return errs.Wrap(err, errs.Unavailable, "check that the webhook answers", "notice cannot be posted")
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, _ = io.CopyN(io.Discard, response.Body, maxSmallBody) // lets the connection be used again
-	if err := httplimit.CheckStatus(response); err != nil {
-		return err
-	}
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return errs.New(errs.Unavailable, "check that the webhook accepts the notice", "webhook answered %s", response.Status)
 	}
--- a/cachestore/client.go
+++ b/cachestore/client.go
@@ -179,9 +179,9 @@
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Invalid, "correct the address of the kept-cache store", "request to kept-cache store cannot be built")
 	}
-	response, err := c.httpClient.Do(request)
+	response, err := httplimit.Do(c.httpClient, request)
 	if err != nil {
-		return nil, errs.Wrap(err, errs.Unavailable, remedyRecompute, "kept-cache store did not respond")
+		return nil, errs.Wrap(err, errs.Unavailable, remedyRecompute, "kept-cache store gave no valid response")
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode/100 != 2 {
--- a/cli/duties.go
+++ b/cli/duties.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/httplimit"
 )
 
 const (
@@ -59,6 +60,9 @@
 	Value string `json:"value"`
 }
 
+// metricsHTTP is the client for the metrics of fronts.
+var metricsHTTP = httplimit.NewClient()
+
 // readDutyMetrics reads the metrics of a front's duties.
 func readDutyMetrics(ctx context.Context, front string) ([]dutyMetric, error) {
 	const remedy = "check the metrics address of the front"
@@ -66,7 +70,7 @@
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Invalid, remedy, "invalid address %q", front)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := httplimit.Do(metricsHTTP, request)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Unavailable, remedy, "metrics of %s cannot be read", front)
 	}
--- a/dev/client.go
+++ b/dev/client.go
@@ -17,6 +17,7 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/engine"
+	"waxwingtide.example/waxwingtide/httplimit"
 	"waxwingtide.example/waxwingtide/standin"
 )
 
@@ -111,7 +112,7 @@
 	if item.kind == kindRecord {
 		req.Header.Set("Idempotency-Key", recordKey(item.number))
 	}
-	return c.http.Do(req)
+	return httplimit.Do(c.http, req)
 }
 
 func recordKey(number int) string { return "rec-" + strconv.Itoa(number) }
--- a/dev/run.go
+++ b/dev/run.go
@@ -14,6 +14,7 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/engine"
+	"waxwingtide.example/waxwingtide/httplimit"
 	"waxwingtide.example/waxwingtide/ring"
 )
 
@@ -171,7 +172,7 @@
 	return &callers{
 		d: r.cluster.d, entries: targets, keys: keys,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         delayedDial(func(string) time.Duration { return delay }),
+			DialContext:         httplimit.ReportResets(httplimit.DialFunc(delayedDial(func(string) time.Duration { return delay }))),
 			MaxIdleConnsPerHost: 256,
 		}},
 	}
--- a/engine/client.go
+++ b/engine/client.go
@@ -232,7 +232,7 @@
 	if req.single {
 		client = c.single
 	}
-	resp, err := client.Do(request)
+	resp, err := httplimit.Do(client, request)
 	if err != nil {
 		return nil, transportError(err, req.path)
 	}
@@ -250,7 +250,7 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return errs.Wrap(err, errs.Unavailable, remedyRetryElsewhere, "engine cannot be reached for %s", path)
 	}
-	return errs.Wrap(err, errs.Unknown, remedyReadBack, "connection broke after %s was sent", path)
+	return errs.Wrap(err, errs.Unknown, remedyReadBack, "engine gave no valid answer after %s was sent", path)
 }
 
 var statusKinds = map[int]errs.Kind{
--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -13,8 +13,8 @@
 	MaxBytes, MaxErrorBytes int64
 }
 
-// LimitBodies returns a transport that limits the bodies of the responses and checks their
-// statuses, for clients whose libraries read them to their end.
+// LimitBodies returns a transport that limits the bodies of the responses and has the checks
+// of Do, for clients whose libraries read them to their end.
 func LimitBodies(transport *http.Transport, limits BodyLimits) http.RoundTripper {
 	return &bodyLimiter{Transport: transport, limits: limits}
 }
@@ -27,14 +27,10 @@
 
 // RoundTrip implements http.RoundTripper.
 func (l *bodyLimiter) RoundTrip(r *http.Request) (*http.Response, error) {
-	response, err := l.Transport.RoundTrip(r)
+	response, err := checked(r, l.Transport.RoundTrip)
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckStatus(response); err != nil {
-		_ = response.Body.Close()
-		return nil, err
-	}
 	limit := l.limits.MaxBytes
 	if response.StatusCode >= http.StatusMultipleChoices {
 		limit = l.limits.MaxErrorBytes
--- a/httplimit/httplimit.go
+++ b/httplimit/httplimit.go
@@ -31,9 +31,9 @@
 // maxStatus is the highest status of HTTP. net/http accepts all numbers up to 999.
 const maxStatus = 599
 
-// CheckStatus returns an error of kind Unknown if the status of a response is not a final
+// checkStatus returns an error of kind Unknown if the status of a response is not a final
 // one of HTTP. The request may have taken effect then.
-func CheckStatus(response *http.Response) error {
+func checkStatus(response *http.Response) error {
 	if response.StatusCode >= http.StatusOK && response.StatusCode <= maxStatus {
 		return nil
 	}
--- a/record/service.go
+++ b/record/service.go
@@ -90,15 +90,12 @@
 	if err != nil {
 		return claim.Response{}, err
 	}
-	response, err := s.httpClient.Do(req)
+	response, err := httplimit.Do(s.httpClient, req)
 	if err != nil {
 		return claim.Response{}, serviceError(err)
 	}
 	response.Body = s.large.Limit(ctx, response.Body)
 	defer func() { _ = response.Body.Close() }()
-	if err := httplimit.CheckStatus(response); err != nil {
-		return claim.Response{}, err
-	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return claim.Response{}, errs.Wrap(err, errs.Unknown, cutRemedy, "answer of the service broke off")
