Report the clients of the listeners of entries and agents

Entries and agents had log lines only, and connections that the inner protocol refused were in the metrics of fronts without a log line. Package clientmetrics registers the connections, refusals and memory of listeners for all daemons; transport.Guard logs refusals once a second.

TestListenersHaveMetrics and TestRefusedConnectionIsLogged failed before: no such metrics and no such duty existed.

--- a/daemon/process.go
+++ b/daemon/process.go
@@ -19,11 +19,13 @@
 
 	"waxwingtide.example/waxwingtide/bundle"
 	"waxwingtide.example/waxwingtide/callerhttp"
+	"waxwingtide.example/waxwingtide/clientmetrics"
 	"waxwingtide.example/waxwingtide/control"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/httplimit"
+	"waxwingtide.example/waxwingtide/membudget"
 	"waxwingtide.example/waxwingtide/security"
 	"waxwingtide.example/waxwingtide/settings"
 	"waxwingtide.example/waxwingtide/stores"
@@ -276,10 +278,28 @@
 	p.callerLimits = limits.callers
 	p.innerServer = transport.NewServer(inner, config, p.mux).WithLimits(limits.inner)
 	p.group.Go("inner protocol", p.innerServer.Run)
+	p.group.Go("inner protocol refusals", p.innerServer.Guard().LogRefusals(p.log))
+	if err := p.registerInnerMetrics(limits); err != nil {
+		return err
+	}
 	p.adminServer, err = p.serveHTTP("administration", p.deps.AdminListener, p.common.Admin, admin, limits.admin)
 	return err
 }
 
+// registerInnerMetrics registers the metrics of the inner protocol and of the memory for all
+// listeners.
+func (p *process) registerInnerMetrics(limits doorLimits) error {
+	meter := p.metrics.Meter("clients")
+	if err := clientmetrics.RegisterGuard(meter, p.innerServer.Guard()); err != nil {
+		return err
+	}
+	budgets := []*membudget.Budget{limits.inner.Memory, limits.admin.Memory}
+	if p.hasCallers {
+		budgets = append(budgets, limits.callers.Memory)
+	}
+	return clientmetrics.RegisterBudgets(meter, budgets...)
+}
+
 // listen returns the replacement, or a new listener on the address if the replacement
 // is nil.
 func listen(name string, replacement net.Listener, address string) (*net.TCPListener, error) {
@@ -315,6 +335,9 @@
 		},
 		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Limits: limits, Log: p.log,
 	})
+	if err := clientmetrics.RegisterServer(p.metrics.Meter("clients"), server); err != nil {
+		return nil, err
+	}
 	server.Start(p.group)
 	return server, nil
 }
--- a/frontend/doors.go
+++ b/frontend/doors.go
@@ -1,15 +1,10 @@
 package frontend
 
 import (
-	"context"
 	"syscall"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/metric"
-
 	"waxwingtide.example/waxwingtide/callerhttp"
-	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/settings"
 	"waxwingtide.example/waxwingtide/transport"
 )
@@ -80,35 +75,3 @@
 	}
 	return limit.Cur
 }
-
-// registerClientMetrics adds the instruments of the listeners to a meter.
-func registerClientMetrics(meter metric.Meter, servers []*callerhttp.Server, inner *transport.Guard) error {
-	const remedy = "report this as a defect"
-	conns, err := meter.Int64ObservableGauge("client_connections", metric.WithDescription("Open connections of clients"))
-	if err != nil {
-		return errs.Wrap(err, errs.Internal, remedy, "metric instruments cannot be created")
-	}
-	refused, err := meter.Int64ObservableCounter("clients_refused", metric.WithDescription("Connections, heads and messages that were refused or closed since the client took too much"))
-	if err != nil {
-		return errs.Wrap(err, errs.Internal, remedy, "metric instruments cannot be created")
-	}
-	observe := func(_ context.Context, observer metric.Observer) error {
-		record := func(listener, reason string, n int64) {
-			observer.ObserveInt64(refused, n, metric.WithAttributes(attribute.String("listener", listener), attribute.String("reason", reason)))
-		}
-		for _, server := range servers {
-			counts := server.Counts()
-			observer.ObserveInt64(conns, counts.Open, metric.WithAttributes(attribute.String("listener", server.Name())))
-			record(server.Name(), "connections", counts.RefusedConns)
-			record(server.Name(), "memory", counts.RefusedHeads)
-			record(server.Name(), "stalled", counts.Stalled)
-			record(server.Name(), "evicted", counts.Evicted)
-		}
-		observer.ObserveInt64(conns, inner.OpenConns(), metric.WithAttributes(attribute.String("listener", "inner")))
-		record("inner", "connections", inner.RefusedConns())
-		record("inner", "memory", inner.RefusedMessages())
-		return nil
-	}
-	_, err = meter.RegisterCallback(observe, conns, refused)
-	return errs.Wrap(err, errs.Internal, remedy, "metric instruments cannot be registered")
-}
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -21,6 +21,7 @@
 	"waxwingtide.example/waxwingtide/callerhttp"
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
+	"waxwingtide.example/waxwingtide/clientmetrics"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
@@ -260,6 +261,7 @@
 	}
 	innerGuard := transport.NewGuard(limits.inner)
 	p.group.Go("inner protocol", func(ctx context.Context) error { return innerGuard.Serve(ctx, inner, nil, mux) })
+	p.group.Go("inner protocol refusals", innerGuard.LogRefusals(p.log))
 	metrics, err := p.serve("metrics", p.settings.Metrics, p.metrics.Handler(), defaultTimeouts, limits.control)
 	if err != nil {
 		return err
@@ -272,7 +274,18 @@
 	if err != nil {
 		return err
 	}
-	return registerClientMetrics(p.metrics.Meter("clients"), []*callerhttp.Server{metrics, p.callerServer, readiness}, innerGuard)
+	return p.registerClientMetrics(innerGuard, metrics, p.callerServer, readiness)
+}
+
+// registerClientMetrics registers the metrics of the listeners.
+func (p *process) registerClientMetrics(inner *transport.Guard, servers ...*callerhttp.Server) error {
+	meter := p.metrics.Meter("clients")
+	for _, server := range servers {
+		if err := clientmetrics.RegisterServer(meter, server); err != nil {
+			return err
+		}
+	}
+	return clientmetrics.RegisterGuard(meter, inner)
 }
 
 // catalogServer implements the service Catalog of the inner protocol.
--- a/frontend/memory.go
+++ b/frontend/memory.go
@@ -1,12 +1,9 @@
 package frontend
 
 import (
-	"context"
-
-	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
-	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/clientmetrics"
 	"waxwingtide.example/waxwingtide/membudget"
 )
 
@@ -53,23 +50,5 @@
 
 // register adds the instruments of the budgets to a meter.
 func (b memoryBudgets) register(meter metric.Meter) error {
-	const remedy = "report this as a defect"
-	refusals, err := meter.Int64ObservableCounter("memory_refusals", metric.WithDescription("Messages and entries that were refused since the memory for them was exhausted"))
-	if err != nil {
-		return errs.Wrap(err, errs.Internal, remedy, "metric instruments cannot be created")
-	}
-	used, err := meter.Int64ObservableGauge("memory_used_bytes", metric.WithUnit("By"), metric.WithDescription("Memory of unfinished messages and recorded entries"))
-	if err != nil {
-		return errs.Wrap(err, errs.Internal, remedy, "metric instruments cannot be created")
-	}
-	observe := func(_ context.Context, observer metric.Observer) error {
-		for _, budget := range []*membudget.Budget{b.responses, b.requests, b.controlReplies, b.keptCache, b.controlRequests} {
-			kind := metric.WithAttributes(attribute.String("messages", budget.Name()))
-			observer.ObserveInt64(refusals, budget.Refusals(), kind)
-			observer.ObserveInt64(used, budget.UsedBytes(), kind)
-		}
-		return nil
-	}
-	_, err = meter.RegisterCallback(observe, refusals, used)
-	return errs.Wrap(err, errs.Internal, remedy, "metric instruments cannot be registered")
+	return clientmetrics.RegisterBudgets(meter, b.responses, b.requests, b.controlReplies, b.keptCache, b.controlRequests)
 }
--- a/transport/server.go
+++ b/transport/server.go
@@ -54,6 +54,9 @@
 	return s
 }
 
+// Guard returns the guard of the server's connections.
+func (s *Server) Guard() *Guard { return s.guard }
+
 // Run is the duty of the server. It serves until the context ends, or until the listener was
 // closed by CloseListener and no connection is open.
 func (s *Server) Run(ctx context.Context) error {
