Show on the command line who holds which duty, and what it did last

waxwingtide duties printed the duties_ metrics as text: without the last report's time and calls, and without the numbers of upstreams, whose metrics have another prefix. Each front now serves GET /duties as JSON on its metrics listener, and the command prints one line for each subject: holder, fence, since when, the last window or the desired, ordered and listed counts with their reasons.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -32,6 +32,7 @@
 	"waxwingtide.example/waxwingtide/rendezvous"
 	"waxwingtide.example/waxwingtide/settings"
 	"waxwingtide.example/waxwingtide/sharing"
+	"waxwingtide.example/waxwingtide/singleton/dutystatus"
 	"waxwingtide.example/waxwingtide/telemetry"
 	"waxwingtide.example/waxwingtide/transport"
 	"waxwingtide.example/waxwingtide/upstreamhttp"
@@ -260,7 +261,8 @@
 	}
 	innerGuard := transport.NewGuard(limits.inner)
 	p.group.Go("inner protocol", func(ctx context.Context) error { return innerGuard.Serve(ctx, inner, nil, mux) })
-	metrics, err := p.serve("metrics", p.settings.Metrics, p.metrics.Handler(), defaultTimeouts, limits.control)
+	control := dutystatus.Handler(func() dutystatus.Front { return p.duties.status(p.settings.Node) }, p.metrics.Handler())
+	metrics, err := p.serve("metrics", p.settings.Metrics, control, defaultTimeouts, limits.control)
 	if err != nil {
 		return err
 	}
--- a/lease/keeper/keeper.go
+++ b/lease/keeper/keeper.go
@@ -4,7 +4,9 @@
 package keeper
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -115,6 +117,18 @@
 	return a, ok && a.Valid(clock.SinceBoot())
 }
 
+// Held returns the authorities of this process that are valid now, sorted by subject.
+func (k *Keeper) Held() (held []singleton.Authority) {
+	now := clock.SinceBoot()
+	for _, a := range *k.held.Load() {
+		if a.Valid(now) {
+			held = append(held, a)
+		}
+	}
+	slices.SortFunc(held, func(a, b singleton.Authority) int { return cmp.Compare(a.Subject, b.Subject) })
+	return held
+}
+
 // GenerationSince returns the newest generation of the store's content that this process has
 // observed, and the time of clock.SinceBoot of the first observation.
 func (k *Keeper) GenerationSince() (core.Generation, time.Duration) {
--- a/lease/keeper/metrics.go
+++ b/lease/keeper/metrics.go
@@ -29,11 +29,8 @@
 	}
 	_, err = meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
 		now := clock.SinceBoot()
-		for subject, a := range *k.held.Load() {
-			if !a.Valid(now) {
-				continue
-			}
-			attributes := metric.WithAttributes(attribute.String("subject", string(subject)), attribute.String("holder", string(a.Holder)))
+		for _, a := range k.Held() {
+			attributes := metric.WithAttributes(attribute.String("subject", string(a.Subject)), attribute.String("holder", string(a.Holder)))
 			observer.ObserveInt64(fence, int64(a.Fence), attributes)
 			observer.ObserveFloat64(since, (now - a.Since).Seconds(), attributes)
 		}
--- a/singleton/usage/metrics.go
+++ b/singleton/usage/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
@@ -10,10 +11,28 @@
 	"waxwingtide.example/waxwingtide/errs"
 )
 
+// SentReport is a usage report that the platform has accepted.
+type SentReport struct {
+	Window Window
+	Calls  uint64
+	At     time.Time
+	// Late is set if the report was due before.
+	Late bool
+}
+
+// LastSent returns the last report of this process, or false if there is none.
+func (r *Reporter) LastSent() (SentReport, bool) {
+	sent := r.metrics.last.Load()
+	if sent == nil {
+		return SentReport{}, false
+	}
+	return *sent, true
+}
+
 // reporterMetrics are the instruments of a Reporter.
 type reporterMetrics struct {
-	reports    metric.Int64Counter
-	lastWindow atomic.Int64
+	reports metric.Int64Counter
+	last    atomic.Pointer[SentReport]
 }
 
 func newReporterMetrics(meter metric.Meter) (*reporterMetrics, error) {
@@ -28,18 +47,18 @@
 		return nil, errs.Wrap(err, errs.Internal, remedy, problem)
 	}
 	_, err = meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
-		if w := m.lastWindow.Load(); w != 0 {
-			observer.ObserveInt64(last, w)
+		if sent := m.last.Load(); sent != nil {
+			observer.ObserveInt64(last, int64(sent.Window))
 		}
 		return nil
 	}, last)
 	return m, errs.Wrap(err, errs.Internal, remedy, problem)
 }
 
-func (m *reporterMetrics) sent(ctx context.Context, w Window, late bool) {
-	m.lastWindow.Store(int64(w))
+func (m *reporterMetrics) sent(ctx context.Context, report SentReport) {
+	m.last.Store(&report)
 	result := "in_time"
-	if late {
+	if report.Late {
 		result = "late"
 	}
 	m.reports.Add(ctx, 1, metric.WithAttributes(attribute.String("result", result)))
--- a/singleton/usage/reporter.go
+++ b/singleton/usage/reporter.go
@@ -266,8 +266,9 @@
 	}
 	r.plan.recordDone(w)
 	late := r.now() > r.opts.Periods.end(w)+r.opts.Periods.Due
-	r.metrics.sent(ctx, w, late)
-	log := r.opts.Log.WithFields(logrus.Fields{"event": "usage_sent", "window": w, "fence": a.Fence, "workspaces": len(report.Counts), "calls": total(report.Counts), "after_ms": (r.now() - r.opts.Periods.end(w)).Milliseconds()})
+	calls := total(report.Counts)
+	r.metrics.sent(ctx, SentReport{Window: w, Calls: calls, At: time.Now(), Late: late})
+	log := r.opts.Log.WithFields(logrus.Fields{"event": "usage_sent", "window": w, "fence": a.Fence, "workspaces": len(report.Counts), "calls": calls, "after_ms": (r.now() - r.opts.Periods.end(w)).Milliseconds()})
 	if late {
 		log.WithField("event", "usage_late").WithError(r.lastError).Warn("usage of a window was reported late; the error is the last failure")
 	} else {
