Add faults of duties, failure domains, prompts and restores to the soak

The soak had no call of a duty, no failure domain, no prompt and no late write, so that it could not find two holders, a second report of a window, calls in an evacuated failure domain, or a part that crashes servers again and again.

New faults: all fronts end at once; a freeze over the end of the leases; the link of a front to the platform fails, also the holder's; the platform refuses or loses its answers; a failure domain is cut off and evacuated, with requests that arrive after the cut; parts of prompts on which servers refuse connections or fall silent; a restore of the store with late writes.

--- a/standin/platformcalls.go
+++ b/standin/platformcalls.go
@@ -22,6 +22,9 @@
 	// Wait is how long the client waits.
 	Wait time.Duration
 	Body io.Reader
+	// Prompt lists the parts of the prompt of a model's call as NAME:TOKENS, separated by
+	// commas. It is empty for other calls.
+	Prompt string
 }
 
 // Request returns the call as a request. The library does not send it again by
@@ -36,12 +39,20 @@
 	req.Header.Set("Request-Id", c.ID)
 	req.Header.Set("X-Api-Key", c.Key)
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(c.Wait.Milliseconds(), 10))
+	if c.Prompt != "" {
+		req.Header.Set("Model", "m1")
+		req.Header.Set("Token-Usage", "100,10")
+		req.Header.Set("Prompt-Prefix", c.Prompt)
+	}
 	return req, nil
 }
 
 // PlatformID returns the id of a call, of its request or its answer.
 func PlatformID(h http.Header) string { return h.Get("Request-Id") }
 
+// PlatformPrompt returns the parts of the prompt of a call.
+func PlatformPrompt(h http.Header) string { return h.Get("Prompt-Prefix") }
+
 // LastEvent returns the id of the last event that the caller has; 0 at the
 // beginning of a stream.
 func LastEvent(r *http.Request) int {
@@ -86,35 +97,65 @@
 	Aim       time.Duration
 }
 
+// PlatformService is a service of the operators' configuration. Its number of servers in
+// each zone may be ordered if MaxServers is above 0.
+type PlatformService struct {
+	Name                   string
+	MinServers, MaxServers int
+	Boot                   time.Duration
+}
+
+func (s PlatformService) row() map[string]any {
+	row := map[string]any{"name": s.Name}
+	if s.MaxServers > 0 {
+		row["scale"] = map[string]any{"min": s.MinServers, "max": s.MaxServers, "boot-s": s.Boot.Seconds()}
+	}
+	return row
+}
+
 // PutConfig writes a configuration with one service and one customer. The prefix
 // of each route is its name.
-func (s *PlatformStore) PutConfig(version int, host, service string, routes []PlatformRoute, keys []string) {
+func (s *PlatformStore) PutConfig(version int, host string, service PlatformService, routes []PlatformRoute, keys []string) {
 	list := make([]any, len(routes))
 	for i, r := range routes {
 		list[i] = map[string]any{
-			"name": r.Name, "host": host, "prefix": "/" + r.Name + "/", "kind": r.Kind, "service": service, "priority": 1,
+			"name": r.Name, "host": host, "prefix": "/" + r.Name + "/", "kind": r.Kind, "service": service.Name, "priority": 1,
 			"timeout-ms": r.Timeout.Milliseconds(), "target-latency-ms": r.Aim.Milliseconds(),
 			"max-attempts": r.Attempts, "resumable": r.Resumable,
 		}
 	}
 	s.Put("op", "config", map[string]any{
-		"version": version, "routes": list, "services": []any{map[string]any{"name": service}},
+		"version": version, "routes": list, "services": []any{service.row()},
 		"limits":  map[string]any{"max-body-bytes": 1 << 20, "idle-timeout-ms": 15000},
 		"tenants": []any{map[string]any{"name": "crew", "api-keys": keys}},
 	})
 }
 
-// PutServer lists a server of a service.
+// PutServer lists a server of a service in its first incarnation.
 func (s *PlatformStore) PutServer(id, service, address, zone string, draining bool) {
+	s.PutIncarnation(id, service, address, zone, draining, 1)
+}
+
+// PutIncarnation lists an incarnation of a server.
+func (s *PlatformStore) PutIncarnation(id, service, address, zone string, draining bool, born int) {
 	state := "ready"
 	if draining {
 		state = "draining"
 	}
 	s.Put("servers", id, map[string]any{
-		"service": service, "address": address, "zone": zone, "version": "v1", "slots": 16, "state": state, "born": 1,
+		"service": service, "address": address, "zone": zone, "version": "v1", "slots": 16, "state": state, "born": born,
 	})
 }
 
+// PutEvacuation requests that a zone is not used, or withdraws the request.
+func (s *PlatformStore) PutEvacuation(zone string, evacuated bool) {
+	var value any
+	if evacuated {
+		value = map[string]any{}
+	}
+	s.Put("op", "evacuate/"+zone, value)
+}
+
 // LoopbackAddress returns a loopback address that belongs to this process, so
 // that no other process takes its ports. Ports are best below the range from which
 // the kernel takes those of outgoing connections.
--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -25,6 +25,16 @@
 	dark atomic.Bool
 	// loseAnswers makes transactions take effect without an answer.
 	loseAnswers atomic.Bool
+	// holdWrites makes transactions wait in late, without an answer.
+	holdWrites atomic.Bool
+	late       []transaction
+}
+
+// transaction is a request for writes that take effect together if all conditions hold.
+type transaction struct {
+	Conditions []platformRow `json:"precondition"`
+	Puts       []platformRow `json:"puts"`
+	Removes    []platformRow `json:"remove"`
 }
 
 type platformKey struct{ table, key string }
@@ -54,6 +64,25 @@
 // SetLoseAnswers makes transactions take effect without an answer.
 func (s *PlatformStore) SetLoseAnswers(lose bool) { s.loseAnswers.Store(lose) }
 
+// HoldWrites makes transactions wait, without an answer, until PerformLateWrites. Those that
+// wait are like requests that a network delivers late.
+func (s *PlatformStore) HoldWrites(hold bool) { s.holdWrites.Store(hold) }
+
+// PerformLateWrites performs the transactions that wait whose conditions hold now. It
+// returns their number and that of all that waited.
+func (s *PlatformStore) PerformLateWrites() (performed, waited int) {
+	s.owner.do(func() {
+		for _, tx := range s.late {
+			if s.perform(tx) {
+				performed++
+			}
+		}
+		waited = len(s.late)
+		s.late = nil
+	})
+	return performed, waited
+}
+
 // Put writes a row as the operator or an upstream does; a nil value removes it.
 func (s *PlatformStore) Put(table, key string, value any) {
 	var body []byte
@@ -197,33 +226,21 @@
 }
 
 func (s *PlatformStore) transact(w http.ResponseWriter, r *http.Request) {
-	var tx struct {
-		Conditions []platformRow `json:"precondition"`
-		Puts       []platformRow `json:"puts"`
-		Removes    []platformRow `json:"remove"`
-	}
+	var tx transaction
 	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if s.holdWrites.Load() {
+		s.owner.do(func() { s.late = append(s.late, tx) })
+		panic(http.ErrAbortHandler)
+	}
 	status := http.StatusOK
 	var p page
 	s.owner.do(func() {
-		for _, c := range tx.Conditions {
-			have := s.rows[platformKey{c.Table, c.Key}]
-			if have.Removed {
-				have.Version = 0
-			}
-			if have.Version != c.Version {
-				status = http.StatusPreconditionFailed
-				p = page{version: s.version, generation: s.generation}
-				return
-			}
+		if !s.perform(tx) {
+			status = http.StatusPreconditionFailed
 		}
-		for i := range tx.Removes {
-			tx.Removes[i].Removed = true
-		}
-		s.commit(append(tx.Puts, tx.Removes...))
 		p = page{version: s.version, generation: s.generation}
 	})
 	if s.loseAnswers.Load() {
@@ -231,3 +248,21 @@
 	}
 	s.answer(w, status, p)
 }
+
+// perform writes the rows of a transaction if its conditions hold.
+func (s *PlatformStore) perform(tx transaction) bool {
+	for _, c := range tx.Conditions {
+		have := s.rows[platformKey{c.Table, c.Key}]
+		if have.Removed {
+			have.Version = 0
+		}
+		if have.Version != c.Version {
+			return false
+		}
+	}
+	for i := range tx.Removes {
+		tx.Removes[i].Removed = true
+	}
+	s.commit(append(tx.Puts, tx.Removes...))
+	return true
+}
--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -84,8 +84,13 @@
 func (w *world) call(client *http.Client, f *front, id, method, path string, once, stream bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
+	prompt := ""
+	if stream {
+		prompt = soundPrompt(id)
+	}
 	req, err := standin.PlatformCall{
 		ID: id, Method: method, Address: f.callers.address(), Host: host, Path: path, Key: apiKey, Wait: callTime, Body: strings.NewReader("body of " + id),
+		Prompt: prompt,
 	}.Request(ctx)
 	if err != nil {
 		w.ledger.note(entry{id: id, broken: err.Error()})
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -52,16 +52,27 @@
 		if ctx.Err() != nil || time.Since(begun) > w.o.For-faultTime {
 			return
 		}
+		if holder := w.holderIndex(); holder >= 0 && random.IntN(2) == 0 {
+			i = holder
+		}
 		if kind == stopsInSeries {
 			w.faults = append(w.faults, fmt.Sprintf("%.1fs stops in series", time.Since(begun).Seconds()))
 			w.stopInSeries(ctx, &running, busy, lasts)
 			continue
 		}
-		if kind < processFaults {
+		if kind == allEnd {
+			if w.anyBusy(busy) {
+				continue
+			}
+			for n := range busy {
+				busy[n] = time.Now().Add(grace + lasts + 2*restartPause)
+			}
+		}
+		if kind < processFaults || kind == longFreeze {
 			if time.Now().Before(busy[i]) {
 				continue // its process is being stopped or started
 			}
-			busy[i] = time.Now().Add(grace + lasts + 2*restartPause)
+			busy[i] = time.Now().Add(grace + freezeBeyondLease + lasts + 2*restartPause)
 		}
 		if kind == drains || kind == drains+1 {
 			if time.Now().Before(drained[server]) {
@@ -69,7 +80,10 @@
 			}
 			drained[server] = time.Now().Add(drainBound + lasts + restartPause)
 		}
-		f := w.draw(kind, w.fronts[i], server)
+		f := w.drawOutage(kind, w.fronts[i], random)
+		if f.run == nil {
+			f = w.draw(kind, w.fronts[i], server)
+		}
 		w.faults = append(w.faults, fmt.Sprintf("%.1fs %s for %s", time.Since(begun).Seconds(), f.name, lasts.Round(time.Millisecond)))
 		running.Go(func() { w.apply(ctx, f, lasts) })
 	}
@@ -116,7 +130,10 @@
 	plannedStop   = 1
 	processFaults = 3
 	drains        = 12
-	faultKinds    = 15
+	// allEnd kills all fronts; longFreeze suspends one over the end of its leases.
+	allEnd     = 15
+	longFreeze = 16
+	faultKinds = 25
 )
 
 func (w *world) draw(kind int, f *front, s *server) fault {
--- a/tools/soak/ledger.go
+++ b/tools/soak/ledger.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/standin"
 )
 
 // entry is something that a server or a caller has seen of one call.
@@ -14,6 +15,8 @@
 	id string
 	// ran is the server that ran the call.
 	ran string
+	// zone is that of the server.
+	zone string
 	// promised is set when a caller was told that the call has not run.
 	promised bool
 	once     bool
@@ -35,6 +38,14 @@
 	lost bool
 	// change notes something in the timeline, as of at.
 	change func(t *timeline, at time.Time)
+	// arrived is set when a call with the bad part id has reached a server, crashed when the
+	// server that it has crashed is back.
+	arrived, crashed bool
+	// lateWrites is the number of writes that reached the store after a restore, and
+	// performedWrites that of those which took effect.
+	lateWrites, performedWrites int
+	// duty is a call to the platform's interface for duties.
+	duty *standin.DutyCall
 }
 
 // ledger is the duty that owns what was seen of all calls.
@@ -45,16 +56,23 @@
 	keyed   []entry
 	lost    []entry
 	broken  []string
-	served  int
-	tried   int
+	duties  []standin.DutyCall
+	parts   map[string]partRecord
+	// lateWrites and performedWrites are sums of those of the entries.
+	lateWrites, performedWrites int
+	served                      int
+	tried                       int
 	// calm is when all is expected to work again after the last fault; lateTried and
 	// lateServed count the calls from then on. It is set before run.
 	calm                  time.Time
 	lateTried, lateServed int
+	// ended is the end of the run, of which usage reports are checked. It is set after run.
+	ended time.Time
 }
 
 type callRecord struct {
 	ran      []string
+	zones    []string
 	ranAt    []time.Time
 	front    string
 	promised bool
@@ -62,7 +80,7 @@
 }
 
 func newLedger() *ledger {
-	return &ledger{entries: ring.New[entry](4096), calls: make(map[string]*callRecord), times: newTimeline()}
+	return &ledger{entries: ring.New[entry](4096), calls: make(map[string]*callRecord), times: newTimeline(), parts: make(map[string]partRecord)}
 }
 
 func (l *ledger) note(e entry) {
@@ -90,6 +108,19 @@
 		l.keyed = append(l.keyed, e)
 		return
 	}
+	if e.arrived || e.crashed {
+		l.takePart(e)
+		return
+	}
+	if e.lateWrites > 0 {
+		l.lateWrites += e.lateWrites
+		l.performedWrites += e.performedWrites
+		return
+	}
+	if e.duty != nil {
+		l.duties = append(l.duties, *e.duty)
+		return
+	}
 	if e.lost {
 		l.lost = append(l.lost, e)
 		return
@@ -101,6 +132,7 @@
 	}
 	if e.ran != "" {
 		c.ran = append(c.ran, e.ran)
+		c.zones = append(c.zones, e.zone)
 		c.ranAt = append(c.ranAt, e.at)
 	}
 	if e.front != "" {
@@ -127,8 +159,21 @@
 	}
 }
 
+// takePart takes an entry of a bad part.
+func (l *ledger) takePart(e entry) {
+	r := l.parts[e.id]
+	if e.arrived {
+		r.arrivals = append(r.arrivals, arrival{front: e.front, at: e.at})
+	}
+	if e.crashed {
+		r.crashes = append(r.crashes, e.at)
+	}
+	l.parts[e.id] = r
+}
+
 // verdict checks what can be known at the end only.
 func (l *ledger) verdict() []string {
+	var started []time.Time
 	for id, c := range l.calls {
 		if c.once && len(c.ran) > 1 {
 			l.broken = append(l.broken, fmt.Sprintf("%s: a call that may run once ran at %v", id, c.ran))
@@ -140,6 +185,19 @@
 			if missed := l.times.drainMissed(c.front, server, c.ranAt[i]); missed != "" {
 				l.broken = append(l.broken, id+": "+missed)
 			}
+			if missed := l.times.evacuationMissed(c.front, server, c.zones[i], c.ranAt[i]); missed != "" {
+				l.broken = append(l.broken, id+": "+missed)
+			}
+			started = append(started, c.ranAt[i])
+		}
+	}
+	l.broken = append(l.broken, dutyBreaks(l.duties, l.times)...)
+	if !l.ended.IsZero() {
+		l.broken = append(l.broken, usageBreaks(l.duties, started, l.calm, l.ended)...)
+	}
+	for name, r := range l.parts {
+		if missed := r.missedQuarantine(name, l.times); missed != "" {
+			l.broken = append(l.broken, missed)
 		}
 	}
 	for _, e := range l.keyed {
--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
+	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
 )
 
@@ -26,32 +28,44 @@
 	silent
 	// answersLost drops the bytes towards the caller only.
 	answersLost
+	// holding holds bytes back until the link is open, and drops those of connections that
+	// were reset meanwhile, as a network does that is cut for a time.
+	holding
 )
 
-const linkDelay = 120 * time.Millisecond
+const (
+	linkDelay = 120 * time.Millisecond
+	// holdInterval is the interval at which a closed connection is checked while its bytes
+	// are held back.
+	holdInterval = 20 * time.Millisecond
+)
 
 // proxy is a TCP link whose state can be changed while connections are open.
 type proxy struct {
+	at     string
+	target string
+	state  atomic.Int32
+	// mu protects listener, which is nil while connections are refused.
+	mu       sync.Mutex
 	listener net.Listener
-	target   string
-	state    atomic.Int32
 	ctx      context.Context
 	cancel   context.CancelFunc
 	group    conc.WaitGroup
 }
 
-func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// newProxy returns a link to a target at an address.
+func newProxy(at, target string) (*proxy, error) {
+	l, err := net.Listen("tcp", at)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Internal, "free some ports", "proxy cannot listen")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &proxy{listener: l, target: target, ctx: ctx, cancel: cancel}
-	p.group.Go(p.accept)
+	p := &proxy{at: l.Addr().String(), target: target, listener: l, ctx: ctx, cancel: cancel}
+	p.group.Go(func() { p.accept(l) })
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.at }
 
 func (p *proxy) set(s linkState) { p.state.Store(int32(s)) }
 
@@ -59,13 +73,44 @@
 
 func (p *proxy) close() {
 	p.cancel()
-	_ = p.listener.Close() // ends accept; there is nothing to do about a failure
+	p.stopListening()
 	p.group.Wait()
 }
 
-func (p *proxy) accept() {
+// refuse resets all connections and refuses new ones until listen.
+func (p *proxy) refuse() {
+	p.set(resetting)
+	p.stopListening()
+}
+
+func (p *proxy) stopListening() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close() // ends accept; there is nothing to do about a failure
+	}
+	p.listener = nil
+}
+
+// listen opens the link.
+func (p *proxy) listen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.set(open)
+	if p.listener != nil || p.ctx.Err() != nil {
+		return
+	}
+	l, err := net.Listen("tcp", p.at)
+	if err != nil {
+		return // the server remains away
+	}
+	p.listener = l
+	p.group.Go(func() { p.accept(l) })
+}
+
+func (p *proxy) accept(l net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -102,6 +147,7 @@
 // copy passes bytes on as the state of the link allows.
 func (p *proxy) copy(to, from *net.TCPConn, answers bool) {
 	buffer := make([]byte, 32<<10)
+	var held []byte
 	for {
 		_ = from.SetReadDeadline(time.Now().Add(50 * time.Millisecond)) // a closed connection shows at the read
 		n, err := from.Read(buffer)
@@ -113,6 +159,20 @@
 		if p.is(delayed) && n > 0 {
 			time.Sleep(linkDelay)
 		}
+		ended := err == io.EOF //nolint:errorlint // Read returns it unwrapped
+		if p.is(holding) && (n > 0 || ended) {
+			held = append(held, buffer[:n]...)
+			if ended && !p.pause() {
+				return
+			}
+			continue
+		}
+		if len(held) > 0 && (err == nil || ended || isTimeout(err)) {
+			if _, werr := to.Write(held); werr != nil {
+				return
+			}
+			held = nil
+		}
 		if n > 0 && !p.is(silent) && (!p.is(answersLost) || !answers) {
 			if _, werr := to.Write(buffer[:n]); werr != nil {
 				return
@@ -125,7 +185,7 @@
 			continue
 		}
 		if err != nil {
-			if err == io.EOF { //nolint:errorlint // Read returns it unwrapped
+			if ended {
 				_ = to.CloseWrite()
 			} else {
 				_ = to.SetLinger(0)
@@ -135,3 +195,9 @@
 		}
 	}
 }
+
+// pause waits for a moment, and reports whether the proxy goes on.
+func (p *proxy) pause() bool {
+	duty.Pause(p.ctx, holdInterval)
+	return p.ctx.Err() == nil
+}
--- a/tools/soak/world.go
+++ b/tools/soak/world.go
@@ -27,7 +27,6 @@
 	apiKey  = "key-1"
 	host    = "gates.example"
 	service = "svc"
-	zone    = "z1"
 	// eventPause is the time between two events of a stream.
 	eventPause = 20 * time.Millisecond
 	// recovery is how long after the last fault all is expected to work again, and
@@ -40,6 +39,10 @@
 	grace = 3 * time.Second
 	// firstPort lies below the range from which the kernel takes ports.
 	firstPort = 21000
+	// serverPort is the first port of the links to servers, which refuse connections for a
+	// time and take their ports again.
+	serverPort = 20000
+	anyPort    = "127.0.0.1:0"
 )
 
 type options struct {
@@ -57,14 +60,19 @@
 	Seed          uint64
 	Faults        []string
 	Tried, Served int
-	Broken        []string
-	Logs          string
+	// Duties is the number of calls of duties that the platform has accepted.
+	Duties int
+	// LateWrites is the number of writes that reached the store after a restore, and
+	// PerformedWrites that of those which took effect.
+	LateWrites, PerformedWrites int
+	Broken                      []string
+	Logs                        string
 }
 
 // String returns a summary. It names the faults if a promise was broken.
 func (r Result) String() string {
-	lines := []string{fmt.Sprintf("seed %d: %d calls, %d served, %d faults, %d promises broken",
-		r.Seed, r.Tried, r.Served, len(r.Faults), len(r.Broken))}
+	lines := []string{fmt.Sprintf("seed %d: %d calls, %d served, %d duty calls, %d of %d late writes, %d faults, %d promises broken",
+		r.Seed, r.Tried, r.Served, r.Duties, r.PerformedWrites, r.LateWrites, len(r.Faults), len(r.Broken))}
 	if len(r.Broken) > 0 {
 		lines = append(lines, r.Faults...)
 	}
@@ -82,14 +90,24 @@
 	faults  []string
 	closers []func()
 	version atomic.Int32
+	// cloud is the platform's interface for duties. lastHolder is the front that has
+	// reported usage last.
+	cloud      standin.PlatformDuties
+	lastHolder atomic.Pointer[front]
+	// evacuated is set for each of the zones while it is cut off or evacuated.
+	evacuated [len(zones)]atomic.Bool
 }
 
 // server is a stand-in server behind a link.
 type server struct {
 	id       string
+	zone     string
 	link     *proxy
 	failing  atomic.Int32
 	draining atomic.Bool
+	// down is set while the server has crashed, born is its incarnation.
+	down atomic.Bool
+	born atomic.Int32
 }
 
 // Ways in which a server fails a share of its calls.
@@ -106,6 +124,7 @@
 	file    string
 	callers *proxy
 	store   *proxy
+	cloud   *proxy
 	child   atomic.Pointer[child]
 	log     *os.File
 }
@@ -168,23 +187,28 @@
 	duty.Pause(ctx, time.Until(w.ledger.calm)+calmTime)
 	stop()
 	callers.Wait()
+	ended := time.Now()
 	w.ledger.entries.Close()
 	book.Wait()
+	w.ledger.ended = ended
 	return Result{
-		Seed: o.Seed, Faults: w.faults, Tried: w.ledger.tried, Served: w.ledger.served, Broken: w.ledger.verdict(), Logs: o.Logs,
+		Seed: o.Seed, Faults: w.faults, Tried: w.ledger.tried, Served: w.ledger.served, Duties: len(w.ledger.duties),
+		LateWrites: w.ledger.lateWrites, PerformedWrites: w.ledger.performedWrites, Broken: w.ledger.verdict(), Logs: o.Logs,
 	}, nil
 }
 
 func (w *world) start() error {
 	w.store = standin.NewPlatformStore()
+	w.cloud.Observe = w.observeDuty
 	w.storeAt = w.serve(w.store)
 	w.closers = append(w.closers, w.store.Close)
 	for i := range w.o.Servers {
-		s := &server{id: fmt.Sprintf("i-%d", i)}
+		s := &server{id: fmt.Sprintf("i-%d", i), zone: zones[i%len(zones)]}
+		s.born.Store(1)
 		stand := standin.NewPlatformServer(s.id)
 		stand.Script = w.script(s, stand)
 		var err error
-		if s.link, err = newProxy(w.serve(stand)); err != nil {
+		if s.link, err = newProxy(standin.LoopbackAddress(serverPort+i), w.serve(stand)); err != nil {
 			return err
 		}
 		w.closers = append(w.closers, s.link.close)
@@ -221,6 +245,12 @@
 func (w *world) script(s *server, stand *standin.PlatformServer) func(http.ResponseWriter, *http.Request, []byte) {
 	return func(rw http.ResponseWriter, r *http.Request, body []byte) {
 		id := standin.PlatformID(r.Header)
+		if part, bad := badPartOf(standin.PlatformPrompt(r.Header)); bad {
+			_, front, _ := strings.Cut(id, "@")
+			w.ledger.note(entry{id: part.name, front: front, arrived: true})
+			w.crash(s, part)
+			stand.Break()
+		}
 		failing := s.failing.Load()
 		fails := failing != sound && rand.IntN(3) == 0
 		if fails && failing == rejects {
@@ -230,7 +260,7 @@
 		if string(body) != "body of "+id {
 			w.ledger.note(entry{id: id, broken: fmt.Sprintf("server got the body %q", body)})
 		}
-		w.ledger.note(entry{id: id, ran: s.id})
+		w.ledger.note(entry{id: id, ran: s.id, zone: s.zone})
 		if fails && failing == losesAnswers {
 			stand.Break()
 		}
@@ -258,7 +288,7 @@
 }
 
 func (w *world) putServer(s *server, draining bool) {
-	w.store.PutServer(s.id, service, s.link.address(), zone, draining)
+	w.store.PutIncarnation(s.id, service, s.link.address(), s.zone, draining, int(s.born.Load()))
 }
 
 // configure writes the next version of the configuration.
@@ -276,7 +306,8 @@
 			Name: name, Kind: kind, Attempts: attempts, Resumable: name == "verdict", Timeout: callTime, Aim: callTime / 3,
 		}
 	}
-	w.store.PutConfig(version, host, service, []standin.PlatformRoute{
+	scaled := standin.PlatformService{Name: service, MinServers: 1, MaxServers: w.o.Servers, Boot: time.Second}
+	w.store.PutConfig(version, host, scaled, []standin.PlatformRoute{
 		route("read", "safe", 2), route("log", "unsafe", 1), route("draft", "streaming", 1), route("verdict", "streaming", 2),
 		route(fmt.Sprintf("new-%d", version), "safe", 1),
 	}, []string{apiKey, keyOf(version)})
@@ -297,6 +328,19 @@
 			w.putServer(s, !draining)
 		}
 	}
+	for i, zone := range zones {
+		w.store.PutEvacuation(zone, w.evacuated[i].Load())
+	}
+}
+
+// observeDuty notes a call of a duty.
+func (w *world) observeDuty(c standin.DutyCall) {
+	for _, f := range w.fronts {
+		if f.name == c.Machine && c.Counts != "" {
+			w.lastHolder.Store(f)
+		}
+	}
+	w.ledger.note(entry{duty: &c})
 }
 
 // keyOf is the key that one version of the configuration allows beside apiKey.
@@ -308,11 +352,15 @@
 func (w *world) newFront(i int) (*front, error) {
 	f := &front{name: fmt.Sprintf("front-%d", i)}
 	var err error
-	if f.store, err = newProxy(w.storeAt); err != nil {
+	if f.store, err = newProxy(anyPort, w.storeAt); err != nil {
 		return nil, err
 	}
 	w.closers = append(w.closers, f.store.close)
-	if f.callers, err = newProxy(address(4 * i)); err != nil {
+	if f.cloud, err = newProxy(anyPort, w.serve(w.cloud.Machine(f.name))); err != nil {
+		return nil, err
+	}
+	w.closers = append(w.closers, f.cloud.close)
+	if f.callers, err = newProxy(anyPort, address(4*i)); err != nil {
 		return nil, err
 	}
 	w.closers = append(w.closers, f.callers.close)
@@ -329,9 +377,9 @@
 metrics: %q
 seeds: [%s]
 store: %q
-bounds: {lease: 3000ms, weights: 10s, grace: %s, cold_over: 1.5, cold_slack: 5, retry_share: 0.2, retry_slack: 100, retry_window: 10s}
+bounds: {lease: %s, weights: 10s, grace: %s, cold_over: 1.5, cold_slack: 5, retry_share: 0.2, retry_slack: 100, retry_window: 10s}
 stop: {rotation: 500ms}
-`, f.name, zone, address(4*i), address(4*i+1), address(4*i+2), address(4*i+3), strings.Join(seeds, ", "), f.store.address(), grace)
+`, f.name, zones[i%len(zones)], address(4*i), address(4*i+1), address(4*i+2), address(4*i+3), strings.Join(seeds, ", "), f.store.address(), leaseTime, grace) + dutySettings(f.cloud.address())
 	f.file = filepath.Join(w.o.Logs, f.name+".yaml")
 	if err := os.WriteFile(f.file, []byte(body), 0o600); err != nil {
 		return nil, errs.Wrap(err, errs.Internal, "choose another --logs", "settings cannot be written")
