--- a/tools/soak/world.go
+++ b/tools/soak/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -52,7 +53,9 @@
 	Fronts  int
 	Servers int
 	Callers int
-	Logs    string
+	// Lease is the lease of duties; leaseTime if it is 0.
+	Lease time.Duration
+	Logs  string
 }
 
 // Result is what a run has shown.
@@ -158,16 +161,7 @@
 		o.Logs = dir
 	}
 	w := &world{o: o, ledger: newLedger()}
-	defer func() {
-		for _, f := range w.fronts {
-			if c := f.child.Load(); c != nil {
-				c.end()
-			}
-		}
-		for i := len(w.closers) - 1; i >= 0; i-- {
-			w.closers[i]()
-		}
-	}()
+	defer w.close()
 	if err := w.start(); err != nil {
 		return Result{}, err
 	}
@@ -197,6 +191,18 @@
 	}, nil
 }
 
+// close ends all fronts and stand-ins.
+func (w *world) close() {
+	for _, f := range w.fronts {
+		if c := f.child.Load(); c != nil {
+			c.end()
+		}
+	}
+	for i := len(w.closers) - 1; i >= 0; i-- {
+		w.closers[i]()
+	}
+}
+
 func (w *world) start() error {
 	w.store = standin.NewPlatformStore()
 	w.cloud.Observe = w.observeDuty
@@ -379,7 +385,7 @@
 store: %q
 bounds: {lease: %s, weights: 10s, grace: %s, cold_over: 1.5, cold_slack: 5, retry_share: 0.2, retry_slack: 100, retry_window: 10s}
 stop: {rotation: 500ms}
-`, f.name, zones[i%len(zones)], address(4*i), address(4*i+1), address(4*i+2), address(4*i+3), strings.Join(seeds, ", "), f.store.address(), leaseTime, grace) + dutySettings(f.cloud.address())
+`, f.name, zones[i%len(zones)], address(4*i), address(4*i+1), address(4*i+2), address(4*i+3), strings.Join(seeds, ", "), f.store.address(), cmp.Or(w.o.Lease, leaseTime), grace) + dutySettings(f.cloud.address())
 	f.file = filepath.Join(w.o.Logs, f.name+".yaml")
 	if err := os.WriteFile(f.file, []byte(body), 0o600); err != nil {
 		return nil, errs.Wrap(err, errs.Internal, "choose another --logs", "settings cannot be written")
