Test that windows of a store outage are reported late with their counts

The store is away for all fronts and beyond the lease while a caller sends calls: the next holder gathers the windows that ended meanwhile from the collectors, which keep counts for three times the due time, and reports each once.

--- a/singleton/usage/reporter_test.go
+++ b/singleton/usage/reporter_test.go
@@ -249,6 +249,24 @@
 	require.Contains(t, w.accepted, firstWindow+1)
 }
 
+// Guards against windows that are given up because they ended while the store was away and
+// the lease had ended: the next holder reports them late, and those that the last holder had
+// fixed without a confirmation with the same counts.
+func TestStoreIsAwayBeyondTheLease(t *testing.T) {
+	w := newWorld(t)
+	a := w.become(w.since)
+	w.loseCommits = true
+	a.runAt(after(firstWindow + 1))
+	written, err := decodeFixedRow(w.rows[rowKey(0, firstWindow+1)])
+	require.NoError(t, err)
+	w.loseCommits, a.holds = false, false
+	w.become(after(firstWindow + 4))
+	require.Equal(t, written.Counts, w.accepted[firstWindow+1])
+	for window := firstWindow + 2; window <= firstWindow+4; window++ {
+		require.Contains(t, w.accepted, window)
+	}
+}
+
 // Guards against other counts for a window whose first write to the store had taken effect
 // without a response.
 func TestResponseOfTheStoreIsLost(t *testing.T) {
--- a/tools/soak/takeover_test.go
+++ b/tools/soak/takeover_test.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"waxwingtide.example/waxwingtide/singleton/dutystatus"
+	"waxwingtide.example/waxwingtide/standin"
 )
 
 const (
@@ -58,20 +61,91 @@
 	return holder
 }
 
-// Guards against a duty that no front performs for longer than documented after its holder
-// was killed, suspended or cut off from the store.
-func TestDutiesAreTakenOver(t *testing.T) {
+// startWorld starts a deployment of three fronts without faults.
+func startWorld(t *testing.T) *world {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "waxwing-front")
 	out, err := exec.Command("go", "build", "-o", program, "waxwingtide.example/waxwingtide/cmd/waxwing-front").CombinedOutput()
 	require.NoError(t, err, string(out))
 	w := &world{o: options{Front: program, Fronts: 3, Servers: 2, Lease: takeoverLease, Logs: t.TempDir()}, ledger: newLedger()}
-	defer w.close()
 	var book conc.WaitGroup
 	book.Go(w.ledger.run)
-	defer book.Wait()
-	defer w.ledger.entries.Close()
+	t.Cleanup(func() {
+		w.ledger.entries.Close()
+		book.Wait()
+		w.close()
+	})
 	require.NoError(t, w.start())
 	require.NoError(t, w.awaitReady(t.Context()))
+	return w
+}
+
+// read runs a function in the duty that owns the ledger.
+func (w *world) read(f func()) {
+	done := make(chan struct{})
+	w.ledger.note(entry{change: func(*timeline, time.Time) {
+		f()
+		close(done)
+	}})
+	<-done
+}
+
+func (w *world) dutyCalls() (calls []standin.DutyCall) {
+	w.read(func() { calls = slices.Clone(w.ledger.duties) })
+	return calls
+}
+
+// startedCalls returns when calls began at servers.
+func (w *world) startedCalls() (started []time.Time) {
+	w.read(func() {
+		for _, c := range w.ledger.calls {
+			started = append(started, c.ranAt...)
+		}
+	})
+	return started
+}
+
+// Guards against windows that are not reported, or with other counts, because they ended
+// while the store was away for all fronts and for longer than the lease.
+func TestWindowsOfAStoreOutageAreReported(t *testing.T) {
+	const outage = 2*takeoverLease + 2*time.Second
+	w := startWorld(t)
+	require.Eventually(t, func() bool { return w.lastHolder.Load() != nil }, readyTime, 20*time.Millisecond, "no report")
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	var callers conc.WaitGroup
+	defer callers.Wait()
+	begun := time.Now()
+	callers.Go(func() { w.caller(ctx, 0) })
+	time.Sleep(usageWindow)
+	for _, f := range w.fronts {
+		f.store.set(silent)
+	}
+	time.Sleep(outage)
+	restored := time.Now()
+	for _, f := range w.fronts {
+		f.store.set(open)
+	}
+	time.Sleep(takeoverBound + takeoverSlack + 2*usageWindow)
+	stop()
+	callers.Wait()
+	ended := time.Now()
+	calls, started := w.dutyCalls(), w.startedCalls()
+	require.Empty(t, dutyBreaks(calls, newTimeline()))
+	require.Empty(t, usageBreaks(calls, started, begun, ended))
+	reported := make(map[int64]bool)
+	for _, c := range calls {
+		reported[c.Window] = c.Counts != ""
+	}
+	for window := begun.UnixNano()/int64(usageWindow) + 1; window < restored.UnixNano()/int64(usageWindow); window++ {
+		require.True(t, reported[window], "window %d is not reported", window)
+	}
+}
+
+// Guards against a duty that no front performs for longer than documented after its holder
+// was killed, suspended or cut off from the store.
+func TestDutiesAreTakenOver(t *testing.T) {
+	w := startWorld(t)
 	faults := map[string]struct{ begin, end func(f *front) }{
 		"killed": {func(f *front) { f.child.Load().end() }, func(f *front) { require.NoError(t, w.launch(f)) }},
 		"suspended": {
@@ -96,7 +170,5 @@
 			})
 		}
 	}
-	w.ledger.entries.Close()
-	book.Wait()
-	require.Empty(t, dutyBreaks(w.ledger.duties, w.ledger.times))
+	require.Empty(t, dutyBreaks(w.dutyCalls(), newTimeline()))
 }
