Subtract the program from the memory limit of a front

The Go memory limit was 0.8 of the granted memory, but it does not cover the pages of the loaded program, about 10 MB.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -48,9 +48,6 @@
 	// connectTimeout is the timeout for opening a connection to an upstream. A
 	// round trip in the network takes a few milliseconds.
 	connectTimeout = 300 * time.Millisecond
-	// memoryLimitShare is the Go memory limit as a share of the memory that the VM
-	// grants the process. The setting Memory.LimitMB contains that memory.
-	memoryLimitShare = 0.8
 	// stopReserve is the time at the end of the grace period that is reserved for
 	// stopping the duties.
 	stopReserve = 400 * time.Millisecond
@@ -131,7 +128,7 @@
 	}
 	debug.SetGCPercent(s.Memory.GCPercent)
 	if s.Memory.LimitMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * s.Memory.LimitMB * (1 << 20)))
+		debug.SetMemoryLimit(goMemoryLimit(s.Memory.LimitMB))
 	}
 	p := &process{
 		settings: s, log: log, logWriter: logWriter, metrics: m, incarnation: core.Incarnation(time.Now().UnixNano()),
