Post a notice again if the answer of the webhook was cut

The rest of the answer was read without a check, so a success with a cut body counted. TestInvalidAnswerIsNoPostedNotice failed before for two cut answers and held for invalid statuses.

--- a/admin/notices.go
+++ b/admin/notices.go
@@ -256,7 +256,10 @@
 		return errs.Wrap(err, errs.Unavailable, "check that the webhook answers", "notice cannot be posted")
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, _ = io.CopyN(io.Discard, response.Body, maxSmallBody) // lets the connection be used again
+	// Reading the body also lets the connection be used again.
+	if _, err := io.CopyN(io.Discard, response.Body, maxSmallBody); err != nil && !errors.Is(err, io.EOF) {
+		return errs.Wrap(err, errs.Unavailable, "check that the webhook answers", "answer of the webhook was cut")
+	}
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return errs.New(errs.Unavailable, "check that the webhook accepts the notice", "webhook answered %s", response.Status)
 	}
