--- a/tools/soak/parts.go
+++ b/tools/soak/parts.go
@@ -23,11 +23,11 @@
 	// crashesKnown is the number of crashes after which, and partBound the time within
 	// which, calls with a part no longer reach servers.
 	crashesKnown = 5
-	partBound    = contact
+	partBound    = 4 * time.Second
 	// maxLateArrivals is the number of calls with a part that may reach servers later.
 	maxLateArrivals = 3
 	// partTime is the shortest time for which calls with a bad part are sent.
-	partTime = 9 * time.Second
+	partTime = 10 * time.Second
 	// silentSuffix ends the names of parts on which servers fall silent.
 	silentSuffix = "-silent"
 	// restartSlack is the time after a restart or a freeze in which a front may send calls
