--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -41,54 +42,69 @@
 	begun := time.Now()
 	var running conc.WaitGroup
 	defer running.Wait()
-	busy := make([]time.Time, len(w.fronts))
-	drained := make(map[*server]time.Time)
+	b := bookings{busy: make([]time.Time, len(w.fronts)), drained: make(map[*server]time.Time)}
 	w.configure() // each run has a key that was removed
 	for {
 		duty.Pause(ctx, faultGap/2+time.Duration(random.Int64N(int64(faultGap))))
 		lasts := faultTime/5 + time.Duration(random.Int64N(int64(faultTime*4/5)))
 		i, server := random.IntN(len(w.fronts)), w.servers[random.IntN(len(w.servers))]
 		kind := stopsInSeries + random.IntN(faultKinds+1) // the first kind is stopsInSeries, -1
+		ofHolder := random.IntN(2) == 0
 		if ctx.Err() != nil || time.Since(begun) > w.o.For-faultTime {
 			return
 		}
-		if holder := w.holderIndex(); holder >= 0 && random.IntN(2) == 0 {
+		if holder := w.holderIndex(); holder >= 0 && ofHolder {
 			i = holder
 		}
 		if kind == stopsInSeries {
 			w.faults = append(w.faults, fmt.Sprintf("%.1fs stops in series", time.Since(begun).Seconds()))
-			w.stopInSeries(ctx, &running, busy, lasts)
+			w.stopInSeries(ctx, &running, b.busy, lasts)
 			continue
 		}
-		if kind == allEnd {
-			if w.anyBusy(busy) {
-				continue
-			}
-			for n := range busy {
-				busy[n] = time.Now().Add(grace + lasts + 2*restartPause)
-			}
-		}
-		if kind < processFaults || kind == longFreeze {
-			if time.Now().Before(busy[i]) {
-				continue // its process is being stopped or started
-			}
-			busy[i] = time.Now().Add(grace + freezeBeyondLease + lasts + 2*restartPause)
-		}
-		if kind == drains || kind == drains+1 {
-			if time.Now().Before(drained[server]) {
-				continue
-			}
-			drained[server] = time.Now().Add(drainBound + lasts + restartPause)
-		}
 		f := w.drawOutage(kind, w.fronts[i], random)
 		if f.run == nil {
 			f = w.draw(kind, w.fronts[i], server)
 		}
+		if !b.take(kind, i, server, lasts) {
+			continue
+		}
 		w.faults = append(w.faults, fmt.Sprintf("%.1fs %s for %s", time.Since(begun).Seconds(), f.name, lasts.Round(time.Millisecond)))
 		running.Go(func() { w.apply(ctx, f, lasts) })
 	}
 }
 
+// bookings are the times until which fronts are being stopped or started, and servers
+// drained.
+type bookings struct {
+	busy    []time.Time
+	drained map[*server]time.Time
+}
+
+// take books what a fault needs. It returns false if another fault has it.
+func (b *bookings) take(kind, front int, s *server, lasts time.Duration) bool {
+	now := time.Now()
+	switch {
+	case kind == allEnd:
+		if slices.ContainsFunc(b.busy, now.Before) {
+			return false
+		}
+		for i := range b.busy {
+			b.busy[i] = now.Add(grace + lasts + 2*restartPause)
+		}
+	case kind < storeSilent || kind == longFreeze:
+		if now.Before(b.busy[front]) {
+			return false
+		}
+		b.busy[front] = now.Add(grace + freezeBeyondLease + lasts + 2*restartPause)
+	case kind == changeAndDrain || kind == longDrain:
+		if now.Before(b.drained[s]) {
+			return false
+		}
+		b.drained[s] = now.Add(drainBound + lasts + restartPause)
+	}
+	return true
+}
+
 // apply runs a fault and notes when it touches a front or a link.
 func (w *world) apply(ctx context.Context, f fault, lasts time.Duration) {
 	note := func(change func(map[string][]span, string, time.Time)) {
@@ -122,18 +138,36 @@
 	}
 }
 
-// processFaults are the first kinds, which stop or start a front's process; from
-// drains on a server is drained. plannedStop is the planned stop of one front, and
-// stopsInSeries of all.
+// Kinds of faults. A seed draws the same faults only while their order does not change. The
+// kinds before storeSilent stop or start the process of one front.
 const (
-	stopsInSeries = -1
-	plannedStop   = 1
-	processFaults = 3
-	drains        = 12
-	// allEnd kills all fronts; longFreeze suspends one over the end of its leases.
-	allEnd     = 15
-	longFreeze = 16
-	faultKinds = 25
+	stopsInSeries = iota - 1
+	kill
+	plannedStop
+	freeze
+	storeSilent
+	storeResets
+	storeAnswersLost
+	serverSilent
+	serverResets
+	serverDelayed
+	serverLosesAnswers
+	serverRejects
+	serverBreaksOff
+	changeAndDrain
+	longDrain
+	storeRestored
+	allEnd
+	longFreeze
+	cloudSilent
+	cloudResets
+	cloudAnswersLost
+	cloudRefuses
+	zoneCut
+	lateWrites
+	refusingPart
+	silentPart
+	faultKinds
 )
 
 func (w *world) draw(kind int, f *front, s *server) fault {
@@ -152,9 +186,9 @@
 		}}
 	}
 	switch kind {
-	case 0:
+	case kill:
 		return fault{name: "kill " + f.name, touches: f.name, disrupts: true, run: func(ctx context.Context, lasts time.Duration) { w.restart(ctx, f, syscall.SIGKILL, lasts/2) }}
-	case 1:
+	case plannedStop:
 		return fault{name: "stop " + f.name, touches: f.name, run: func(ctx context.Context, _ time.Duration) {
 			c := f.child.Load()
 			signals := time.AfterFunc(signalGap, func() {
@@ -164,31 +198,31 @@
 			defer signals.Stop()
 			w.restart(ctx, f, syscall.SIGTERM, restartPause)
 		}}
-	case 2:
+	case freeze:
 		return fault{name: "freeze " + f.name, touches: f.name, disrupts: true, run: func(ctx context.Context, lasts time.Duration) {
 			f.child.Load().signal(syscall.SIGSTOP)
 			duty.Pause(ctx, lasts)
 			f.child.Load().signal(syscall.SIGCONT)
 		}}
-	case 3:
+	case storeSilent:
 		return link("store silent for "+f.name, f.store, silent, f.name)
-	case 4:
+	case storeResets:
 		return link("store resets "+f.name, f.store, resetting, f.name)
-	case 5:
+	case storeAnswersLost:
 		return link("store's answers lost for "+f.name, f.store, answersLost, f.name)
-	case 6:
+	case serverSilent:
 		return link("link to "+s.id+" silent", s.link, silent, s.id)
-	case 7:
+	case serverResets:
 		return link("link to "+s.id+" resets", s.link, resetting, s.id)
-	case 8:
+	case serverDelayed:
 		return link("link to "+s.id+" delayed", s.link, delayed, s.id)
-	case 9:
+	case serverLosesAnswers:
 		return failing(s.id+" loses answers", losesAnswers)
-	case 10:
+	case serverRejects:
 		return failing(s.id+" rejects", rejects)
-	case 11:
+	case serverBreaksOff:
 		return failing(s.id+" breaks off", breaksOff)
-	case 12:
+	case changeAndDrain:
 		return fault{name: "configuration and settings change, " + s.id + " drains", run: func(ctx context.Context, lasts time.Duration) {
 			w.configure()
 			for _, f := range w.fronts {
@@ -196,7 +230,7 @@
 			}
 			w.drain(ctx, s, lasts)
 		}}
-	case 14:
+	case storeRestored:
 		return fault{name: "store restored from a copy", run: w.restoreStore}
 	default:
 		return fault{name: s.id + " drains for long", run: func(ctx context.Context, lasts time.Duration) {
--- a/tools/soak/outages.go
+++ b/tools/soak/outages.go
@@ -23,11 +23,6 @@
 // holderIndex returns the index of the front that has reported usage last, or -1.
 func (w *world) holderIndex() int { return slices.Index(w.fronts, w.lastHolder.Load()) }
 
-// anyBusy reports whether the process of some front is being stopped or started.
-func (w *world) anyBusy(busy []time.Time) bool {
-	return slices.ContainsFunc(busy, time.Now().Before)
-}
-
 // drawOutage returns a fault of all fronts, of a zone, of the platform's interface for
 // duties, of the store together with late writes, or a part that crashes servers; a fault
 // without run for other kinds.
@@ -55,22 +50,22 @@
 			duty.Pause(ctx, freezeBeyondLease+lasts/2)
 			f.child.Load().signal(syscall.SIGCONT)
 		}}
-	case 17:
+	case cloudSilent:
 		return cloud("platform silent", silent)
-	case 18:
+	case cloudResets:
 		return cloud("platform resets", resetting)
-	case 19:
+	case cloudAnswersLost:
 		return switched("answers of the platform are lost", w.cloud.SetLoseAnswers)
-	case 20:
+	case cloudRefuses:
 		return switched("platform refuses all duties", w.cloud.SetDark)
-	case 21:
+	case zoneCut:
 		zone := random.IntN(len(zones))
 		return fault{name: "cut and evacuation of " + zones[zone], run: func(ctx context.Context, lasts time.Duration) { w.cutZone(ctx, zone, lasts) }}
-	case 22:
+	case lateWrites:
 		return fault{name: "store restored from a copy, with late writes", run: w.restoreWithLateWrites}
-	case 23, 24:
+	case refusingPart, silentPart:
 		name := fmt.Sprintf("bad-%d", len(w.faults))
-		if kind == 24 {
+		if kind == silentPart {
 			name += silentSuffix
 		}
 		return fault{name: "part " + name + " crashes servers", run: func(ctx context.Context, lasts time.Duration) {
