Let the soak deliver late what was sent in a cut

A cut link now delivers held bytes 0.6 s after the cut, as senders that repeat them do, and drops those of connections that were reset. New fault: a front is cut off from the store and the platform for longer than two leases.

--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -91,7 +91,7 @@
 		for i := range b.busy {
 			b.busy[i] = now.Add(grace + lasts + 2*restartPause)
 		}
-	case kind < storeSilent || kind == longFreeze:
+	case kind < storeSilent || kind == longFreeze || kind == frontCut:
 		if now.Before(b.busy[front]) {
 			return false
 		}
@@ -167,6 +167,7 @@
 	lateWrites
 	refusingPart
 	silentPart
+	frontCut
 	faultKinds
 )
 
--- a/tools/soak/outages.go
+++ b/tools/soak/outages.go
@@ -16,6 +16,8 @@
 const (
 	// freezeBeyondLease is the shortest freeze that outlasts a lease.
 	freezeBeyondLease = leaseTime + 300*time.Millisecond
+	// cutBeyondLease is the shortest cut after which the next holder has acted.
+	cutBeyondLease = 2*leaseTime + time.Second
 	// lateWriteDelay is the longest time after a restore at which late writes arrive.
 	lateWriteDelay = 500 * time.Millisecond
 )
@@ -54,6 +56,16 @@
 		return cloud("platform silent", silent)
 	case cloudResets:
 		return cloud("platform resets", resetting)
+	case frontCut:
+		return fault{name: f.name + " cut off from store and platform", touches: f.name, run: func(ctx context.Context, lasts time.Duration) {
+			f.store.set(silent)
+			f.cloud.set(holding)
+			w.noteSpan(begin, cloudLink(f.name))
+			duty.Pause(ctx, cutBeyondLease+lasts/2)
+			f.store.set(open)
+			f.cloud.set(open)
+			w.noteSpan(end, cloudLink(f.name))
+		}}
 	case cloudAnswersLost:
 		return switched("answers of the platform are lost", w.cloud.SetLoseAnswers)
 	case cloudRefuses:
--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -28,8 +28,8 @@
 	silent
 	// answersLost drops the bytes towards the caller only.
 	answersLost
-	// holding holds bytes back until the link is open, and drops those of connections that
-	// were reset meanwhile, as a network does that is cut for a time.
+	// holding holds bytes back until heldDelay after the link is open, and drops those of
+	// connections that were reset meanwhile, as a network does that is cut for a time.
 	holding
 )
 
@@ -38,6 +38,9 @@
 	// holdInterval is the interval at which a closed connection is checked while its bytes
 	// are held back.
 	holdInterval = 20 * time.Millisecond
+	// heldDelay is the time after a cut at which bytes arrive that were sent in it: senders
+	// repeat them at growing intervals.
+	heldDelay = 600 * time.Millisecond
 )
 
 // proxy is a TCP link whose state can be changed while connections are open.
@@ -148,6 +151,7 @@
 func (p *proxy) copy(to, from *net.TCPConn, answers bool) {
 	buffer := make([]byte, 32<<10)
 	var held []byte
+	var heldUntil time.Time
 	for {
 		_ = from.SetReadDeadline(time.Now().Add(50 * time.Millisecond)) // a closed connection shows at the read
 		n, err := from.Read(buffer)
@@ -160,14 +164,17 @@
 			time.Sleep(linkDelay)
 		}
 		ended := err == io.EOF //nolint:errorlint // Read returns it unwrapped
-		if p.is(holding) && (n > 0 || ended) {
+		if p.is(holding) {
+			heldUntil = time.Now().Add(heldDelay)
+		}
+		if (n > 0 || ended) && time.Now().Before(heldUntil) {
 			held = append(held, buffer[:n]...)
 			if ended && !p.pause() {
 				return
 			}
 			continue
 		}
-		if len(held) > 0 && (err == nil || ended || isTimeout(err)) {
+		if len(held) > 0 && !time.Now().Before(heldUntil) && (err == nil || ended || isTimeout(err)) {
 			if _, werr := to.Write(held); werr != nil {
 				return
 			}
--- a/tools/soak/takeover_test.go
+++ b/tools/soak/takeover_test.go
@@ -143,7 +143,8 @@
 }
 
 // Guards against a duty that no front performs for longer than documented after its holder
-// was killed, suspended or cut off from the store.
+// was killed, suspended or cut off, and against calls of a holder that arrive after those of
+// the next one, when its link works again.
 func TestDutiesAreTakenOver(t *testing.T) {
 	w := startWorld(t)
 	faults := map[string]struct{ begin, end func(f *front) }{
@@ -152,6 +153,17 @@
 			func(f *front) { f.child.Load().signal(syscall.SIGSTOP) },
 			func(f *front) { f.child.Load().signal(syscall.SIGCONT) },
 		},
+		"cut off from store and platform": {
+			func(f *front) {
+				f.store.set(silent)
+				f.cloud.set(holding)
+			},
+			func(f *front) {
+				f.store.set(open)
+				f.cloud.set(open)
+				time.Sleep(2 * heldDelay)
+			},
+		},
 		"cut off from the store": {func(f *front) { f.store.set(silent) }, func(f *front) { f.store.set(open) }},
 	}
 	for name, fault := range faults {
