Let connections with TLS linger only after unread requests

They lingered for up to a second at each close, since their requests were not found by their connection. TestRefusalReachesClientOverTLS failed before for a request without a body.

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -288,7 +288,7 @@
 	defer c.mu.Unlock()
 	c.httpState, c.multiplexed = state, multiplexed
 	c.readingSince = time.Time{}
-	c.hasRest = state == http.StateActive
+	c.hasRest = state == http.StateActive && !multiplexed
 	switch {
 	case state == http.StateNew:
 	case state != http.StateIdle:
--- a/callerhttp/guard.go
+++ b/callerhttp/guard.go
@@ -238,7 +238,7 @@
 	})
 }
 
-// requestConn returns the connection of a request, or nil if it is encrypted.
+// requestConn returns the connection of a request, or nil if it was not accepted by a listener.
 func requestConn(r *http.Request) *conn {
 	c, _ := r.Context().Value(connKey{}).(*conn)
 	return c
--- a/callerhttp/linger.go
+++ b/callerhttp/linger.go
@@ -55,11 +55,12 @@
 	return nil
 }
 
-// expectRest records whether a part of the request of the connection is unread.
+// expectRest records whether a part of the request of the connection is unread. HTTP/2 ends
+// the streams of requests itself.
 func (c *conn) expectRest(isUnread bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hasRest = isUnread
+	c.hasRest = isUnread && !c.multiplexed
 }
 
 // hasUnreadRequest reports whether a request was answered and not read whole.
--- a/callerhttp/linger_test.go
+++ b/callerhttp/linger_test.go
@@ -1,10 +1,13 @@
 package callerhttp
 
 import (
+	"bufio"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -45,6 +48,32 @@
 	}
 }
 
+// Guards against a refusal over TLS that is lost because the connection is reset, and
+// against connections with TLS that linger although their requests were read.
+func TestRefusalReachesClientOverTLS(t *testing.T) {
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	defer certified.Close()
+	var served *conn
+	s := newServed(t, &tls.Config{Certificates: certified.TLS.Certificates}, func(w http.ResponseWriter, r *http.Request) {
+		served = requestConn(r)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}).start()
+	for _, bodyBytes := range []int{0, 4 << 20} {
+		client, err := tls.Dial("tcp", s.address, &tls.Config{InsecureSkipVerify: true})
+		require.NoError(t, err)
+		defer func() { _ = client.Close() }()
+		_, err = fmt.Fprintf(client, "POST /x HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, strings.Repeat("x", bodyBytes))
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.NoError(t, client.Close())
+		require.Eventually(t, func() bool { return s.server.Counts().Open == 0 }, testTimeout, time.Millisecond)
+		require.Equal(t, bodyBytes > 0, served.isLingering())
+	}
+}
+
 // Guards against connections that are kept for clients that do not stop sending after a
 // refusal, and against an end of the server that waits for them.
 func TestLingeringIsBounded(t *testing.T) {
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -99,6 +99,9 @@
 
 // addConn adds a connection to the context of its requests.
 func addConn(ctx context.Context, netConn net.Conn) context.Context {
+	if encrypted, ok := netConn.(*tls.Conn); ok {
+		netConn = encrypted.NetConn()
+	}
 	return context.WithValue(ctx, connKey{}, netConn)
 }
 
