Save parts by the rate of the stores' links and their free share

Cause: parts were divided among the kept-cache stores by capacity. Where a small fast store stands beside a large slow one, nine tenths of the parts lay behind the slow links, and the fast store stayed partly empty.

Change: the weight of a store is the rate of its link times its free share, so that fast stores are filled first, also after the loss of all copies. The share falls as a store fills, so that the processes, which do not know each other's pending saves, rarely save more than it has room for.

--- a/cacheindex/cacheindex.go
+++ b/cacheindex/cacheindex.go
@@ -249,7 +249,7 @@
 		if !s.trusted(now) || float64(s.usedTokens+roundUpToBlocks(tokens)) > fillShare*float64(s.spec.CapacityTokens) {
 			continue
 		}
-		if score := rendezvous.WeightedScore(address, key.Salt+"|"+string(key.ID), float64(s.spec.CapacityTokens)); score > bestScore {
+		if score := rendezvous.WeightedScore(address, key.Salt+"|"+string(key.ID), s.saveWeight()); score > bestScore {
 			best, bestScore = s, score
 		}
 	}
@@ -260,6 +260,15 @@
 	return best.spec.Address, true
 }
 
+// saveWeight returns the weight of a store among those that a part may be saved to. The rate
+// of its link counts, since a part is fetched more often than it is saved: the fast stores are
+// filled first. The share falls as a store fills up, so that the processes, which do not know
+// each other's pending saves, rarely save more than it has room for.
+func (s *store) saveWeight() float64 {
+	free := 1 - float64(s.usedTokens)/float64(s.spec.CapacityTokens)
+	return max(s.spec.LinkMbps, 1) * free
+}
+
 // RemoveExpiredSaves removes pending saves that were not confirmed within saveTimeout.
 func (x *Index) RemoveExpiredSaves(now time.Time) {
 	for _, s := range x.stores {
