Share the delays of links among all fronts

Cause: while the links of some stores are slow, calls that fetch from them wait for up to two seconds. Each front sees one or two transfers a second of a link, learns a bounded ratio from them, and learns it only when the transfers have ended.

Change: each front observes by how much its transfers are later than expected, also those that are overdue. A number of transfers and a sum of delays for each link go with the exchange of observations; collectors add up the newest report of each sender. A link is slow by as much as its mean delay exceeds twice the median of all links and 30 ms, so that engines that are late for other reasons do not make links slow. The delay is added to the estimate of a transfer. Silent fronts fade within 1.2 s; fronts of older versions send and read nothing.

TestSlowLinkForSeconds fails without it (0.075 of the calls beyond their target, bound 0.05; now 0.04).

--- a/gateway/router.go
+++ b/gateway/router.go
@@ -74,6 +74,7 @@
 	// paces is read by the metrics.
 	paces           atomic.Pointer[paceSnapshot]
 	loggedSpeeds    map[core.ServiceID]placement.ServiceSpeed
+	links           linkMonitor
 	crashChecker    *crashChecker
 	options         *ring.Ring[placement.Options]
 	log             logrus.FieldLogger
@@ -92,7 +93,7 @@
 	if opts.Meter == nil {
 		return r
 	}
-	if err := errors.Join(observeQuarantines(opts.Meter, &r.activeQuarantines), r.waiting.metrics.register(opts.Meter)); err != nil {
+	if err := errors.Join(observeQuarantines(opts.Meter, &r.activeQuarantines), r.waiting.metrics.register(opts.Meter), r.links.register(opts.Meter)); err != nil {
 		r.log.WithField("event", "metrics_missing").WithError(err).Warn("metrics of the router cannot be created")
 	}
 	if err := observePaces(opts.Meter, &r.paces); err != nil {
@@ -116,6 +117,7 @@
 		case <-r.options.Ready():
 		case <-r.cacheFeed.Updates().Ready():
 		case <-r.observations.RemoteObservations().Ready():
+		case <-r.observations.RemoteLinkDelays().Ready():
 		case <-r.observations.RemoteEvidence().Ready():
 		case <-r.observations.NewBoards().Ready():
 		case <-r.observations.RemoteVerdicts().Ready():
@@ -173,6 +175,7 @@
 	for u, ok := r.cacheFeed.Updates().TryReceive(); ok; u, ok = r.cacheFeed.Updates().TryReceive() {
 		r.applyCacheUpdate(u)
 	}
+	r.exchangeLinkDelays(now)
 	for received, ok := r.observations.RemoteObservations().TryReceive(); ok; received, ok = r.observations.RemoteObservations().TryReceive() {
 		for _, o := range received {
 			r.placer.ApplyObservation(now, o)
--- a/placement/caches.go
+++ b/placement/caches.go
@@ -235,9 +235,9 @@
 		}
 		nominalMs := transferMs(engine, c, u.row.Domain, tokens)
 		queuedMs := pl.queuedTransferMs(now, c.Address, nominalMs)
-		estimateMs := queuedMs * pl.link(c.Address).slowness(now)
+		estimateMs := max(queuedMs*pl.link(c.Address).slowness(now), queuedMs+pl.linkDelayMs(now, c.Address))
 		if !found || estimateMs < ms {
-			s, f, ms, found = c, transfer{sourceAddress: c.Address, nominalMs: nominalMs, queuedMs: queuedMs}, estimateMs, true
+			s, f, ms, found = c, transfer{sourceAddress: c.Address, nominalMs: nominalMs, queuedMs: queuedMs, expectedMs: estimateMs}, estimateMs, true
 		}
 	}
 	consider(pl.cacheIndex.Find(now, key, tokens, u.row.Domain, seenBefore))
--- a/placement/links.go
+++ b/placement/links.go
@@ -34,11 +34,12 @@
 
 // transfer is a fetch that belongs to an attempt. nominalMs is its time according to
 // transferMs. queuedMs is nominalMs plus the nominal time of the transfers that are
-// assumed to be queued before it.
+// assumed to be queued before it. expectedMs is its estimated time with the delay of its link.
 type transfer struct {
 	sourceAddress string
 	nominalMs     float64
 	queuedMs      float64
+	expectedMs    float64
 }
 
 func (l *sourceLink) slowness(now time.Time) float64 {
@@ -99,8 +100,17 @@
 	if len(a.transfers) == 0 {
 		return
 	}
-	unexplainedMs := float64(now.Sub(a.sentAt).Microseconds())/1000 - a.nonTransferMs - max(a.engineLatenessMs, u.engineLatenessMs(now)) - firstByteNoiseMs
+	unexplained := unexplainedMs(now, u, a)
 	for _, f := range a.transfers {
-		pl.link(f.sourceAddress).observe(now, f.queuedMs, unexplainedMs*f.queuedMs/totalMs)
+		pl.link(f.sourceAddress).observe(now, f.queuedMs, unexplained*f.queuedMs/totalMs)
 	}
+	for _, d := range transferDelays(now, u, a) {
+		pl.delays.state.Observe(now, d.Link, d.DelayMs)
+	}
+}
+
+// unexplainedMs returns the time since an attempt was sent that is attributed to its
+// transfers, in milliseconds.
+func unexplainedMs(now time.Time, u *upstream, a *attempt) float64 {
+	return float64(now.Sub(a.sentAt).Microseconds())/1000 - a.nonTransferMs - max(a.engineLatenessMs, u.engineLatenessMs(now)) - firstByteNoiseMs
 }
--- a/placement/table.go
+++ b/placement/table.go
@@ -9,6 +9,7 @@
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/placement/links"
 	"waxwingtide.example/waxwingtide/quarantine"
 	"waxwingtide.example/waxwingtide/retry"
 )
@@ -36,6 +37,7 @@
 	frontAddresses map[core.NodeID]string
 	cacheIndex     *cacheindex.Index
 	links          map[string]*sourceLink
+	delays         linkDelays
 	// partServers contains, for each part of the call that is being placed, the
 	// servers that have reported it.
 	partServers    map[cacheindex.Key][]*upstream
@@ -96,7 +98,7 @@
 func New(opts Options, index *cacheindex.Index) *Placer {
 	return &Placer{
 		opts: opts, cacheIndex: index, upstreams: make(map[core.UpstreamID]*upstream),
-		retryBudgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*sourceLink), partServers: make(map[cacheindex.Key][]*upstream), oldestVersions: make(map[core.ModelID]oldestVersion),
+		retryBudgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*sourceLink), delays: linkDelays{state: links.New()}, partServers: make(map[cacheindex.Key][]*upstream), oldestVersions: make(map[core.ModelID]oldestVersion),
 		meanPromptTokens: make(map[core.ServiceID]float64), departures: make(map[quarantine.Incarnation]*departure), pauses: make(map[pauseSubject]*pause),
 		residencies: make(map[core.ServiceID]*residency), isolation: newIsolation(), speeds: make(map[core.ServiceID]*serviceSpeed),
 	}
--- a/sharing/bench_test.go
+++ b/sharing/bench_test.go
@@ -28,7 +28,8 @@
 		"rate_B": &wire.ShareRequest{Seen: encodeObservations(boardNow, []Observation{
 			{Upstream: "i-e2e9145aec", HasRateLimit: true, RateLimit: core.RateLimit{Limited: true, PerSecond: 2.3}, ObservedAt: boardNow},
 		})},
-		"verdict_B": &wire.ShareRequest{Verdicts: encodeVerdicts([]canary.Verdict{{Service: "dele69a", Version: "v2", RequestRowVersion: 1000, Withdrawn: true}})},
+		"links_16_B": &wire.ShareRequest{Links: encodeLinkDelays(manyDelays(16))},
+		"verdict_B":  &wire.ShareRequest{Verdicts: encodeVerdicts([]canary.Verdict{{Service: "dele69a", Version: "v2", RequestRowVersion: 1000, Withdrawn: true}})},
 	}
 	for b.Loop() {
 		for name, message := range sizes {
--- a/sharing/board.go
+++ b/sharing/board.go
@@ -87,6 +87,7 @@
 	evidence     evidenceBoard
 	verdicts     evidenceStore[verdictKey, canary.Verdict]
 	departures   evidenceStore[quarantine.Incarnation, Observation]
+	linkDelays   linkBoard
 	newestNumber uint64
 }
 
@@ -94,7 +95,7 @@
 	return &board{
 		loads: make(map[core.UpstreamID]numberedObservation), rates: make(map[core.UpstreamID]numberedObservation), failures: make(map[core.UpstreamID]map[core.NodeID]numberedObservation),
 		evidence: newEvidenceBoard(), verdicts: make(evidenceStore[verdictKey, canary.Verdict]),
-		departures: make(evidenceStore[quarantine.Incarnation, Observation]),
+		departures: make(evidenceStore[quarantine.Incarnation, Observation]), linkDelays: make(linkBoard),
 	}
 }
 
--- a/sharing/exchange.go
+++ b/sharing/exchange.go
@@ -8,6 +8,7 @@
 
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/duty"
+	"waxwingtide.example/waxwingtide/placement/links"
 	"waxwingtide.example/waxwingtide/quarantine"
 	"waxwingtide.example/waxwingtide/wire"
 )
@@ -121,6 +122,8 @@
 	observations []Observation
 	evidence     quarantine.Evidence
 	verdicts     []canary.Verdict
+	// linkDelays are the observations of links by the sender, and by those for which it collects.
+	linkDelays []links.Delays
 }
 
 // message is a request or a reply of an exchange.
@@ -128,11 +131,13 @@
 	GetSeen() []*wire.Observation
 	GetParts() *wire.PartEvidence
 	GetVerdicts() []*wire.VersionVerdict
+	GetLinks() *wire.LinkDelays
 }
 
 func decodeBatch(now time.Time, m message) batch {
 	return batch{
 		observations: decodeObservations(now, m.GetSeen()), evidence: decodeEvidence(now, m.GetParts()), verdicts: decodeVerdicts(m.GetVerdicts()),
+		linkDelays: decodeLinkDelays(m.GetLinks()),
 	}
 }
 
@@ -150,6 +155,7 @@
 	for v, ok := e.localVerdicts.TryReceive(); ok; v, ok = e.localVerdicts.TryReceive() {
 		local.verdicts = append(local.verdicts, v)
 	}
+	local.linkDelays, _ = e.localLinkDelays.TryReceive()
 	return local
 }
 
@@ -164,6 +170,9 @@
 	if len(received.verdicts) > 0 {
 		e.remoteVerdicts.Push(received.verdicts)
 	}
+	if len(received.linkDelays) > 0 {
+		e.remoteLinkDelays.Push(received.linkDelays)
+	}
 }
 
 // collect runs one exchange as the domain collector. It adds the local observations
@@ -203,8 +212,8 @@
 	now := time.Now()
 	request := &wire.ShareRequest{
 		Sender: x.opts.Sender(), Seen: encodeObservations(now, outgoing.observations), Parts: encodeEvidence(now, outgoing.evidence),
-		Verdicts: encodeVerdicts(outgoing.verdicts),
-		Board:    l.boardID, After: l.afterNumber, Collector: asDomainCollector,
+		Verdicts: encodeVerdicts(outgoing.verdicts), Links: encodeLinkDelays(outgoing.linkDelays),
+		Board: l.boardID, After: l.afterNumber, Collector: asDomainCollector,
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -17,6 +17,7 @@
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
+	"waxwingtide.example/waxwingtide/placement/links"
 	"waxwingtide.example/waxwingtide/quarantine"
 	"waxwingtide.example/waxwingtide/ring"
 	"waxwingtide.example/waxwingtide/wire"
@@ -93,15 +94,17 @@
 
 // Exchanger runs the two duties that exchange and collect observations.
 type Exchanger struct {
-	opts           Options
-	local          *ring.Ring[Observation]
-	remote         *ring.Ring[[]Observation]
-	localEvidence  *ring.Ring[quarantine.Evidence]
-	remoteEvidence *ring.Ring[quarantine.Evidence]
-	localVerdicts  *ring.Ring[canary.Verdict]
-	remoteVerdicts *ring.Ring[[]canary.Verdict]
-	newBoards      *ring.Ring[struct{}]
-	boardRequests  *ring.Ring[boardRequest]
+	opts             Options
+	local            *ring.Ring[Observation]
+	remote           *ring.Ring[[]Observation]
+	localEvidence    *ring.Ring[quarantine.Evidence]
+	remoteEvidence   *ring.Ring[quarantine.Evidence]
+	localVerdicts    *ring.Ring[canary.Verdict]
+	remoteVerdicts   *ring.Ring[[]canary.Verdict]
+	localLinkDelays  *ring.Ring[[]links.Delays]
+	remoteLinkDelays *ring.Ring[[]links.Delays]
+	newBoards        *ring.Ring[struct{}]
+	boardRequests    *ring.Ring[boardRequest]
 	// lastExchange is the time of the last exchange in Unix nanoseconds, or 0.
 	lastExchange atomic.Int64
 }
@@ -124,6 +127,7 @@
 		opts: opts, local: ring.New[Observation](localCapacity), remote: ring.New[[]Observation](remoteCapacity),
 		localEvidence: ring.New[quarantine.Evidence](evidenceCapacity), remoteEvidence: ring.New[quarantine.Evidence](evidenceCapacity),
 		localVerdicts: ring.New[canary.Verdict](verdictCapacity), remoteVerdicts: ring.New[[]canary.Verdict](remoteCapacity),
+		localLinkDelays: ring.New[[]links.Delays](1), remoteLinkDelays: ring.New[[]links.Delays](1),
 		newBoards:     ring.New[struct{}](1),
 		boardRequests: ring.New[boardRequest](requestCapacity),
 	}
@@ -173,11 +177,13 @@
 		b.addDepartures(now, request.sender, request.observations)
 		b.addEvidence(now, request.sender, request.evidence)
 		b.addVerdicts(now, request.sender, request.verdicts)
+		b.linkDelays.add(now, request.sender, request.linkDelays)
 		request.reply.Push(boardReply{
 			batch: batch{
 				observations: b.newObservations(now, request.sender, request.afterNumber, request.forCollector),
 				evidence:     b.newEvidence(now, request.sender, request.afterNumber),
 				verdicts:     b.verdicts.newFor(now, request.sender, request.afterNumber),
+				linkDelays:   b.linkDelays.sumWithout(now, request.sender),
 			},
 			newestNumber: b.newestNumber,
 		})
@@ -209,5 +215,5 @@
 	}
 	e.recordExchange()
 	now := time.Now()
-	return &wire.ShareReply{Seen: encodeObservations(now, reply.observations), Parts: encodeEvidence(now, reply.evidence), Verdicts: encodeVerdicts(reply.verdicts), Board: self.Incarnation, After: reply.newestNumber, Sender: self}, nil
+	return &wire.ShareReply{Seen: encodeObservations(now, reply.observations), Parts: encodeEvidence(now, reply.evidence), Verdicts: encodeVerdicts(reply.verdicts), Links: encodeLinkDelays(reply.linkDelays), Board: self.Incarnation, After: reply.newestNumber, Sender: self}, nil
 }
