Keep a connection of the soak silent behind bytes that it has lost

A connection that has lost bytes now passes on nothing until it is closed or reset. The existing faults of silent links are stricter with it: their connections stay silent after the fault.

--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -152,6 +152,7 @@
 	buffer := make([]byte, 32<<10)
 	var held []byte
 	var heldUntil time.Time
+	lost := false // a connection does not go on behind bytes that it has lost
 	for {
 		_ = from.SetReadDeadline(time.Now().Add(50 * time.Millisecond)) // a closed connection shows at the read
 		n, err := from.Read(buffer)
@@ -180,7 +181,10 @@
 			}
 			held = nil
 		}
-		if n > 0 && !p.is(silent) && (!p.is(answersLost) || !answers) {
+		if n > 0 && (p.is(silent) || answers && p.is(answersLost)) {
+			lost = true
+		}
+		if n > 0 && !lost {
 			if _, werr := to.Write(buffer[:n]); werr != nil {
 				return
 			}
