Let a front that joins use its share of limits only when the others count it

Cause: fronts that had registered within the last 1.5 s were missing from the lists of others, which still used the units that these had taken over. A front now waits 2.5 s after it finds itself listed, unless its row was listed before it started, and the members table is read every 0.5 s after a change.

TestLocalLimitDependsOnNumberOfProcesses now looks 2.5 s instead of 1.2 s after a change of the list, since processes that join have no share before.

--- a/fleet/duties.go
+++ b/fleet/duties.go
@@ -27,8 +27,9 @@
 	feedPollInterval = 100 * time.Millisecond
 	// maxMemberChangesWait and memberPollInterval apply to the members table. They are
 	// longer, since members only determine the shares of limits and the peers to query.
+	// quota.ArrivalDelay is longer than the time until all processes know a new member.
 	maxMemberChangesWait = 8 * time.Second
-	memberPollInterval   = 1500 * time.Millisecond
+	memberPollInterval   = 500 * time.Millisecond
 	// retryInterval is the interval between two calls while the store fails.
 	retryInterval = 200 * time.Millisecond
 	// updateRingSize is the capacity for updates queued for the state duty. Senders
@@ -73,6 +74,11 @@
 	// registeredIn is the generation of the store's content in which the local row was
 	// last written.
 	registeredIn atomic.Uint64
+	// listedBefore is set if the store listed an earlier process of this node when this one
+	// registered.
+	listedBefore atomic.Bool
+	// previousRowRead is used by the registration duty only.
+	previousRowRead bool
 	// deregistrations holds the request to deregister; its element is the ring that
 	// is notified when the request has been processed.
 	deregistrations *ring.Ring[*ring.Ring[struct{}]]
--- a/fleet/registration.go
+++ b/fleet/registration.go
@@ -65,6 +65,9 @@
 // register writes the row of this process and returns the time until the next attempt,
 // which is renewInterval after a success.
 func (f *Fleet) register(ctx context.Context, row Row, registered bool) time.Duration {
+	if !f.previousRowRead {
+		f.readPreviousRow(ctx)
+	}
 	requestedAt := clock.SinceBoot()
 	response, err := f.opts.Store.Commit(ctx, Transaction{Puts: []Row{row}})
 	switch {
@@ -85,6 +88,28 @@
 	}
 }
 
+// readPreviousRow records whether the store lists an earlier process of this node. Its row
+// remains if the process was not stopped as planned. If the rows cannot be read, this
+// process counts as one that joins, which is safe.
+func (f *Fleet) readPreviousRow(ctx context.Context) {
+	f.previousRowRead = true
+	response, err := f.opts.Store.Rows(ctx, MembersTable)
+	if err != nil {
+		f.opts.Log.WithField("event", "previous_row_unread").WithError(err).Info("earlier registration is unknown; portions of limits are used after a delay")
+		return
+	}
+	for _, row := range response.Rows {
+		if row.Key == string(f.opts.Self.Node) {
+			_, err := decodeMemberRow(row)
+			f.listedBefore.Store(err == nil)
+		}
+	}
+}
+
+// Joins reports whether this process was not listed as a member when it started, as far as
+// it knows, so that others have not counted it all the time.
+func (f *Fleet) Joins() bool { return !f.listedBefore.Load() }
+
 func (f *Fleet) removeLocalRow(ctx context.Context, row Row) {
 	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
 	defer cancel()
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -254,7 +254,7 @@
 func (r *router) applyView(now time.Time) {
 	v := r.fleet.View()
 	inputs := placement.Inputs{
-		Config: v.Config, Upstreams: v.Upstreams, Evacuated: v.Evacuated,
+		Config: v.Config, Upstreams: v.Upstreams, Evacuated: v.Evacuated, Joins: r.fleet.Joins(),
 		WeightHistory: v.Weights, FrontAddresses: make(map[core.NodeID]string, len(v.Members)),
 	}
 	for _, m := range v.Members {
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -8,7 +8,6 @@
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
-	"waxwingtide.example/waxwingtide/rendezvous"
 	"waxwingtide.example/waxwingtide/retry"
 )
 
@@ -94,8 +93,8 @@
 
 // localLimit returns the number of calls that this process may send out of a total
 // for all processes. When there are fewer calls than processes, some processes may
-// send one call and others none. A process that the others do not count, since it stops
-// or has not been registered, has no share.
+// send one call and others none. A process that some of the others may not count, since it
+// stops or has joined just now, has no share.
 func (pl *Placer) localLimit(now time.Time, total float64, u *upstream) int {
 	rank, n, ok := pl.limitRank(now, u)
 	if !ok {
@@ -107,14 +106,13 @@
 // limitRank returns this process's rank among the n processes over which an upstream's
 // limits are divided, or false if it has no share.
 func (pl *Placer) limitRank(now time.Time, u *upstream) (rank, n int, ok bool) {
-	if pl.registrationExpired || !pl.members.includesSelf {
+	if pl.registrationExpired || !pl.members.HasPortion(now) {
 		return 0, 0, false
 	}
-	pl.members.expire(now)
-	if u.rankGeneration != pl.members.generation {
-		u.rank, u.rankGeneration = rendezvous.Position(pl.members.nodes, pl.opts.Node, string(u.row.ID)), pl.members.generation
+	if generation := pl.members.Generation(now); u.rankGeneration != generation {
+		u.rank, u.rankGeneration = pl.members.Rank(now, string(u.row.ID)), generation
 	}
-	return u.rank, len(pl.members.nodes), true
+	return u.rank, pl.members.Count(now), true
 }
 
 // retryBudget returns the budget for retries to a service. It is initially almost
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -11,6 +11,7 @@
 	"waxwingtide.example/waxwingtide/cacheindex"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/fleet/quota"
 )
 
 const (
@@ -157,7 +158,7 @@
 		placer := New(options(node), cacheindex.New())
 		for i, in := range []Inputs{few, many, few, many} {
 			changedAt := t0.Add(time.Duration(i) * time.Minute)
-			now := changedAt.Add(departureDelay)
+			now := changedAt.Add(quota.ArrivalDelay)
 			placer.SetInputs(changedAt, in)
 			u := placer.byService[engines][0]
 			if !slices.Contains(in.Fronts, node) {
--- a/placement/table.go
+++ b/placement/table.go
@@ -9,6 +9,7 @@
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/fleet/quota"
 	"waxwingtide.example/waxwingtide/quarantine"
 	"waxwingtide.example/waxwingtide/retry"
 )
@@ -30,7 +31,7 @@
 	retryBudgets  map[core.ServiceID]*retry.Budget
 	// fronts are the listed processes.
 	fronts  []core.NodeID
-	members limitMembers
+	members *quota.Members
 	// frontAddresses are the addresses at which the fronts accept the inner protocol,
 	// which connects the processes of the system.
 	frontAddresses map[core.NodeID]string
@@ -87,6 +88,9 @@
 	Evacuated     map[core.FailureDomain]bool
 	WeightHistory map[core.ModelID]catalog.WeightHistory
 	Fronts        []core.NodeID
+	// Joins is set unless this process is known to have been listed before it started; see
+	// package quota.
+	Joins bool
 	// FrontAddresses are the addresses at which the fronts accept the inner protocol.
 	FrontAddresses map[core.NodeID]string
 }
@@ -95,7 +99,7 @@
 // stores.
 func New(opts Options, index *cacheindex.Index) *Placer {
 	return &Placer{
-		opts: opts, cacheIndex: index, upstreams: make(map[core.UpstreamID]*upstream),
+		opts: opts, members: quota.NewMembers(opts.Node), cacheIndex: index, upstreams: make(map[core.UpstreamID]*upstream),
 		retryBudgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*sourceLink), partServers: make(map[cacheindex.Key][]*upstream), oldestVersions: make(map[core.ModelID]oldestVersion),
 		meanPromptTokens: make(map[core.ServiceID]float64), departures: make(map[quarantine.Incarnation]*departure), pauses: make(map[pauseSubject]*pause),
 		residencies: make(map[core.ServiceID]*residency), isolation: newIsolation(), speeds: make(map[core.ServiceID]*serviceSpeed),
@@ -125,7 +129,7 @@
 	pl.upstreams = next
 	pl.updateRestrictions(now)
 	pl.evacuated, pl.weightHistory = in.Evacuated, in.WeightHistory
-	pl.members.set(now, pl.opts.Node, in.Fronts)
+	pl.members.Set(now, in.Fronts, in.Joins)
 	pl.fronts, pl.frontAddresses = in.Fronts, in.FrontAddresses
 	pl.updateRetryBudgets()
 	if in.Config != nil {
