Divide the slack of the retry budget as cold limits are

Cause: a front that had only itself in its list took the whole slack when all fronts joined at once. TestRetrySlackHoldsWhileListsOfFrontsDiffer failed before: 143 retries where 70 are allowed.

--- a/placement/divided_model_test.go
+++ b/placement/divided_model_test.go
@@ -190,3 +190,29 @@
 		})
 	}
 }
+
+// Guards against fronts that each use the slack of the whole system for retries, because
+// they start at once and their lists have few fronts.
+func TestRetrySlackHoldsWhileListsOfFrontsDiffer(t *testing.T) {
+	const slack, calls = 52, 3 * dividedFronts
+	for seed := range uint64(3) {
+		m, retries := newDividedModel(seed), 0
+		for i := range dividedFronts {
+			m.start(i, 0, true)
+		}
+		in := newInputs(1)
+		for _, f := range m.fronts {
+			placer := New(options(f.node), cacheindex.New())
+			for at := time.Duration(0); at < 3*time.Second; at += 100 * time.Millisecond {
+				in.Fronts, in.Joins = m.listAt(at-f.delay), f.joins
+				placer.SetInputs(t0.Add(at), in)
+				retry := at%time.Second != 0
+				_, refusal := placer.Choose(t0.Add(at), Request{Service: plainService, Retry: retry})
+				if retry && refusal == NotRefused {
+					retries++
+				}
+			}
+		}
+		require.LessOrEqual(t, float64(retries), 0.2*calls+slack, "seed %d", seed)
+	}
+}
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -118,20 +118,33 @@
 // retryBudget returns the budget for retries to a service. It is initially almost
 // empty, because this process may have used its share of the window before a
 // restart.
-func (pl *Placer) retryBudget(service core.ServiceID) *retry.Budget {
+func (pl *Placer) retryBudget(now time.Time, service core.ServiceID) *retry.Budget {
+	if slack := pl.retrySlack(now); slack != pl.appliedRetrySlack {
+		pl.appliedRetrySlack = slack
+		pl.updateRetryBudgets()
+	}
 	budget := pl.retryBudgets[service]
 	if budget == nil {
 		budget = retry.NewBudget(pl.retryBudgetOptions())
-		budget.CapRetries(initialRetryShare * pl.opts.RetrySlack / float64(max(len(pl.fronts), 1)))
+		budget.CapRetries(initialRetryShare * pl.appliedRetrySlack)
 		pl.retryBudgets[service] = budget
 	}
 	return budget
 }
 
+// retrySlack returns this process's portion of the slack. While it has none, only the
+// retries that its own calls add remain.
+func (pl *Placer) retrySlack(now time.Time) float64 {
+	if !pl.members.HasPortion(now) {
+		return 0
+	}
+	return pl.opts.RetrySlack / float64(pl.members.Count(now))
+}
+
 func (pl *Placer) retryBudgetOptions() retry.BudgetOptions {
 	// Half of the slack is the burst and half is refilled over the window, so that
 	// no window contains more retries than the slack.
-	slack := pl.opts.RetrySlack / float64(max(len(pl.fronts), 1))
+	slack := pl.appliedRetrySlack
 	return retry.BudgetOptions{
 		Share: pl.opts.RetryShare * usableRetryShare, Burst: max(slack*usableRetryShare/2, 1),
 		PerSecond: slack * usableRetryShare / 2 / pl.opts.RetryWindow.Seconds(),
--- a/placement/table.go
+++ b/placement/table.go
@@ -29,6 +29,8 @@
 	evacuated     map[core.FailureDomain]bool
 	weightHistory map[core.ModelID]catalog.WeightHistory
 	retryBudgets  map[core.ServiceID]*retry.Budget
+	// appliedRetrySlack is the slack that the budgets have.
+	appliedRetrySlack float64
 	// fronts are the listed processes.
 	fronts  []core.NodeID
 	members *quota.Members
@@ -131,7 +133,6 @@
 	pl.evacuated, pl.weightHistory = in.Evacuated, in.WeightHistory
 	pl.members.Set(now, in.Fronts, in.Joins)
 	pl.fronts, pl.frontAddresses = in.Fronts, in.FrontAddresses
-	pl.updateRetryBudgets()
 	if in.Config != nil {
 		pl.services = in.Config.Services
 		pl.cacheStores = in.Config.CacheStores
@@ -166,7 +167,7 @@
 	if best == nil {
 		return Choice{}, refusal
 	}
-	budget := pl.retryBudget(req.Service)
+	budget := pl.retryBudget(now, req.Service)
 	if !req.Retry {
 		budget.RecordCall(now)
 	} else if pl.registrationExpired || !budget.Take(now) {
