Let a front that joins send no calls to a new version before the cutover

Cause: each front whose list had only itself sent the first calls alone. TestFirstCallsAreBoundedWhileFrontsJoin failed before: 216 first calls of 27 fronts where 30 are intended.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -19,6 +19,7 @@
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/fleet"
+	"waxwingtide.example/waxwingtide/fleet/quota"
 	"waxwingtide.example/waxwingtide/rendezvous"
 	"waxwingtide.example/waxwingtide/rollout"
 )
@@ -97,6 +98,9 @@
 	Rollouts  map[core.ServiceID]fleet.ActiveRollout
 	Upstreams []catalog.UpstreamRow
 	Fronts    []core.NodeID
+	// Joins is set unless this process is known to have been listed before it started; see
+	// package quota.
+	Joins bool
 }
 
 // Controller holds the state of all rollouts in one process. It is owned by one
@@ -107,18 +111,20 @@
 	// version receives before the cutover.
 	share    float64
 	fronts   []core.NodeID
+	members  *quota.Members
 	rollouts map[core.ServiceID]*trackedRollout
 }
 
 // New returns a Controller without rollouts. share is the share of a service's
 // calls that a new version receives before the cutover.
 func New(self core.NodeID, share float64) *Controller {
-	return &Controller{self: self, share: share, rollouts: make(map[core.ServiceID]*trackedRollout)}
+	return &Controller{self: self, share: share, members: quota.NewMembers(self), rollouts: make(map[core.ServiceID]*trackedRollout)}
 }
 
 // SetInputs applies newer inputs. The state of continued rollouts is retained.
 func (c *Controller) SetInputs(now time.Time, in Inputs) {
 	c.fronts = in.Fronts
+	c.members.Set(now, in.Fronts, in.Joins)
 	next := make(map[core.ServiceID]*trackedRollout, len(in.Rollouts))
 	for service, requested := range in.Rollouts {
 		r := c.rollouts[service]
@@ -163,7 +169,7 @@
 		return Filter{ExcludedVersion: r.Version}
 	case r.isCutOver(now):
 		return Filter{RequiredVersion: r.Version}
-	case r.hasUpstreams && random < c.localShare(r):
+	case r.hasUpstreams && random < c.localShare(now, r):
 		return Filter{RequiredVersion: r.Version, Upstreams: r.canaries}
 	}
 	return Filter{ExcludedVersion: r.Version}
@@ -184,10 +190,13 @@
 // receives before the cutover. Only as many processes as the total share requires, at
 // maxLocalShare each, send calls to the new version, so that each of them judges many
 // calls.
-func (c *Controller) localShare(r *trackedRollout) float64 {
-	n := max(len(c.fronts), 1)
+func (c *Controller) localShare(now time.Time, r *trackedRollout) float64 {
+	if !c.members.HasPortion(now) {
+		return 0
+	}
+	n := c.members.Count(now)
 	participants := min(max(int(math.Ceil(c.share*float64(n)/maxLocalShare)), 1), n)
-	if rendezvous.Position(c.fronts, c.self, string(r.Service)) >= participants {
+	if c.members.Rank(now, string(r.Service)) >= participants {
 		return 0
 	}
 	share := c.share * float64(n) / float64(participants)
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -265,7 +265,7 @@
 	r.placer.SetInputs(now, inputs)
 	r.quarantine.SetFronts(inputs.Fronts)
 	r.repeatAfterRestore(v.MembersGeneration)
-	r.rollouts.SetInputs(now, canary.Inputs{Rollouts: v.Rollouts, Upstreams: v.Upstreams, Fronts: inputs.Fronts})
+	r.rollouts.SetInputs(now, canary.Inputs{Rollouts: v.Rollouts, Upstreams: v.Upstreams, Fronts: inputs.Fronts, Joins: inputs.Joins})
 	r.cacheFeed.SetSources(r.placer.EventSources(now))
 	updated := make(map[core.UpstreamID]*connections, len(v.Upstreams))
 	for _, u := range v.Upstreams {
