Let an odd row of the leases cost its lease only

Cause: a row with an expiry that overflows counted as expired, so that its lease was taken beside a holder with an unknown fence, and one that cannot be decoded was written over in vain at each attempt. Such rows are logged once, counted in duties_unsound_rows_total and not written over; those of older generations are ignored.

--- a/lease/keeper/contender.go
+++ b/lease/keeper/contender.go
@@ -35,6 +35,7 @@
 	store   fleet.Store
 	log     logrus.FieldLogger
 	failing bool
+	unsound unsoundRows
 }
 
 // NewReader returns a reader of a store.
@@ -57,6 +58,7 @@
 		r.log.WithField("event", "lease_read").Info("leases can be read again")
 	}
 	r.failing = false
+	r.unsound.record(response, r.log)
 	return Snapshot{StoreResponse: response, RequestedAt: requestedAt}, nil
 }
 
@@ -184,22 +186,20 @@
 
 // decodeRow returns the row of a lease in the page's generation and its version. If there
 // is none, the version is 0 and the row contains only the highest fence of the older rows.
+// A row that is not sound has fence 0, with which the lease is not acquired, since the
+// fence of its holder is unknown.
 func decodeRow(page fleet.StoreResponse, name string) (lease.StoreLeaseRow, uint64) {
 	key := lease.StoreLeaseKey(name, page.Generation)
 	highest := core.Fence(0)
 	for _, r := range page.Rows {
-		var row wire.LeaseRow
-		if proto.Unmarshal(r.Value, &row) != nil {
-			continue
-		}
-		if r.Key == key {
-			return lease.StoreLeaseRow{
-				Holder: core.NodeID(row.Holder), Incarnation: core.Incarnation(row.Incarnation),
-				Fence: core.Fence(row.Fence), Expiry: time.Duration(row.UntilMs) * time.Millisecond,
-			}, r.Version
-		}
-		if lease.IsOlderStoreLeaseKey(r.Key, name, page.Generation) {
-			highest = max(highest, core.Fence(row.Fence))
+		row, sound := decodeLease(r, page.Generation)
+		switch {
+		case r.Key == key && !sound:
+			return lease.StoreLeaseRow{Expiry: page.Now}, r.Version
+		case r.Key == key:
+			return row, r.Version
+		case sound && lease.IsOlderStoreLeaseKey(r.Key, name, page.Generation):
+			highest = max(highest, row.Fence)
 		}
 	}
 	return lease.StoreLeaseRow{Fence: highest}, 0
--- a/lease/keeper/keeper.go
+++ b/lease/keeper/keeper.go
@@ -137,6 +137,7 @@
 	read, err := k.reader.Read(ctx)
 	if err == nil {
 		k.observeGeneration(read.Generation)
+		k.metrics.unsoundRows(k.reader.unsound.take())
 	}
 	return read, err
 }
--- a/lease/keeper/metrics.go
+++ b/lease/keeper/metrics.go
@@ -10,7 +10,7 @@
 	"waxwingtide.example/waxwingtide/errs"
 )
 
-type metrics struct{ changes metric.Int64Counter }
+type metrics struct{ changes, unsound metric.Int64Counter }
 
 // newMetrics returns the instruments of a keeper. The gauges are read from its authorities.
 func newMetrics(meter metric.Meter, k *Keeper) (*metrics, error) {
@@ -19,6 +19,10 @@
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Internal, remedy, problem)
 	}
+	unsound, err := meter.Int64Counter("duties_unsound_rows", metric.WithDescription("Rows of leases that cannot be decoded or have numbers that no lease has"))
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Internal, remedy, problem)
+	}
 	fence, err := meter.Int64ObservableGauge("duties_fence", metric.WithDescription("Fence of each subject that this process holds"))
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Internal, remedy, problem)
@@ -39,7 +43,9 @@
 		}
 		return nil
 	}, fence, since)
-	return &metrics{changes: changes}, errs.Wrap(err, errs.Internal, remedy, problem)
+	return &metrics{changes: changes, unsound: unsound}, errs.Wrap(err, errs.Internal, remedy, problem)
 }
 
 func (m *metrics) changed() { m.changes.Add(context.Background(), 1) }
+
+func (m *metrics) unsoundRows(n int64) { m.unsound.Add(context.Background(), n) }
--- a/lease/timed.go
+++ b/lease/timed.go
@@ -36,6 +36,12 @@
 	return err == nil && core.Generation(other) < generation
 }
 
+// MaxFence returns the largest fence that a lease can have in a generation of the store's
+// content.
+func MaxFence(generation core.Generation) core.Fence {
+	return core.Fence(generation)*fencesPerGeneration + fencesPerGeneration
+}
+
 // StoreLeaseRow is the content of the row of a StoreLease. Expiry is a time on the
 // monotonic clock of the platform's metadata store.
 type StoreLeaseRow struct {
