--- a/placement/pace/pace_test.go
+++ b/placement/pace/pace_test.go
@@ -101,3 +101,19 @@
 	}
 	require.InEpsilon(t, 63, median.Ms(30), 0.15)
 }
+
+// Guards against an upstream that keeps the pace of its last announcements after the
+// process that passes them on has failed, although its responses show another one.
+func TestResponsesCountAfterAnnouncementsStop(t *testing.T) {
+	var s Slowdown
+	for ms := 0; ms < 5000; ms += 200 {
+		s.Announce(at(ms), 6)
+	}
+	for ms := 5000; ms < 20_000; ms += 100 {
+		s.Observe(at(ms), 1)
+	}
+	require.False(t, s.Announced(at(20_000)))
+	require.InDelta(t, 1, s.Current(at(20_000)), 0.1)
+	s.Announce(at(4900), 6) // delayed in a frozen process
+	require.InDelta(t, 1, s.Current(at(20_000)), 0.1)
+}
