--- a/gateway/router.go
+++ b/gateway/router.go
@@ -257,7 +257,7 @@
 func (r *router) applyView(now time.Time) {
 	v := r.fleet.View()
 	inputs := placement.Inputs{
-		Config: v.Config, Upstreams: v.Upstreams, Evacuated: v.Evacuated,
+		Config: v.Config, Upstreams: v.Upstreams, Evacuated: v.Evacuated, Joins: r.fleet.Joins(),
 		WeightHistory: v.Weights, FrontAddresses: make(map[core.NodeID]string, len(v.Members)),
 	}
 	for _, m := range v.Members {
@@ -268,7 +268,7 @@
 	r.placer.SetInputs(now, inputs)
 	r.quarantine.SetFronts(inputs.Fronts)
 	r.repeatAfterRestore(v.MembersGeneration)
-	r.rollouts.SetInputs(now, canary.Inputs{Rollouts: v.Rollouts, Upstreams: v.Upstreams, Fronts: inputs.Fronts})
+	r.rollouts.SetInputs(now, canary.Inputs{Rollouts: v.Rollouts, Upstreams: v.Upstreams, Fronts: inputs.Fronts, Joins: inputs.Joins})
 	r.cacheFeed.SetSources(r.placer.EventSources(now))
 	updated := make(map[core.UpstreamID]*connections, len(v.Upstreams))
 	for _, u := range v.Upstreams {
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -8,7 +8,6 @@
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
-	"waxwingtide.example/waxwingtide/rendezvous"
 	"waxwingtide.example/waxwingtide/retry"
 )
 
@@ -94,8 +93,8 @@
 
 // localLimit returns the number of calls that this process may send out of a total
 // for all processes. When there are fewer calls than processes, some processes may
-// send one call and others none. A process that the others do not count, since it stops
-// or has not been registered, has no share.
+// send one call and others none. A process that some of the others may not count, since it
+// stops or has joined just now, has no share.
 func (pl *Placer) localLimit(now time.Time, total float64, u *upstream) int {
 	rank, n, ok := pl.limitRank(now, u)
 	if !ok {
@@ -107,33 +106,45 @@
 // limitRank returns this process's rank among the n processes over which an upstream's
 // limits are divided, or false if it has no share.
 func (pl *Placer) limitRank(now time.Time, u *upstream) (rank, n int, ok bool) {
-	if pl.registrationExpired || !pl.members.includesSelf {
+	if pl.registrationExpired || !pl.members.HasPortion(now) {
 		return 0, 0, false
 	}
-	pl.members.expire(now)
-	if u.rankGeneration != pl.members.generation {
-		u.rank, u.rankGeneration = rendezvous.Position(pl.members.nodes, pl.opts.Node, string(u.row.ID)), pl.members.generation
+	if generation := pl.members.Generation(now); u.rankGeneration != generation {
+		u.rank, u.rankGeneration = pl.members.Rank(now, string(u.row.ID)), generation
 	}
-	return u.rank, len(pl.members.nodes), true
+	return u.rank, pl.members.Count(now), true
 }
 
 // retryBudget returns the budget for retries to a service. It is initially almost
 // empty, because this process may have used its share of the window before a
 // restart.
-func (pl *Placer) retryBudget(service core.ServiceID) *retry.Budget {
+func (pl *Placer) retryBudget(now time.Time, service core.ServiceID) *retry.Budget {
+	if slack := pl.retrySlack(now); slack != pl.appliedRetrySlack {
+		pl.appliedRetrySlack = slack
+		pl.updateRetryBudgets()
+	}
 	budget := pl.retryBudgets[service]
 	if budget == nil {
 		budget = retry.NewBudget(pl.retryBudgetOptions())
-		budget.CapRetries(initialRetryShare * pl.opts.RetrySlack / float64(max(len(pl.fronts), 1)))
+		budget.CapRetries(initialRetryShare * pl.appliedRetrySlack)
 		pl.retryBudgets[service] = budget
 	}
 	return budget
 }
 
+// retrySlack returns this process's portion of the slack. While it has none, only the
+// retries that its own calls add remain.
+func (pl *Placer) retrySlack(now time.Time) float64 {
+	if !pl.members.HasPortion(now) {
+		return 0
+	}
+	return pl.opts.RetrySlack / float64(pl.members.Count(now))
+}
+
 func (pl *Placer) retryBudgetOptions() retry.BudgetOptions {
 	// Half of the slack is the burst and half is refilled over the window, so that
 	// no window contains more retries than the slack.
-	slack := pl.opts.RetrySlack / float64(max(len(pl.fronts), 1))
+	slack := pl.appliedRetrySlack
 	return retry.BudgetOptions{
 		Share: pl.opts.RetryShare * usableRetryShare, Burst: max(slack*usableRetryShare/2, 1),
 		PerSecond: slack * usableRetryShare / 2 / pl.opts.RetryWindow.Seconds(),
--- a/placement/table.go
+++ b/placement/table.go
@@ -9,6 +9,7 @@
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
 	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/fleet/quota"
 	"waxwingtide.example/waxwingtide/placement/links"
 	"waxwingtide.example/waxwingtide/quarantine"
 	"waxwingtide.example/waxwingtide/retry"
@@ -29,9 +30,11 @@
 	evacuated     map[core.FailureDomain]bool
 	weightHistory map[core.ModelID]catalog.WeightHistory
 	retryBudgets  map[core.ServiceID]*retry.Budget
+	// appliedRetrySlack is the slack that the budgets have.
+	appliedRetrySlack float64
 	// fronts are the listed processes.
 	fronts  []core.NodeID
-	members limitMembers
+	members *quota.Members
 	// frontAddresses are the addresses at which the fronts accept the inner protocol,
 	// which connects the processes of the system.
 	frontAddresses map[core.NodeID]string
@@ -89,6 +92,9 @@
 	Evacuated     map[core.FailureDomain]bool
 	WeightHistory map[core.ModelID]catalog.WeightHistory
 	Fronts        []core.NodeID
+	// Joins is set unless this process is known to have been listed before it started; see
+	// package quota.
+	Joins bool
 	// FrontAddresses are the addresses at which the fronts accept the inner protocol.
 	FrontAddresses map[core.NodeID]string
 }
@@ -97,7 +103,7 @@
 // stores.
 func New(opts Options, index *cacheindex.Index) *Placer {
 	return &Placer{
-		opts: opts, cacheIndex: index, upstreams: make(map[core.UpstreamID]*upstream),
+		opts: opts, members: quota.NewMembers(opts.Node), cacheIndex: index, upstreams: make(map[core.UpstreamID]*upstream),
 		retryBudgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*sourceLink), delays: linkDelays{state: links.New()}, partServers: make(map[cacheindex.Key][]*upstream), oldestVersions: make(map[core.ModelID]oldestVersion),
 		meanPromptTokens: make(map[core.ServiceID]float64), departures: make(map[quarantine.Incarnation]*departure), pauses: make(map[pauseSubject]*pause),
 		residencies: make(map[core.ServiceID]*residency), isolation: newIsolation(), speeds: make(map[core.ServiceID]*serviceSpeed),
@@ -127,9 +133,8 @@
 	pl.upstreams = next
 	pl.updateRestrictions(now)
 	pl.evacuated, pl.weightHistory = in.Evacuated, in.WeightHistory
-	pl.members.set(now, pl.opts.Node, in.Fronts)
+	pl.members.Set(now, in.Fronts, in.Joins)
 	pl.fronts, pl.frontAddresses = in.Fronts, in.FrontAddresses
-	pl.updateRetryBudgets()
 	if in.Config != nil {
 		pl.services = in.Config.Services
 		pl.cacheStores = in.Config.CacheStores
@@ -164,7 +169,7 @@
 	if best == nil {
 		return Choice{}, refusal
 	}
-	budget := pl.retryBudget(req.Service)
+	budget := pl.retryBudget(now, req.Service)
 	if !req.Retry {
 		budget.RecordCall(now)
 	} else if pl.registrationExpired || !budget.Take(now) {
