--- a/cmd/waxwing-entry/main.go
+++ b/cmd/waxwing-entry/main.go
@@ -17,6 +17,7 @@
 		if err != nil {
 			return err
 		}
+		daemon.LimitMemory(s.Doors)
 		return daemon.RunEntry(ctx, s, daemon.Deps{})
 	}))
 }
--- a/daemon/doors.go
+++ b/daemon/doors.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"runtime/debug"
 	"syscall"
 
 	"waxwingtide.example/waxwingtide/callerhttp"
@@ -35,12 +36,8 @@
 	if fds == 0 {
 		fds = float64(descriptorLimit())
 	}
-	memoryMB := s.MemoryMB
-	if memoryMB == 0 {
-		memoryMB = settings.DefaultDaemonMemoryMB
-	}
 	budget := func(name string, share float64) *membudget.Budget {
-		return membudget.New(name, int64(share*memoryMB*(1<<20)))
+		return membudget.New(name, int64(share*memoryMB(s)*(1<<20)))
 	}
 	inner := innerFDShare
 	if !hasCallers {
@@ -53,6 +50,19 @@
 	}
 }
 
+// LimitMemory sets the Go memory limit of a process that runs one daemon.
+func LimitMemory(s settings.DaemonDoors) {
+	debug.SetMemoryLimit(membudget.GoLimit(memoryMB(s)))
+}
+
+// memoryMB returns the memory of a daemon.
+func memoryMB(s settings.DaemonDoors) float64 {
+	if s.MemoryMB == 0 {
+		return settings.DefaultDaemonMemoryMB
+	}
+	return s.MemoryMB
+}
+
 // descriptorLimit returns the number of descriptors that the process may open.
 func descriptorLimit() uint64 {
 	const unknown = 1024
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -27,6 +27,7 @@
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/fleet"
 	"waxwingtide.example/waxwingtide/gateway"
+	"waxwingtide.example/waxwingtide/membudget"
 	"waxwingtide.example/waxwingtide/placement"
 	"waxwingtide.example/waxwingtide/platform"
 	quarantinestore "waxwingtide.example/waxwingtide/quarantine/store"
@@ -128,7 +129,7 @@
 	}
 	debug.SetGCPercent(s.Memory.GCPercent)
 	if s.Memory.LimitMB > 0 {
-		debug.SetMemoryLimit(goMemoryLimit(s.Memory.LimitMB))
+		debug.SetMemoryLimit(membudget.GoLimit(s.Memory.LimitMB))
 	}
 	p := &process{
 		settings: s, log: log, logWriter: logWriter, metrics: m, incarnation: core.Incarnation(time.Now().UnixNano()),
--- a/frontend/memory.go
+++ b/frontend/memory.go
@@ -11,14 +11,6 @@
 	// defaultMemoryMB is the memory of the process if the setting Memory.LimitMB is not
 	// set. It is what a node may spend for control.
 	defaultMemoryMB = 128
-	// memoryLimitShare is the Go memory limit as a share of the memory that the VM
-	// grants the process, less the memory of the program, which the limit does not cover.
-	// The setting Memory.LimitMB contains the granted memory.
-	memoryLimitShare = 0.8
-	// programMB is the memory of the loaded program. minMemoryLimitShare is the Go memory
-	// limit of a process that is granted little more than that.
-	programMB           = 10
-	minMemoryLimitShare = 0.5
 	// responseShare, requestShare and controlShare are the shares of the process's memory
 	// that unfinished responses of upstreams, requests of callers with their heads, and replies of the control
 	// interface may hold, and keptCacheShare that for the recorded content of kept-cache
@@ -32,11 +24,6 @@
 	controlRequestShare = 0.05
 )
 
-// goMemoryLimit returns the Go memory limit in bytes of a process that is granted a memory.
-func goMemoryLimit(limitMB float64) int64 {
-	return int64(max(memoryLimitShare*(limitMB-programMB), minMemoryLimitShare*limitMB) * (1 << 20))
-}
-
 // memoryBudgets bound the memory that messages of others hold, and what is recorded of
 // them. Each kind has a budget of its own, so that faulty servers do not use up the memory
 // for requests.
