Leave a front that joins its first retry

Cause: since the slack is divided with a delay, a front without a portion had no retry before the first calls had added one.

--- a/placement/limits.go
+++ b/placement/limits.go
@@ -126,14 +126,14 @@
 	budget := pl.retryBudgets[service]
 	if budget == nil {
 		budget = retry.NewBudget(pl.retryBudgetOptions())
-		budget.CapRetries(initialRetryShare * pl.appliedRetrySlack)
+		budget.CapRetries(initialRetryShare * pl.opts.RetrySlack / float64(pl.members.Count(now)))
 		pl.retryBudgets[service] = budget
 	}
 	return budget
 }
 
 // retrySlack returns this process's portion of the slack. While it has none, only the
-// retries that its own calls add remain.
+// retries that its own calls add remain, and the first one.
 func (pl *Placer) retrySlack(now time.Time) float64 {
 	if !pl.members.HasPortion(now) {
 		return 0
