Ignore delays of transfers that are not a number

Cause: the delay of a transfer is its share of the unexplained time. Where a link has no stated rate, the expected time of all transfers may be 0 and the share 0/0; it would stay in the sums of that link in all fronts.

Change: such a delay counts as none. The new test failed before (estimate of a slow link 0).

--- a/placement/links/links.go
+++ b/placement/links/links.go
@@ -123,8 +123,11 @@
 	l.own[id] = ownDelays{Delays: sum, at: now}
 }
 
-// One returns the observation of one transfer.
+// One returns the observation of one transfer. A delay that is not a number counts as none.
 func One(id ID, delayMs float64) Delays {
+	if math.IsNaN(delayMs) {
+		delayMs = 0
+	}
 	return Delays{Link: id, Transfers: 1, DelayMs: min(max(delayMs, 0), maxDelayMs)}
 }
 
--- a/placement/links/links_test.go
+++ b/placement/links/links_test.go
@@ -1,6 +1,7 @@
 package links
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -47,3 +48,12 @@
 	require.Greater(t, other.DelayMs(t0, nil)[2], 300.0)
 	require.Empty(t, other.DelayMs(t0.Add(2*time.Second), nil), "silence")
 }
+
+// Guards against a delay that is not a number, which would stay in the sums for good. It is
+// the share of a transfer whose expected time is 0, over a link without a stated rate.
+func TestDelayThatIsNoNumberIsNotObserved(t *testing.T) {
+	l := New()
+	observe(l, t0, 10, 0, 0, 0, math.NaN())
+	observe(l, t0, 40, 0, 0, 0, 1900)
+	require.Greater(t, l.DelayMs(t0, nil)[4], 300.0)
+}
