--- a/daemon/process.go
+++ b/daemon/process.go
@@ -19,7 +19,7 @@
 
 	"waxwingtide.example/waxwingtide/bundle"
 	"waxwingtide.example/waxwingtide/callerhttp"
-	"waxwingtide.example/waxwingtide/clientmetrics"
+	"waxwingtide.example/waxwingtide/callerhttp/clientmetrics"
 	"waxwingtide.example/waxwingtide/control"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -19,9 +19,9 @@
 
 	"waxwingtide.example/waxwingtide/cacheevents"
 	"waxwingtide.example/waxwingtide/callerhttp"
+	"waxwingtide.example/waxwingtide/callerhttp/clientmetrics"
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/catalog"
-	"waxwingtide.example/waxwingtide/clientmetrics"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/errs"
--- a/frontend/memory.go
+++ b/frontend/memory.go
@@ -3,7 +3,7 @@
 import (
 	"go.opentelemetry.io/otel/metric"
 
-	"waxwingtide.example/waxwingtide/clientmetrics"
+	"waxwingtide.example/waxwingtide/callerhttp/clientmetrics"
 	"waxwingtide.example/waxwingtide/membudget"
 )
 
