Exchange summaries of waiting work between fronts

Each front knew only the calls that wait at itself. Fronts now send a summary of their waiting work by service, priority and largest workspaces with each exchange; collectors add the summaries up, so that a message does not grow with the number of fronts.

--- /dev/null
+++ b/sharing/backlog.go
@@ -0,0 +1,87 @@
+package sharing
+
+import (
+	"math"
+	"time"
+
+	"waxwingtide.example/waxwingtide/core"
+	"waxwingtide.example/waxwingtide/waitlist/backlog"
+	"waxwingtide.example/waxwingtide/wire"
+)
+
+// takeBacklog returns the newest summary of the local waiting work, or nil if the process has
+// recorded none within backlog.TTL.
+func (x *exchangeDuty) takeBacklog(now time.Time) *backlog.Summary {
+	if s, ok := x.localBacklog.TryReceive(); ok {
+		x.backlog, x.backlogAt = &s, now
+	}
+	if now.Sub(x.backlogAt) > backlog.TTL {
+		return nil
+	}
+	return x.backlog
+}
+
+// encodeBacklog returns nil for a backlog that is not known.
+func encodeBacklog(s *backlog.Summary) *wire.Backlog {
+	if s == nil {
+		return nil
+	}
+	out := new(wire.Backlog)
+	for _, c := range s.Classes {
+		out.Classes = append(out.Classes, encodeClass(c))
+	}
+	for _, r := range s.Rates {
+		out.Rates = append(out.Rates, &wire.BacklogRate{Service: string(r.Service), PerSecond: encodeRate(r.PerSecond), Tokens: encodeCount(r.Tokens)})
+	}
+	return out
+}
+
+func encodeClass(c backlog.Class) *wire.BacklogClass {
+	out := &wire.BacklogClass{
+		Service: string(c.Service), Priority: uint32(min(max(c.Priority, 0), math.MaxInt32)), //nolint:gosec // within the bounds
+		OtherWorkspaces: uint32(min(max(c.OtherWorkspaces, 0), math.MaxInt32)), OtherTokens: encodeCount(c.OtherTokens), //nolint:gosec // within the bounds
+		ArrivingPerSecond: encodeRate(c.ArrivingPerSecond),
+	}
+	for _, w := range c.Workspaces {
+		out.Workspaces = append(out.Workspaces, &wire.WorkspaceBacklog{
+			Workspace: string(w.Workspace), Weight: uint32(min(max(w.Weight, 1), math.MaxInt32)), Tokens: encodeCount(w.Tokens), //nolint:gosec // within the bounds
+		})
+	}
+	return out
+}
+
+// maxCount is the largest number of tokens that is encoded. Sums over all fronts stay within
+// an int.
+const maxCount = 1 << 40
+
+func encodeCount(n int) uint64 { return uint64(min(max(n, 0), maxCount)) }
+
+func encodeRate(perSecond float64) uint64 {
+	if !(perSecond > 0) {
+		return 0
+	}
+	return uint64(min(perSecond, maxCount))
+}
+
+func decodeCount(n uint64) int { return int(min(n, maxCount)) } //nolint:gosec // within the bounds
+
+func decodeBacklog(message *wire.Backlog) *backlog.Summary {
+	if message == nil {
+		return nil
+	}
+	s := new(backlog.Summary)
+	for _, c := range message.Classes {
+		class := backlog.Class{
+			Service: core.ServiceID(c.Service), Priority: int(c.Priority), OtherWorkspaces: int(c.OtherWorkspaces), OtherTokens: decodeCount(c.OtherTokens),
+			ArrivingPerSecond: float64(decodeCount(c.ArrivingPerSecond)),
+		}
+		for _, w := range c.Workspaces {
+			class.Workspaces = append(class.Workspaces, backlog.Work{Workspace: core.WorkspaceID(w.Workspace), Weight: int(w.Weight), Tokens: decodeCount(w.Tokens)})
+		}
+		s.Classes = append(s.Classes, class)
+	}
+	for _, r := range message.Rates {
+		s.Rates = append(s.Rates, backlog.Rate{Service: core.ServiceID(r.Service), PerSecond: float64(decodeCount(r.PerSecond)), Tokens: decodeCount(r.Tokens)})
+	}
+	return s
+}
--- a/sharing/board.go
+++ b/sharing/board.go
@@ -6,6 +6,7 @@
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/quarantine"
+	"waxwingtide.example/waxwingtide/waitlist/backlog"
 )
 
 const (
@@ -87,6 +88,7 @@
 	evidence     evidenceBoard
 	verdicts     evidenceStore[verdictKey, canary.Verdict]
 	departures   evidenceStore[quarantine.Incarnation, Observation]
+	backlogs     *backlog.Board
 	newestNumber uint64
 }
 
@@ -94,7 +96,7 @@
 	return &board{
 		loads: make(map[core.UpstreamID]numberedObservation), rates: make(map[core.UpstreamID]numberedObservation), failures: make(map[core.UpstreamID]map[core.NodeID]numberedObservation),
 		evidence: newEvidenceBoard(), verdicts: make(evidenceStore[verdictKey, canary.Verdict]),
-		departures: make(evidenceStore[quarantine.Incarnation, Observation]),
+		departures: make(evidenceStore[quarantine.Incarnation, Observation]), backlogs: backlog.NewBoard(),
 	}
 }
 
--- a/sharing/exchange.go
+++ b/sharing/exchange.go
@@ -9,6 +9,7 @@
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/quarantine"
+	"waxwingtide.example/waxwingtide/waitlist/backlog"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -61,6 +62,9 @@
 	*Exchanger
 	domainLink collectorLink
 	globalLink collectorLink
+	// backlog is the last summary of the local waiting work, recorded at backlogAt.
+	backlog   *backlog.Summary
+	backlogAt time.Time
 	// forwardedNumber is the number of the newest observation on the local board
 	// that was forwarded to the ring of remote observations.
 	forwardedNumber uint64
@@ -77,7 +81,7 @@
 		if candidates.isAlone() {
 			e.recordExchange()
 		}
-		x.exchangeInDomain(ctx, candidates, e.takeLocal())
+		x.exchangeInDomain(ctx, candidates, x.takeLocal())
 	}
 	return nil
 }
@@ -121,6 +125,8 @@
 	observations []Observation
 	evidence     quarantine.Evidence
 	verdicts     []canary.Verdict
+	// backlog is nil if the sender does not know it, as in earlier versions.
+	backlog *backlog.Summary
 }
 
 // message is a request or a reply of an exchange.
@@ -128,17 +134,20 @@
 	GetSeen() []*wire.Observation
 	GetParts() *wire.PartEvidence
 	GetVerdicts() []*wire.VersionVerdict
+	GetBacklog() *wire.Backlog
 }
 
 func decodeBatch(now time.Time, m message) batch {
 	return batch{
 		observations: decodeObservations(now, m.GetSeen()), evidence: decodeEvidence(now, m.GetParts()), verdicts: decodeVerdicts(m.GetVerdicts()),
+		backlog: decodeBacklog(m.GetBacklog()),
 	}
 }
 
 // takeLocal returns what this process has recorded since the last exchange.
-func (e *Exchanger) takeLocal() batch {
-	var local batch
+func (x *exchangeDuty) takeLocal() batch {
+	e := x.Exchanger
+	local := batch{backlog: x.takeBacklog(time.Now())}
 	for o, ok := e.local.TryReceive(); ok; o, ok = e.local.TryReceive() {
 		local.observations = append(local.observations, o)
 	}
@@ -164,6 +173,9 @@
 	if len(received.verdicts) > 0 {
 		e.remoteVerdicts.Push(received.verdicts)
 	}
+	if received.backlog != nil {
+		e.remoteBacklog.Push(*received.backlog)
+	}
 }
 
 // collect runs one exchange as the domain collector. It adds the local observations
@@ -203,8 +215,8 @@
 	now := time.Now()
 	request := &wire.ShareRequest{
 		Sender: x.opts.Sender(), Seen: encodeObservations(now, outgoing.observations), Parts: encodeEvidence(now, outgoing.evidence),
-		Verdicts: encodeVerdicts(outgoing.verdicts),
-		Board:    l.boardID, After: l.afterNumber, Collector: asDomainCollector,
+		Verdicts: encodeVerdicts(outgoing.verdicts), Backlog: encodeBacklog(outgoing.backlog),
+		Board: l.boardID, After: l.afterNumber, Collector: asDomainCollector,
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -1,5 +1,5 @@
 // Package sharing exchanges observations of upstreams, evidence on parts of prompts that
-// crash them and verdicts on versions among the fronts. One process of each failure domain, the domain
+// crash them, verdicts on versions and summaries of waiting work among the fronts. One process of each failure domain, the domain
 // collector, collects what its domain has observed. One process, the global collector,
 // collects from all domain collectors. The number of messages therefore grows linearly
 // with the number of processes, and the traffic between failure domains grows only with
@@ -19,6 +19,7 @@
 	"waxwingtide.example/waxwingtide/errs"
 	"waxwingtide.example/waxwingtide/quarantine"
 	"waxwingtide.example/waxwingtide/ring"
+	"waxwingtide.example/waxwingtide/waitlist/backlog"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -100,6 +101,8 @@
 	remoteEvidence *ring.Ring[quarantine.Evidence]
 	localVerdicts  *ring.Ring[canary.Verdict]
 	remoteVerdicts *ring.Ring[[]canary.Verdict]
+	localBacklog   *ring.Ring[backlog.Summary]
+	remoteBacklog  *ring.Ring[backlog.Summary]
 	newBoards      *ring.Ring[struct{}]
 	boardRequests  *ring.Ring[boardRequest]
 	// lastExchange is the time of the last exchange in Unix nanoseconds, or 0.
@@ -124,6 +127,7 @@
 		opts: opts, local: ring.New[Observation](localCapacity), remote: ring.New[[]Observation](remoteCapacity),
 		localEvidence: ring.New[quarantine.Evidence](evidenceCapacity), remoteEvidence: ring.New[quarantine.Evidence](evidenceCapacity),
 		localVerdicts: ring.New[canary.Verdict](verdictCapacity), remoteVerdicts: ring.New[[]canary.Verdict](remoteCapacity),
+		localBacklog: ring.New[backlog.Summary](1), remoteBacklog: ring.New[backlog.Summary](1),
 		newBoards:     ring.New[struct{}](1),
 		boardRequests: ring.New[boardRequest](requestCapacity),
 	}
@@ -152,6 +156,12 @@
 // RemoteVerdicts returns the ring of the other processes' verdicts on versions.
 func (e *Exchanger) RemoteVerdicts() *ring.Ring[[]canary.Verdict] { return e.remoteVerdicts }
 
+// RecordBacklog replaces the summary of the local waiting work. It never blocks.
+func (e *Exchanger) RecordBacklog(s backlog.Summary) { e.localBacklog.Push(s) }
+
+// RemoteBacklog returns the ring of the newest sum of the other processes' waiting work.
+func (e *Exchanger) RemoteBacklog() *ring.Ring[backlog.Summary] { return e.remoteBacklog }
+
 // NewBoards returns the ring that has an element after the first exchange with a board,
 // which lacks what was sent to others.
 func (e *Exchanger) NewBoards() *ring.Ring[struct{}] { return e.newBoards }
@@ -173,11 +183,16 @@
 		b.addDepartures(now, request.sender, request.observations)
 		b.addEvidence(now, request.sender, request.evidence)
 		b.addVerdicts(now, request.sender, request.verdicts)
+		if request.backlog != nil {
+			b.backlogs.Put(now, request.sender, *request.backlog)
+		}
+		othersBacklog := b.backlogs.Others(now, request.sender)
 		request.reply.Push(boardReply{
 			batch: batch{
 				observations: b.newObservations(now, request.sender, request.afterNumber, request.forCollector),
 				evidence:     b.newEvidence(now, request.sender, request.afterNumber),
 				verdicts:     b.verdicts.newFor(now, request.sender, request.afterNumber),
+				backlog:      &othersBacklog,
 			},
 			newestNumber: b.newestNumber,
 		})
@@ -209,5 +224,5 @@
 	}
 	e.recordExchange()
 	now := time.Now()
-	return &wire.ShareReply{Seen: encodeObservations(now, reply.observations), Parts: encodeEvidence(now, reply.evidence), Verdicts: encodeVerdicts(reply.verdicts), Board: self.Incarnation, After: reply.newestNumber, Sender: self}, nil
+	return &wire.ShareReply{Seen: encodeObservations(now, reply.observations), Parts: encodeEvidence(now, reply.evidence), Verdicts: encodeVerdicts(reply.verdicts), Backlog: encodeBacklog(reply.backlog), Board: self.Incarnation, After: reply.newestNumber, Sender: self}, nil
 }
--- /dev/null
+++ b/waitlist/backlog/backlog.go
@@ -0,0 +1,166 @@
+// Package backlog describes the work that waits at the fronts for the memory of engines, and
+// divides free memory among the fronts. Fronts exchange summaries of their waiting work.
+// Summaries can be added up, so that a message does not grow with the number of fronts. The
+// package performs no I/O and reads no clock.
+package backlog
+
+import (
+	"cmp"
+	"slices"
+
+	"waxwingtide.example/waxwingtide/core"
+)
+
+const (
+	// MaxWorkspaces is the number of workspaces that a summary lists in each class, those
+	// with the most waiting work. The others are added up.
+	MaxWorkspaces = 6
+	// MaxClasses is the number of classes in a summary.
+	MaxClasses = 16
+)
+
+// Work is the waiting work of a workspace.
+type Work struct {
+	Workspace core.WorkspaceID
+	// Weight is the weight of the workspace. A weight below 1 is treated as 1.
+	Weight int
+	Tokens int
+}
+
+// Class describes the calls of a service that are equally urgent.
+type Class struct {
+	Service core.ServiceID
+	// Priority is the urgency of the calls; 0 is the most urgent.
+	Priority int
+	// Workspaces is the waiting work of the listed workspaces.
+	Workspaces []Work
+	// OtherWorkspaces is the number of further workspaces and OtherTokens their waiting
+	// work. A workspace with calls at several fronts may be counted several times.
+	OtherWorkspaces int
+	OtherTokens     int
+	// ArrivingPerSecond is the work of new calls in tokens a second, whether or not they wait.
+	ArrivingPerSecond float64
+}
+
+// Tokens returns the waiting work of the class.
+func (c Class) Tokens() int {
+	sum := c.OtherTokens
+	for _, w := range c.Workspaces {
+		sum += w.Tokens
+	}
+	return sum
+}
+
+// Rate is the rate at which waiting work of a service is placed.
+type Rate struct {
+	Service   core.ServiceID
+	PerSecond float64
+	// Tokens is the waiting work of the fronts at which the rate is known.
+	Tokens int
+}
+
+// Summary describes the waiting work of one or more fronts.
+type Summary struct {
+	// Classes are ordered by service and priority.
+	Classes []Class
+	Rates   []Rate
+}
+
+// Rate returns the rate of a service.
+func (s Summary) Rate(service core.ServiceID) Rate {
+	for _, r := range s.Rates {
+		if r.Service == service {
+			return r
+		}
+	}
+	return Rate{Service: service}
+}
+
+// ArrivingPerSecond returns the work of new calls of a service that are more urgent than a
+// priority.
+func (s Summary) ArrivingPerSecond(service core.ServiceID, priority int) float64 {
+	sum := 0.0
+	for _, c := range s.Classes {
+		if c.Service == service && c.Priority < priority {
+			sum += c.ArrivingPerSecond
+		}
+	}
+	return sum
+}
+
+// Add returns the sum of two summaries, within the bounds of a summary.
+func Add(a, b Summary) Summary {
+	sum := Summary{Rates: slices.Clone(a.Rates)}
+	for _, c := range slices.Concat(a.Classes, b.Classes) {
+		sum.addClass(c)
+	}
+	for _, r := range b.Rates {
+		sum.addRate(r)
+	}
+	return sum.Bounded()
+}
+
+func (s *Summary) addRate(r Rate) {
+	for i := range s.Rates {
+		if s.Rates[i].Service == r.Service {
+			s.Rates[i].PerSecond += r.PerSecond
+			s.Rates[i].Tokens += r.Tokens
+			return
+		}
+	}
+	s.Rates = append(s.Rates, r)
+}
+
+func (s *Summary) addClass(c Class) {
+	at, found := slices.BinarySearchFunc(s.Classes, c, compareClasses)
+	if !found {
+		c.Workspaces = slices.Clone(c.Workspaces)
+		s.Classes = slices.Insert(s.Classes, at, c)
+		return
+	}
+	to := &s.Classes[at]
+	to.OtherWorkspaces += c.OtherWorkspaces
+	to.OtherTokens += c.OtherTokens
+	to.ArrivingPerSecond += c.ArrivingPerSecond
+	for _, w := range c.Workspaces {
+		to.addWork(w)
+	}
+}
+
+func (c *Class) addWork(w Work) {
+	for i := range c.Workspaces {
+		if c.Workspaces[i].Workspace == w.Workspace {
+			c.Workspaces[i].Tokens += w.Tokens
+			c.Workspaces[i].Weight = max(c.Workspaces[i].Weight, w.Weight)
+			return
+		}
+	}
+	c.Workspaces = append(c.Workspaces, w)
+}
+
+// Bounded returns the summary with the first MaxClasses classes and rates, and with the
+// MaxWorkspaces largest workspaces of each class.
+func (s Summary) Bounded() Summary {
+	slices.SortFunc(s.Classes, compareClasses)
+	s.Classes = s.Classes[:min(len(s.Classes), MaxClasses)]
+	s.Rates = s.Rates[:min(len(s.Rates), MaxClasses)]
+	for i := range s.Classes {
+		s.Classes[i].bound()
+	}
+	return s
+}
+
+func (c *Class) bound() {
+	slices.SortFunc(c.Workspaces, func(a, b Work) int {
+		return cmp.Or(cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	for _, w := range c.Workspaces[min(len(c.Workspaces), MaxWorkspaces):] {
+		c.OtherWorkspaces++
+		c.OtherTokens += w.Tokens
+	}
+	c.Workspaces = c.Workspaces[:min(len(c.Workspaces), MaxWorkspaces)]
+}
+
+func compareClasses(a, b Class) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Priority, b.Priority))
+}
--- a/waitlist/drain.go
+++ b/waitlist/drain.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// drainHalfLife is the time in which placed work loses half of its weight in the rate.
-	drainHalfLife = 400 * time.Millisecond
+	// rateHalfLife is the time in which work loses half of its weight in a rate.
+	rateHalfLife = 400 * time.Millisecond
 	// minDrainTime is the time for which calls of a service must have waited before the rate
 	// is known.
 	minDrainTime = 800 * time.Millisecond
@@ -15,35 +15,43 @@
 	maxExpectedWait = time.Minute
 )
 
-// drain estimates the rate at which the waiting work of a service is placed.
-type drain struct {
-	// since is when the first of the present calls began to wait.
-	since time.Time
-	// tokens is the decayed sum, as of updatedAt, of the work that was placed.
+// workRate estimates a rate of work.
+type workRate struct {
+	// tokens is the decayed sum, as of updatedAt, of the work.
 	tokens    float64
 	updatedAt time.Time
 }
 
-// begin starts a new period, in which calls wait.
-func (d *drain) begin(now time.Time) { *d = drain{since: now, updatedAt: now} }
+func (r *workRate) decayed(now time.Time) float64 {
+	return r.tokens * math.Exp2(-float64(now.Sub(r.updatedAt))/float64(rateHalfLife))
+}
 
-func (d *drain) decayed(now time.Time) float64 {
-	return d.tokens * math.Exp2(-float64(now.Sub(d.updatedAt))/float64(drainHalfLife))
+// record adds work.
+func (r *workRate) record(now time.Time, tokens int) {
+	r.tokens = r.decayed(now) + float64(tokens)
+	r.updatedAt = now
 }
 
-// record adds work that was placed.
-func (d *drain) record(now time.Time, tokens int) {
-	d.tokens = d.decayed(now) + float64(tokens)
-	d.updatedAt = now
+// perSecond returns the rate in tokens a second.
+func (r *workRate) perSecond(now time.Time) float64 {
+	return r.decayed(now) * math.Ln2 / rateHalfLife.Seconds()
 }
 
-// timeFor returns the time in which an amount of work is placed, or false if the rate is
-// not known yet.
-func (d *drain) timeFor(now time.Time, tokens int) (time.Duration, bool) {
-	if now.Sub(d.since) < minDrainTime {
-		return 0, false
-	}
-	perSecond := d.decayed(now) * math.Ln2 / drainHalfLife.Seconds()
-	seconds := float64(tokens) / max(perSecond, 1)
-	return time.Duration(min(seconds, maxExpectedWait.Seconds()) * float64(time.Second)), true
+// drain estimates the rate at which the waiting work of a service is placed.
+type drain struct {
+	// since is when the first of the present calls began to wait.
+	since time.Time
+	workRate
+}
+
+// begin starts a new period, in which calls wait.
+func (d *drain) begin(now time.Time) { *d = drain{since: now, workRate: workRate{updatedAt: now}} }
+
+// known reports whether calls have waited for long enough.
+func (d *drain) known(now time.Time) bool { return now.Sub(d.since) >= minDrainTime }
+
+// timeFor returns the time in which an amount of work is placed at a rate.
+func timeFor(tokens, perSecond float64) time.Duration {
+	seconds := tokens / max(perSecond, 1)
+	return time.Duration(min(seconds, maxExpectedWait.Seconds()) * float64(time.Second))
 }
--- a/waitlist/waitlist.go
+++ b/waitlist/waitlist.go
@@ -10,6 +10,7 @@
 
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/fairqueue"
+	"waxwingtide.example/waxwingtide/waitlist/backlog"
 )
 
 // Call is a waiting call.
@@ -43,8 +44,8 @@
 type class[T any] struct {
 	priority int
 	queue    *fairqueue.Queue[Call[T]]
-	// tokens is the work of all calls by workspace.
-	tokens map[core.WorkspaceID]int
+	// work is the work of all calls by workspace.
+	work map[core.WorkspaceID]backlog.Work
 }
 
 // service contains the waiting calls of a service, the class that is served first at the
@@ -52,6 +53,8 @@
 type service[T any] struct {
 	classes []*class[T]
 	drain   drain
+	// arriving is the work of new calls by priority.
+	arriving map[int]*workRate
 }
 
 // List contains waiting calls.
@@ -60,6 +63,9 @@
 	calls    int
 	capacity int
 	lastID   uint64
+	// others is the work that waits at other fronts as of othersAt.
+	others   backlog.Summary
+	othersAt time.Time
 }
 
 // New returns an empty list for at most capacity calls.
@@ -81,16 +87,22 @@
 	return calls
 }
 
+// service returns a service, and creates it if there is none.
+func (l *List[T]) service(id core.ServiceID) *service[T] {
+	s := l.services[id]
+	if s == nil {
+		s = &service[T]{arriving: make(map[int]*workRate)}
+		l.services[id] = s
+	}
+	return s
+}
+
 // Add adds a call. It reports false when the list is full or when the call would not wait.
 func (l *List[T]) Add(now time.Time, c Call[T]) bool {
 	if l.calls >= l.capacity || !now.Before(c.Until) {
 		return false
 	}
-	s := l.services[c.Service]
-	if s == nil {
-		s = &service[T]{}
-		l.services[c.Service] = s
-	}
+	s := l.service(c.Service)
 	if len(s.classes) == 0 {
 		s.drain.begin(now)
 	}
@@ -99,7 +111,7 @@
 	k.queue.Push(fairqueue.Item[Call[T]]{
 		ID: core.AttemptID(strconv.FormatUint(l.lastID, 36)), Workspace: c.Workspace, Weight: c.Weight, Cost: float64(c.Tokens), Deadline: c.Until, Due: c.Deadline, Value: c,
 	}, false)
-	k.tokens[c.Workspace] += c.Tokens
+	k.addWork(c, c.Tokens)
 	l.calls++
 	return true
 }
@@ -108,7 +120,7 @@
 func (s *service[T]) class(priority int) *class[T] {
 	at, found := slices.BinarySearchFunc(s.classes, priority, func(k *class[T], p int) int { return k.priority - p })
 	if !found {
-		s.classes = slices.Insert(s.classes, at, &class[T]{priority: priority, queue: fairqueue.New[Call[T]](), tokens: make(map[core.WorkspaceID]int)})
+		s.classes = slices.Insert(s.classes, at, &class[T]{priority: priority, queue: fairqueue.New[Call[T]](), work: make(map[core.WorkspaceID]backlog.Work)})
 	}
 	return s.classes[at]
 }
@@ -116,9 +128,18 @@
 // removed updates the totals after a call has left its class.
 func (l *List[T]) removed(k *class[T], c Call[T]) {
 	l.calls--
-	if k.tokens[c.Workspace] -= c.Tokens; k.tokens[c.Workspace] <= 0 {
-		delete(k.tokens, c.Workspace)
+	k.addWork(c, -c.Tokens)
+}
+
+// addWork changes the work of the workspace of a call.
+func (k *class[T]) addWork(c Call[T], tokens int) {
+	w := k.work[c.Workspace]
+	w.Workspace, w.Weight, w.Tokens = c.Workspace, max(c.Weight, 1), w.Tokens+tokens
+	if w.Tokens <= 0 {
+		delete(k.work, c.Workspace)
+		return
 	}
+	k.work[c.Workspace] = w
 }
 
 func (s *service[T]) removeEmptyClasses() {
@@ -162,47 +183,3 @@
 		s.removeEmptyClasses()
 	}
 }
-
-// Precedes reports whether a more urgent call waits for the same service. A new call then
-// waits as well, so that it does not take the memory that becomes free.
-func (l *List[T]) Precedes(id core.ServiceID, priority int) bool {
-	s := l.services[id]
-	return s != nil && len(s.classes) > 0 && s.classes[0].priority < priority
-}
-
-// ExpectedWait returns the time until a new call would be placed, from the work that is
-// served before it and the rate at which waiting work has been placed lately. It returns
-// false if that rate is not known yet.
-func (l *List[T]) ExpectedWait(now time.Time, c Call[T]) (time.Duration, bool) {
-	s := l.services[c.Service]
-	if s == nil || len(s.classes) == 0 {
-		return 0, true
-	}
-	return s.drain.timeFor(now, s.workBefore(c))
-}
-
-// workBefore returns the work in tokens that is served before a new call: that of more urgent
-// calls, and of each workspace of the same urgency at most as much as
-// the call's own workspace has with this call.
-func (s *service[T]) workBefore(c Call[T]) int {
-	before := 0
-	for _, k := range s.classes {
-		switch {
-		case k.priority > c.Priority:
-		case k.priority < c.Priority:
-			for _, tokens := range k.tokens {
-				before += tokens
-			}
-		default:
-			own := k.tokens[c.Workspace] + c.Tokens
-			for workspace, tokens := range k.tokens {
-				if workspace == c.Workspace {
-					before += tokens
-					continue
-				}
-				before += min(tokens, own)
-			}
-		}
-	}
-	return before
-}
