Divide the memory of engines among the calls of all fronts

Each front took memory by its own backlog and its running calls, so that a workspace that floods one front, or patient calls, took what urgent calls at other fronts wait for. The memory of all engines is divided by priority, then by workspace, over running and waiting calls of all fronts; less urgent calls leave headroom that follows the variance of urgent demand.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -79,20 +79,27 @@
 // placeCall places a call and sends the result to its handler. A call for which no engine
 // has memory waits, also one that would take the memory for which more urgent calls wait.
 func (r *router) placeCall(now time.Time, pending placeRequest) {
+	c := newWaitingCall(now, &pending)
+	if usesEngine(&pending) {
+		r.waiting.list.Arrived(now, c.Service, c.Priority, c.Tokens)
+	}
 	if r.waiting.list.Precedes(pending.req.Service, pending.priority) {
-		if r.waiting.add(now, newWaitingCall(now, &pending)) {
+		if r.waiting.add(now, c) {
 			return
 		}
 	}
-	result := r.choose(now, &pending)
+	result := placementResult{refusal: placement.MemoryFull}
+	if r.allowMemory(now, &c, false) {
+		result = r.choose(now, &pending)
+	}
 	if result.refusal == placement.MemoryFull {
-		c := newWaitingCall(now, &pending)
 		if r.waiting.add(now, c) {
 			return
 		}
 		r.waiting.metrics.refusedAtOnce.Add(1)
 		result = r.memoryRefusal(now, c)
 	}
+	r.recordStart(c, result)
 	r.reply(now, pending, result)
 }
 
@@ -107,6 +114,7 @@
 		r.placer.RecordReport(now, placement.Report{
 			AttemptID: choice.AttemptID, Upstream: choice.Upstream.ID, Final: true, Result: placement.Abandoned,
 		})
+		r.waiting.list.Ended(uint64(choice.AttemptID))
 	}
 }
 
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -105,6 +105,8 @@
 func (r *router) run(ctx context.Context) error {
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
+	summary := time.NewTicker(summaryInterval)
+	defer summary.Stop()
 	r.applyView(time.Now())
 	for {
 		select {
@@ -112,6 +114,9 @@
 			return nil
 		case <-sweep.C:
 			r.sweep(time.Now())
+		case <-summary.C:
+			r.publishSummary(time.Now())
+		case <-r.observations.RemoteBacklog().Ready():
 		case <-r.viewChanged.Ready():
 		case <-r.options.Ready():
 		case <-r.cacheFeed.Updates().Ready():
@@ -162,6 +167,7 @@
 		r.log.WithFields(logrus.Fields{"event": "suspended", "for_ms": gap.Milliseconds()}).Warn("VM was suspended; cache contents are not used until their next update")
 		r.cacheIndex.MarkAllUnavailable()
 		r.placer.MarkCachesStale()
+		r.waiting.list.ForgetOthers()
 	}
 	now := time.Now()
 	if opts, ok := r.options.TryReceive(); ok {
@@ -178,6 +184,9 @@
 			r.placer.ApplyObservation(now, o)
 		}
 	}
+	if others, ok := r.observations.RemoteBacklog().TryReceive(); ok {
+		r.waiting.list.SetOthers(now, others)
+	}
 	r.takeReports()
 	r.applyVerdicts(now)
 	r.updateQuarantine(now)
@@ -198,6 +207,9 @@
 		r.waiting.callEnded = r.waiting.callEnded || report.Final
 		r.recordSample(now, report.Report)
 		r.placer.RecordReport(now, report.Report)
+		if report.Final {
+			r.waiting.list.Ended(uint64(report.AttemptID))
+		}
 		r.publishObservation(now, report.Report)
 		r.recordEnd(now, report)
 	}
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -34,13 +34,15 @@
 	// since the last try; the waiting calls are then tried at once.
 	retryAt   time.Time
 	callEnded bool
-	metrics   waitingMetrics
+	// shares divides the memory of engines among all fronts.
+	shares  *memoryShares
+	metrics waitingMetrics
 }
 
 func newWaitingCalls() *waitingCalls {
 	timer := time.NewTimer(time.Hour)
 	timer.Stop()
-	return &waitingCalls{list: waitlist.New[*placeRequest](maxWaitingCalls), timer: timer}
+	return &waitingCalls{list: waitlist.New[*placeRequest](maxWaitingCalls), timer: timer, shares: newMemoryShares()}
 }
 
 // newWaitingCall returns the entry of a call in the list.
@@ -92,10 +94,14 @@
 	}
 	r.waiting.list.Try(now, waitingTriesPerTurn, func(c waitlist.Call[*placeRequest]) bool {
 		c.Value.req.WaitedShare = c.WaitedShare(now)
+		if !r.allowMemory(now, &c, true) {
+			return false
+		}
 		result := r.choose(now, c.Value)
 		if result.refusal == placement.MemoryFull {
 			return false
 		}
+		r.recordStart(c, result)
 		r.reply(now, *c.Value, result)
 		return true
 	})
--- a/placement/memory.go
+++ b/placement/memory.go
@@ -90,7 +90,7 @@
 		return false
 	}
 	capacity, needed := float64(service.Engine.CacheTokens), float64(callMemory(req.Prompt))
-	limit := capacity * (newCallMemoryShare + (waitedCallMemoryShare-newCallMemoryShare)*req.WaitedShare)
+	limit := capacity * memoryLimitShare(req.WaitedShare)
 	own := float64(u.memoryTokens)
 	if own > freeMemoryShare*capacity && own+needed > portionFactor*limit*pl.ownLoadShare {
 		return false
@@ -100,18 +100,42 @@
 
 // setOwnLoadShare sets ownLoadShare for the placement of a call of a service. It is at
 // least an equal share, and larger while other processes have few calls, for example
-// since they stop.
-func (pl *Placer) setOwnLoadShare(now time.Time, service core.ServiceID) {
+// since they stop, or while they leave more of the memory to this one.
+func (pl *Placer) setOwnLoadShare(now time.Time, service core.ServiceID, memoryShare float64) {
 	own, others := 0.0, 0.0
 	for _, u := range pl.byService[service] {
 		own += float64(len(u.attempts))
 		others += u.othersLoad(now)
 	}
-	pl.ownLoadShare = 1 / float64(max(len(pl.fronts), 1))
+	pl.ownLoadShare = max(1/float64(max(len(pl.fronts), 1)), memoryShare)
 	if own > 0 {
 		pl.ownLoadShare = max(pl.ownLoadShare, own/(own+others))
 	}
 }
 
+// memoryLimitShare returns the share of an engine's memory up to which a call is sent to it.
+func memoryLimitShare(waitedShare float64) float64 {
+	return newCallMemoryShare + (waitedCallMemoryShare-newCallMemoryShare)*waitedShare
+}
+
+// UsableMemory returns the memory in tokens that the calls of a service may use at all its
+// engines that can be used, and the mean time for which a call uses its memory.
+func (pl *Placer) UsableMemory(now time.Time, req Request) (tokens float64, runTime time.Duration) {
+	service := pl.services[req.Service]
+	if service == nil || service.Engine == nil {
+		return 0, 0
+	}
+	req.TriedUpstreams = nil
+	for _, u := range pl.byService[req.Service] {
+		if pl.usable(now, u, req) {
+			tokens += float64(service.Engine.CacheTokens) * memoryLimitShare(req.WaitedShare)
+		}
+	}
+	if r := pl.residencies[req.Service]; r != nil {
+		runTime = time.Duration(r.seconds * float64(time.Second))
+	}
+	return tokens, runTime
+}
+
 // callMemory returns the memory in tokens that a call uses at most.
 func callMemory(p core.Prompt) int { return p.Tokens + p.MaxOutputTokens }
--- a/placement/table.go
+++ b/placement/table.go
@@ -188,7 +188,7 @@
 	clear(pl.partServers)
 	pl.lastSalt = ""
 	if service.Engine != nil {
-		pl.setOwnLoadShare(now, req.Service)
+		pl.setOwnLoadShare(now, req.Service, req.MemoryShare)
 	}
 	affinities := pl.affinityCosts(req)
 	for i, u := range pl.byService[req.Service] {
--- a/placement/types.go
+++ b/placement/types.go
@@ -52,6 +52,9 @@
 	// WaitedShare is the share of the time for which the call may wait for memory that has
 	// passed, from 0 to 1.
 	WaitedShare float64
+	// MemoryShare is the share of the memory of all engines that the calls of this process may
+	// use, or 0 if it is not known.
+	MemoryShare float64
 }
 
 // AttemptID identifies one attempt.
--- a/sharing/backlog.go
+++ b/sharing/backlog.go
@@ -9,7 +9,7 @@
 	"waxwingtide.example/waxwingtide/wire"
 )
 
-// takeBacklog returns the newest summary of the local waiting work, or nil if the process has
+// takeBacklog returns the newest summary of the local work, or nil if the process has
 // recorded none within backlog.TTL.
 func (x *exchangeDuty) takeBacklog(now time.Time) *backlog.Summary {
 	if s, ok := x.localBacklog.TryReceive(); ok {
@@ -39,12 +39,13 @@
 func encodeClass(c backlog.Class) *wire.BacklogClass {
 	out := &wire.BacklogClass{
 		Service: string(c.Service), Priority: uint32(min(max(c.Priority, 0), math.MaxInt32)), //nolint:gosec // within the bounds
-		OtherWorkspaces: uint32(min(max(c.OtherWorkspaces, 0), math.MaxInt32)), OtherTokens: encodeCount(c.OtherTokens), //nolint:gosec // within the bounds
+		OtherWorkspaces: uint32(min(max(c.OtherWorkspaces, 0), math.MaxInt32)), OtherWaiting: encodeCount(c.OtherWaiting), OtherRunning: encodeCount(c.OtherRunning), //nolint:gosec // within the bounds
 		ArrivingPerSecond: encodeRate(c.ArrivingPerSecond),
 	}
 	for _, w := range c.Workspaces {
 		out.Workspaces = append(out.Workspaces, &wire.WorkspaceBacklog{
-			Workspace: string(w.Workspace), Weight: uint32(min(max(w.Weight, 1), math.MaxInt32)), Tokens: encodeCount(w.Tokens), //nolint:gosec // within the bounds
+			Workspace: string(w.Workspace), Weight: uint32(min(max(w.Weight, 1), math.MaxInt32)), //nolint:gosec // within the bounds
+			Waiting: encodeCount(w.Waiting), Running: encodeCount(w.Running),
 		})
 	}
 	return out
@@ -72,11 +73,11 @@
 	s := new(backlog.Summary)
 	for _, c := range message.Classes {
 		class := backlog.Class{
-			Service: core.ServiceID(c.Service), Priority: int(c.Priority), OtherWorkspaces: int(c.OtherWorkspaces), OtherTokens: decodeCount(c.OtherTokens),
+			Service: core.ServiceID(c.Service), Priority: int(c.Priority), OtherWorkspaces: int(c.OtherWorkspaces), OtherWaiting: decodeCount(c.OtherWaiting), OtherRunning: decodeCount(c.OtherRunning),
 			ArrivingPerSecond: float64(decodeCount(c.ArrivingPerSecond)),
 		}
 		for _, w := range c.Workspaces {
-			class.Workspaces = append(class.Workspaces, backlog.Work{Workspace: core.WorkspaceID(w.Workspace), Weight: int(w.Weight), Tokens: decodeCount(w.Tokens)})
+			class.Workspaces = append(class.Workspaces, backlog.Work{Workspace: core.WorkspaceID(w.Workspace), Weight: int(w.Weight), Waiting: decodeCount(w.Waiting), Running: decodeCount(w.Running)})
 		}
 		s.Classes = append(s.Classes, class)
 	}
--- a/sharing/exchange.go
+++ b/sharing/exchange.go
@@ -62,7 +62,7 @@
 	*Exchanger
 	domainLink collectorLink
 	globalLink collectorLink
-	// backlog is the last summary of the local waiting work, recorded at backlogAt.
+	// backlog is the last summary of the local work, recorded at backlogAt.
 	backlog   *backlog.Summary
 	backlogAt time.Time
 	// forwardedNumber is the number of the newest observation on the local board
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -1,5 +1,5 @@
 // Package sharing exchanges observations of upstreams, evidence on parts of prompts that
-// crash them, verdicts on versions and summaries of waiting work among the fronts. One process of each failure domain, the domain
+// crash them, verdicts on versions and summaries of work among the fronts. One process of each failure domain, the domain
 // collector, collects what its domain has observed. One process, the global collector,
 // collects from all domain collectors. The number of messages therefore grows linearly
 // with the number of processes, and the traffic between failure domains grows only with
@@ -156,10 +156,10 @@
 // RemoteVerdicts returns the ring of the other processes' verdicts on versions.
 func (e *Exchanger) RemoteVerdicts() *ring.Ring[[]canary.Verdict] { return e.remoteVerdicts }
 
-// RecordBacklog replaces the summary of the local waiting work. It never blocks.
+// RecordBacklog replaces the summary of the local work. It never blocks.
 func (e *Exchanger) RecordBacklog(s backlog.Summary) { e.localBacklog.Push(s) }
 
-// RemoteBacklog returns the ring of the newest sum of the other processes' waiting work.
+// RemoteBacklog returns the ring of the newest sum of the other processes' work.
 func (e *Exchanger) RemoteBacklog() *ring.Ring[backlog.Summary] { return e.remoteBacklog }
 
 // NewBoards returns the ring that has an element after the first exchange with a board,
--- a/waitlist/backlog/backlog.go
+++ b/waitlist/backlog/backlog.go
@@ -1,5 +1,5 @@
-// Package backlog describes the work that waits at the fronts for the memory of engines, and
-// divides free memory among the fronts. Fronts exchange summaries of their waiting work.
+// Package backlog describes the calls of the fronts that use or wait for the memory of engines,
+// and divides that memory among the fronts. Fronts exchange summaries of their calls.
 // Summaries can be added up, so that a message does not grow with the number of fronts. The
 // package performs no I/O and reads no clock.
 package backlog
@@ -13,44 +13,37 @@
 
 const (
 	// MaxWorkspaces is the number of workspaces that a summary lists in each class, those
-	// with the most waiting work. The others are added up.
-	MaxWorkspaces = 6
+	// with the most work. The others are added up.
+	MaxWorkspaces = 4
 	// MaxClasses is the number of classes in a summary.
 	MaxClasses = 16
 )
 
-// Work is the waiting work of a workspace.
+// Work is the work of a workspace, measured in tokens of memory.
 type Work struct {
 	Workspace core.WorkspaceID
 	// Weight is the weight of the workspace. A weight below 1 is treated as 1.
 	Weight int
-	Tokens int
+	// Waiting is the work of waiting calls, Running that of calls at engines.
+	Waiting, Running int
 }
 
+func (w Work) tokens() int { return w.Waiting + w.Running }
+
 // Class describes the calls of a service that are equally urgent.
 type Class struct {
 	Service core.ServiceID
 	// Priority is the urgency of the calls; 0 is the most urgent.
-	Priority int
-	// Workspaces is the waiting work of the listed workspaces.
+	Priority   int
 	Workspaces []Work
-	// OtherWorkspaces is the number of further workspaces and OtherTokens their waiting
+	// OtherWorkspaces is the number of further workspaces, OtherWaiting and OtherRunning their
 	// work. A workspace with calls at several fronts may be counted several times.
-	OtherWorkspaces int
-	OtherTokens     int
+	OtherWorkspaces            int
+	OtherWaiting, OtherRunning int
 	// ArrivingPerSecond is the work of new calls in tokens a second, whether or not they wait.
 	ArrivingPerSecond float64
 }
 
-// Tokens returns the waiting work of the class.
-func (c Class) Tokens() int {
-	sum := c.OtherTokens
-	for _, w := range c.Workspaces {
-		sum += w.Tokens
-	}
-	return sum
-}
-
 // Rate is the rate at which waiting work of a service is placed.
 type Rate struct {
 	Service   core.ServiceID
@@ -59,7 +52,7 @@
 	Tokens int
 }
 
-// Summary describes the waiting work of one or more fronts.
+// Summary describes the calls of one or more fronts.
 type Summary struct {
 	// Classes are ordered by service and priority.
 	Classes []Class
@@ -76,23 +69,22 @@
 	return Rate{Service: service}
 }
 
-// ArrivingPerSecond returns the work of new calls of a service that are more urgent than a
-// priority.
-func (s Summary) ArrivingPerSecond(service core.ServiceID, priority int) float64 {
-	sum := 0.0
+// MostUrgent returns the priority of the most urgent calls of a service that arrive, and their
+// work in tokens a second.
+func (s Summary) MostUrgent(service core.ServiceID) (priority int, perSecond float64, ok bool) {
 	for _, c := range s.Classes {
-		if c.Service == service && c.Priority < priority {
-			sum += c.ArrivingPerSecond
+		if c.Service == service && c.ArrivingPerSecond > 0 && (!ok || c.Priority < priority) {
+			priority, perSecond, ok = c.Priority, c.ArrivingPerSecond, true
 		}
 	}
-	return sum
+	return priority, perSecond, ok
 }
 
 // Add returns the sum of two summaries, within the bounds of a summary.
 func Add(a, b Summary) Summary {
 	sum := Summary{Rates: slices.Clone(a.Rates)}
 	for _, c := range slices.Concat(a.Classes, b.Classes) {
-		sum.addClass(c)
+		sum.AddClass(c)
 	}
 	for _, r := range b.Rates {
 		sum.addRate(r)
@@ -111,7 +103,8 @@
 	s.Rates = append(s.Rates, r)
 }
 
-func (s *Summary) addClass(c Class) {
+// AddClass adds a class to a summary that has no bounds yet.
+func (s *Summary) AddClass(c Class) {
 	at, found := slices.BinarySearchFunc(s.Classes, c, compareClasses)
 	if !found {
 		c.Workspaces = slices.Clone(c.Workspaces)
@@ -120,7 +113,8 @@
 	}
 	to := &s.Classes[at]
 	to.OtherWorkspaces += c.OtherWorkspaces
-	to.OtherTokens += c.OtherTokens
+	to.OtherWaiting += c.OtherWaiting
+	to.OtherRunning += c.OtherRunning
 	to.ArrivingPerSecond += c.ArrivingPerSecond
 	for _, w := range c.Workspaces {
 		to.addWork(w)
@@ -130,7 +124,8 @@
 func (c *Class) addWork(w Work) {
 	for i := range c.Workspaces {
 		if c.Workspaces[i].Workspace == w.Workspace {
-			c.Workspaces[i].Tokens += w.Tokens
+			c.Workspaces[i].Waiting += w.Waiting
+			c.Workspaces[i].Running += w.Running
 			c.Workspaces[i].Weight = max(c.Workspaces[i].Weight, w.Weight)
 			return
 		}
@@ -152,11 +147,12 @@
 
 func (c *Class) bound() {
 	slices.SortFunc(c.Workspaces, func(a, b Work) int {
-		return cmp.Or(cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(a.Workspace, b.Workspace))
+		return cmp.Or(cmp.Compare(b.tokens(), a.tokens()), cmp.Compare(a.Workspace, b.Workspace))
 	})
 	for _, w := range c.Workspaces[min(len(c.Workspaces), MaxWorkspaces):] {
 		c.OtherWorkspaces++
-		c.OtherTokens += w.Tokens
+		c.OtherWaiting += w.Waiting
+		c.OtherRunning += w.Running
 	}
 	c.Workspaces = c.Workspaces[:min(len(c.Workspaces), MaxWorkspaces)]
 }
--- a/waitlist/backlog/demand.go
+++ b/waitlist/backlog/demand.go
@@ -2,13 +2,14 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"waxwingtide.example/waxwingtide/core"
 )
 
-// minLessUrgentShare is the share of free memory that less urgent work gets while more urgent
-// work takes all the rest, so that no class starves.
+// minLessUrgentShare is the share of the memory that less urgent work gets while more urgent
+// work would use all of it, so that no class starves.
 const minLessUrgentShare = 0.1
 
 // Call is a call that asks for memory.
@@ -19,7 +20,7 @@
 	Tokens    int
 }
 
-// Demand is the waiting work of a service over all fronts.
+// Demand is the work of a service over all fronts.
 type Demand struct {
 	// classes are ordered by priority.
 	classes []demandClass
@@ -28,21 +29,29 @@
 type demandClass struct {
 	priority   int
 	workspaces []demandWork
-	// ownOther and other are the work of workspaces that are not listed, at this front and
-	// over all fronts, otherWorkspaces their number.
-	ownOther, other float64
-	otherWorkspaces int
+	// other is the work of workspaces that are not listed, otherCount their number.
+	other      demandWork
+	otherCount int
 }
 
-// demandWork is the waiting work of a workspace, at this front and over all fronts.
+// demandWork is the work of a workspace: that of this front, that of all fronts, and the
+// waiting part of the latter.
 type demandWork struct {
-	workspace  core.WorkspaceID
-	weight     float64
-	own, total float64
+	workspace           core.WorkspaceID
+	weight              float64
+	own, total, waiting float64
 }
 
-// NewDemand returns the demand for a service from the waiting work of this front and that of
-// all others.
+func (w *demandWork) add(waiting, running int, own bool) {
+	w.waiting += float64(waiting)
+	w.total += float64(waiting + running)
+	if own {
+		w.own += float64(waiting + running)
+	}
+}
+
+// NewDemand returns the demand for a service from the work of this front and that of all
+// others.
 func NewDemand(service core.ServiceID, own, others Summary) Demand {
 	var d Demand
 	d.add(service, own, true)
@@ -52,17 +61,14 @@
 
 func (d *Demand) add(service core.ServiceID, s Summary, own bool) {
 	for _, c := range s.Classes {
-		if c.Service != service || c.Tokens() == 0 {
+		if c.Service != service {
 			continue
 		}
 		k := d.class(c.Priority)
-		k.other += float64(c.OtherTokens)
-		k.otherWorkspaces += c.OtherWorkspaces
-		if own {
-			k.ownOther += float64(c.OtherTokens)
-		}
+		k.other.add(c.OtherWaiting, c.OtherRunning, own)
+		k.otherCount += c.OtherWorkspaces
 		for _, w := range c.Workspaces {
-			k.add(w.Workspace, w.Weight, float64(w.Tokens), own)
+			k.workspace(w.Workspace, w.Weight).add(w.Waiting, w.Running, own)
 		}
 	}
 }
@@ -76,121 +82,123 @@
 	return &d.classes[at]
 }
 
-func (k *demandClass) add(workspace core.WorkspaceID, weight int, tokens float64, own bool) {
-	at := slices.IndexFunc(k.workspaces, func(w demandWork) bool { return w.workspace == workspace })
+// workspace returns the work of a workspace, and creates it if there is none.
+func (k *demandClass) workspace(id core.WorkspaceID, weight int) *demandWork {
+	at := slices.IndexFunc(k.workspaces, func(w demandWork) bool { return w.workspace == id })
 	if at < 0 {
 		at = len(k.workspaces)
-		k.workspaces = append(k.workspaces, demandWork{workspace: workspace, weight: float64(max(weight, 1))})
-	}
-	k.workspaces[at].total += tokens
-	if own {
-		k.workspaces[at].own += tokens
+		k.workspaces = append(k.workspaces, demandWork{workspace: id, weight: float64(max(weight, 1))})
 	}
+	return &k.workspaces[at]
 }
 
+// tokens returns the work of the class.
 func (k *demandClass) tokens() float64 {
-	sum := k.other
+	sum := k.other.total
 	for _, w := range k.workspaces {
 		sum += w.total
 	}
 	return sum
 }
 
-// With returns the demand with a call that does not wait yet.
+func (k *demandClass) waiting() float64 {
+	sum := k.other.waiting
+	for _, w := range k.workspaces {
+		sum += w.waiting
+	}
+	return sum
+}
+
+// Waiting returns the work of all waiting calls.
+func (d Demand) Waiting() float64 {
+	sum := 0.0
+	for i := range d.classes {
+		sum += d.classes[i].waiting()
+	}
+	return sum
+}
+
+// With returns the demand with a call of this front that does not wait yet.
 func (d Demand) With(c Call) Demand {
 	d.classes = slices.Clone(d.classes)
 	k := d.class(c.Priority)
 	k.workspaces = slices.Clone(k.workspaces)
-	k.add(c.Workspace, c.Weight, float64(c.Tokens), true)
+	k.workspace(c.Workspace, c.Weight).add(c.Tokens, 0, true)
 	return d
 }
 
-// Share returns the share of the free memory that this front may use for calls of a priority.
-// More urgent classes come first, except for the minimum share of less urgent ones. Within a
-// class each workspace gets its weighted share, and the fronts with its calls divide that in
-// proportion to them. A front is not limited while there is memory for all work that is as
-// urgent or more urgent.
-func (d Demand) Share(priority int, free float64) float64 {
-	left, less := free, d.totalTokens()
+// OwnLimit returns the memory that the calls of this front with a priority may use, of the
+// memory of all engines. More urgent classes come first, except for the minimum share of less
+// urgent ones. Within a class each workspace gets its weighted share, and the fronts with its
+// calls divide that in proportion to them. The limit is infinite while there is memory for
+// all work that is as urgent or more urgent. headroom is the memory that is left to calls more
+// urgent than the class, beyond those that there are.
+func (d Demand) OwnLimit(priority int, memory, headroom float64) float64 {
+	left, lessUrgent := memory, 0.0
+	for i := range d.classes {
+		lessUrgent += d.classes[i].tokens()
+	}
 	for i := range d.classes {
 		k := &d.classes[i]
-		demand := k.tokens()
-		less -= demand
-		if k.priority >= priority && demand <= left {
-			return 1
+		tokens := k.tokens()
+		lessUrgent -= tokens
+		if k.priority < priority {
+			left -= min(tokens, left-min(lessUrgent, minLessUrgentShare*left))
+			continue
 		}
-		granted := min(demand, left-min(less, minLessUrgentShare*left))
-		if k.priority >= priority {
-			return k.ownShareOf(granted) * granted / max(free, 1)
+		left = max(left-headroom, min(left, minLessUrgentShare*memory))
+		if tokens <= left {
+			return math.Inf(1)
 		}
-		left -= granted
+		return k.ownShareOf(min(tokens, left-min(lessUrgent, minLessUrgentShare*left)))
 	}
-	return 1
+	return math.Inf(1)
 }
 
-func (d Demand) totalTokens() float64 {
-	sum := 0.0
-	for i := range d.classes {
-		sum += d.classes[i].tokens()
-	}
-	return sum
-}
-
-// ownShareOf returns the share of this front in an amount of work that the workspaces get by
-// max-min fairness.
-func (k *demandClass) ownShareOf(granted float64) float64 {
-	level := k.level(granted)
-	own, all := min(k.ownOther, k.otherLimit(level)*k.ownOther/max(k.other, 1)), min(k.other, k.otherLimit(level))
+// ownShareOf returns the part of this front in an amount of memory that the workspaces divide
+// by max-min fairness.
+func (k *demandClass) ownShareOf(memory float64) float64 {
+	level := k.level(memory)
+	own := min(k.other.total, level*float64(k.otherCount)) * k.other.own / max(k.other.total, 1)
 	for _, w := range k.workspaces {
-		gets := min(w.total, level*w.weight)
-		all += gets
-		own += gets * w.own / max(w.total, 1)
+		own += min(w.total, level*w.weight) * w.own / max(w.total, 1)
 	}
-	return own / max(all, 1)
+	return own
 }
 
-func (k *demandClass) otherLimit(level float64) float64 { return level * float64(k.otherWorkspaces) }
-
-// level returns the work for each unit of weight at which the workspaces get an amount of work
-// together. Workspaces that are not listed count as equally large ones with a weight of 1.
-func (k *demandClass) level(granted float64) float64 {
-	type share struct{ perWeight, weight, tokens float64 }
-	shares := make([]share, 0, len(k.workspaces)+1)
-	weights := 0.0
-	add := func(weight, tokens float64) {
-		shares = append(shares, share{tokens / weight, weight, tokens})
-		weights += weight
-	}
-	for _, w := range k.workspaces {
-		add(w.weight, w.total)
+// level returns the memory for each unit of weight at which the workspaces use an amount of
+// memory together. Workspaces that are not listed count as equally large ones with a weight
+// of 1.
+func (k *demandClass) level(memory float64) float64 {
+	works := slices.Clone(k.workspaces)
+	if k.otherCount > 0 {
+		works = append(works, demandWork{weight: float64(k.otherCount), total: k.other.total})
 	}
-	if k.other > 0 {
-		add(float64(max(k.otherWorkspaces, 1)), k.other)
+	slices.SortFunc(works, func(a, b demandWork) int { return cmp.Compare(a.total/a.weight, b.total/b.weight) })
+	weights := 0.0
+	for _, w := range works {
+		weights += w.weight
 	}
-	slices.SortFunc(shares, func(a, b share) int { return cmp.Compare(a.perWeight, b.perWeight) })
-	for _, s := range shares {
-		if s.perWeight*weights >= granted {
-			break
+	for _, w := range works {
+		if w.total/w.weight*weights >= memory {
+			return memory / weights
 		}
-		granted -= s.tokens
-		weights -= s.weight
-	}
-	if weights <= 0 {
-		return shares[len(shares)-1].perWeight
+		memory -= w.total
+		weights -= w.weight
 	}
-	return granted / weights
+	return math.Inf(1)
 }
 
-// Before returns the work that is served before a new call over all fronts: that of more
-// urgent calls, and of each workspace of the same urgency at most as much for its weight as
-// the call's own workspace has with this call.
+// Before returns the waiting work that is served before a new call over all fronts: that of
+// more urgent calls, and of each workspace of the same urgency at most as much for its weight
+// as the call's own workspace has with this call.
 func (d Demand) Before(c Call) float64 {
 	before := 0.0
 	for i := range d.classes {
 		k := &d.classes[i]
 		switch {
 		case k.priority < c.Priority:
-			before += k.tokens()
+			before += k.waiting()
 		case k.priority == c.Priority:
 			before += k.before(c)
 		}
@@ -199,27 +207,17 @@
 }
 
 func (k *demandClass) before(c Call) float64 {
-	own := float64(c.Tokens)
-	sum := 0.0
+	own := 0.0
 	for _, w := range k.workspaces {
 		if w.workspace == c.Workspace {
-			own += w.total
-			sum += w.total
+			own = w.waiting
 		}
 	}
-	perWeight := own / float64(max(c.Weight, 1))
+	sum, perWeight := own, (own+float64(c.Tokens))/float64(max(c.Weight, 1))
 	for _, w := range k.workspaces {
 		if w.workspace != c.Workspace {
-			sum += min(w.total, perWeight*w.weight)
+			sum += min(w.waiting, perWeight*w.weight)
 		}
 	}
-	return sum + min(k.other, k.otherLimit(perWeight))
-}
-
-// HasMoreUrgent reports whether calls wait that are more urgent than a priority.
-func (d Demand) HasMoreUrgent(priority int) bool {
-	return len(d.classes) > 0 && d.classes[0].priority < priority
+	return sum + min(k.other.waiting, perWeight*float64(k.otherCount))
 }
-
-// Tokens returns the work of all classes.
-func (d Demand) Tokens() float64 { return d.totalTokens() }
--- a/waitlist/overall.go
+++ b/waitlist/overall.go
@@ -1,6 +1,7 @@
 package waitlist
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -19,17 +20,31 @@
 	r.record(now, tokens)
 }
 
-// SetOthers replaces what is known of the work that waits at other fronts.
+// Started records an attempt that was sent to an engine, Ended its end.
+func (l *List[T]) Started(attempt uint64, c backlog.RunningCall) { l.running.Start(attempt, c) }
+
+// Ended records the end of an attempt. Attempts that were not recorded are ignored.
+func (l *List[T]) Ended(attempt uint64) { l.running.End(attempt) }
+
+// Running returns the memory that the calls of this front with a priority use.
+func (l *List[T]) Running(service core.ServiceID, priority int) int {
+	return l.running.Tokens(service, priority)
+}
+
+// SetOthers replaces what is known of the work of other fronts.
 func (l *List[T]) SetOthers(now time.Time, others backlog.Summary) {
 	l.others, l.othersAt = others, now
 }
 
-// OthersKnown reports whether the work that waits at other fronts is known.
+// ForgetOthers removes what is known of the work of other fronts.
+func (l *List[T]) ForgetOthers() { l.others, l.othersAt = backlog.Summary{}, time.Time{} }
+
+// OthersKnown reports whether the work of other fronts is known.
 func (l *List[T]) OthersKnown(now time.Time) bool {
 	return !l.othersAt.IsZero() && now.Sub(l.othersAt) <= backlog.TTL
 }
 
-// Others returns the work that waits at other fronts, as far as it is known.
+// Others returns the work of other fronts, as far as it is known.
 func (l *List[T]) Others(now time.Time) backlog.Summary {
 	if !l.OthersKnown(now) {
 		return backlog.Summary{}
@@ -38,61 +53,53 @@
 }
 
 // Summary returns the summary of this front for the others.
-func (l *List[T]) Summary(now time.Time) backlog.Summary {
+func (l *List[T]) Summary(now time.Time) backlog.Summary { return l.own(now).Bounded() }
+
+// own returns the summary of this front with all its workspaces.
+func (l *List[T]) own(now time.Time) backlog.Summary {
 	var sum backlog.Summary
-	for id := range l.services {
-		own := l.ownSummary(now, id)
-		sum.Classes, sum.Rates = append(sum.Classes, own.Classes...), append(sum.Rates, own.Rates...)
+	l.running.AddTo(&sum)
+	for id, s := range l.services {
+		s.addTo(&sum, now, id)
 	}
-	return sum.Bounded()
+	return sum
 }
 
-// ownSummary returns the summary of a service with all its workspaces.
-func (l *List[T]) ownSummary(now time.Time, id core.ServiceID) backlog.Summary {
-	var sum backlog.Summary
-	s := l.services[id]
-	if s == nil {
-		return sum
-	}
+// addTo adds the waiting and the arriving calls of a service to a summary.
+func (s *service[T]) addTo(sum *backlog.Summary, now time.Time, id core.ServiceID) {
 	waiting := 0
 	for _, k := range s.classes {
 		class := backlog.Class{Service: id, Priority: k.priority, Workspaces: make([]backlog.Work, 0, len(k.work))}
 		for _, w := range k.work {
 			class.Workspaces = append(class.Workspaces, w)
-			waiting += w.Tokens
+			waiting += w.Waiting
 		}
-		sum.Classes = append(sum.Classes, class)
+		sum.AddClass(class)
 	}
 	for priority, rate := range s.arriving {
-		sum.Classes = addArriving(sum.Classes, backlog.Class{Service: id, Priority: priority, ArrivingPerSecond: rate.perSecond(now)})
+		if perSecond := rate.perSecond(now); perSecond >= 1 {
+			sum.AddClass(backlog.Class{Service: id, Priority: priority, ArrivingPerSecond: perSecond})
+		}
 	}
 	if waiting > 0 && s.drain.known(now) {
 		sum.Rates = append(sum.Rates, backlog.Rate{Service: id, PerSecond: s.drain.perSecond(now), Tokens: waiting})
 	}
-	return sum
-}
-
-// addArriving adds the rate of new calls to the class of its priority.
-func addArriving(classes []backlog.Class, c backlog.Class) []backlog.Class {
-	at := slices.IndexFunc(classes, func(k backlog.Class) bool { return k.Priority == c.Priority })
-	if at < 0 {
-		return append(classes, c)
-	}
-	classes[at].ArrivingPerSecond = c.ArrivingPerSecond
-	return classes
 }
 
-// Demand returns the work that waits for a service at all fronts, as far as it is known.
+// Demand returns the work of a service at all fronts, as far as it is known.
 func (l *List[T]) Demand(now time.Time, service core.ServiceID) backlog.Demand {
-	return backlog.NewDemand(service, l.ownSummary(now, service), l.Others(now))
+	return backlog.NewDemand(service, l.own(now), l.Others(now))
 }
 
-// MoreUrgentArrivingPerSecond returns the work of new calls of a service at all fronts that are
-// more urgent than a priority, in tokens a second.
-func (l *List[T]) MoreUrgentArrivingPerSecond(now time.Time, service core.ServiceID, priority int) float64 {
-	return l.ownSummary(now, service).ArrivingPerSecond(service, priority) + l.Others(now).ArrivingPerSecond(service, priority)
+// MostUrgent returns the priority of the most urgent calls of a service that arrive at all
+// fronts, and their work in tokens a second.
+func (l *List[T]) MostUrgent(now time.Time, service core.ServiceID) (priority int, perSecond float64, ok bool) {
+	return backlog.Add(l.own(now), l.Others(now)).MostUrgent(service)
 }
 
+// Services returns the services for which calls have arrived.
+func (l *List[T]) Services() []core.ServiceID { return slices.Collect(maps.Keys(l.services)) }
+
 // Precedes reports whether a more urgent call waits for the same service. A new call then
 // waits as well, so that it does not take the memory that becomes free.
 func (l *List[T]) Precedes(id core.ServiceID, priority int) bool {
@@ -105,7 +112,7 @@
 // fronts as far as they are known. It returns false if that rate is not known yet.
 func (l *List[T]) ExpectedWait(now time.Time, c Call[T]) (time.Duration, bool) {
 	demand := l.Demand(now, c.Service)
-	if demand.Tokens() == 0 {
+	if demand.Waiting() == 0 {
 		return 0, true
 	}
 	perSecond, known := l.drainRate(now, c.Service, demand)
@@ -118,12 +125,12 @@
 // drainRate returns the rate at which waiting work is placed at all fronts. Fronts whose rate
 // is not known are taken to place their work as fast as the others.
 func (l *List[T]) drainRate(now time.Time, service core.ServiceID, demand backlog.Demand) (float64, bool) {
-	own, others := l.ownSummary(now, service).Rate(service), l.Others(now).Rate(service)
+	own, others := l.own(now).Rate(service), l.Others(now).Rate(service)
 	tokens := float64(own.Tokens + others.Tokens)
 	if tokens == 0 {
 		return 0, false
 	}
-	return (own.PerSecond + others.PerSecond) * demand.Tokens() / tokens, true
+	return (own.PerSecond + others.PerSecond) * demand.Waiting() / tokens, true
 }
 
 // Request returns what the call asks for.
--- a/waitlist/waitlist.go
+++ b/waitlist/waitlist.go
@@ -63,14 +63,16 @@
 	calls    int
 	capacity int
 	lastID   uint64
-	// others is the work that waits at other fronts as of othersAt.
+	// running are the calls of this front at engines.
+	running *backlog.Running[uint64]
+	// others is the work of other fronts as of othersAt.
 	others   backlog.Summary
 	othersAt time.Time
 }
 
 // New returns an empty list for at most capacity calls.
 func New[T any](capacity int) *List[T] {
-	return &List[T]{services: make(map[core.ServiceID]*service[T]), capacity: capacity}
+	return &List[T]{services: make(map[core.ServiceID]*service[T]), capacity: capacity, running: backlog.NewRunning[uint64]()}
 }
 
 // Len returns the number of waiting calls.
@@ -134,8 +136,8 @@
 // addWork changes the work of the workspace of a call.
 func (k *class[T]) addWork(c Call[T], tokens int) {
 	w := k.work[c.Workspace]
-	w.Workspace, w.Weight, w.Tokens = c.Workspace, max(c.Weight, 1), w.Tokens+tokens
-	if w.Tokens <= 0 {
+	w.Workspace, w.Weight, w.Waiting = c.Workspace, max(c.Weight, 1), w.Waiting+tokens
+	if w.Waiting <= 0 {
 		delete(k.work, c.Workspace)
 		return
 	}
