Leave room for large calls, and know the memory that others use

Calls of one kind took the memory of others by their number times the mean memory of this front's calls, which is wrong by an order of magnitude where urgent calls are ten times as large as patient ones. The mean now follows from the summaries. While large calls wait, smaller ones leave memory for them at one of eight engines.

--- a/gateway/router.go
+++ b/gateway/router.go
@@ -185,7 +185,7 @@
 		}
 	}
 	if others, ok := r.observations.RemoteBacklog().TryReceive(); ok {
-		r.waiting.list.SetOthers(now, others)
+		r.applyOthers(now, others)
 	}
 	r.takeReports()
 	r.applyVerdicts(now)
--- a/gateway/waitingshare.go
+++ b/gateway/waitingshare.go
@@ -19,6 +19,10 @@
 	// roundingShare is the share of a call's memory that must be left of the limit of the
 	// front. Limits that are smaller than a call are rounded to whole calls.
 	roundingShare = 0.5
+	// limitSlack is the ratio of the memory that the calls of a front may use to its limit. The
+	// limits follow the work of other fronts with a delay, and their sum would otherwise leave
+	// memory unused. Whether an engine has memory is checked besides.
+	limitSlack = 1.1
 	// lastResortShare is the share of its waiting time after which a call is placed beyond
 	// the limit if no call of its class runs. A front whose limit is less than half a call
 	// would otherwise never place one.
@@ -68,6 +72,7 @@
 // the front's share in the request. Without knowledge of other fronts each call may.
 func (r *router) allowMemory(now time.Time, c *waitingCall, waits bool) bool {
 	pending := c.Value
+	pending.req.MemoryShare, pending.req.LargestWaiting = 0, 0
 	if !usesEngine(pending) || !r.waiting.list.OthersKnown(now) {
 		return true
 	}
@@ -79,15 +84,15 @@
 	if !waits {
 		demand = demand.With(c.Request())
 	}
+	pending.req.LargestWaiting = demand.LargestWaiting(c.Priority)
 	headroom := r.waiting.shares.headroom(c, runTime, memory) * (1 - pending.req.WaitedShare)
 	limit := demand.OwnLimit(c.Priority, memory, headroom)
-	pending.req.MemoryShare = 0
 	if math.IsInf(limit, 1) {
 		return true
 	}
 	running := r.waiting.list.Running(c.Service, c.Priority)
 	pending.req.MemoryShare = limit / memory
-	return float64(running)+roundingShare*float64(c.Tokens) <= limit || running == 0 && pending.req.WaitedShare >= lastResortShare
+	return float64(running)+roundingShare*float64(c.Tokens) <= limitSlack*limit || running == 0 && pending.req.WaitedShare >= lastResortShare
 }
 
 // headroom returns the memory that is left to calls that are more urgent than a call.
@@ -106,6 +111,14 @@
 	}
 }
 
+// applyOthers replaces what is known of the calls of other fronts.
+func (r *router) applyOthers(now time.Time, others backlog.Summary) {
+	r.waiting.list.SetOthers(now, others)
+	for _, service := range r.waiting.list.Services() {
+		r.placer.SetOthersRunning(now, service, others.Running(service), others.Fronts)
+	}
+}
+
 // publishSummary sends the other fronts the summary of this front's calls.
 func (r *router) publishSummary(now time.Time) {
 	r.observations.RecordBacklog(r.waiting.list.Summary(now))
--- a/placement/memory.go
+++ b/placement/memory.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"waxwingtide.example/waxwingtide/catalog"
@@ -35,6 +36,11 @@
 	// idleLoad is the number of calls of other processes below which an engine is taken to
 	// be idle. An idle engine is offered calls of any size.
 	idleLoad = 0.5
+	// othersMemoryTTL is the time for which the memory that others use is known.
+	othersMemoryTTL = 500 * time.Millisecond
+	// enginesPerReserved is the number of engines of a service for each one at which memory is
+	// left for large calls while they wait.
+	enginesPerReserved = 8
 	// residencyGain is the weight of one call in the mean memory of a running call.
 	residencyGain = 0.05
 )
@@ -75,7 +81,44 @@
 // usedMemory estimates the tokens in an engine's memory that the calls of all processes
 // use.
 func (pl *Placer) usedMemory(now time.Time, u *upstream) float64 {
-	return float64(u.memoryTokens) + u.othersLoad(now)*pl.residencies[u.row.Service].meanTokens()
+	mean, known := pl.othersMeanTokens(now, u.row.Service)
+	if !known {
+		mean = pl.residencies[u.row.Service].meanTokens()
+	}
+	return float64(u.memoryTokens) + u.othersLoad(now)*mean
+}
+
+// othersMemory is the mean memory of a running call of other processes at a time.
+type othersMemory struct {
+	mean float64
+	at   time.Time
+}
+
+// SetOthersRunning sets the memory that the calls of a service use that a number of other
+// processes have sent. Processes that do not report it are taken to use as much as the others.
+func (pl *Placer) SetOthersRunning(now time.Time, service core.ServiceID, tokens, processes int) {
+	listed := len(pl.fronts) - 1
+	if 2*processes < listed || processes == 0 {
+		delete(pl.othersRunning, service)
+		return
+	}
+	all := float64(tokens) * max(float64(listed)/float64(processes), 1)
+	calls := 0.0
+	for _, u := range pl.byService[service] {
+		calls += u.othersLoad(now)
+	}
+	if calls < 1 {
+		delete(pl.othersRunning, service)
+		return
+	}
+	pl.othersRunning[service] = othersMemory{mean: all / calls, at: now}
+}
+
+// othersMeanTokens returns the mean memory of a running call of other processes, if it is
+// known. The calls of this process may be smaller or larger.
+func (pl *Placer) othersMeanTokens(now time.Time, service core.ServiceID) (float64, bool) {
+	o, ok := pl.othersRunning[service]
+	return o.mean, ok && now.Sub(o.at) <= othersMemoryTTL
 }
 
 // hasMemory reports whether an engine has memory for a call.
@@ -95,9 +138,26 @@
 	if own > freeMemoryShare*capacity && own+needed > portionFactor*limit*pl.ownLoadShare {
 		return false
 	}
+	if largest := float64(req.LargestWaiting); needed < largest && pl.reservedForLarge[u] {
+		limit, needed = newCallMemoryShare*capacity, largest
+	}
 	return pl.usedMemory(now, u)+needed <= limit
 }
 
+// reserveForLarge selects the engines of a service at which memory is left for large calls
+// while such calls wait. All processes select the same ones, so that the calls that run there
+// end and leave enough memory at one engine instead of a little at each.
+func (pl *Placer) reserveForLarge(service core.ServiceID) {
+	ids := make([]core.UpstreamID, 0, len(pl.byService[service]))
+	for _, u := range pl.byService[service] {
+		ids = append(ids, u.row.ID)
+	}
+	slices.Sort(ids)
+	for _, id := range ids[:(len(ids)+enginesPerReserved-1)/enginesPerReserved] {
+		pl.reservedForLarge[pl.upstreams[id]] = true
+	}
+}
+
 // setOwnLoadShare sets ownLoadShare for the placement of a call of a service. It is at
 // least an equal share, and larger while other processes have few calls, for example
 // since they stop, or while they leave more of the memory to this one.
--- a/placement/table.go
+++ b/placement/table.go
@@ -59,6 +59,10 @@
 	// ownLoadShare is the share of this process in the calls that run at the engines of the
 	// service for which a call is being placed.
 	ownLoadShare float64
+	// othersRunning is the mean memory of the running calls of other processes, by service.
+	othersRunning map[core.ServiceID]othersMemory
+	// reservedForLarge are the engines at which memory is left for large calls.
+	reservedForLarge map[*upstream]bool
 	// rateChanges are the changes of announced rates since TakeRateChanges.
 	rateChanges []RateChange
 	// departures and pauses are what upstreams have announced about new calls,
@@ -98,7 +102,7 @@
 		opts: opts, cacheIndex: index, upstreams: make(map[core.UpstreamID]*upstream),
 		retryBudgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*sourceLink), partServers: make(map[cacheindex.Key][]*upstream), oldestVersions: make(map[core.ModelID]oldestVersion),
 		meanPromptTokens: make(map[core.ServiceID]float64), departures: make(map[quarantine.Incarnation]*departure), pauses: make(map[pauseSubject]*pause),
-		residencies: make(map[core.ServiceID]*residency), isolation: newIsolation(), speeds: make(map[core.ServiceID]*serviceSpeed),
+		residencies: make(map[core.ServiceID]*residency), isolation: newIsolation(), othersRunning: make(map[core.ServiceID]othersMemory), speeds: make(map[core.ServiceID]*serviceSpeed),
 	}
 }
 
@@ -123,6 +127,10 @@
 		pl.byService[row.Service] = append(pl.byService[row.Service], u)
 	}
 	pl.upstreams = next
+	pl.reservedForLarge = make(map[*upstream]bool)
+	for service := range pl.byService {
+		pl.reserveForLarge(service)
+	}
 	pl.updateRestrictions(now)
 	pl.evacuated, pl.weightHistory = in.Evacuated, in.WeightHistory
 	pl.members.set(now, pl.opts.Node, in.Fronts)
--- a/placement/types.go
+++ b/placement/types.go
@@ -55,6 +55,9 @@
 	// MemoryShare is the share of the memory of all engines that the calls of this process may
 	// use, or 0 if it is not known.
 	MemoryShare float64
+	// LargestWaiting is the memory of the largest call that waits for an engine, or 0. Smaller
+	// calls leave memory for it at some of the engines.
+	LargestWaiting int
 }
 
 // AttemptID identifies one attempt.
--- a/sharing/backlog.go
+++ b/sharing/backlog.go
@@ -26,7 +26,7 @@
 	if s == nil {
 		return nil
 	}
-	out := new(wire.Backlog)
+	out := &wire.Backlog{Fronts: uint32(min(max(s.Fronts, 0), math.MaxInt32))} //nolint:gosec // within the bounds
 	for _, c := range s.Classes {
 		out.Classes = append(out.Classes, encodeClass(c))
 	}
@@ -40,7 +40,7 @@
 	out := &wire.BacklogClass{
 		Service: string(c.Service), Priority: uint32(min(max(c.Priority, 0), math.MaxInt32)), //nolint:gosec // within the bounds
 		OtherWorkspaces: uint32(min(max(c.OtherWorkspaces, 0), math.MaxInt32)), OtherWaiting: encodeCount(c.OtherWaiting), OtherRunning: encodeCount(c.OtherRunning), //nolint:gosec // within the bounds
-		ArrivingPerSecond: encodeRate(c.ArrivingPerSecond),
+		ArrivingPerSecond: encodeRate(c.ArrivingPerSecond), LargestWaiting: encodeCount(c.LargestWaiting),
 	}
 	for _, w := range c.Workspaces {
 		out.Workspaces = append(out.Workspaces, &wire.WorkspaceBacklog{
@@ -70,11 +70,11 @@
 	if message == nil {
 		return nil
 	}
-	s := new(backlog.Summary)
+	s := &backlog.Summary{Fronts: int(min(message.Fronts, math.MaxInt32))}
 	for _, c := range message.Classes {
 		class := backlog.Class{
 			Service: core.ServiceID(c.Service), Priority: int(c.Priority), OtherWorkspaces: int(c.OtherWorkspaces), OtherWaiting: decodeCount(c.OtherWaiting), OtherRunning: decodeCount(c.OtherRunning),
-			ArrivingPerSecond: float64(decodeCount(c.ArrivingPerSecond)),
+			ArrivingPerSecond: float64(decodeCount(c.ArrivingPerSecond)), LargestWaiting: decodeCount(c.LargestWaiting),
 		}
 		for _, w := range c.Workspaces {
 			class.Workspaces = append(class.Workspaces, backlog.Work{Workspace: core.WorkspaceID(w.Workspace), Weight: int(w.Weight), Waiting: decodeCount(w.Waiting), Running: decodeCount(w.Running)})
--- a/waitlist/backlog/backlog.go
+++ b/waitlist/backlog/backlog.go
@@ -42,6 +42,8 @@
 	OtherWaiting, OtherRunning int
 	// ArrivingPerSecond is the work of new calls in tokens a second, whether or not they wait.
 	ArrivingPerSecond float64
+	// LargestWaiting is the memory of the largest call that has waited lately.
+	LargestWaiting int
 }
 
 // Rate is the rate at which waiting work of a service is placed.
@@ -57,6 +59,8 @@
 	// Classes are ordered by service and priority.
 	Classes []Class
 	Rates   []Rate
+	// Fronts is the number of fronts.
+	Fronts int
 }
 
 // Rate returns the rate of a service.
@@ -69,6 +73,21 @@
 	return Rate{Service: service}
 }
 
+// Running returns the memory that the calls of a service use.
+func (s Summary) Running(service core.ServiceID) int {
+	sum := 0
+	for _, c := range s.Classes {
+		if c.Service != service {
+			continue
+		}
+		sum += c.OtherRunning
+		for _, w := range c.Workspaces {
+			sum += w.Running
+		}
+	}
+	return sum
+}
+
 // MostUrgent returns the priority of the most urgent calls of a service that arrive, and their
 // work in tokens a second.
 func (s Summary) MostUrgent(service core.ServiceID) (priority int, perSecond float64, ok bool) {
@@ -82,7 +101,7 @@
 
 // Add returns the sum of two summaries, within the bounds of a summary.
 func Add(a, b Summary) Summary {
-	sum := Summary{Rates: slices.Clone(a.Rates)}
+	sum := Summary{Rates: slices.Clone(a.Rates), Fronts: a.Fronts + b.Fronts}
 	for _, c := range slices.Concat(a.Classes, b.Classes) {
 		sum.AddClass(c)
 	}
@@ -116,6 +135,7 @@
 	to.OtherWaiting += c.OtherWaiting
 	to.OtherRunning += c.OtherRunning
 	to.ArrivingPerSecond += c.ArrivingPerSecond
+	to.LargestWaiting = max(to.LargestWaiting, c.LargestWaiting)
 	for _, w := range c.Workspaces {
 		to.addWork(w)
 	}
--- a/waitlist/backlog/demand.go
+++ b/waitlist/backlog/demand.go
@@ -32,6 +32,8 @@
 	// other is the work of workspaces that are not listed, otherCount their number.
 	other      demandWork
 	otherCount int
+	// largest is the largest call that has waited lately.
+	largest int
 }
 
 // demandWork is the work of a workspace: that of this front, that of all fronts, and the
@@ -67,6 +69,7 @@
 		k := d.class(c.Priority)
 		k.other.add(c.OtherWaiting, c.OtherRunning, own)
 		k.otherCount += c.OtherWorkspaces
+		k.largest = max(k.largest, c.LargestWaiting)
 		for _, w := range c.Workspaces {
 			k.workspace(w.Workspace, w.Weight).add(w.Waiting, w.Running, own)
 		}
@@ -118,6 +121,18 @@
 	return sum
 }
 
+// LargestWaiting returns the memory of the largest call that has waited lately and is not less
+// urgent than a priority.
+func (d Demand) LargestWaiting(priority int) int {
+	largest := 0
+	for _, k := range d.classes {
+		if k.priority <= priority {
+			largest = max(largest, k.largest)
+		}
+	}
+	return largest
+}
+
 // With returns the demand with a call of this front that does not wait yet.
 func (d Demand) With(c Call) Demand {
 	d.classes = slices.Clone(d.classes)
--- a/waitlist/overall.go
+++ b/waitlist/overall.go
@@ -57,7 +57,7 @@
 
 // own returns the summary of this front with all its workspaces.
 func (l *List[T]) own(now time.Time) backlog.Summary {
-	var sum backlog.Summary
+	sum := backlog.Summary{Fronts: 1}
 	l.running.AddTo(&sum)
 	for id, s := range l.services {
 		s.addTo(&sum, now, id)
@@ -78,7 +78,7 @@
 	}
 	for priority, rate := range s.arriving {
 		if perSecond := rate.perSecond(now); perSecond >= 1 {
-			sum.AddClass(backlog.Class{Service: id, Priority: priority, ArrivingPerSecond: perSecond})
+			sum.AddClass(backlog.Class{Service: id, Priority: priority, ArrivingPerSecond: perSecond, LargestWaiting: s.largestWaiting(now, priority)})
 		}
 	}
 	if waiting > 0 && s.drain.known(now) {
@@ -86,6 +86,31 @@
 	}
 }
 
+// largestTTL is the time for which the largest waiting call is remembered. It covers the time
+// until engines have memory for calls of this size, and the next such calls.
+const largestTTL = time.Second
+
+// recentCall is the memory of a call that has waited at a time.
+type recentCall struct {
+	tokens int
+	at     time.Time
+}
+
+// recordLargest records a waiting call.
+func (s *service[T]) recordLargest(now time.Time, priority, tokens int) {
+	if tokens >= s.largestWaiting(now, priority) {
+		s.largest[priority] = recentCall{tokens: tokens, at: now}
+	}
+}
+
+// largestWaiting returns the memory of the largest call that has waited lately.
+func (s *service[T]) largestWaiting(now time.Time, priority int) int {
+	if c := s.largest[priority]; now.Sub(c.at) <= largestTTL {
+		return c.tokens
+	}
+	return 0
+}
+
 // Demand returns the work of a service at all fronts, as far as it is known.
 func (l *List[T]) Demand(now time.Time, service core.ServiceID) backlog.Demand {
 	return backlog.NewDemand(service, l.own(now), l.Others(now))
--- a/waitlist/waitlist.go
+++ b/waitlist/waitlist.go
@@ -55,6 +55,8 @@
 	drain   drain
 	// arriving is the work of new calls by priority.
 	arriving map[int]*workRate
+	// largest are the largest calls by priority that have waited lately.
+	largest map[int]recentCall
 }
 
 // List contains waiting calls.
@@ -93,7 +95,7 @@
 func (l *List[T]) service(id core.ServiceID) *service[T] {
 	s := l.services[id]
 	if s == nil {
-		s = &service[T]{arriving: make(map[int]*workRate)}
+		s = &service[T]{arriving: make(map[int]*workRate), largest: make(map[int]recentCall)}
 		l.services[id] = s
 	}
 	return s
@@ -114,6 +116,7 @@
 		ID: core.AttemptID(strconv.FormatUint(l.lastID, 36)), Workspace: c.Workspace, Weight: c.Weight, Cost: float64(c.Tokens), Deadline: c.Until, Due: c.Deadline, Value: c,
 	}, false)
 	k.addWork(c, c.Tokens)
+	s.recordLargest(now, c.Priority, c.Tokens)
 	l.calls++
 	return true
 }
