Test the division of memory when fronts fail, and try each class of waiting calls

A front with eight urgent calls that find no memory never tried its less urgent ones. While the work of the other fronts is known, which bounds each class, one try is kept for each. Summaries list workspaces only in classes with waiting calls, so that they stay small.

--- a/gateway/overload_model_test.go
+++ b/gateway/overload_model_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -39,6 +40,8 @@
 	// share is the share of overloadCapacity that the calls need from one time to another.
 	share    float64
 	from, to time.Duration
+	// wait is the time for which the calls may wait. The default is that of the gateway.
+	wait time.Duration
 }
 
 func (l load) target() time.Duration {
@@ -74,9 +77,10 @@
 	engineIDs []core.UpstreamID
 	pending   []*overloadCall
 	board     *backlog.Board
-	// silent fronts exchange nothing. frozen ones do nothing.
-	silent, frozen map[int]bool
-	counts         map[*load]*overloadCount
+	// silent fronts exchange nothing, frozen ones do nothing, and those with noCalls get no
+	// new calls.
+	silent, frozen, noCalls map[int]bool
+	counts                  map[*load]*overloadCount
 	// busy is the sum of the used memory over all ticks.
 	busy float64
 }
@@ -84,7 +88,7 @@
 func newOverloadModel() *overloadModel {
 	m := &overloadModel{
 		random: rand.New(rand.NewPCG(7, 7)), engines: make(map[core.UpstreamID]*overloadEngine), board: backlog.NewBoard(),
-		silent: make(map[int]bool), frozen: make(map[int]bool), counts: make(map[*load]*overloadCount),
+		silent: make(map[int]bool), frozen: make(map[int]bool), noCalls: make(map[int]bool), counts: make(map[*load]*overloadCount),
 	}
 	engine := &catalog.Engine{Slots: 64, CacheTokens: overloadMemory, Models: []core.ModelID{"m"}}
 	config := &catalog.Config{Services: map[core.ServiceID]*catalog.Service{testService: {ID: testService, Engine: engine}}}
@@ -137,10 +141,13 @@
 func (m *overloadModel) arrive(l *load) {
 	for rate := l.share * overloadCapacity * overloadTick.Seconds() / float64(l.tokens); m.random.Float64() < rate; rate-- {
 		c := &overloadCall{load: l, front: l.fronts[m.random.IntN(len(l.fronts))], at: time.Now(), reply: ring.New[placementResult](1)}
+		if m.noCalls[c.front] || m.frozen[c.front] {
+			continue
+		}
 		m.counts[l].calls++
 		prompt := core.Prompt{Model: "m", Tokens: l.tokens, Parts: []core.Part{{ID: core.PartID(fmt.Sprint(m.counts[l].calls, l.workspace)), Tokens: l.tokens}}}
 		request := placement.Request{Service: testService, Prompt: prompt, Workspace: &catalog.Workspace{ID: l.workspace}}
-		wait := time.Duration(memoryWaitShare * float64(l.target()))
+		wait := cmp.Or(l.wait, time.Duration(memoryWaitShare*float64(l.target())))
 		m.routers[c.front].placeRequests.Offer(placeRequest{req: request, priority: l.priority, waitUntil: c.at.Add(wait), deadline: c.at.Add(10 * l.target()), reply: c.reply})
 		m.pending = append(m.pending, c)
 	}
@@ -229,4 +236,3 @@
 	}
 	return fronts
 }
-
--- a/placement/memory.go
+++ b/placement/memory.go
@@ -98,7 +98,7 @@
 // processes have sent. Processes that do not report it are taken to use as much as the others.
 func (pl *Placer) SetOthersRunning(now time.Time, service core.ServiceID, tokens, processes int) {
 	listed := len(pl.fronts) - 1
-	if 2*processes < listed || processes == 0 {
+	if 2*processes < listed || tokens == 0 {
 		delete(pl.othersRunning, service)
 		return
 	}
--- a/waitlist/backlog/backlog.go
+++ b/waitlist/backlog/backlog.go
@@ -12,11 +12,11 @@
 )
 
 const (
-	// MaxWorkspaces is the number of workspaces that a summary lists in each class, those
-	// with the most work. The others are added up.
+	// MaxWorkspaces is the number of workspaces that a summary lists in each class with waiting
+	// calls, those with the most work. The others are added up.
 	MaxWorkspaces = 4
 	// MaxClasses is the number of classes in a summary.
-	MaxClasses = 16
+	MaxClasses = 64
 )
 
 // Work is the work of a workspace, measured in tokens of memory.
@@ -169,12 +169,20 @@
 	slices.SortFunc(c.Workspaces, func(a, b Work) int {
 		return cmp.Or(cmp.Compare(b.tokens(), a.tokens()), cmp.Compare(a.Workspace, b.Workspace))
 	})
-	for _, w := range c.Workspaces[min(len(c.Workspaces), MaxWorkspaces):] {
+	listed := min(len(c.Workspaces), MaxWorkspaces)
+	if !c.hasWaiting() {
+		listed = 0
+	}
+	for _, w := range c.Workspaces[listed:] {
 		c.OtherWorkspaces++
 		c.OtherWaiting += w.Waiting
 		c.OtherRunning += w.Running
 	}
-	c.Workspaces = c.Workspaces[:min(len(c.Workspaces), MaxWorkspaces)]
+	c.Workspaces = c.Workspaces[:listed]
+}
+
+func (c *Class) hasWaiting() bool {
+	return c.OtherWaiting > 0 || slices.ContainsFunc(c.Workspaces, func(w Work) bool { return w.Waiting > 0 })
 }
 
 func compareClasses(a, b Class) int {
--- a/waitlist/waitlist.go
+++ b/waitlist/waitlist.go
@@ -167,15 +167,20 @@
 }
 
 // Try passes calls to place in their order, at most tries of each service, and removes
-// those for which it returns true.
+// those for which it returns true. While the work of other fronts is known, which bounds the
+// memory of each class, one try is kept for each less urgent class.
 func (l *List[T]) Try(now time.Time, tries int, place func(Call[T]) bool) {
 	for _, s := range l.services {
-		left := tries
+		left, kept := tries, 0
+		if l.OthersKnown(now) {
+			kept = len(s.classes)
+		}
 		for _, k := range s.classes {
+			kept = max(kept-1, 0)
 			if left <= 0 {
 				break
 			}
-			k.queue.Scan(left, func(it *fairqueue.Item[Call[T]]) bool {
+			k.queue.Scan(max(left-kept, 1), func(it *fairqueue.Item[Call[T]]) bool {
 				left--
 				if !place(it.Value) {
 					return false
--- a/waitlist/waitlist_test.go
+++ b/waitlist/waitlist_test.go
@@ -9,6 +9,7 @@
 
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/waitlist"
+	"waxwingtide.example/waxwingtide/waitlist/backlog"
 )
 
 var t0 = time.Unix(1000, 0)
@@ -75,6 +76,38 @@
 	require.Equal(t, []string{"a", "c"}, order(l))
 }
 
+// Guards against less urgent calls that are never tried while many urgent ones wait that find
+// no memory.
+func TestEachClassIsTried(t *testing.T) {
+	l := waitlist.New[string](16)
+	for range 10 {
+		require.True(t, l.Add(t0, call("urgent", 0, 100)))
+	}
+	require.True(t, l.Add(t0, call("deferrable", 2, 100)))
+	l.SetOthers(t0, backlog.Summary{Fronts: 1})
+	var tried []string
+	l.Try(t0, 8, func(c waitlist.Call[string]) bool {
+		tried = append(tried, c.Value)
+		return false
+	})
+	require.Len(t, tried, 8)
+	require.Equal(t, "deferrable", tried[7])
+}
+
+// Guards against an expected wait that ignores the calls of other fronts, or counts on them
+// after they are no longer known.
+func TestExpectedWaitCountsOtherFronts(t *testing.T) {
+	l := waitlist.New[string](16)
+	others := backlog.Summary{Fronts: 3, Classes: []backlog.Class{{Service: testService, Workspaces: []backlog.Work{{Workspace: "w", Waiting: 5000}}}}, Rates: []backlog.Rate{{Service: testService, PerSecond: 1000, Tokens: 2500}}}
+	l.SetOthers(t0, others)
+	wait, known := l.ExpectedWait(t0, call("new", 1, 100))
+	require.True(t, known)
+	require.InDelta(t, 2.5, wait.Seconds(), 0.01, "fronts with half of the work place 1,000 tokens a second")
+	wait, known = l.ExpectedWait(t0.Add(time.Second), call("new", 1, 100))
+	require.True(t, known)
+	require.Zero(t, wait)
+}
+
 // Guards against shares outside the range from 0 to 1.
 func TestWaitedShare(t *testing.T) {
 	c := call("a", 0, 100)
