--- a/gateway/overload_model_test.go
+++ b/gateway/overload_model_test.go
@@ -134,7 +134,7 @@
 		if at%overloadExchange == 0 {
 			m.exchange()
 		}
-		time.Sleep(start.Add(at + overloadTick).Sub(time.Now()))
+		time.Sleep(time.Until(start.Add(at + overloadTick)))
 	}
 }
 
--- a/gateway/waitingmetrics.go
+++ b/gateway/waitingmetrics.go
@@ -14,6 +14,9 @@
 	// refusedAtOnce are the calls that were refused on arrival, refusedAfterWait those that
 	// have waited in vain.
 	refusedAtOnce, refusedAfterWait atomic.Int64
+	// heldBack are the calls that were not placed on arrival, since this front's calls use its
+	// part of the memory. othersFronts is the number of other fronts whose calls are known.
+	heldBack, othersFronts atomic.Int64
 }
 
 func (m *waitingMetrics) register(meter metric.Meter) error {
@@ -29,11 +32,21 @@
 	if err != nil {
 		return err
 	}
+	heldBack, err := meter.Int64ObservableCounter("gateway_memory_held_back", metric.WithDescription("Calls that were not placed on arrival, since the calls of this front use its part of the engines' memory"))
+	if err != nil {
+		return err
+	}
+	known, err := meter.Int64ObservableGauge("gateway_backlog_fronts", metric.WithDescription("Other fronts whose running and waiting calls are known"))
+	if err != nil {
+		return err
+	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		o.ObserveInt64(waiting, m.waiting.Load())
 		o.ObserveInt64(atOnce, m.refusedAtOnce.Load())
 		o.ObserveInt64(afterWait, m.refusedAfterWait.Load())
+		o.ObserveInt64(heldBack, m.heldBack.Load())
+		o.ObserveInt64(known, m.othersFronts.Load())
 		return nil
-	}, waiting, atOnce, afterWait)
+	}, waiting, atOnce, afterWait, heldBack, known)
 	return err
 }
--- a/gateway/waitingshare.go
+++ b/gateway/waitingshare.go
@@ -16,6 +16,8 @@
 	// summaryInterval is the interval at which a front updates the summary of its calls for
 	// the others. It is less than the interval of the exchange, which takes the newest one.
 	summaryInterval = 150 * time.Millisecond
+	// demandAge is the time for which the demand for a service is not computed again.
+	demandAge = 10 * time.Millisecond
 	// roundingShare is the share of a call's memory that must be left of the limit of the
 	// front. Limits that are smaller than a call are rounded to whole calls.
 	roundingShare = 0.5
@@ -54,9 +56,9 @@
 // usesEngine reports whether a call uses the memory of an engine.
 func usesEngine(pending *placeRequest) bool { return pending.req.Prompt.Tokens > 0 }
 
-// demand returns the demand for a service, which is computed once in a turn of the router.
+// demand returns the demand for a service, at most demandAge old.
 func (w *waitingCalls) demand(now time.Time, service core.ServiceID) backlog.Demand {
-	if !w.shares.demandsAt.Equal(now) {
+	if now.Sub(w.shares.demandsAt) > demandAge {
 		clear(w.shares.demands)
 		w.shares.demandsAt = now
 	}
@@ -92,7 +94,13 @@
 	}
 	running := r.waiting.list.Running(c.Service, c.Priority)
 	pending.req.MemoryShare = limit / memory
-	return float64(running)+roundingShare*float64(c.Tokens) <= limitSlack*limit || running == 0 && pending.req.WaitedShare >= lastResortShare
+	if float64(running)+roundingShare*float64(c.Tokens) <= limitSlack*limit || running == 0 && pending.req.WaitedShare >= lastResortShare {
+		return true
+	}
+	if !waits {
+		r.waiting.metrics.heldBack.Add(1)
+	}
+	return false
 }
 
 // headroom returns the memory that is left to calls that are more urgent than a call.
@@ -123,6 +131,7 @@
 func (r *router) publishSummary(now time.Time) {
 	r.observations.RecordBacklog(r.waiting.list.Summary(now))
 	known := r.waiting.list.OthersKnown(now)
+	r.waiting.metrics.othersFronts.Store(int64(r.waiting.list.Others(now).Fronts))
 	if known != r.waiting.shares.known {
 		r.waiting.shares.known = known
 		r.log.WithFields(logrus.Fields{"event": "backlog_of_fronts", "known": known}).Info("knowledge of the calls of other fronts has changed")
--- a/waitlist/backlog/backlog_test.go
+++ b/waitlist/backlog/backlog_test.go
@@ -35,7 +35,7 @@
 				others = backlog.Add(others, fronts[j])
 			}
 		}
-		out[i] = backlog.NewDemand(service, fronts[i], others).OwnLimit(priority, memory, 0)
+		out[i] = backlog.NewDemand(service, others, fronts[i]).OwnLimit(priority, memory, 0)
 	}
 	return out
 }
@@ -57,7 +57,7 @@
 	require.InDelta(t, 200, limits(2, 2000, patient, front(0, work("b", 5000, 0)))[0], 1, "the minimum share")
 	require.InDelta(t, 1500, limits(2, 2000, patient, front(0, work("b", 500, 0)))[0], 1)
 	require.InDelta(t, 1800, limits(0, 2000, front(0, work("b", 5000, 0)), patient)[0], 1)
-	require.InDelta(t, 1000, backlog.NewDemand(service, patient, backlog.Summary{}).OwnLimit(2, 2000, 1000), 1, "headroom is left")
+	require.InDelta(t, 1000, backlog.NewDemand(service, backlog.Summary{}, patient).OwnLimit(2, 2000, 1000), 1, "headroom is left")
 }
 
 // Guards against summaries that grow with the number of fronts, services or workspaces, and
--- a/waitlist/backlog/demand.go
+++ b/waitlist/backlog/demand.go
@@ -29,6 +29,8 @@
 type demandClass struct {
 	priority   int
 	workspaces []demandWork
+	// index contains the positions in workspaces. It is nil in a copy.
+	index map[core.WorkspaceID]int
 	// other is the work of workspaces that are not listed, otherCount their number.
 	other      demandWork
 	otherCount int
@@ -52,11 +54,13 @@
 	}
 }
 
-// NewDemand returns the demand for a service from the work of this front and that of all
-// others.
-func NewDemand(service core.ServiceID, own, others Summary) Demand {
+// NewDemand returns the demand for a service from the work of all other fronts and that of
+// this front, which may be in several summaries.
+func NewDemand(service core.ServiceID, others Summary, own ...Summary) Demand {
 	var d Demand
-	d.add(service, own, true)
+	for _, s := range own {
+		d.add(service, s, true)
+	}
 	d.add(service, others, false)
 	return d
 }
@@ -80,17 +84,24 @@
 func (d *Demand) class(priority int) *demandClass {
 	at, found := slices.BinarySearchFunc(d.classes, priority, func(k demandClass, p int) int { return cmp.Compare(k.priority, p) })
 	if !found {
-		d.classes = slices.Insert(d.classes, at, demandClass{priority: priority})
+		d.classes = slices.Insert(d.classes, at, demandClass{priority: priority, index: make(map[core.WorkspaceID]int)})
 	}
 	return &d.classes[at]
 }
 
 // workspace returns the work of a workspace, and creates it if there is none.
 func (k *demandClass) workspace(id core.WorkspaceID, weight int) *demandWork {
-	at := slices.IndexFunc(k.workspaces, func(w demandWork) bool { return w.workspace == id })
-	if at < 0 {
+	at, found := k.index[id]
+	if k.index == nil {
+		at = slices.IndexFunc(k.workspaces, func(w demandWork) bool { return w.workspace == id })
+		found = at >= 0
+	}
+	if !found {
 		at = len(k.workspaces)
 		k.workspaces = append(k.workspaces, demandWork{workspace: id, weight: float64(max(weight, 1))})
+		if k.index != nil {
+			k.index[id] = at
+		}
 	}
 	return &k.workspaces[at]
 }
@@ -137,7 +148,7 @@
 func (d Demand) With(c Call) Demand {
 	d.classes = slices.Clone(d.classes)
 	k := d.class(c.Priority)
-	k.workspaces = slices.Clone(k.workspaces)
+	k.workspaces, k.index = slices.Clone(k.workspaces), nil
 	k.workspace(c.Workspace, c.Weight).add(c.Tokens, 0, true)
 	return d
 }
--- a/waitlist/overall.go
+++ b/waitlist/overall.go
@@ -113,7 +113,12 @@
 
 // Demand returns the work of a service at all fronts, as far as it is known.
 func (l *List[T]) Demand(now time.Time, service core.ServiceID) backlog.Demand {
-	return backlog.NewDemand(service, l.own(now), l.Others(now))
+	var waiting, running backlog.Summary
+	l.running.AddTo(&running)
+	if s := l.services[service]; s != nil {
+		s.addTo(&waiting, now, service)
+	}
+	return backlog.NewDemand(service, l.Others(now), running, waiting)
 }
 
 // MostUrgent returns the priority of the most urgent calls of a service that arrive at all
