--- a/gateway/overload_model_test.go
+++ b/gateway/overload_model_test.go
@@ -40,6 +40,8 @@
 	// share is the share of overloadCapacity that the calls need from one time to another.
 	share    float64
 	from, to time.Duration
+	// returns is set if callers return after a refusal, until their deadline.
+	returns bool
 	// wait is the time for which the calls may wait. The default is that of the gateway.
 	wait time.Duration
 }
@@ -55,9 +57,12 @@
 	load      *load
 	front     int
 	at        time.Time
+	deadline  time.Time
 	reply     *ring.Ring[placementResult]
 	placement placementResult
 	endsAt    time.Time
+	// returnsAt is when the caller returns after a refusal.
+	returnsAt time.Time
 }
 
 type overloadEngine struct {
@@ -66,7 +71,11 @@
 }
 
 // overloadCount counts the calls of a load, the work that was answered in time included.
-type overloadCount struct{ calls, inTime, refused int }
+type overloadCount struct {
+	calls, inTime, refused int
+	// returned counts how often callers have returned.
+	returned int
+}
 
 func (c overloadCount) share() float64 { return float64(c.inTime) / float64(max(c.calls, 1)) }
 
@@ -81,6 +90,8 @@
 	// new calls.
 	silent, frozen, noCalls map[int]bool
 	counts                  map[*load]*overloadCount
+	// returning are the calls whose callers return.
+	returning []*overloadCall
 	// busy is the sum of the used memory over all ticks.
 	busy float64
 }
@@ -124,6 +135,7 @@
 				m.arrive(l)
 			}
 		}
+		m.returnCallers()
 		for i, r := range m.routers {
 			if !m.frozen[i] {
 				r.handlePending()
@@ -140,16 +152,48 @@
 
 func (m *overloadModel) arrive(l *load) {
 	for rate := l.share * overloadCapacity * overloadTick.Seconds() / float64(l.tokens); m.random.Float64() < rate; rate-- {
-		c := &overloadCall{load: l, front: l.fronts[m.random.IntN(len(l.fronts))], at: time.Now(), reply: ring.New[placementResult](1)}
+		c := &overloadCall{load: l, front: l.fronts[m.random.IntN(len(l.fronts))], at: time.Now(), deadline: time.Now().Add(10 * l.target())}
 		if m.noCalls[c.front] || m.frozen[c.front] {
 			continue
 		}
 		m.counts[l].calls++
-		prompt := core.Prompt{Model: "m", Tokens: l.tokens, Parts: []core.Part{{ID: core.PartID(fmt.Sprint(m.counts[l].calls, l.workspace)), Tokens: l.tokens}}}
-		request := placement.Request{Service: testService, Prompt: prompt, Workspace: &catalog.Workspace{ID: l.workspace}}
-		wait := cmp.Or(l.wait, time.Duration(memoryWaitShare*float64(l.target())))
-		m.routers[c.front].placeRequests.Offer(placeRequest{req: request, priority: l.priority, waitUntil: c.at.Add(wait), deadline: c.at.Add(10 * l.target()), reply: c.reply})
-		m.pending = append(m.pending, c)
+		m.request(c)
+	}
+}
+
+// request requests the placement of a call.
+func (m *overloadModel) request(c *overloadCall) {
+	l := c.load
+	c.reply = ring.New[placementResult](1)
+	prompt := core.Prompt{Model: "m", Tokens: l.tokens, Parts: []core.Part{{ID: core.PartID(fmt.Sprint(m.counts[l].calls, l.workspace)), Tokens: l.tokens}}}
+	request := placement.Request{Service: testService, Prompt: prompt, Workspace: &catalog.Workspace{ID: l.workspace}}
+	wait := cmp.Or(l.wait, time.Duration(memoryWaitShare*float64(l.target())))
+	m.routers[c.front].placeRequests.Offer(placeRequest{req: request, priority: l.priority, waitUntil: time.Now().Add(wait), deadline: c.deadline, reply: c.reply})
+	m.pending = append(m.pending, c)
+}
+
+// returnCallers requests the placement of refused calls whose callers return, at any front of
+// the load.
+func (m *overloadModel) returnCallers() {
+	var left []*overloadCall
+	for _, c := range m.returning {
+		if time.Now().Before(c.returnsAt) {
+			left = append(left, c)
+			continue
+		}
+		c.front = c.load.fronts[m.random.IntN(len(c.load.fronts))]
+		m.counts[c.load].returned++
+		m.request(c)
+	}
+	m.returning = left
+}
+
+// refuse records a refusal.
+func (m *overloadModel) refuse(c *overloadCall, retryAfter time.Duration) {
+	m.counts[c.load].refused++
+	c.returnsAt = time.Now().Add(retryAfter)
+	if c.load.returns && c.returnsAt.Before(c.deadline) {
+		m.returning = append(m.returning, c)
 	}
 }
 
@@ -162,7 +206,7 @@
 		case !ok:
 			left = append(left, c)
 		case p.refusal != placement.NotRefused:
-			m.counts[c.load].refused++
+			m.refuse(c, p.retryAfter)
 		default:
 			c.placement = p
 			e := m.engines[p.choice.Upstream.ID]
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -49,3 +49,13 @@
 		require.GreaterOrEqual(t, m.counts[large].share(), m.counts[small].share())
 	})
 }
+
+// Guards against callers that are told to return before there is memory for them, so that they
+// return again and again. Those that are told the right time return once.
+func TestCallersReturnOnce(t *testing.T) {
+	run(t, func(m *overloadModel) {
+		l := &load{workspace: "a", priority: 2, tokens: 1000, fronts: allFronts(), share: 1.5, to: time.Minute, returns: true}
+		m.play(10*time.Second, l)
+		require.LessOrEqual(t, float64(m.counts[l].returned), 1.25*float64(m.counts[l].calls))
+	})
+}
