Send no old summary again, and state when a lost front is forgotten

A collector took a summary that was sent again for a new one, so that the work of a front that had stopped counted for up to 1.6 s. Without repetition it is 1.2 s.

--- a/gateway/overload_failure_test.go
+++ b/gateway/overload_failure_test.go
@@ -28,7 +28,8 @@
 }
 
 // Guards against the calls of a front that has frozen, died or been cut off, which would hold
-// back those of the other fronts for longer than a second.
+// back those of the other fronts for longer than a
+// second in the model, where summaries pass no collector.
 func TestCallsOfLostFrontHoldNothingBack(t *testing.T) {
 	for name, lose := range map[string]func(m *overloadModel){
 		"frozen or dead": func(m *overloadModel) { m.frozen[0] = true },
--- a/sharing/backlog.go
+++ b/sharing/backlog.go
@@ -2,23 +2,20 @@
 
 import (
 	"math"
-	"time"
 
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/waitlist/backlog"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
-// takeBacklog returns the newest summary of the local work, or nil if the process has
-// recorded none within backlog.TTL.
-func (x *exchangeDuty) takeBacklog(now time.Time) *backlog.Summary {
-	if s, ok := x.localBacklog.TryReceive(); ok {
-		x.backlog, x.backlogAt = &s, now
-	}
-	if now.Sub(x.backlogAt) > backlog.TTL {
+// takeBacklog returns the newest summary of the local work, or nil if none has been recorded
+// since the last exchange. An old one is not sent again, since it would be taken for a new one.
+func (e *Exchanger) takeBacklog() *backlog.Summary {
+	s, ok := e.localBacklog.TryReceive()
+	if !ok {
 		return nil
 	}
-	return x.backlog
+	return &s
 }
 
 // encodeBacklog returns nil for a backlog that is not known.
--- a/sharing/exchange.go
+++ b/sharing/exchange.go
@@ -62,9 +62,6 @@
 	*Exchanger
 	domainLink collectorLink
 	globalLink collectorLink
-	// backlog is the last summary of the local work, recorded at backlogAt.
-	backlog   *backlog.Summary
-	backlogAt time.Time
 	// forwardedNumber is the number of the newest observation on the local board
 	// that was forwarded to the ring of remote observations.
 	forwardedNumber uint64
@@ -81,7 +78,7 @@
 		if candidates.isAlone() {
 			e.recordExchange()
 		}
-		x.exchangeInDomain(ctx, candidates, x.takeLocal())
+		x.exchangeInDomain(ctx, candidates, e.takeLocal())
 	}
 	return nil
 }
@@ -145,9 +142,8 @@
 }
 
 // takeLocal returns what this process has recorded since the last exchange.
-func (x *exchangeDuty) takeLocal() batch {
-	e := x.Exchanger
-	local := batch{backlog: x.takeBacklog(time.Now())}
+func (e *Exchanger) takeLocal() batch {
+	local := batch{backlog: e.takeBacklog()}
 	for o, ok := e.local.TryReceive(); ok; o, ok = e.local.TryReceive() {
 		local.observations = append(local.observations, o)
 	}
--- a/waitlist/backlog/board.go
+++ b/waitlist/backlog/board.go
@@ -7,8 +7,8 @@
 )
 
 // TTL is the time after which a summary no longer counts that its sender has not replaced. A
-// front sends one every 200 ms. Summaries pass two collectors, so that the work of a front that
-// has stopped sending is forgotten by all within a second.
+// front sends one every 200 ms. Summaries pass two collectors, which adds up to three pauses of
+// that length, so that all fronts forget the work of one that has stopped within 1.2 s.
 const TTL = 400 * time.Millisecond
 
 // Board contains the newest summary of each sender, which is a front or a collector that has
