--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -59,3 +59,21 @@
 		require.LessOrEqual(t, float64(m.counts[l].returned), 1.25*float64(m.counts[l].calls))
 	})
 }
+
+// Guards against patient calls that run for long and take all memory between bursts of urgent
+// ones, although these are usual. Before the first burst no headroom can be known.
+func TestUrgentBurstsFindHeadroom(t *testing.T) {
+	run(t, func(m *overloadModel) {
+		patient := &load{workspace: "b", priority: 2, tokens: 500, fronts: allFronts(), share: 0.4, to: time.Minute, run: 800 * time.Millisecond}
+		burst := func() *load {
+			return &load{workspace: "a", tokens: 2000, fronts: allFronts(), share: 0.4, from: 3 * time.Second, to: 4 * time.Second}
+		}
+		first, later := burst(), burst()
+		m.play(4*time.Second, patient, first)
+		for range 4 {
+			m.play(4*time.Second, patient, later)
+		}
+		require.Greater(t, m.counts[later].share(), 0.5, "most calls of a usual burst are in time")
+		require.Greater(t, m.counts[later].share(), m.counts[first].share())
+	})
+}
--- a/gateway/waitingshare.go
+++ b/gateway/waitingshare.go
@@ -87,7 +87,7 @@
 		demand = demand.With(c.Request())
 	}
 	pending.req.LargestWaiting = demand.LargestWaiting(c.Priority)
-	headroom := r.waiting.shares.headroom(c, runTime, memory) * (1 - pending.req.WaitedShare)
+	headroom := r.waiting.shares.headroom(c, runTime, memory)
 	limit := demand.OwnLimit(c.Priority, memory, headroom)
 	if math.IsInf(limit, 1) {
 		return true
--- a/waitlist/backlog/headroom.go
+++ b/waitlist/backlog/headroom.go
@@ -13,7 +13,7 @@
 	// is headroom.
 	headroomDeviations = 1.0
 	// maxHeadroomShare is the maximum headroom as a share of all memory.
-	maxHeadroomShare = 0.25
+	maxHeadroomShare = 0.3
 )
 
 // Headroom estimates how much memory more urgent calls will need soon, from the mean and the
