--- a/placement/table.go
+++ b/placement/table.go
@@ -64,6 +64,10 @@
 	// ownLoadShare is the share of this process in the calls that run at the engines of the
 	// service for which a call is being placed.
 	ownLoadShare float64
+	// othersRunning is the mean memory of the running calls of other processes, by service.
+	othersRunning map[core.ServiceID]othersMemory
+	// reservedForLarge are the engines at which memory is left for large calls.
+	reservedForLarge map[*upstream]bool
 	// rateChanges are the changes of announced rates since TakeRateChanges.
 	rateChanges []RateChange
 	// departures and pauses are what upstreams have announced about new calls,
@@ -106,7 +110,7 @@
 		opts: opts, members: quota.NewMembers(opts.Node), cacheIndex: index, upstreams: make(map[core.UpstreamID]*upstream),
 		retryBudgets: make(map[core.ServiceID]*retry.Budget), links: make(map[string]*sourceLink), delays: linkDelays{state: links.New()}, partServers: make(map[cacheindex.Key][]*upstream), oldestVersions: make(map[core.ModelID]oldestVersion),
 		meanPromptTokens: make(map[core.ServiceID]float64), departures: make(map[quarantine.Incarnation]*departure), pauses: make(map[pauseSubject]*pause),
-		residencies: make(map[core.ServiceID]*residency), isolation: newIsolation(), speeds: make(map[core.ServiceID]*serviceSpeed),
+		residencies: make(map[core.ServiceID]*residency), isolation: newIsolation(), othersRunning: make(map[core.ServiceID]othersMemory), speeds: make(map[core.ServiceID]*serviceSpeed),
 	}
 }
 
@@ -131,6 +135,10 @@
 		pl.byService[row.Service] = append(pl.byService[row.Service], u)
 	}
 	pl.upstreams = next
+	pl.reservedForLarge = make(map[*upstream]bool)
+	for service := range pl.byService {
+		pl.reserveForLarge(service)
+	}
 	pl.updateRestrictions(now)
 	pl.evacuated, pl.weightHistory = in.Evacuated, in.WeightHistory
 	pl.members.Set(now, in.Fronts, in.Joins)
@@ -195,7 +203,7 @@
 	clear(pl.partServers)
 	pl.lastSalt = ""
 	if service.Engine != nil {
-		pl.setOwnLoadShare(now, req.Service)
+		pl.setOwnLoadShare(now, req.Service, req.MemoryShare)
 	}
 	affinities := pl.affinityCosts(req)
 	for i, u := range pl.byService[req.Service] {
--- a/sharing/board.go
+++ b/sharing/board.go
@@ -6,6 +6,7 @@
 	"waxwingtide.example/waxwingtide/canary"
 	"waxwingtide.example/waxwingtide/core"
 	"waxwingtide.example/waxwingtide/quarantine"
+	"waxwingtide.example/waxwingtide/waitlist/backlog"
 )
 
 const (
@@ -88,6 +89,7 @@
 	verdicts     evidenceStore[verdictKey, canary.Verdict]
 	departures   evidenceStore[quarantine.Incarnation, Observation]
 	linkDelays   linkBoard
+	backlogs     *backlog.Board
 	newestNumber uint64
 }
 
@@ -95,7 +97,7 @@
 	return &board{
 		loads: make(map[core.UpstreamID]numberedObservation), rates: make(map[core.UpstreamID]numberedObservation), failures: make(map[core.UpstreamID]map[core.NodeID]numberedObservation),
 		evidence: newEvidenceBoard(), verdicts: make(evidenceStore[verdictKey, canary.Verdict]),
-		departures: make(evidenceStore[quarantine.Incarnation, Observation]), linkDelays: make(linkBoard),
+		departures: make(evidenceStore[quarantine.Incarnation, Observation]), linkDelays: make(linkBoard), backlogs: backlog.NewBoard(),
 	}
 }
 
--- a/sharing/exchange.go
+++ b/sharing/exchange.go
@@ -10,6 +10,7 @@
 	"waxwingtide.example/waxwingtide/duty"
 	"waxwingtide.example/waxwingtide/placement/links"
 	"waxwingtide.example/waxwingtide/quarantine"
+	"waxwingtide.example/waxwingtide/waitlist/backlog"
 	"waxwingtide.example/waxwingtide/wire"
 )
 
@@ -124,6 +125,8 @@
 	verdicts     []canary.Verdict
 	// linkDelays are the observations of links by the sender, and by those for which it collects.
 	linkDelays []links.Delays
+	// backlog is nil if the sender does not know it, as in earlier versions.
+	backlog *backlog.Summary
 }
 
 // message is a request or a reply of an exchange.
@@ -132,18 +135,20 @@
 	GetParts() *wire.PartEvidence
 	GetVerdicts() []*wire.VersionVerdict
 	GetLinks() *wire.LinkDelays
+	GetBacklog() *wire.Backlog
 }
 
 func decodeBatch(now time.Time, m message) batch {
 	return batch{
 		observations: decodeObservations(now, m.GetSeen()), evidence: decodeEvidence(now, m.GetParts()), verdicts: decodeVerdicts(m.GetVerdicts()),
 		linkDelays: decodeLinkDelays(m.GetLinks()),
+		backlog:    decodeBacklog(m.GetBacklog()),
 	}
 }
 
 // takeLocal returns what this process has recorded since the last exchange.
 func (e *Exchanger) takeLocal() batch {
-	var local batch
+	local := batch{backlog: e.takeBacklog()}
 	for o, ok := e.local.TryReceive(); ok; o, ok = e.local.TryReceive() {
 		local.observations = append(local.observations, o)
 	}
@@ -173,6 +178,9 @@
 	if len(received.linkDelays) > 0 {
 		e.remoteLinkDelays.Push(received.linkDelays)
 	}
+	if received.backlog != nil {
+		e.remoteBacklog.Push(*received.backlog)
+	}
 }
 
 // collect runs one exchange as the domain collector. It adds the local observations
@@ -212,7 +220,7 @@
 	now := time.Now()
 	request := &wire.ShareRequest{
 		Sender: x.opts.Sender(), Seen: encodeObservations(now, outgoing.observations), Parts: encodeEvidence(now, outgoing.evidence),
-		Verdicts: encodeVerdicts(outgoing.verdicts), Links: encodeLinkDelays(outgoing.linkDelays),
+		Verdicts: encodeVerdicts(outgoing.verdicts), Backlog: encodeBacklog(outgoing.backlog), Links: encodeLinkDelays(outgoing.linkDelays),
 		Board: l.boardID, After: l.afterNumber, Collector: asDomainCollector,
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
--- a/sharing/linkdelays.go
+++ b/sharing/linkdelays.go
@@ -65,14 +65,14 @@
 	out := new(wire.LinkDelays)
 	for _, d := range delays {
 		out.Links = append(out.Links, uint32(d.Link))
-		out.Transfers = append(out.Transfers, encodeCount(d.Transfers/transfersUnit))
-		out.DelayMs = append(out.DelayMs, encodeCount(d.DelayMs))
+		out.Transfers = append(out.Transfers, roundToCount(d.Transfers/transfersUnit))
+		out.DelayMs = append(out.DelayMs, roundToCount(d.DelayMs))
 	}
 	return out
 }
 
-// encodeCount rounds a value to a count within the bounds of the encoding.
-func encodeCount(value float64) uint32 {
+// roundToCount rounds a value within the bounds of the encoding.
+func roundToCount(value float64) uint32 {
 	return uint32(min(max(math.Round(value), 0), math.MaxUint32))
 }
 
