--- a/frontend/duties_test.go
+++ b/frontend/duties_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"waxwingtide.example/waxwingtide/fleet/quota"
 	"waxwingtide.example/waxwingtide/standin"
 )
 
@@ -83,12 +82,9 @@
 		d.startServer(id, "svc", serveUsage)
 	}
 	first, second := d.startReadyFront("front-1"), d.startReadyFront("front-2")
-	// Windows that end within a second of the start are not reported, and a front that joins
-	// has hardly any retries, which resumed streams need, until the others count it.
-	time.Sleep(quota.ArrivalDelay + 1500*time.Millisecond)
+	time.Sleep(1500 * time.Millisecond) // windows that end within a second of the start are not reported
 	want := 0
 	for i := range 6 {
-		time.Sleep(300 * time.Millisecond) // resumed streams take from a budget that is refilled over time
 		for j, f := range []*front{first, second} {
 			r := f.call(http.MethodPost, "/draft/x", fmt.Sprintf("s%d-%d", i, j), nil)
 			require.NoError(t, r.err)
