--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -18,7 +18,9 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world) (bool, error){
+	"cold":  runCold,
 	"entry": runEntry,
+	"thaw":  runThaw,
 }
 
 func main() { os.Exit(run()) }
