Add review case 8: an older entry takes back that a server leaves

Entries of a server are ordered by the versions of the store's rows only. A write that the store performs seconds later puts an older entry (ready) in the place of a newer one (draining), and calls go to the server after drain-ms.

--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -21,6 +21,7 @@
 	"cold":  runCold,
 	"entry": runEntry,
 	"thaw":  runThaw,
+	"beat":  runBeat,
 }
 
 func main() { os.Exit(run()) }
