Add review case 9: a fresh front does not quarantine a deadly part

In its first ten seconds a front wants 20 other answers of its own before it quarantines a part, which it does not get at one prompt a second.

--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -19,6 +19,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world) (bool, error){
 	"cold":  runCold,
+	"warm":  runWarm,
 	"entry": runEntry,
 	"thaw":  runThaw,
 	"beat":  runBeat,
