--- a/review/lab2/warm.go
+++ b/review/lab2/warm.go
@@ -125,7 +125,7 @@
 		go func() {
 			defer sending.Done()
 			every(ctx, soundRate, func(n int) {
-				callers.send((*current.Load())[i], fmt.Sprintf("s%d-%d", i, n), fmt.Sprintf("session%d", rand.IntN(40)))
+				callers.send((*current.Load())[i], fmt.Sprintf("s%d-%d", i, n), fmt.Sprintf("history%d", rand.IntN(40)))
 			})
 		}()
 	}
